--- a/core/quorum/acceptor.go
+++ b/core/quorum/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"cardamomspool/core/spec"
 )
@@ -28,6 +29,10 @@
 	// document at revision 0.
 	Value struct {
 		spec.Versioned
+		// Operator is who asked for the change; may be empty.
+		Operator string `json:"operator,omitempty"`
+		// At is when the proposing control host took the change.
+		At time.Time `json:"at,omitzero"`
 		// Requests are the latest accepted requests, oldest first.
 		Requests []Request `json:"requests,omitempty"`
 	}
@@ -44,6 +49,9 @@
 		Value Value `json:"value"`
 		// Chosen is the newest value known to be held by a majority.
 		Chosen Value `json:"chosen"`
+		// History holds the latest chosen values that this host has learnt,
+		// oldest first, Chosen included, without their requests.
+		History []Value `json:"history,omitempty"`
 	}
 
 	// Promise answers a Prepare.
@@ -65,6 +73,9 @@
 	}
 )
 
+// MaxHistory is the number of past values kept per document.
+const MaxHistory = 16
+
 // Compare returns -1, 0 or +1 as b is below, equal to or above other.
 func (b Ballot) Compare(other Ballot) int {
 	return cmp.Or(cmp.Compare(b.Round, other.Round), cmp.Compare(b.Host, other.Host))
@@ -107,6 +118,12 @@
 		return false, *r
 	}
 	r.Chosen = v
+	past := v
+	past.Requests = nil
+	r.History = append(r.History, past)
+	if extra := len(r.History) - MaxHistory; extra > 0 {
+		r.History = r.History[extra:]
+	}
 	return true, *r
 }
 
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +20,10 @@
 		Base uint64
 		// Request identifies the change over resends.
 		Request string
+		// Operator is who asks; may be empty.
+		Operator string
+		// At is when the control host took the change.
+		At time.Time
 		// Deleted asks to remove the document.
 		Deleted bool
 		// Body is the new document, already validated.
@@ -77,6 +82,8 @@
 	done := Request{ID: c.Request, Revision: v.Revision + 1}
 	next := Value{
 		Versioned: spec.Versioned{Name: c.Name, Revision: done.Revision, Deleted: c.Deleted, Body: bytes.Clone(c.Body)},
+		Operator:  c.Operator,
+		At:        c.At,
 		Requests:  append(append([]Request(nil), v.Requests...), done),
 	}
 	if extra := len(next.Requests) - MaxRequests; extra > 0 {
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -28,6 +28,9 @@
 		Get(name string) (spec.Versioned, bool)
 		// List returns the newest known documents of all services.
 		List() []spec.Versioned
+		// History returns the latest values of a service that this host has
+		// learnt, oldest first, without their requests.
+		History(name string) []quorum.Value
 	}
 
 	// Accepted is the answer to an accepted change.
@@ -62,6 +65,8 @@
 	maxRequestID  = 128
 	headerRequest = "Idempotency-Key"
 	headerBase    = "If-Match"
+	// headerOperator names who makes a change; it is kept in the history.
+	headerOperator = "Spool-Operator"
 )
 
 // NewControl returns the handler of a control host's admin address. An empty
@@ -140,7 +145,10 @@
 // change reads the parts that every change has. It answers the request itself
 // and reports false when one is missing.
 func (c *control) change(w http.ResponseWriter, r *http.Request) (quorum.Change, bool) {
-	change := quorum.Change{Name: r.PathValue("name"), Request: r.Header.Get(headerRequest)}
+	change := quorum.Change{
+		Name: r.PathValue("name"), Request: r.Header.Get(headerRequest),
+		Operator: r.Header.Get(headerOperator), At: time.Now().UTC(),
+	}
 	if !spec.ValidName(change.Name) {
 		reply(w, http.StatusBadRequest, Problem{Error: "the service name is not valid"})
 		return change, false
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -194,6 +194,14 @@
 	return list
 }
 
+// History returns the latest values of a service that this host has learnt,
+// oldest first, without their requests.
+func (h *Host) History(name string) []quorum.Value {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.acceptor.Register(name).History)
+}
+
 // chosen returns all learnt values by name and a channel that is closed at
 // the next change.
 func (h *Host) chosen() ([]quorum.Value, <-chan struct{}) {
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
@@ -32,7 +33,10 @@
 
 // FromValue converts a register's value to its message.
 func FromValue(v quorum.Value) *peerpb.Value {
-	m := &peerpb.Value{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body}
+	m := &peerpb.Value{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body, Operator: v.Operator}
+	if !v.At.IsZero() {
+		m.At = v.At.UnixNano()
+	}
 	for _, r := range v.Requests {
 		m.Requests = append(m.Requests, &peerpb.Request{Id: r.ID, Revision: r.Revision})
 	}
@@ -43,7 +47,10 @@
 func ToValue(m *peerpb.Value) quorum.Value {
 	v := quorum.Value{Versioned: spec.Versioned{
 		Name: m.GetName(), Revision: m.GetRevision(), Deleted: m.GetDeleted(), Body: m.GetBody(),
-	}}
+	}, Operator: m.GetOperator()}
+	if m.GetAt() != 0 {
+		v.At = time.Unix(0, m.GetAt()).UTC()
+	}
 	for _, r := range m.GetRequests() {
 		v.Requests = append(v.Requests, quorum.Request{ID: r.GetId(), Revision: r.GetRevision()})
 	}
