--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -19,6 +19,12 @@
 )
 
 type (
+	// command is one subcommand with what it runs.
+	command struct {
+		parser *flaggy.Subcommand
+		run    func(ctx context.Context) error
+	}
+
 	// targetOptions are the flags of the target subcommand.
 	targetOptions struct {
 		service  string
@@ -48,32 +54,32 @@
 )
 
 func main() {
-	t := targetOptions{service: "bookings", name: "target-1", slots: 3, queue: 1, mean: 4 * time.Millisecond, seed: 1}
-	l := loadOptions{method: "POST", calls: 1000, rate: 500}
 	flaggy.SetName("spoollab")
-	flaggy.SetDescription("stand-in targets and loads for cardamomspool")
+	flaggy.SetDescription("stand-in targets, loads and experiments for cardamomspool")
 	flaggy.SetVersion(version)
-	target, loader := targetCommand(&t), loadCommand(&l)
+	commands := []*command{
+		targetCommand(),
+		loadCommand(),
+	}
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	var err error
-	switch {
-	case target.Used:
-		err = runTarget(ctx, t)
-	case loader.Used:
-		err = runLoad(ctx, l)
-	default:
-		fmt.Fprintln(os.Stderr, "no subcommand was given; see --help")
-		os.Exit(exitUsage)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
+	for _, c := range commands {
+		if !c.parser.Used {
+			continue
+		}
+		if err := c.run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+		return
 	}
+	fmt.Fprintln(os.Stderr, "no subcommand was given; see --help")
+	os.Exit(exitUsage)
 }
 
-func targetCommand(o *targetOptions) *flaggy.Subcommand {
+func targetCommand() *command {
+	o := &targetOptions{service: "bookings", name: "target-1", slots: 3, queue: 1, mean: 4 * time.Millisecond, seed: 1}
 	sub := flaggy.NewSubcommand("target")
 	sub.Description = "run a stand-in target until interrupted"
 	sub.String(&o.service, "v", "service", "name of the service")
@@ -85,10 +91,11 @@
 	sub.Duration(&o.mean, "m", "mean", "mean of the exponential service time")
 	sub.Int(&o.seed, "d", "seed", "seed of the service times")
 	flaggy.AttachSubcommand(sub, 1)
-	return sub
+	return &command{parser: sub, run: func(ctx context.Context) error { return runTarget(ctx, o) }}
 }
 
-func loadCommand(o *loadOptions) *flaggy.Subcommand {
+func loadCommand() *command {
+	o := &loadOptions{method: "POST", calls: 1000, rate: 500}
 	sub := flaggy.NewSubcommand("load")
 	sub.Description = "send calls at a steady rate and print a JSON summary"
 	sub.String(&o.urls, "u", "urls", "addresses to call in turn, separated by commas")
@@ -97,10 +104,10 @@
 	sub.Int(&o.calls, "n", "calls", "number of calls")
 	sub.Float64(&o.rate, "r", "rate", "calls sent per second")
 	flaggy.AttachSubcommand(sub, 1)
-	return sub
+	return &command{parser: sub, run: func(ctx context.Context) error { return runLoad(ctx, o) }}
 }
 
-func runTarget(ctx context.Context, o targetOptions) error {
+func runTarget(ctx context.Context, o *targetOptions) error {
 	var (
 		address, announce netip.AddrPort
 		err               error
@@ -115,7 +122,7 @@
 		stub.WithServiceTime(o.mean), stub.WithSeed(uint64(o.seed))).Run(ctx)
 }
 
-func runLoad(ctx context.Context, o loadOptions) error {
+func runLoad(ctx context.Context, o *loadOptions) error {
 	if o.urls == "" {
 		return errors.New("--urls must name at least one address")
 	}
