Measure slopes with spoollab slopes

Runs the product's own processes at several sizes of targets, services, entry hosts, changes and call rates, reads processor time, memory and control traffic, fits a line to each and draws it.

--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -60,6 +60,7 @@
 	commands := []*command{
 		targetCommand(),
 		loadCommand(),
+		slopesCommand(),
 	}
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- /dev/null
+++ b/cmd/spoollab/slopes.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"cardamomspool/io/slope"
+)
+
+// slopesOptions are the flags of the slopes subcommand.
+type slopesOptions struct {
+	binary string
+	folder string
+	window time.Duration
+}
+
+func slopesCommand() *command {
+	o := &slopesOptions{binary: "./cardamomspool", folder: "docs/img", window: 10 * time.Second}
+	sub := flaggy.NewSubcommand("slopes")
+	sub.Description = "measure what processes spend at several sizes, and fit lines"
+	sub.String(&o.binary, "b", "binary", "path of the cardamomspool binary")
+	sub.String(&o.folder, "f", "folder", "folder for slopes.json and the plots")
+	sub.Duration(&o.window, "w", "window", "time over which each size is observed")
+	flaggy.AttachSubcommand(sub, 1)
+	return &command{parser: sub, run: func(ctx context.Context) error { return runSlopes(ctx, o) }}
+}
+
+func runSlopes(ctx context.Context, o *slopesOptions) error {
+	report, err := slope.New(o.binary, slope.WithWindow(o.window)).Run(ctx)
+	if err != nil {
+		return err
+	}
+	return report.Write(o.folder)
+}
--- /dev/null
+++ b/io/slope/fleet.go
@@ -0,0 +1,205 @@
+package slope
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/setup"
+)
+
+// fleet is a set of control and entry processes on loopback.
+type fleet struct {
+	folder   string
+	controls []*process
+	entries  []*process
+	settings []setup.Entry
+}
+
+const (
+	controlHosts = 3
+	startLimit   = 30 * time.Second
+	folderMode   = 0o700
+	fileMode     = 0o600
+)
+
+// startFleet starts three control hosts and a number of entry hosts whose
+// targets announce themselves at the given interval.
+func startFleet(ctx context.Context, binary string, entries int, interval time.Duration) (*fleet, error) {
+	f := &fleet{}
+	var err error
+	if f.folder, err = os.MkdirTemp("", "cardamomspool-slope-"); err != nil {
+		return nil, errors.Wrap(err, "slope")
+	}
+	if err = f.start(binary, entries, interval); err != nil {
+		f.stop()
+		return nil, err
+	}
+	if err = f.waitReady(ctx); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start(binary string, entries int, interval time.Duration) error {
+	ports, err := freePorts(2*controlHosts + 4*entries)
+	if err != nil {
+		return err
+	}
+	next := func() netip.AddrPort {
+		a := ports[0]
+		ports = ports[1:]
+		return a
+	}
+	var controlPeers, entryPeers []setup.Peer
+	for i := range controlHosts {
+		controlPeers = append(controlPeers, setup.Peer{Host: fmt.Sprintf("control-%d", i+1), DataCentre: "lab", PeerAddress: next()})
+	}
+	for i := range entries {
+		entryPeers = append(entryPeers, setup.Peer{Host: fmt.Sprintf("entry-%d", i+1), DataCentre: "lab", PeerAddress: next()})
+	}
+	for _, p := range controlPeers {
+		cfg := setup.Control{
+			Common:     setup.Common{Host: p.Host, DataCentre: p.DataCentre, LogLevel: "warn", AdminAddress: next(), PeerAddress: p.PeerAddress, Controls: controlPeers},
+			DataFolder: filepath.Join(f.folder, p.Host), StopGrace: strict.Duration(time.Second),
+		}
+		process, err := f.launch(binary, "control", cfg.Host, cfg, cfg.AdminAddress)
+		if err != nil {
+			return err
+		}
+		f.controls = append(f.controls, process)
+	}
+	for _, p := range entryPeers {
+		cfg := setup.Entry{
+			Common:      setup.Common{Host: p.Host, DataCentre: p.DataCentre, LogLevel: "warn", AdminAddress: next(), PeerAddress: p.PeerAddress, Controls: controlPeers},
+			CallAddress: next(), AnnounceAddress: next(), Entries: entryPeers,
+			Tick: strict.Duration(10 * time.Millisecond), AnnounceInterval: strict.Duration(interval),
+			DecisionLogOneIn: 1, StopGrace: strict.Duration(time.Second),
+		}
+		process, err := f.launch(binary, "entry", cfg.Host, cfg, cfg.AdminAddress)
+		if err != nil {
+			return err
+		}
+		f.entries = append(f.entries, process)
+		f.settings = append(f.settings, cfg)
+	}
+	return nil
+}
+
+func (f *fleet) launch(binary, subcommand, host string, cfg any, admin netip.AddrPort) (*process, error) {
+	data, err := json.Marshal(cfg)
+	if err != nil {
+		return nil, errors.Wrap(err, "slope")
+	}
+	path := filepath.Join(f.folder, host+".json")
+	if err = os.WriteFile(path, data, fileMode); err != nil {
+		return nil, errors.Wrap(err, "slope")
+	}
+	return start(binary, subcommand, path, admin)
+}
+
+// stop ends all processes and removes their files.
+func (f *fleet) stop() {
+	for _, p := range append(f.entries, f.controls...) {
+		p.stop()
+	}
+	os.RemoveAll(f.folder)
+}
+
+// waitReady waits until a change can be made and every entry has it.
+func (f *fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for {
+		err := f.apply(ctx, document(0), 0, "first")
+		if err == nil {
+			return f.waitVar(ctx, "services", 1)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "slope: the hosts did not get ready")
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// waitVar waits until a metric of every entry host has reached n.
+func (f *fleet) waitVar(ctx context.Context, name string, n float64) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for _, p := range f.entries {
+		for {
+			vars, err := p.vars(ctx)
+			if v, ok := vars[name].(float64); err == nil && ok && v >= n {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("slope: metric %s of an entry host did not reach %g", name, n)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// document returns the document of the i-th service.
+func document(i int) spec.Service {
+	doc := spec.Default()
+	doc.Name = fmt.Sprintf("service-%d", i)
+	doc.Receive.PathPrefixes = []string{fmt.Sprintf("/service-%d/", i)}
+	return doc
+}
+
+// apply sends a change of one document, based on revision base.
+func (f *fleet) apply(ctx context.Context, doc spec.Service, base uint64, request string) error {
+	var (
+		body []byte
+		req  *http.Request
+		resp *http.Response
+		err  error
+	)
+	if body, err = json.Marshal(doc); err != nil {
+		return errors.Wrap(err, "slope")
+	}
+	url := fmt.Sprintf("http://%s/v1/services/%s", f.controls[0].admin, doc.Name)
+	if req, err = http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body)); err != nil {
+		return errors.Wrap(err, "slope")
+	}
+	req.Header.Set("If-Match", fmt.Sprint(base))
+	req.Header.Set("Idempotency-Key", request)
+	if resp, err = http.DefaultClient.Do(req); err != nil {
+		return errors.Wrap(err, "slope: apply")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("slope: change answered with %s", resp.Status)
+	}
+	return nil
+}
+
+// freePorts returns n loopback addresses that were free a moment ago.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var list []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "slope: free port")
+		}
+		defer l.Close()
+		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return list, nil
+}
--- /dev/null
+++ b/io/slope/process.go
@@ -0,0 +1,172 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type (
+	// process is one running process of the product.
+	process struct {
+		cmd   *exec.Cmd
+		admin netip.AddrPort
+		log   *os.File
+	}
+
+	// usage is what a process has spent since it started.
+	usage struct {
+		at       time.Time
+		cpu      time.Duration
+		resident float64
+		heap     float64
+		bytesIn  float64
+		bytesOut float64
+	}
+)
+
+const (
+	stopLimit    = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	vmResident   = "VmRSS:"
+	bytesPerKiB  = 1024
+	suffixIn     = "_bytes_in"
+	suffixOut    = "_bytes_out"
+	httpDeadline = 5 * time.Second
+)
+
+// start runs the product's binary with a subcommand and a settings file. Its
+// log goes to a file beside the settings.
+func start(binary, subcommand, settings string, admin netip.AddrPort) (*process, error) {
+	var (
+		log *os.File
+		err error
+	)
+	if log, err = os.Create(settings + ".log"); err != nil {
+		return nil, errors.Wrap(err, "slope")
+	}
+	p := &process{cmd: exec.Command(binary, subcommand, "--settings", settings), admin: admin, log: log}
+	p.cmd.Stderr = log
+	if err = p.cmd.Start(); err != nil {
+		log.Close()
+		return nil, errors.Wrap(err, "slope: start")
+	}
+	return p, nil
+}
+
+// stop asks the process to end and kills it when it does not in time.
+func (p *process) stop() {
+	defer p.log.Close()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return // The process has ended by itself.
+	}
+	kill := time.AfterFunc(stopLimit, func() { p.cmd.Process.Kill() })
+	defer kill.Stop()
+	if err := p.cmd.Wait(); err != nil {
+		fmt.Fprintln(os.Stderr, "slope: process ended with", err)
+	}
+}
+
+// usage reads what the process has spent so far.
+func (p *process) usage(ctx context.Context) (usage, error) {
+	u := usage{at: time.Now()}
+	var (
+		vars map[string]any
+		err  error
+	)
+	if u.cpu, err = cpuTime(p.cmd.Process.Pid); err != nil {
+		return u, err
+	}
+	if u.resident, err = residentBytes(p.cmd.Process.Pid); err != nil {
+		return u, err
+	}
+	if vars, err = p.vars(ctx); err != nil {
+		return u, err
+	}
+	for name, value := range vars {
+		n, ok := value.(float64)
+		switch {
+		case ok && strings.HasSuffix(name, suffixIn):
+			u.bytesIn += n
+		case ok && strings.HasSuffix(name, suffixOut):
+			u.bytesOut += n
+		}
+	}
+	if memory, ok := vars["memstats"].(map[string]any); ok {
+		u.heap, _ = memory["heap_alloc_bytes"].(float64)
+	}
+	return u, nil
+}
+
+// vars reads the metrics of the process.
+func (p *process) vars(ctx context.Context) (map[string]any, error) {
+	var vars map[string]any
+	err := getJSON(ctx, fmt.Sprintf("http://%s/debug/vars", p.admin), &vars)
+	return vars, err
+}
+
+// cpuTime returns the processor time of all threads of a process, to the
+// nanosecond, from the kernel's scheduler statistics.
+func cpuTime(pid int) (time.Duration, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(files) == 0 {
+		return 0, errors.Errorf("slope: no scheduler statistics of process %d", pid)
+	}
+	var total time.Duration
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			continue // The thread has ended.
+		}
+		first, _, _ := strings.Cut(string(data), " ")
+		ns, err := strconv.ParseInt(first, 10, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, "slope: scheduler statistics")
+		}
+		total += time.Duration(ns)
+	}
+	return total, nil
+}
+
+func residentBytes(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "slope")
+	}
+	for line := range strings.Lines(string(data)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == vmResident {
+			kib, err := strconv.ParseFloat(fields[1], 64)
+			return kib * bytesPerKiB, errors.Wrap(err, "slope")
+		}
+	}
+	return 0, errors.Errorf("slope: no resident size of process %d", pid)
+}
+
+func getJSON(ctx context.Context, url string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, httpDeadline)
+	defer cancel()
+	var (
+		req  *http.Request
+		resp *http.Response
+		err  error
+	)
+	if req, err = http.NewRequestWithContext(ctx, http.MethodGet, url, nil); err != nil {
+		return errors.Wrap(err, "slope")
+	}
+	if resp, err = http.DefaultClient.Do(req); err != nil {
+		return errors.Wrap(err, "slope")
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
