Stop without waiting for unused connections; offer Read and Status

Cause: http.Server.Shutdown waits 5 s for a connection on which no request was sent, and HTTP clients leave such spare connections behind. GracefulStop between processes is bounded by 1 s, as a frozen entry host would hold it for the whole grace.

Store gains Read (through a majority) and Status.

--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -31,6 +31,12 @@
 		// History returns the latest values of a service that this host has
 		// learnt, oldest first, without their requests.
 		History(name string) []quorum.Value
+		// Read returns the document as a majority of control hosts holds it,
+		// revision 0 when there never was one. It returns
+		// quorum.ErrNoMajority when too few answer.
+		Read(ctx context.Context, name string) (spec.Versioned, error)
+		// Status tells how this control host stands.
+		Status() quorum.Status
 	}
 
 	// Accepted is the answer to an accepted change.
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
@@ -16,6 +18,7 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/disk"
+	"cardamomspool/io/drain"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
@@ -36,6 +39,7 @@
 		acceptor quorum.Acceptor
 		round    uint64
 		changed  chan struct{}
+		contacts map[string]time.Time
 	}
 
 	// Option sets one property of a Host.
@@ -48,6 +52,16 @@
 	}
 )
 
+const (
+	// peerStopGrace bounds the wait for peers and entry hosts that do not
+	// read, a frozen one for example. What they miss they fetch elsewhere.
+	peerStopGrace = time.Second
+	// contactAge is how long ago a peer may have answered to be reachable.
+	contactAge = 3 * catchUpPeriod
+	// noRevision is a base that matches no document.
+	noRevision = math.MaxUint64
+)
+
 var _ admin.Store = (*Host)(nil)
 
 // WithLogger sets the logger; the default discards.
@@ -63,7 +77,7 @@
 // New opens the data folder and restores the registers. The settings must be
 // valid.
 func New(cfg setup.Control, opts ...Option) (*Host, error) {
-	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(), changed: make(chan struct{})}
+	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(), changed: make(chan struct{}), contacts: make(map[string]time.Time)}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -123,7 +137,7 @@
 	peers := grpc.NewServer()
 	peerpb.RegisterAgreementServer(peers, &agreement{host: h})
 	peerpb.RegisterConfigurationServer(peers, &configuration{host: h, stop: ctx})
-	api := &http.Server{Handler: admin.NewControl(h, h.token, h.metrics, h.log), ReadHeaderTimeout: admin.HeaderTimeout}
+	api := drain.New(&http.Server{Handler: admin.NewControl(h, h.token, h.metrics, h.log), ReadHeaderTimeout: admin.HeaderTimeout})
 	failed := make(chan error, 2)
 	go func() { failed <- peers.Serve(peerListener) }()
 	go func() { failed <- api.Serve(adminListener) }()
@@ -137,15 +151,15 @@
 	return err
 }
 
-func (h *Host) stop(peers *grpc.Server, api *http.Server) {
+func (h *Host) stop(peers *grpc.Server, api *drain.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.StopGrace.Std())
 	defer cancel()
 	if err := api.Shutdown(ctx); err != nil {
 		h.log.Warn("operators' API stopped with requests open", "error", err)
 	}
-	end := context.AfterFunc(ctx, peers.Stop)
+	end := time.AfterFunc(min(peerStopGrace, h.cfg.StopGrace.Std()), peers.Stop)
 	peers.GracefulStop()
-	end()
+	end.Stop()
 	h.log.Info("control host stopped")
 }
 
@@ -194,6 +208,33 @@
 	return list
 }
 
+// Read returns the document called name as a majority of control hosts holds
+// it. It returns quorum.ErrNoMajority when too few answer.
+func (h *Host) Read(ctx context.Context, name string) (spec.Versioned, error) {
+	var conflict *quorum.ConflictError
+	if _, err := h.Apply(ctx, quorum.Change{Name: name, Base: noRevision}); !errors.As(err, &conflict) {
+		return spec.Versioned{}, err
+	}
+	return conflict.Current, nil
+}
+
+// Status tells how this host stands.
+func (h *Host) Status() quorum.Status {
+	s := quorum.Status{Host: h.cfg.Host, Voting: true, Majority: h.majority(), Reachable: 1}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.Registers = len(h.acceptor.Chosen(nil))
+	for _, p := range h.peers {
+		last := h.contacts[p.host]
+		heard := time.Since(last) < contactAge
+		if heard {
+			s.Reachable++
+		}
+		s.Peers = append(s.Peers, quorum.PeerStatus{Host: p.host, Reachable: heard, LastContact: last})
+	}
+	return s
+}
+
 // History returns the latest values of a service that this host has learnt,
 // oldest first, without their requests.
 func (h *Host) History(name string) []quorum.Value {
--- a/io/ctrl/propose.go
+++ b/io/ctrl/propose.go
@@ -190,9 +190,16 @@
 		h.log.Debug("no answer from control host", "peer", p.host, "error", err)
 		return
 	}
+	h.heard(p.host)
 	for _, v := range reply.GetValues() {
 		if err = h.learn(peer.ToValue(v)); err != nil {
 			h.log.Error("chosen document not kept", "service", v.GetName(), "error", err)
 		}
 	}
 }
+
+func (h *Host) heard(host string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.contacts[host] = time.Now()
+}
--- /dev/null
+++ b/io/drain/drain_test.go
@@ -0,0 +1,59 @@
+package drain_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/io/drain"
+)
+
+// stopLimit is well under the 5 s that http.Server.Shutdown waits.
+const stopLimit = 3 * time.Second
+
+func TestShutdownDoesNotWaitForUnusedConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s := drain.New(&http.Server{ReadHeaderTimeout: time.Minute})
+	go s.Serve(l)
+	spare, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer spare.Close()
+	time.Sleep(50 * time.Millisecond)
+
+	begin := time.Now()
+	g.Expect(s.Shutdown(context.Background())).To(gomega.Succeed())
+	g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", stopLimit))
+}
+
+func TestShutdownCutsOffNoRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	started := make(chan struct{})
+	s := drain.New(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			time.Sleep(2 * drain.UnusedAge)
+			io.WriteString(w, "whole")
+		})})
+	go s.Serve(l)
+	stopped := make(chan error, 1)
+	go func() {
+		<-started
+		stopped <- s.Shutdown(context.Background())
+	}()
+	resp, err := http.Get("http://" + l.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(body)).To(gomega.Equal("whole"))
+	g.Eventually(stopped, stopLimit).Should(gomega.Receive(gomega.BeNil()))
+}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -17,6 +17,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
+	"cardamomspool/io/drain"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
@@ -135,7 +136,8 @@
 	}
 }
 
-func httpServer(name string, address netip.AddrPort, s *http.Server) server {
+func httpServer(name string, address netip.AddrPort, inner *http.Server) server {
+	s := drain.New(inner)
 	return server{
 		name: name, address: address, serve: s.Serve,
 		stop: func(ctx context.Context) {
