--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -16,6 +16,7 @@
 
 	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
+	"cardamomspool/io/drain"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
@@ -133,7 +134,8 @@
 	}
 }
 
-func httpServer(name string, address netip.AddrPort, s *http.Server) server {
+func httpServer(name string, address netip.AddrPort, inner *http.Server) server {
+	s := drain.New(inner)
 	return server{
 		name: name, address: address, serve: s.Serve,
 		stop: func(ctx context.Context) {
