Give the engine a result for answers cut short

Cause: an answer that broke off was reported as Answered, so nothing could tell a whole answer from a cut one. Change: engine.Broken ends the call and frees the slot like Answered, and Result.Final names the two. Measured: TestBrokenAnswerEndsTheCallAndFreesItsSlot did not build before the change; it passes after it.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -101,6 +101,9 @@
 	NotRun
 	// Unknown means that the attempt may have run the call.
 	Unknown
+	// Broken means that the target's answer began but did not reach the
+	// caller whole.
+	Broken
 )
 
 // The reasons of a refusal.
@@ -124,6 +127,12 @@
 	_ Action = Refuse{}
 )
 
+// Final reports whether the caller has had all that it will get, so that the
+// call ends without another action.
+func (r Result) Final() bool {
+	return r == Answered || r == Broken
+}
+
 func (Arrive) isEvent()    {}
 func (Finish) isEvent()    {}
 func (Cancel) isEvent()    {}
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -106,7 +106,7 @@
 	c.target = ""
 	c.maybeRun = c.maybeRun || e.Result == Unknown
 	switch {
-	case e.Result == Answered:
+	case e.Result.Final():
 		delete(s.calls, e.Call)
 	case s.mayRetry(c, e, now):
 		s.credit--
--- a/core/engine/service_test.go
+++ b/core/engine/service_test.go
@@ -72,3 +72,13 @@
 	actions := s.Handle(nil, engine.Tick{}, start.Add(500*time.Millisecond))
 	g.Expect(actions).To(gomega.ConsistOf(engine.Refuse{Call: 1, Reason: engine.WaitedTooLong, NotRun: true, RetryAfter: time.Second}))
 }
+
+func TestBrokenAnswerEndsTheCallAndFreesItsSlot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newService()
+	s.Handle(nil, targets(1), start)
+	s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
+	g.Expect(s.Handle(nil, engine.Finish{Call: 1, Result: engine.Broken, Replayable: true}, start)).To(gomega.BeEmpty())
+	g.Expect(s.Open()).To(gomega.BeZero())
+	g.Expect(s.Handle(nil, engine.Arrive{Call: 2, Class: class, Deadline: start.Add(time.Second)}, start)).To(gomega.HaveLen(1))
+}
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -54,7 +54,7 @@
 		a.handle(m.event, now)
 	case engine.Finish:
 		a.handle(m, now)
-		if m.Result == engine.Answered {
+		if m.Result.Final() {
 			delete(a.waiters, m.Call)
 		}
 	case engine.Cancel:
