Carry calls over connections that the entry host owns

Cause: the library's pool sends requests again by itself, takes bytes after an answer for the next answer, and does not tell whether a byte had left. GotConn stood for "sent", so a call whose write never happened was unknown and one given up during an attempt could be called not run. Ruled out: counting in httptrace (WroteHeaders comes before the flush, GotConn before the write); making requests non-replayable by a body (turns bodyless POST into chunked, and the stray-byte race stays). Change: http.ClientConn over a wrapped socket that counts accepted bytes, is sealed before the count is read, closes on bytes outside of an answer, and is reused only once the library waits with an empty buffer. Bad requests, limits, TLS, forwarding fields, drain delay.

--- /dev/null
+++ b/io/entry/caller.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cardamomspool/io/telem"
+)
+
+type (
+	// callerListener accepts the connections of callers, up to a limit.
+	callerListener struct {
+		net.Listener
+		limit   int64
+		open    atomic.Int64
+		log     *slog.Logger
+		metrics *telem.Set
+	}
+
+	// callerConn is one connection of a caller.
+	callerConn struct {
+		net.Conn
+		listener *callerListener
+		closing  sync.Once
+		routed   atomic.Bool // The present request has reached the handler.
+		began    atomic.Bool // A byte of the present request has arrived.
+
+		mu   sync.Mutex
+		head []byte // The first bytes of the present request.
+	}
+
+	callerKey struct{}
+)
+
+const (
+	// maxRecorded bounds the part of a request that is kept to check its
+	// length fields.
+	maxRecorded = 8 << 10
+	turnAway    = "HTTP/1.1 503 Service Unavailable\r\nSpool-Outcome: not_run\r\nSpool-Reason: too_many_connections\r\n" +
+		"Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	turnAwayTimeout = time.Second
+)
+
+// Accept returns the next connection. One beyond the limit is told that
+// nothing was run, and closed.
+func (l *callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &callerConn{Conn: conn, listener: l}, nil
+		}
+		l.open.Add(-1)
+		l.metrics.Count("callers_turned_away").Add(1)
+		l.log.Warn("connection turned away", "remote", conn.RemoteAddr().String(), "limit", l.limit)
+		go turnAwayConn(conn)
+	}
+}
+
+func turnAwayConn(conn net.Conn) {
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(turnAwayTimeout)); err != nil {
+		return
+	}
+	if _, err := io.WriteString(conn, turnAway); err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		io.Copy(io.Discard, io.LimitReader(conn, maxRecorded)) // Lets the caller read the answer.
+	}
+}
+
+// Read records the head of the present request.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	if room := maxRecorded - len(c.head); room > 0 {
+		c.head = append(c.head, p[:min(n, room)]...)
+	}
+	c.mu.Unlock()
+	return n, err
+}
+
+// Close closes the connection and makes room for another.
+func (c *callerConn) Close() error {
+	c.closing.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// next prepares for the next request on the connection.
+func (c *callerConn) next() {
+	c.routed.Store(false)
+	c.began.Store(false)
+	c.mu.Lock()
+	c.head = c.head[:0]
+	c.mu.Unlock()
+}
+
+// bothLengths reports whether the present request has a Content-Length, or
+// whether its header was too long to tell.
+func (c *callerConn) bothLengths() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	head, _, found := bytes.Cut(c.head, []byte("\r\n\r\n"))
+	return !found || bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length"))
+}
+
+// reset makes the close of the connection visible as a reset, so that an
+// answer that ends with the connection is not taken for whole.
+func (c *callerConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // The close that follows breaks the answer anyway.
+	}
+}
+
+// callerOf returns the connection that a request came on, or nil.
+func callerOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerKey{}).(*callerConn)
+	return c
+}
+
+func withCaller(ctx context.Context, conn net.Conn) context.Context {
+	if c := unwrapCaller(conn); c != nil {
+		return context.WithValue(ctx, callerKey{}, c)
+	}
+	return ctx
+}
+
+func unwrapCaller(conn net.Conn) *callerConn {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	c, _ := conn.(*callerConn)
+	return c
+}
+
+// bothLengths reports whether a chunked request also has a Content-Length,
+// which the library has removed by now. Callers with TLS are not checked.
+func bothLengths(r *http.Request) bool {
+	c := callerOf(r.Context())
+	return c != nil && r.TLS == nil && c.bothLengths()
+}
+
+// noteState logs requests that the HTTP library refused by itself.
+func (l *callerListener) noteState(conn net.Conn, state http.ConnState) {
+	c := unwrapCaller(conn)
+	if c == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.began.Store(true)
+	case http.StateIdle:
+		c.next()
+	case http.StateClosed:
+		if c.began.Load() && !c.routed.Load() {
+			l.metrics.Count("requests_not_readable").Add(1)
+			l.log.Warn("request refused", "remote", conn.RemoteAddr().String(), "reason", "not_readable")
+		}
+	}
+}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"cardamomspool/core/engine"
@@ -13,48 +15,108 @@
 
 // call is one caller's request on its way through this host.
 type call struct {
-	id      uint64
-	name    string
-	service *service
-	class   spec.Class
-	arrived time.Time
-	body    *body
-	waiter  chan engine.Action
+	id          uint64
+	name        string
+	service     *service
+	class       spec.Class
+	arrived     time.Time
+	deadline    time.Time
+	body        *body
+	waiter      chan engine.Action
+	maybeRun    bool           // An attempt may have run the call.
+	connections int            // The most connections to one target.
+	trusted     []netip.Prefix // Networks whose forwarding fields are kept.
 }
 
+const (
+	reasonDeadline  = "deadline"
+	reasonNoService = "no_service"
+	// answerGrace is how long after its deadline a call's last bytes may take
+	// to be written to a slow caller.
+	answerGrace = 2 * time.Second
+)
+
 var _ http.Handler = (*Host)(nil)
 
 // ServeHTTP takes one call from a caller and gives its final answer.
-func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Host) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w := answerWriter{ResponseWriter: rw, control: http.NewResponseController(rw)}
+	h.openCalls.Add(1)
+	defer h.openCalls.Add(-1)
+	if conn := callerOf(r.Context()); conn != nil {
+		conn.routed.Store(true)
+	}
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if p := screen(r, h.callers.MaxBodyBytes); p != nil {
+		h.turnDown(w, r, p, true)
+		return
+	}
 	s := h.services.Load().find(r.Host, r.URL.Path)
 	if s == nil {
 		h.metrics.Count("calls_without_service").Add(1)
-		refuse(w, http.StatusNotFound, "no_service", true, 0)
+		refuse(w, http.StatusNotFound, reasonNoService, true, 0)
 		return
 	}
-	c := &call{
-		id: h.nextCall.Add(1), service: s, class: s.doc.Receive.Classify(r.Method, r.URL.Path),
-		arrived: time.Now(), body: newBody(r.Body), waiter: make(chan engine.Action, 1),
-	}
-	c.name = h.cfg.Host + "-" + strconv.FormatUint(c.id, 36)
+	c := h.newCall(w, r, s)
 	h.metrics.Count("calls").Add(1)
-	ctx, cancel := context.WithDeadline(r.Context(), c.arrived.Add(c.class.Deadline))
+	if err := h.receive(w, r, c); err != nil {
+		h.turnDown(w, r, bodyProblem(err), true)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	h.system.Root.Send(s.pid, &arrival{
-		event:  engine.Arrive{Call: c.id, Class: c.class, Deadline: c.arrived.Add(c.class.Deadline)},
+		event:  engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline},
 		waiter: c.waiter,
 	})
 	h.carry(ctx, w, r, c)
 }
 
+func (h *Host) newCall(w answerWriter, r *http.Request, s *service) *call {
+	c := &call{
+		id: h.nextCall.Add(1), service: s, class: s.doc.Receive.Classify(r.Method, r.URL.Path),
+		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), waiter: make(chan engine.Action, 1),
+		connections: s.doc.Targets.Connections / max(len(h.cfg.Entries), 1), trusted: h.callers.TrustedProxies,
+	}
+	c.name = h.namePrefix + strconv.FormatUint(c.id, 36)
+	c.deadline = c.arrived.Add(c.class.Deadline)
+	return c
+}
+
+// receive bounds the time that the caller may take and reads the start of its
+// body, unless the caller waits to be told to send it.
+func (h *Host) receive(w answerWriter, r *http.Request, c *call) error {
+	if err := w.control.SetWriteDeadline(c.deadline.Add(answerGrace)); err != nil {
+		return err
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if r.ProtoMajor == 1 {
+		if err := w.control.EnableFullDuplex(); err != nil {
+			return err
+		}
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		return nil
+	}
+	if err := w.control.SetReadDeadline(c.deadline); err != nil {
+		return err
+	}
+	if err := c.body.prefetch(r.ContentLength); err != nil {
+		return err
+	}
+	return w.control.SetReadDeadline(time.Time{})
+}
+
 // carry follows the engine's decisions until the call has its final answer.
-func (h *Host) carry(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
+func (h *Host) carry(ctx context.Context, w answerWriter, r *http.Request, c *call) {
 	for {
 		select {
 		case <-ctx.Done():
-			h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id})
-			h.metrics.Count("calls_given_up").Add(1)
-			refuse(w, http.StatusGatewayTimeout, "deadline", !c.body.sent, c.service.doc.Refuse.RetryAfter.Std())
+			h.giveUp(w, r, c)
 			return
 		case action := <-c.waiter:
 			if h.carryOut(ctx, w, r, c, action) {
@@ -65,29 +127,92 @@
 }
 
 // carryOut carries out one decision and reports whether the call has ended.
-func (h *Host) carryOut(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, action engine.Action) bool {
+func (h *Host) carryOut(ctx context.Context, w answerWriter, r *http.Request, c *call, action engine.Action) bool {
 	switch action := action.(type) {
 	case engine.Send:
-		h.logSend(c, action)
-		result := h.exchange.attempt(ctx, w, r, c, action)
-		h.system.Root.Send(c.service.pid, engine.Finish{Call: c.id, Result: result, Replayable: !c.body.started()})
-		if result == engine.Answered {
-			h.metrics.Count("calls_answered").Add(1)
+		if ctx.Err() != nil {
+			h.giveUp(w, r, c)
 			return true
 		}
+		h.logSend(c, action)
+		return h.finish(ctx, w, r, c, h.exchange.attempt(ctx, w, r, c, action))
 	case engine.Refuse:
 		h.logRefuse(c, action)
 		h.metrics.Count("calls_refused").Add(1)
+		notRun := action.NotRun && !c.maybeRun
 		status := http.StatusServiceUnavailable
-		if !action.NotRun {
+		if !notRun {
 			status = http.StatusBadGateway
 		}
-		refuse(w, status, string(action.Reason), action.NotRun, action.RetryAfter)
+		refuse(w, status, string(action.Reason), notRun, action.RetryAfter)
+		return true
+	}
+	return false
+}
+
+// finish reports the end of an attempt to the engine and whether the call has
+// ended with it.
+func (h *Host) finish(ctx context.Context, w answerWriter, r *http.Request, c *call, result engine.Result) bool {
+	c.maybeRun = c.maybeRun || result == engine.Unknown
+	if !result.Final() {
+		if err := c.body.failed(); err != nil {
+			h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id})
+			h.turnDown(w, r, bodyProblem(err), !c.maybeRun)
+			return true
+		}
+		if ctx.Err() != nil {
+			h.giveUp(w, r, c)
+			return true
+		}
+	}
+	replayable := !result.Final() && c.body.replayable()
+	h.system.Root.Send(c.service.pid, engine.Finish{Call: c.id, Result: result, Replayable: replayable})
+	switch result {
+	case engine.Answered:
+		h.metrics.Count("calls_answered").Add(1)
+		c.body.drain(lingerAfterAnswer)
 		return true
+	case engine.Broken:
+		h.metrics.Count("calls_cut_short").Add(1)
+		abort(r)
 	}
 	return false
 }
 
+// giveUp ends a call whose deadline has passed or whose caller has gone.
+func (h *Host) giveUp(w answerWriter, r *http.Request, c *call) {
+	h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id})
+	reason := reasonDeadline
+	if r.Context().Err() != nil {
+		reason = "caller_gone"
+		h.metrics.Count("calls_caller_gone").Add(1)
+	} else {
+		h.metrics.Count("calls_given_up").Add(1)
+	}
+	if h.sampled() {
+		h.log.Info("given up", "call", c.name, "service", c.service.doc.Name, "reason", reason,
+			"not_run", !c.maybeRun, "after", time.Since(c.arrived).String())
+	}
+	refuse(w, http.StatusGatewayTimeout, reason, !c.maybeRun, c.service.doc.Refuse.RetryAfter.Std())
+}
+
+// turnDown refuses a request that is not fit to be carried.
+func (h *Host) turnDown(w answerWriter, r *http.Request, p *problem, notRun bool) {
+	h.metrics.Count("requests_turned_down").Add(1)
+	h.log.Warn("request refused", "remote", r.RemoteAddr, "method", r.Method, "host", r.Host, "path", r.URL.EscapedPath(),
+		"status", p.status, "reason", p.reason, "detail", p.detail, "not_run", notRun)
+	w.Header().Set("Connection", "close")
+	refuse(w, p.status, p.reason, notRun, 0)
+}
+
+// abort ends a caller's answer so that it can not be taken for whole.
+func abort(r *http.Request) {
+	if conn := callerOf(r.Context()); conn != nil && r.ProtoMajor == 1 {
+		conn.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refuse gives a caller its final answer without an answer of a target.
 func refuse(w http.ResponseWriter, status int, reason string, notRun bool, retryAfter time.Duration) {
 	outcome := wire.OutcomeUnknown
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -3,122 +3,181 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomspool/core/engine"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/telem"
 )
 
 type (
 	// exchange sends calls to targets and streams their answers back.
 	exchange struct {
-		transport *http.Transport
+		pool    *pool
+		log     *slog.Logger
+		metrics *telem.Set
 	}
 
-	// body is a caller's request body; it notes when reading has begun, after
-	// which the request can not be sent again.
-	body struct {
-		io.ReadCloser
-		read atomic.Bool
-		sent bool
+	// answerWriter gives the caller its answer.
+	answerWriter struct {
+		http.ResponseWriter
+		control *http.ResponseController
 	}
 )
 
 const (
-	dialTimeout      = time.Second
-	idleTimeout      = 30 * time.Second
-	idlePerTarget    = 64
-	copyBufferBytes  = 32 << 10
-	maxAnswerHeaders = 64 << 10
+	copyBufferBytes = 32 << 10
+	// silenceLimit is how long a connection may stay without any byte of an
+	// answer until the idle connections beside it are no longer trusted.
+	silenceLimit = 300 * time.Millisecond
+	// maxRefusalBytes bounds the body of a target's refusal that is read so
+	// that its connection can be used again.
+	maxRefusalBytes = 4 << 10
 )
 
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+var (
+	errForeignAnswer = errors.New("entry: the answer names another call")
+	errBadStatus     = errors.New("entry: the answer's status is not a final one")
+)
 
-func newExchange() *exchange {
-	return &exchange{transport: &http.Transport{
-		DialContext:            dialer(dialTimeout),
-		MaxIdleConnsPerHost:    idlePerTarget,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaders,
-	}}
+func newExchange(log *slog.Logger, metrics *telem.Set) *exchange {
+	return &exchange{pool: newPool(metrics), log: log, metrics: metrics}
 }
 
-func newBody(r io.ReadCloser) *body {
-	return &body{ReadCloser: r}
+// attempt sends the call to one target and, when the target answers, streams
+// the answer to the caller. NotRun is returned only when no byte of the
+// request can have reached the target or when the target said so itself.
+func (x *exchange) attempt(ctx context.Context, w answerWriter, r *http.Request, c *call, s engine.Send) engine.Result {
+	var (
+		l   *link
+		err error
+	)
+	if l, err = x.pool.get(ctx, s.Address, !c.class.Idempotent); err != nil {
+		x.log.Info("target not reached", "call", c.name, "target", s.Target, "error", err)
+		return engine.NotRun
+	}
+	x.pool.trim(s.Address, c.connections)
+	view := c.body.view()
+	linger := time.Duration(0)
+	defer func() { view.release(linger) }()
+	out := newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view)
+	stop := x.watchSilence(l, c, s)
+	defer stop()
+	var answer *http.Response
+	if answer, err = l.client.RoundTrip(out); err == nil {
+		err = checkAnswer(answer, c)
+	}
+	if err != nil {
+		return x.failed(l, c, s, err)
+	}
+	if saysNotRun(answer) {
+		x.drop(l, answer)
+		return engine.NotRun
+	}
+	if err = giveAnswer(w, answer); err != nil {
+		x.pool.discard(l)
+		x.log.Warn("answer cut short", "call", c.name, "target", s.Target, "error", err)
+		return engine.Broken
+	}
+	l.end()
+	linger = lingerAfterAnswer
+	if !c.body.whole() {
+		w.control.Flush() //nolint:errcheck // A caller that has gone needs no answer.
+	}
+	return engine.Answered
 }
 
-// Read notes that the body has been touched.
-func (b *body) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	return b.ReadCloser.Read(p)
+// failed ends an attempt without an answer.
+func (x *exchange) failed(l *link, c *call, s engine.Send, err error) engine.Result {
+	result := engine.NotRun
+	if x.pool.discard(l) {
+		result = engine.Unknown
+	}
+	x.log.Info("attempt failed", "call", c.name, "target", s.Target, "fresh_connection", l.fresh,
+		"may_have_run", result == engine.Unknown, "error", err)
+	return result
 }
 
-// Close leaves the caller's body open, so that an attempt that did not touch
-// it can be followed by another.
-func (b *body) Close() error {
-	return nil
+// drop reads the rest of a refusal that the caller does not get.
+func (x *exchange) drop(l *link, answer *http.Response) {
+	if n, err := io.CopyN(io.Discard, answer.Body, maxRefusalBytes); n == maxRefusalBytes || !errors.Is(err, io.EOF) {
+		x.pool.discard(l)
+		return
+	}
+	answer.Body.Close()
+	l.end()
 }
 
-func (b *body) started() bool {
-	return b.read.Load()
+// watchSilence retires the idle connections beside l when its target sends no
+// byte for silenceLimit, because the path may have lost track of them all. An
+// idempotent call leaves a connection that had long been idle; any other call
+// goes on waiting, because its target may merely be slow. The returned
+// function ends the watch.
+func (x *exchange) watchSilence(l *link, c *call, s engine.Send) func() {
+	if l.fresh {
+		return func() {}
+	}
+	doubtful := l.heardBefore(l.begun.Add(-trustAge))
+	var timer *time.Timer
+	timer = time.AfterFunc(silenceLimit, func() {
+		since, silent := l.silentSince()
+		if !silent {
+			return
+		}
+		if wait := silenceLimit - time.Since(since); wait > 0 {
+			timer.Reset(wait)
+			return
+		}
+		n := x.pool.retire(s.Address, since)
+		x.metrics.Count("connections_silent").Add(1)
+		x.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", doubtful && c.class.Idempotent)
+		if doubtful && c.class.Idempotent {
+			l.seal()
+		}
+	})
+	return func() { timer.Stop() }
 }
 
-// attempt sends the call to one target. When the target answers, the answer
-// is streamed to the caller; if it is then cut short, the caller's connection
-// is aborted so that it can not be taken for whole.
-func (x *exchange) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, s engine.Send) engine.Result {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	out := x.request(httptrace.WithClientTrace(ctx, trace), r, c, s)
-	var (
-		answer *http.Response
-		err    error
-	)
-	if answer, err = x.transport.RoundTrip(out); err != nil {
-		if !connected {
-			return engine.NotRun
-		}
-		c.body.sent = true
-		return engine.Unknown
+// checkAnswer returns why an answer can not be the final answer to the call.
+func checkAnswer(answer *http.Response, c *call) error {
+	if answer.StatusCode < http.StatusOK {
+		return errBadStatus
 	}
-	defer answer.Body.Close()
-	if answer.Header.Get(wire.HeaderOutcome) == wire.OutcomeNotRun && answer.StatusCode == http.StatusServiceUnavailable {
-		return engine.NotRun
+	if name := answer.Header.Get(wire.HeaderCall); name != "" && name != c.name {
+		return errForeignAnswer
 	}
-	c.body.sent = true
-	giveAnswer(w, answer)
-	return engine.Answered
+	return nil
 }
 
-// request builds the request to a target. Its body is never nil when the call
-// is not idempotent, so that the transport does not send it twice by itself.
-func (x *exchange) request(ctx context.Context, r *http.Request, c *call, s engine.Send) *http.Request {
+func saysNotRun(answer *http.Response) bool {
+	return answer.StatusCode == http.StatusServiceUnavailable &&
+		answer.Header.Get(wire.HeaderOutcome) == wire.OutcomeNotRun
+}
+
+// newRequest builds the request to a target.
+func newRequest(ctx context.Context, r *http.Request, c *call, s engine.Send, view *bodyView) *http.Request {
 	out := r.Clone(ctx)
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = s.Address.String()
 	out.Close = false
 	out.GetBody = nil
-	if r.ContentLength == 0 {
-		out.Body = nil
-	} else {
-		out.Body = c.body
+	out.Body = nil
+	out.Trailer = r.Trailer // The server fills it in once the body is read.
+	if r.ContentLength != 0 {
+		out.Body = view
 	}
 	stripHeader(out.Header)
-	for name := range out.Header {
-		if strings.HasPrefix(name, wire.Prefix) {
-			delete(out.Header, name)
-		}
-	}
+	stripSystem(out.Header)
+	setForwarded(out.Header, r, c.trusted)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
@@ -129,28 +188,86 @@
 	return out
 }
 
-func giveAnswer(w http.ResponseWriter, answer *http.Response) {
+// earlyHints passes informational answers on; the libraries on both sides
+// treat 100 Continue themselves.
+func earlyHints(w answerWriter) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+		if code != http.StatusEarlyHints {
+			return nil
+		}
+		link := header["Link"]
+		w.Header()["Link"] = link
+		w.WriteHeader(code)
+		w.Header().Del("Link")
+		return nil
+	}}
+}
+
+// giveAnswer streams an answer to the caller. It returns an error when the
+// answer was cut short, by the target or because the caller has gone.
+func giveAnswer(w answerWriter, answer *http.Response) error {
+	defer answer.Body.Close()
 	stripHeader(answer.Header)
+	stripSystem(answer.Header)
 	header := w.Header()
 	for name, values := range answer.Header {
-		header[name] = values
+		header[name] = append(header[name], values...)
+	}
+	for name := range answer.Trailer {
+		header.Add("Trailer", name)
 	}
 	w.WriteHeader(answer.StatusCode)
-	buf := make([]byte, copyBufferBytes)
-	if _, err := io.CopyBuffer(w, answer.Body, buf); err != nil {
-		panic(http.ErrAbortHandler)
+	if err := copyAnswer(w, answer); err != nil {
+		return err
+	}
+	stripSystem(answer.Trailer)
+	for name, values := range answer.Trailer {
+		header[http.TrailerPrefix+name] = values
 	}
+	return nil
 }
 
-// stripHeader removes the fields that hold for one connection only. Source:
-// RFC 9110, section 7.6.1.
-func stripHeader(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
+// copyAnswer copies an answer's body. An answer of unknown length is flushed
+// with every read, since its target may pause for long between two parts.
+func copyAnswer(w answerWriter, answer *http.Response) error {
+	buf := make([]byte, answerBuffer(answer.ContentLength))
+	for {
+		n, err := answer.Body.Read(buf)
+		if n > 0 {
+			if _, failed := w.Write(buf[:n]); failed != nil {
+				return failed
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+		if answer.ContentLength >= 0 {
+			continue
+		}
+		if err = w.control.Flush(); err != nil {
+			return err
 		}
 	}
-	for _, name := range hopByHop {
-		header.Del(name)
+}
+
+// answerBuffer returns the size of the buffer for an answer of length bytes;
+// one byte more lets the end of a short answer come with its last read.
+func answerBuffer(length int64) int64 {
+	if length < 0 {
+		return copyBufferBytes
+	}
+	return min(length+1, copyBufferBytes)
+}
+
+// stripSystem removes the header fields of the system, also those written with
+// underscores, which some targets take for hyphens.
+func stripSystem(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-")), wire.Prefix) {
+			delete(header, name)
+		}
 	}
 }
--- /dev/null
+++ b/io/entry/fields.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+)
+
+var (
+	hopByHop = []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	}
+
+	// forwardedFields tell a target about the caller. Those of a caller that
+	// is no trusted proxy are removed.
+	forwardedFields = []string{
+		"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Port", "X-Forwarded-Proto", "X-Real-Ip",
+	}
+)
+
+// stripHeader removes the fields that hold for one connection only. Source:
+// RFC 9110, section 7.6.1.
+func stripHeader(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
+// setForwarded tells the target who calls. The fields of a trusted proxy are
+// kept and extended; those of any other caller are replaced.
+func setForwarded(header http.Header, r *http.Request, trusted []netip.Prefix) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	if !isTrusted(host, trusted) {
+		for _, name := range forwardedFields {
+			header.Del(name)
+		}
+	}
+	header.Set("X-Forwarded-For", strings.Join(append(header["X-Forwarded-For"], host), ", "))
+	setMissing(header, "X-Forwarded-Host", r.Host)
+	proto := "http"
+	if r.TLS != nil {
+		proto = "https"
+	}
+	setMissing(header, "X-Forwarded-Proto", proto)
+}
+
+func setMissing(header http.Header, name, value string) {
+	if header.Get(name) == "" {
+		header.Set(name, value)
+	}
+}
+
+func isTrusted(host string, trusted []netip.Prefix) bool {
+	address, err := netip.ParseAddr(host)
+	if err != nil {
+		return false
+	}
+	for _, prefix := range trusted {
+		if prefix.Contains(address.Unmap()) {
+			return true
+		}
+	}
+	return false
+}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,10 +33,16 @@
 		exchange *exchange
 		peers    []*remote
 		ready    atomic.Bool
+		draining atomic.Bool
 		nextCall atomic.Uint64
 		services atomic.Pointer[serviceMap]
 		logged   atomic.Uint64
 
+		callers    setup.Callers
+		keys       *keyPair
+		openCalls  atomic.Int64
+		namePrefix string
+
 		mu      sync.Mutex
 		targets member.Table
 		held    map[string]uint64
@@ -71,9 +78,14 @@
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.exchange = newExchange()
+	h.exchange = newExchange(h.log, h.metrics)
+	h.callers = cfg.Callers.WithDefaults()
+	// The start time keeps names of calls apart over restarts.
+	h.namePrefix = cfg.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
 	h.services.Store(&serviceMap{})
 	h.metrics.Func("targets", func() any { return h.targetCount() })
+	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
+	h.metrics.Func("connections_open", func() any { return h.exchange.pool.openCount() })
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
 	return h
 }
@@ -86,6 +98,12 @@
 		return err
 	}
 	defer h.closePeers()
+	if h.callers.TLS.Enabled() {
+		var err error
+		if h.keys, err = loadKeyPair(h.callers.TLS); err != nil {
+			return err
+		}
+	}
 	failed := make(chan error, 4)
 	servers := h.servers()
 	for i, s := range servers {
@@ -103,6 +121,10 @@
 	defer stopWork()
 	go h.watch(work)
 	go h.tick(work)
+	go h.exchange.pool.reap(work)
+	if h.keys != nil {
+		go h.keys.follow(work, keyPairCheck, h.log)
+	}
 	h.log.Info("entry host serves", "call_address", h.cfg.CallAddress, "admin_address", h.cfg.AdminAddress,
 		"announce_address", h.cfg.AnnounceAddress)
 	var err error
@@ -110,22 +132,38 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	h.ready.Store(false)
-	h.log.Info("entry host stops", "grace", h.cfg.StopGrace.Std())
+	if err == nil {
+		err = h.drain(failed)
+	}
+	begin := time.Now()
+	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", h.cfg.StopGrace.Std().String())
 	stopAll(servers, h.cfg.StopGrace.Std())
-	h.log.Info("entry host stopped")
+	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.openCalls.Load())
 	return err
 }
 
+// drain withdraws readiness and goes on taking calls for the drain delay, so
+// that the platform's balancer can turn to other hosts; every answer asks the
+// caller to leave its connection.
+func (h *Host) drain(failed <-chan error) error {
+	h.draining.Store(true)
+	h.log.Info("entry host drains", "delay", h.cfg.DrainDelay.Std().String(), "calls_open", h.openCalls.Load())
+	select {
+	case <-time.After(h.cfg.DrainDelay.Std()):
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
 // servers returns the host's servers in the order in which they stop.
 func (h *Host) servers() []server {
-	calls := &http.Server{Handler: h, ReadHeaderTimeout: admin.HeaderTimeout}
 	announce := &http.Server{Handler: h.announceHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
 	operators := &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
 	peers := grpc.NewServer()
 	peerpb.RegisterMembershipServer(peers, &membership{host: h})
 	return []server{
-		httpServer("call", h.cfg.CallAddress, calls),
+		h.callServer(),
 		httpServer("announce", h.cfg.AnnounceAddress, announce),
 		{
 			name: "peer", address: h.cfg.PeerAddress, serve: peers.Serve,
@@ -135,6 +173,26 @@
 	}
 }
 
+// callServer returns the server that takes calls.
+func (h *Host) callServer() server {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: h.callers.HeaderTimeout.Std(), IdleTimeout: h.callers.IdleTimeout.Std(),
+		MaxHeaderBytes: h.callers.MaxHeaderBytes, ConnContext: withCaller,
+		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelWarn),
+	}
+	result := httpServer("call", h.cfg.CallAddress, s)
+	result.serve = func(l net.Listener) error {
+		callers := &callerListener{Listener: l, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
+		s.ConnState = callers.noteState
+		if h.keys == nil {
+			return s.Serve(callers)
+		}
+		s.TLSConfig = h.keys.config()
+		return s.ServeTLS(callers, "", "")
+	}
+	return result
+}
+
 func httpServer(name string, address netip.AddrPort, s *http.Server) server {
 	return server{
 		name: name, address: address, serve: s.Serve,
@@ -180,7 +238,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", h.metrics)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if h.ready.Load() {
+		if h.ready.Load() && !h.draining.Load() {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -61,8 +61,14 @@
 		// DecisionLogOneIn logs one in that many routing decisions; 0 logs
 		// none.
 		DecisionLogOneIn int `json:"decision_log_one_in"`
-		// StopGrace bounds a graceful stop.
+		// DrainDelay is how long a stopping host still takes calls after its
+		// readiness is withdrawn, so that the platform's balancer can see it.
+		DrainDelay strict.Duration `json:"drain_delay"`
+		// StopGrace bounds a graceful stop, counted from the end of the
+		// drain delay.
 		StopGrace strict.Duration `json:"stop_grace"`
+		// Callers holds what is allowed to callers.
+		Callers Callers `json:"callers"`
 	}
 
 	// Control holds the settings of a control host.
@@ -95,6 +101,7 @@
 		Tick:             strict.Duration(10 * time.Millisecond),
 		AnnounceInterval: strict.Duration(time.Second),
 		DecisionLogOneIn: 1,
+		DrainDelay:       strict.Duration(DefaultDrainDelay),
 		StopGrace:        strict.Duration(30 * time.Second),
 	}
 	s.LogLevel = "info"
@@ -133,7 +140,9 @@
 	f.Span("tick", s.Tick, MinTick, MaxTick)
 	f.Span("announce_interval", s.AnnounceInterval, MinInterval, MaxInterval)
 	f.Range("decision_log_one_in", s.DecisionLogOneIn, 0, MaxLogOneIn)
+	f.Span("drain_delay", s.DrainDelay, 0, MaxGrace)
 	f.Span("stop_grace", s.StopGrace, 0, MaxGrace)
+	s.Callers.validate(&f)
 	return f
 }
 
