--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -32,12 +32,7 @@
 	}
 )
 
-const (
-	replayLimit = 16 << 10
-	// lingerAfterAnswer is how long the rest of a request is awaited after its
-	// answer was given early.
-	lingerAfterAnswer = 250 * time.Millisecond
-)
+const replayLimit = 16 << 10
 
 var (
 	_ io.ReadCloser = (*bodyView)(nil)
@@ -150,30 +145,16 @@
 }
 
 // release ends the view and returns once no read is under way. A read that
-// waits for the caller is broken off after linger.
-func (v *bodyView) release(linger time.Duration) {
+// waits for the caller is broken off, and with it the body.
+func (v *bodyView) release() {
 	v.closed.Store(true)
 	if v.body.mu.TryLock() {
 		v.body.mu.Unlock()
 		return
 	}
-	if err := v.body.control.SetReadDeadline(time.Now().Add(linger)); err != nil {
+	if err := v.body.control.SetReadDeadline(time.Now()); err != nil {
 		return // The caller's connection has gone, which ends the read.
 	}
 	v.body.mu.Lock()
 	defer v.body.mu.Unlock()
 }
-
-// drain reads the rest of the caller's body for at most linger, so that the
-// caller can read its answer before the connection is closed.
-func (b *body) drain(linger time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.err != nil || b.control.SetReadDeadline(time.Now().Add(linger)) != nil {
-		return
-	}
-	p := make([]byte, replayLimit)
-	for b.err == nil {
-		_, b.err = b.source.Read(p)
-	}
-}
--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -32,6 +32,8 @@
 		closing  sync.Once
 		routed   atomic.Bool // The present request has reached the handler.
 		began    atomic.Bool // A byte of the present request has arrived.
+		linger   atomic.Bool // The caller may still be sending when it is answered.
+		cut      atomic.Bool // The answer broke off.
 
 		mu   sync.Mutex
 		head []byte // The first bytes of the present request.
@@ -47,6 +49,10 @@
 	turnAway    = "HTTP/1.1 503 Service Unavailable\r\nSpool-Outcome: not_run\r\nSpool-Reason: too_many_connections\r\n" +
 		"Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	turnAwayTimeout = time.Second
+	// lingerTimeout and lingerBytes bound what is read from a caller after its
+	// last answer, so that the close does not destroy the answer.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 64 << 20
 )
 
 // Accept returns the next connection. One beyond the limit is told that
@@ -75,8 +81,8 @@
 	if _, err := io.WriteString(conn, turnAway); err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		io.Copy(io.Discard, io.LimitReader(conn, maxRecorded)) // Lets the caller read the answer.
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		lingerOn(tcp)
 	}
 }
 
@@ -93,8 +99,27 @@
 
 // Close closes the connection and makes room for another.
 func (c *callerConn) Close() error {
-	c.closing.Do(func() { c.listener.open.Add(-1) })
-	return c.Conn.Close()
+	var err error
+	c.closing.Do(func() {
+		c.listener.open.Add(-1)
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger.Load() && !c.cut.Load() {
+			go lingerOn(tcp)
+			return
+		}
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// lingerOn ends the sending side, reads on for a while, and closes.
+func lingerOn(conn *net.TCPConn) {
+	defer conn.Close()
+	if conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil || conn.CloseWrite() != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, conn, lingerBytes); err != nil {
+		return // The caller has ended, or its time is up.
+	}
 }
 
 // next prepares for the next request on the connection.
@@ -118,8 +143,11 @@
 // reset makes the close of the connection visible as a reset, so that an
 // answer that ends with the connection is not taken for whole.
 func (c *callerConn) reset() {
+	c.cut.Store(true)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.SetLinger(0) //nolint:errcheck // The close that follows breaks the answer anyway.
+		if err := tcp.SetLinger(0); err != nil {
+			return // The connection has gone.
+		}
 	}
 }
 
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"strings"
 	"time"
 
 	"cardamomspool/core/engine"
@@ -50,16 +49,19 @@
 		w.Header().Set("Connection", "close")
 	}
 	if p := screen(r, h.callers.MaxBodyBytes); p != nil {
+		leaveBody(w, r, r.ContentLength == 0)
 		h.turnDown(w, r, p, true)
 		return
 	}
 	s := h.services.Load().find(r.Host, r.URL.Path)
 	if s == nil {
 		h.metrics.Count("calls_without_service").Add(1)
+		leaveBody(w, r, r.ContentLength == 0)
 		refuse(w, http.StatusNotFound, reasonNoService, true, 0)
 		return
 	}
 	c := h.newCall(w, r, s)
+	defer func() { leaveBody(w, r, c.body.whole()) }()
 	h.metrics.Count("calls").Add(1)
 	if err := h.receive(w, r, c); err != nil {
 		h.turnDown(w, r, bodyProblem(err), true)
@@ -99,7 +101,7 @@
 			return err
 		}
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+	if asksFirst(r) {
 		return nil
 	}
 	if err := w.control.SetReadDeadline(c.deadline); err != nil {
@@ -111,6 +113,20 @@
 	return w.control.SetReadDeadline(time.Time{})
 }
 
+// leaveBody lets go of a request body that was not read to its end. The
+// library must not wait for the rest, and the caller, which may still be
+// sending, must be able to read its answer.
+func leaveBody(w answerWriter, r *http.Request, whole bool) {
+	conn := callerOf(r.Context())
+	if r.ProtoMajor != 1 || conn == nil || whole {
+		return
+	}
+	conn.linger.Store(true)
+	if err := w.control.SetReadDeadline(time.Now()); err != nil {
+		return // The connection has gone.
+	}
+}
+
 // carry follows the engine's decisions until the call has its final answer.
 func (h *Host) carry(ctx context.Context, w answerWriter, r *http.Request, c *call) {
 	for {
@@ -170,7 +186,6 @@
 	switch result {
 	case engine.Answered:
 		h.metrics.Count("calls_answered").Add(1)
-		c.body.drain(lingerAfterAnswer)
 		return true
 	case engine.Broken:
 		h.metrics.Count("calls_cut_short").Add(1)
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -66,8 +66,7 @@
 	}
 	x.pool.trim(s.Address, c.connections)
 	view := c.body.view()
-	linger := time.Duration(0)
-	defer func() { view.release(linger) }()
+	defer view.release()
 	out := newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view)
 	stop := x.watchSilence(l, c, s)
 	defer stop()
@@ -88,10 +87,6 @@
 		return engine.Broken
 	}
 	l.end()
-	linger = lingerAfterAnswer
-	if !c.body.whole() {
-		w.control.Flush() //nolint:errcheck // A caller that has gone needs no answer.
-	}
 	return engine.Answered
 }
 
@@ -168,7 +163,9 @@
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = s.Address.String()
-	out.Close = false
+	// The library sends the body of a refused upload after all, unless the
+	// connection is to be closed.
+	out.Close = asksFirst(r)
 	out.GetBody = nil
 	out.Body = nil
 	out.Trailer = r.Trailer // The server fills it in once the body is read.
@@ -188,6 +185,11 @@
 	return out
 }
 
+// asksFirst reports whether the caller waits to be told to send its body.
+func asksFirst(r *http.Request) bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
+
 // earlyHints passes informational answers on; the libraries on both sides
 // treat 100 Continue themselves.
 func earlyHints(w answerWriter) *httptrace.ClientTrace {
@@ -216,6 +218,9 @@
 	for name := range answer.Trailer {
 		header.Add("Trailer", name)
 	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // Keeps the library from guessing one.
+	}
 	w.WriteHeader(answer.StatusCode)
 	if err := copyAnswer(w, answer); err != nil {
 		return err
--- /dev/null
+++ b/io/entry/harness_test.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/setup"
+)
+
+type (
+	// rawTarget is a stand-in target on a bare socket that follows a script.
+	rawTarget struct {
+		listener net.Listener
+		address  netip.AddrPort
+		script   func(*rawConn)
+
+		mu    sync.Mutex
+		conns []*rawConn
+	}
+
+	// rawConn is one connection that a rawTarget took.
+	rawConn struct {
+		*net.TCPConn
+		number int // Counts the connections of the target from 0.
+		reader *bufio.Reader
+
+		mu  sync.Mutex
+		got bytes.Buffer
+	}
+
+	// bench is an entry host with one service, "s", and raw targets.
+	bench struct {
+		host    *Host
+		address string
+		logs    *lockedBuffer
+		stop    func()
+		done    chan error
+	}
+
+	lockedBuffer struct {
+		mu  sync.Mutex
+		buf bytes.Buffer
+	}
+)
+
+var addresses atomic.Uint32
+
+const testLimit = 20 * time.Second
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func newRawTarget(t *testing.T, script func(*rawConn)) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &rawTarget{listener: l, address: l.Addr().(*net.TCPAddr).AddrPort(), script: script}
+	t.Cleanup(func() {
+		l.Close()
+		for _, c := range target.taken() {
+			c.Close()
+		}
+	})
+	go target.serve()
+	return target
+}
+
+func (t *rawTarget) serve() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		c := &rawConn{TCPConn: conn.(*net.TCPConn)}
+		c.reader = bufio.NewReader(io.TeeReader(c.TCPConn, c))
+		t.mu.Lock()
+		c.number = len(t.conns)
+		t.conns = append(t.conns, c)
+		t.mu.Unlock()
+		go func() {
+			defer c.Close()
+			t.script(c)
+		}()
+	}
+}
+
+func (t *rawTarget) taken() []*rawConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]*rawConn(nil), t.conns...)
+}
+
+// received returns the bytes that each connection received.
+func (t *rawTarget) received() []string {
+	var list []string
+	for _, c := range t.taken() {
+		list = append(list, c.received())
+	}
+	return list
+}
+
+// reached returns the number of connections on which any byte arrived.
+func (t *rawTarget) reached() int {
+	n := 0
+	for _, got := range t.received() {
+		if got != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Write records what was received.
+func (c *rawConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.got.Write(p)
+}
+
+func (c *rawConn) received() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.got.String()
+}
+
+// request reads one whole request, or returns nil.
+func (c *rawConn) request() *http.Request {
+	r, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil
+	}
+	if _, err = io.Copy(io.Discard, r.Body); err != nil {
+		return nil
+	}
+	return r
+}
+
+// header reads the header of a request and leaves its body unread.
+func (c *rawConn) header() *http.Request {
+	r, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil
+	}
+	return r
+}
+
+func (c *rawConn) say(s string) {
+	io.WriteString(c.TCPConn, s)
+}
+
+// reset closes the connection with a reset.
+func (c *rawConn) reset() {
+	c.SetLinger(0)
+	c.Close()
+}
+
+// untilClosed waits for the other side to close.
+func (c *rawConn) untilClosed() {
+	io.Copy(io.Discard, c.reader)
+}
+
+// freeAddress returns an address that was free a moment ago. Each has its own
+// IP number, so that no connection or other test takes its port.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	n := addresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(n >> 8), byte(n)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newBench(t *testing.T, change func(*spec.Service, *setup.Entry), targets ...netip.AddrPort) *bench {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	peer := setup.Peer{Host: "entry-1", DataCentre: "lab", PeerAddress: freeAddress(t)}
+	cfg := setup.Entry{
+		Common: setup.Common{
+			Host: "entry-1", DataCentre: "lab", LogLevel: "info", AdminAddress: freeAddress(t), PeerAddress: peer.PeerAddress,
+			Controls: []setup.Peer{{Host: "control-1", DataCentre: "lab", PeerAddress: freeAddress(t)}},
+		},
+		CallAddress: freeAddress(t), AnnounceAddress: freeAddress(t), Entries: []setup.Peer{peer},
+		Tick: strict.Duration(5 * time.Millisecond), AnnounceInterval: strict.Duration(time.Minute),
+		DecisionLogOneIn: 1, StopGrace: strict.Duration(10 * time.Second),
+	}
+	doc := spec.Default()
+	doc.Name = "s"
+	doc.Receive.PathPrefixes = []string{"/"}
+	doc.Hold.LongestWait = strict.Duration(50 * time.Millisecond)
+	if change != nil {
+		change(&doc, &cfg)
+	}
+	b := &bench{address: cfg.CallAddress.String(), logs: &lockedBuffer{}, done: make(chan error, 1)}
+	b.host = New(cfg, WithLogger(slog.New(slog.NewTextHandler(b.logs, nil))))
+	body, err := json.Marshal(doc)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(b.host.apply(spec.Versioned{Name: "s", Revision: 1, Body: body})).To(gomega.Succeed())
+	for i, address := range targets {
+		b.host.merge(member.Record{
+			Key: member.Key{Service: "s", Target: string(rune('a' + i))}, Address: address, DataCentre: "lab",
+			State: member.Ready, Incarnation: 1, Voucher: "entry-1",
+		})
+	}
+	var ctx context.Context
+	ctx, b.stop = context.WithCancel(context.Background())
+	go func() { b.done <- b.host.Run(ctx) }()
+	t.Cleanup(b.stop)
+	g.Eventually(func() error {
+		c, err := net.Dial("tcp", b.address)
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}, testLimit, 2*time.Millisecond).Should(gomega.Succeed())
+	return b
+}
+
+// session sends raw bytes to the host, closes nothing, and returns all bytes
+// of the answer and whether the connection ended with a reset.
+func (b *bench) session(t *testing.T, parts ...string) (string, bool) {
+	t.Helper()
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err = conn.SetDeadline(time.Now().Add(testLimit)); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for _, part := range parts {
+			io.WriteString(conn, part)
+		}
+	}()
+	answer, err := io.ReadAll(conn)
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Fatalf("the host neither ended nor reset the connection; it said %q", answer)
+	}
+	return string(answer), err != nil
+}
