Learn from answers: load reports, hot and cold targets, truthful holding

Cause: the entry knew only its own calls in flight. A target that failed fast looked idle, one that had just shed was asked again at once, a call that could not be served in time waited all the same, a patient call overtook held prompt ones, and a held call went back to the target it came from.

Change: a strict Spool-Load report on answers; engine.Finish carries what an attempt showed; policy hot_cold beside least_outstanding and two_choices, a file each with test and benchmark. The engine refuses at once what cannot be served in time (Little's law on its calls in flight) or has no target that can come ready, moves shed calls on without retry budget, and wakes held calls when a pause after a shed ends. The tick test now holds its call behind a busy target: without any target a call is refused at once, with its own test.

Seen red: with the old rules put back one by one, the tests for no target, no prospect, held calls' earlier targets and patient calls failed.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -49,6 +49,36 @@
 	return nil
 }
 
+// Return holds a call again that was popped before, ahead of all others of its
+// kind. It is held even when the queue is full.
+func (q *Queue) Return(h Held) {
+	q.weight += h.Weight
+	if h.Patient {
+		q.patient = append([]Held{h}, q.patient...)
+		return
+	}
+	q.prompt = append([]Held{h}, q.prompt...)
+}
+
+// Next returns the call that Pop would return, and leaves it in the queue.
+func (q *Queue) Next() (Held, bool) {
+	switch {
+	case len(q.prompt) > 0:
+		return q.prompt[0], true
+	case len(q.patient) > 0:
+		return q.patient[0], true
+	}
+	return Held{}, false
+}
+
+// Ahead returns the number of calls that would leave before a new one.
+func (q *Queue) Ahead(patient bool) int {
+	if patient {
+		return len(q.prompt) + len(q.patient)
+	}
+	return len(q.prompt)
+}
+
 // Pop returns the next call to be served, and false when none waits.
 func (q *Queue) Pop() (Held, bool) {
 	if len(q.prompt) > 0 {
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomspool/core/member"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 )
 
@@ -38,6 +39,8 @@
 		Result Result
 		// Replayable says that the request's body can be sent once more.
 		Replayable bool
+		// Feedback is what the attempt showed of its target.
+		Feedback route.Feedback
 	}
 
 	// Cancel reports that the caller has gone.
@@ -76,7 +79,14 @@
 		Attempt int
 		// Candidates is the number of targets that could have been chosen.
 		Candidates int
-		// Held is how long the call waited in the queue.
+		// Why says what decided the choice.
+		Why route.Why
+		// InFlight is the number of this entry's other calls at the target.
+		InFlight int
+		// ReportAge is the age of the target's last load report, negative
+		// when it has sent none.
+		ReportAge time.Duration
+		// Held is how long after its arrival the call is sent.
 		Held time.Duration
 	}
 
@@ -107,6 +117,7 @@
 const (
 	NoTarget      Reason = "no_target"
 	QueueFull     Reason = "queue_full"
+	NoProspect    Reason = "no_prospect"
 	WaitedTooLong Reason = "waited_too_long"
 	TooManyOpen   Reason = "too_many_open"
 	TargetsRefuse Reason = "targets_refuse"
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cardamomspool/core/admit"
@@ -20,27 +21,47 @@
 		credit  float64
 		rng     *rand.Rand
 		expired []admit.Held
+		passed  []admit.Held
 	}
 
+	// Option sets one property of a Service.
+	Option func(*Service)
+
 	call struct {
 		class    spec.Class
 		arrived  time.Time
 		deadline time.Time
 		target   string
+		sent     time.Time
 		tried    []string
 		attempts int
+		sheds    int
 		maybeRun bool
 	}
 )
 
-// retryBurst is the number of retries that a service may make before its
-// budget has grown from calls.
-const retryBurst = 10
+const (
+	// retryBurst is the number of retries that a service may make before its
+	// budget has grown from calls.
+	retryBurst = 10
+	// maxSheds is the number of targets that may shed a call before it is
+	// refused. A shed costs no retry budget: the target did not run the call,
+	// and is left alone for a growing time.
+	maxSheds = 20
+)
+
+// WithDataCentre names the data centre of the entry host.
+func WithDataCentre(name string) Option {
+	return func(s *Service) { s.targets.SetDataCentre(name) }
+}
 
 // NewService returns a Service that follows doc, which must be valid, and
 // draws randomness from rng.
-func NewService(doc spec.Service, rng *rand.Rand) *Service {
+func NewService(doc spec.Service, rng *rand.Rand, opts ...Option) *Service {
 	s := &Service{calls: make(map[uint64]*call), rng: rng, credit: retryBurst}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.configure(doc)
 	return s
 }
@@ -56,7 +77,7 @@
 	case Cancel:
 		return s.cancel(dst, e.Call, now)
 	case Retarget:
-		s.targets.Update(e.Records)
+		s.targets.Update(e.Records, s.doc.Route.Ramp.Std(), now)
 		return s.serveHeld(dst, now)
 	case Configure:
 		s.configure(e.Document)
@@ -90,8 +111,8 @@
 	c := &call{class: e.Class, arrived: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
 	s.credit = min(s.credit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
-	if s.queue.Len() > 0 && !c.class.Patient {
-		return s.hold(dst, e.Call, c, now)
+	if s.queue.Len() > 0 {
+		return s.serveHeld(s.hold(dst, e.Call, c, now), now)
 	}
 	return s.sendOrHold(dst, e.Call, c, now)
 }
@@ -101,16 +122,22 @@
 	if !ok {
 		return dst
 	}
-	s.targets.End(c.target)
+	s.targets.End(c.target, e.Feedback, now.Sub(c.sent), now)
 	c.tried = append(c.tried, c.target)
 	c.target = ""
 	c.maybeRun = c.maybeRun || e.Result == Unknown
+	shed := e.Result == NotRun && e.Feedback.Ending == route.Shed
+	if shed {
+		c.sheds++
+	}
 	switch {
 	case e.Result == Answered:
 		delete(s.calls, e.Call)
+	case shed && e.Replayable && c.sheds < maxSheds && now.Before(c.deadline):
+		dst = s.sendOrReturn(dst, e.Call, c, now)
 	case s.mayRetry(c, e, now):
 		s.credit--
-		dst = s.sendOrHold(dst, e.Call, c, now)
+		dst = s.sendOrReturn(dst, e.Call, c, now)
 	default:
 		dst = s.refuse(dst, e.Call, c, failReason(e.Result))
 	}
@@ -126,7 +153,7 @@
 
 func (s *Service) mayRetry(c *call, e Finish, now time.Time) bool {
 	safe := e.Result == NotRun || c.class.Idempotent
-	return safe && e.Replayable && c.attempts < s.doc.Retry.Attempts && s.credit >= 1 && now.Before(c.deadline)
+	return safe && e.Replayable && c.attempts-c.sheds < s.doc.Retry.Attempts && s.credit >= 1 && now.Before(c.deadline)
 }
 
 func (s *Service) cancel(dst []Action, id uint64, now time.Time) []Action {
@@ -135,7 +162,7 @@
 		return dst
 	}
 	s.queue.Remove(id)
-	s.targets.End(c.target)
+	s.targets.End(c.target, route.Feedback{}, now.Sub(c.sent), now)
 	delete(s.calls, id)
 	return s.serveHeld(dst, now)
 }
@@ -148,57 +175,121 @@
 	return s.serveHeld(dst, now)
 }
 
+// sendOrHold sends a new call or holds it.
 func (s *Service) sendOrHold(dst []Action, id uint64, c *call, now time.Time) []Action {
-	pick, ok := s.targets.Choose(s.policy, s.doc.Targets.Slots, c.tried, s.rng)
-	if !ok {
-		return s.hold(dst, id, c, now)
+	if pick, ok := s.choose(s.avoid(c), now); ok {
+		return s.send(dst, id, c, pick, now)
 	}
-	return s.send(dst, id, c, pick, now)
+	return s.hold(dst, id, c, now)
+}
+
+// sendOrReturn sends a call again, to a target that it has not been to, or
+// puts it at the head of the queue.
+func (s *Service) sendOrReturn(dst []Action, id uint64, c *call, now time.Time) []Action {
+	if pick, ok := s.choose(s.avoid(c), now); ok {
+		return s.send(dst, id, c, pick, now)
+	}
+	if s.targets.Ready()+s.targets.Cold() == 0 {
+		return s.refuse(dst, id, c, NoTarget)
+	}
+	s.queue.Return(s.held(id, c))
+	return dst
+}
+
+func (s *Service) choose(tried []string, now time.Time) (route.Pick, bool) {
+	return s.targets.Choose(s.policy, route.Query{Slots: s.doc.Targets.Slots, Exclude: tried, Now: now}, s.rng)
 }
 
 func (s *Service) send(dst []Action, id uint64, c *call, pick route.Pick, now time.Time) []Action {
-	s.targets.Begin(pick.Name)
+	s.targets.Begin(pick.Name, now)
 	c.target = pick.Name
+	c.sent = now
 	c.attempts++
 	return append(dst, Send{
 		Call: id, Target: pick.Name, Address: pick.Address, Attempt: c.attempts,
-		Candidates: pick.Candidates, Held: now.Sub(c.arrived),
+		Candidates: pick.Candidates, Why: pick.Why, InFlight: pick.InFlight, ReportAge: pick.ReportAge,
+		Held: now.Sub(c.arrived),
 	})
 }
 
+// hold queues a call that can be served in time, and refuses it otherwise.
 func (s *Service) hold(dst []Action, id uint64, c *call, now time.Time) []Action {
-	until := now.Add(s.doc.Hold.LongestWait.Std())
-	if c.deadline.Before(until) {
-		until = c.deadline
+	if s.targets.Ready()+s.targets.Cold() == 0 {
+		return s.refuse(dst, id, c, NoTarget)
+	}
+	h := s.held(id, c)
+	if now.Add(s.wait(s.queue.Ahead(c.class.Patient))).After(h.Until) {
+		return s.refuse(dst, id, c, NoProspect)
 	}
-	h := admit.Held{Call: id, Weight: c.class.Weight, Until: until, Patient: c.class.Patient}
 	if err := s.queue.Push(h); err != nil {
-		reason := QueueFull
-		if s.targets.Ready() == 0 {
-			reason = NoTarget
-		}
-		return s.refuse(dst, id, c, reason)
+		return s.refuse(dst, id, c, QueueFull)
 	}
 	return dst
 }
 
+// held returns the queue's entry for a call. It waits until the longest wait
+// is over, or until a call sent then would not end before its deadline.
+func (s *Service) held(id uint64, c *call) admit.Held {
+	until := c.arrived.Add(s.doc.Hold.LongestWait.Std())
+	if last := c.deadline.Add(-s.targets.Mean()); last.Before(until) {
+		until = last
+	}
+	return admit.Held{Call: id, Weight: c.class.Weight, Until: until, Patient: c.class.Patient}
+}
+
+// wait estimates the time until ahead calls and one more have left the queue.
+func (s *Service) wait(ahead int) time.Duration {
+	return admit.Wait(ahead, s.targets.InFlight(), s.targets.Mean())
+}
+
+// serveHeld sends held calls while targets have room. A call that has been to
+// the targets with room waits for others, and calls behind it go first.
 func (s *Service) serveHeld(dst []Action, now time.Time) []Action {
-	for s.queue.Len() > 0 {
-		pick, ok := s.targets.Choose(s.policy, s.doc.Targets.Slots, nil, s.rng)
-		if !ok {
-			return dst
+	s.passed = s.passed[:0]
+	for h, ok := s.queue.Next(); ok; h, ok = s.queue.Next() {
+		c := s.calls[h.Call]
+		pick, found := s.choose(s.avoid(c), now)
+		if !found && len(c.tried) == 0 {
+			break
+		}
+		s.queue.Pop()
+		if !found {
+			s.passed = append(s.passed, h)
+			continue
 		}
-		h, _ := s.queue.Pop()
-		dst = s.send(dst, h.Call, s.calls[h.Call], pick, now)
+		dst = s.send(dst, h.Call, c, pick, now)
+	}
+	for _, h := range slices.Backward(s.passed) {
+		s.queue.Return(h)
 	}
 	return dst
 }
 
+// avoid returns the targets that a call must not go to: those that it has been
+// to, unless there are no others.
+func (s *Service) avoid(c *call) []string {
+	if len(c.tried) >= s.targets.Ready() {
+		return nil
+	}
+	return c.tried
+}
+
 func (s *Service) refuse(dst []Action, id uint64, c *call, reason Reason) []Action {
 	delete(s.calls, id)
 	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.maybeRun, RetryAfter: s.retryAfter()})
 }
 
+// retryAfter returns the time after which the calls held now will have left,
+// and at least what the document says.
 func (s *Service) retryAfter() time.Duration {
-	return s.doc.Refuse.RetryAfter.Std()
+	return max(s.doc.Refuse.RetryAfter.Std(), s.wait(s.queue.Len()))
+}
+
+// Wake returns the time at which held calls may be sent without any further
+// event but Tick, and false when there is none.
+func (s *Service) Wake(now time.Time) (time.Time, bool) {
+	if s.queue.Len() == 0 {
+		return time.Time{}, false
+	}
+	return s.targets.Wake(now)
 }
--- a/core/engine/service_test.go
+++ b/core/engine/service_test.go
@@ -10,6 +10,7 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 )
 
@@ -64,9 +65,103 @@
 	g.Expect(s.Open()).To(gomega.BeZero())
 }
 
+func TestCallIsRefusedAtOnceWhenNoTargetCanComeReady(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newService()
+	arrive := engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}
+	refused := engine.Refuse{Call: 1, Reason: engine.NoTarget, NotRun: true, RetryAfter: time.Second}
+	g.Expect(s.Handle(nil, arrive, start)).To(gomega.ConsistOf(refused))
+	leaving := targets(1)
+	leaving.Records[0].State = member.Draining
+	s.Handle(nil, leaving, start)
+	g.Expect(s.Handle(nil, arrive, start)).To(gomega.ConsistOf(refused))
+	coming := targets(1)
+	coming.Records[0].State = member.Cold
+	s.Handle(nil, coming, start)
+	g.Expect(s.Handle(nil, arrive, start)).To(gomega.BeEmpty())
+	g.Expect(s.Handle(nil, targets(1), start.Add(time.Millisecond))).To(gomega.HaveLen(1))
+}
+
+func TestCallThatCanNotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Targets.Slots = 1
+	s := engine.NewService(doc, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(1), start)
+	s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
+	s.Handle(nil, engine.Finish{Call: 1, Result: engine.Answered, Feedback: route.Feedback{Ending: route.Served}}, start.Add(100*time.Millisecond))
+	now := start.Add(200 * time.Millisecond)
+	refused := []engine.Action{}
+	for id := uint64(2); id < 10; id++ {
+		refused = s.Handle(refused, engine.Arrive{Call: id, Class: class, Deadline: now.Add(350 * time.Millisecond)}, now)
+	}
+	// One call runs for 100 ms; two held behind it can start within the 250 ms
+	// that leave time to run before the deadline.
+	g.Expect(s.Held()).To(gomega.Equal(2))
+	g.Expect(refused[1:]).To(gomega.HaveEach(gomega.HaveField("Reason", engine.NoProspect)))
+	g.Expect(refused).To(gomega.HaveLen(6))
+}
+
+func TestShedCallGoesToAnotherTargetWithoutRetryBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Route.Policy = spec.PolicyHotCold
+	doc.Retry.BudgetPercent, doc.Retry.Attempts = 0, 1
+	s := engine.NewService(doc, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(5), start)
+	actions := s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
+	seen := map[string]bool{}
+	for range 5 {
+		g.Expect(actions).To(gomega.HaveLen(1))
+		seen[actions[0].(engine.Send).Target] = true
+		actions = s.Handle(nil, engine.Finish{Call: 1, Result: engine.NotRun, Replayable: true, Feedback: route.Feedback{Ending: route.Shed}}, start)
+	}
+	g.Expect(seen).To(gomega.HaveLen(5))
+	g.Expect(actions).To(gomega.BeEmpty())
+	g.Expect(s.Held()).To(gomega.Equal(1))
+	wake, ok := s.Wake(start)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(s.Handle(nil, engine.Tick{}, wake)).To(gomega.HaveLen(1))
+}
+
+func TestHeldCallWaitsForATargetThatItHasNotBeenTo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Targets.Slots = 1
+	s := engine.NewService(doc, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(2), start)
+	first := s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)[0].(engine.Send)
+	second := s.Handle(nil, engine.Arrive{Call: 2, Class: class, Deadline: start.Add(time.Second)}, start)[0].(engine.Send)
+	s.Handle(nil, engine.Arrive{Call: 3, Class: class, Deadline: start.Add(time.Second)}, start)
+	actions := s.Handle(nil, engine.Finish{Call: 1, Result: engine.NotRun, Replayable: true}, start)
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0]).To(gomega.And(gomega.HaveField("Call", uint64(3)), gomega.HaveField("Target", first.Target)))
+	actions = s.Handle(nil, engine.Finish{Call: 2, Result: engine.Answered}, start)
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0]).To(gomega.And(gomega.HaveField("Call", uint64(1)), gomega.HaveField("Target", second.Target)))
+}
+
+func TestPatientCallDoesNotOvertakeHeldPromptCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Route.Policy = spec.PolicyHotCold
+	s := engine.NewService(doc, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(1), start)
+	s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
+	s.Handle(nil, engine.Finish{Call: 1, Result: engine.NotRun, Replayable: true, Feedback: route.Feedback{Ending: route.Shed}}, start)
+	g.Expect(s.Held()).To(gomega.Equal(1))
+	patient := spec.Class{Weight: 1, Deadline: time.Second, Patient: true}
+	later := start.Add(50 * time.Millisecond) // The target's pause is over; no tick has come.
+	actions := s.Handle(nil, engine.Arrive{Call: 2, Class: patient, Deadline: later.Add(time.Second)}, later)
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].(engine.Send).Call).To(gomega.Equal(uint64(1)))
+}
+
 func TestTickRefusesCallsThatWaitedTooLong(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newService()
+	s.Handle(nil, targets(1), start)
+	s.Handle(nil, engine.Arrive{Call: 9, Class: class, Deadline: start.Add(time.Minute)}, start)
 	s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
 	g.Expect(s.Handle(nil, engine.Tick{}, start.Add(499*time.Millisecond))).To(gomega.BeEmpty())
 	actions := s.Handle(nil, engine.Tick{}, start.Add(500*time.Millisecond))
--- /dev/null
+++ b/core/route/hot_cold_test.go
@@ -0,0 +1,163 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/route"
+	"cardamomspool/core/wire"
+)
+
+const callTime = 10 * time.Millisecond
+
+var (
+	served = route.Feedback{Ending: route.Served}
+	full   = route.Feedback{Ending: route.Served, Reported: true, Load: wire.Load{Running: 3, Queued: 3, Slots: 3}}
+)
+
+// warm gives every target of table some answers, so that windows are open and
+// the mean answer time is known.
+func warm(table *route.Table, names ...string) {
+	for _, name := range names {
+		for range 10 {
+			answer(table, name, callTime, served, start)
+		}
+	}
+}
+
+func TestHotColdSkipsATargetThatReportsFullForAWhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(2)
+	warm(table, "t0", "t1")
+	answer(table, "t0", callTime, full, start)
+	g.Expect(draws(table, route.HotCold{}, 100, start)["t0"]).To(gomega.BeZero())
+	// Two mean answer times, twice for three calls queued on three slots.
+	g.Expect(draws(table, route.HotCold{}, 100, start.Add(39*time.Millisecond))["t0"]).To(gomega.BeZero())
+	g.Expect(draws(table, route.HotCold{}, 100, start.Add(41*time.Millisecond))["t0"]).To(gomega.BeNumerically(">", 20))
+}
+
+func TestHotColdUsesFullTargetsWhenAllReportFull(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(2)
+	warm(table, "t0", "t1")
+	answer(table, "t0", callTime, full, start)
+	answer(table, "t1", callTime, full, start)
+	pick, ok := table.Choose(route.HotCold{}, route.Query{Slots: 3, Now: start}, seeded())
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(pick.Why).To(gomega.Equal(route.WhyAllHot))
+}
+
+func TestHotColdLeavesAShedderAloneForAGrowingTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(1)
+	now := start
+	for _, pause := range []time.Duration{4, 8, 16, 32, 64, 128, 128} {
+		answer(table, "t0", time.Millisecond, route.Feedback{Ending: route.Shed}, now)
+		wake, ok := table.Wake(now)
+		g.Expect(ok).To(gomega.BeTrue())
+		g.Expect(wake.Sub(now)).To(gomega.Equal(pause * time.Millisecond))
+		g.Expect(draws(table, route.HotCold{}, 1, wake.Add(-1))).To(gomega.BeEmpty())
+		g.Expect(draws(table, route.HotCold{}, 1, wake)).To(gomega.HaveLen(1))
+		now = wake
+	}
+}
+
+func TestHotColdLeavesATargetThatFailsFast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(3)
+	warm(table, "t0", "t1", "t2")
+	failures := 0
+	rng := seeded()
+	for range 1000 {
+		pick, _ := table.Choose(route.HotCold{}, route.Query{Slots: 3, Now: start}, rng)
+		if pick.Name == "t0" {
+			failures++
+			answer(table, "t0", 0, route.Feedback{Ending: route.Failed}, start)
+			continue
+		}
+		table.Begin(pick.Name, start) // Still running: t0 looks idle beside it.
+		table.End(pick.Name, served, callTime, start)
+	}
+	g.Expect(failures).To(gomega.BeNumerically("<=", 5))
+	back := start.Add(600 * time.Millisecond)
+	g.Expect(draws(table, route.HotCold{}, 1000, back)["t0"]).To(gomega.BeNumerically("<", 50), "returns at once to a full share")
+}
+
+func TestHotColdUsesFailingTargetsWhenAllFail(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(2)
+	for _, name := range []string{"t0", "t1"} {
+		answer(table, name, 0, route.Feedback{Ending: route.Unreachable}, start)
+	}
+	pick, ok := table.Choose(route.HotCold{}, route.Query{Slots: 3, Now: start}, seeded())
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(pick.Why).To(gomega.Equal(route.WhyAllFailing))
+}
+
+func TestHotColdSkipsATargetThatEndsNoCall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(2)
+	warm(table, "t0", "t1")
+	table.Begin("t0", start)
+	for range 2 {
+		table.Begin("t1", start.Add(35*time.Millisecond))
+	}
+	g.Expect(draws(table, route.HotCold{}, 100, start.Add(39*time.Millisecond))).To(gomega.HaveKeyWithValue("t0", 100))
+	g.Expect(draws(table, route.HotCold{}, 100, start.Add(41*time.Millisecond))).To(gomega.HaveKeyWithValue("t1", 100))
+}
+
+func TestHotColdGivesAStragglerASmallShareThatGrowsBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(10)
+	warm(table, "t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9")
+	for range 5 {
+		answer(table, "t0", 20*callTime, served, start)
+	}
+	warm(table, "t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9")
+	fair := 100
+	g.Expect(draws(table, route.HotCold{}, 1000, start)["t0"]).To(gomega.BeNumerically("<", fair/4))
+	g.Expect(draws(table, route.HotCold{}, 1000, start.Add(time.Second))["t0"]).To(gomega.BeNumerically("~", fair/4, fair/5))
+	g.Expect(draws(table, route.HotCold{}, 1000, start.Add(4*time.Second))["t0"]).To(gomega.BeNumerically("~", fair, fair/3))
+}
+
+func TestHotColdRampsANewTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(9)
+	now := start.Add(time.Minute)
+	table.Update(records(10), ramp, now)
+	g.Expect(draws(table, route.HotCold{}, 1000, now)["t9"]).To(gomega.BeNumerically("<=", 15))
+	g.Expect(draws(table, route.HotCold{}, 1000, now.Add(ramp/2))["t9"]).To(gomega.BeNumerically("~", 50, 25))
+	g.Expect(draws(table, route.HotCold{}, 1000, now.Add(ramp))["t9"]).To(gomega.BeNumerically("~", 100, 35))
+}
+
+func TestHotColdPrefersItsOwnDataCentreAmongEquals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := records(3)
+	list[1].DataCentre = "antigua"
+	var table route.Table
+	table.SetDataCentre("antigua")
+	table.Update(list, 0, start)
+	g.Expect(draws(&table, route.HotCold{PreferNear: true}, 100, start)).To(gomega.HaveKeyWithValue("t1", 100))
+	g.Expect(draws(&table, route.HotCold{}, 300, start)).To(gomega.HaveLen(3))
+	warm(&table, "t0", "t1", "t2")
+	table.Begin("t1", start)
+	g.Expect(draws(&table, route.HotCold{PreferNear: true}, 100, start)).NotTo(gomega.HaveKey("t1"))
+}
+
+func TestRestartedTargetIsNotHeldToItsPast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(2)
+	answer(table, "t0", 0, route.Feedback{Ending: route.Unreachable}, start)
+	list := records(2)
+	list[0].Incarnation = 2
+	list[1].State = member.Draining
+	table.Update(list, 0, start)
+	g.Expect(draws(table, route.HotCold{}, 10, start)).To(gomega.HaveKeyWithValue("t0", 10))
+}
+
+func BenchmarkHotCold(b *testing.B) {
+	benchmarkChoose(b, route.HotCold{})
+}
--- /dev/null
+++ b/core/route/table_test.go
@@ -0,0 +1,106 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/route"
+)
+
+const ramp = 2 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func records(n int) []member.Record {
+	list := make([]member.Record, n)
+	for i := range list {
+		list[i] = member.Record{
+			Key:     member.Key{Service: "s", Target: fmt.Sprintf("t%d", i)},
+			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+i)),
+			State:   member.Ready, Incarnation: 1, DataCentre: "xela",
+		}
+	}
+	return list
+}
+
+// grown returns a table of n targets past their ramp.
+func grown(n int) *route.Table {
+	table := new(route.Table)
+	table.Update(records(n), 0, start)
+	return table
+}
+
+func seeded() *rand.Rand {
+	return rand.New(rand.NewPCG(1, 2))
+}
+
+// answer lets the target called name answer one call that took elapsed.
+func answer(table *route.Table, name string, elapsed time.Duration, f route.Feedback, now time.Time) {
+	table.Begin(name, now.Add(-elapsed))
+	table.End(name, f, elapsed, now)
+}
+
+// draws counts the targets picked in n choices that are not begun.
+func draws(table *route.Table, p route.Policy, n int, now time.Time) map[string]int {
+	rng, counts := seeded(), map[string]int{}
+	for range n {
+		if pick, ok := table.Choose(p, route.Query{Slots: 3, Now: now}, rng); ok {
+			counts[pick.Name]++
+		}
+	}
+	return counts
+}
+
+func TestChooseLeavesOutUnreadyFullAndExcludedTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := records(4)
+	list[0].State = member.Draining
+	var table route.Table
+	table.Update(list, 0, start)
+	table.Begin("t1", start)
+	for _, policy := range []route.Policy{route.LeastOutstanding{}, route.TwoChoices{}, route.HotCold{}} {
+		q := route.Query{Slots: 1, Exclude: []string{"t2"}, Now: start}
+		for range 20 {
+			pick, ok := table.Choose(policy, q, seeded())
+			g.Expect(ok).To(gomega.BeTrue())
+			g.Expect(pick.Name).To(gomega.Equal("t3"))
+		}
+		q.Exclude = []string{"t2", "t3"}
+		_, ok := table.Choose(policy, q, seeded())
+		g.Expect(ok).To(gomega.BeFalse())
+	}
+}
+
+func TestDrainMarkOnAnAnswerTakesTheTargetOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := grown(2)
+	answer(table, "t0", time.Millisecond, route.Feedback{Ending: route.Served, Drains: true}, start)
+	g.Expect(table.Ready()).To(gomega.Equal(1))
+	table.Update(records(2), 0, start)
+	g.Expect(table.Ready()).To(gomega.Equal(1), "an older announcement brings it back")
+	again := records(2)
+	again[0].Incarnation = 2
+	table.Update(again, 0, start)
+	g.Expect(table.Ready()).To(gomega.Equal(2), "started again")
+}
+
+func benchmarkChoose(b *testing.B, p route.Policy) {
+	for _, n := range []int{10, 100, 940} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table, rng := grown(n), seeded()
+			q := route.Query{Slots: 1 << 30, Now: start}
+			b.ReportAllocs()
+			for b.Loop() {
+				pick, _ := table.Choose(p, q, rng)
+				table.Begin(pick.Name, start)
+				table.End(pick.Name, route.Feedback{Ending: route.Served}, time.Millisecond, start)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/route/two_choices.go
@@ -0,0 +1,31 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// TwoChoices draws two ready targets and takes the one with fewer calls in
+// flight; when that one can take no call it falls back to LeastOutstanding.
+// Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+// Balancing", IEEE TPDS 12(10), 2001.
+type TwoChoices struct{}
+
+var _ Policy = TwoChoices{}
+
+func (TwoChoices) isPolicy() {}
+
+func (t *Table) twoChoices(q Query, at time.Duration, rng *rand.Rand) (Pick, bool) {
+	n := len(t.readyRows)
+	if n == 0 {
+		return Pick{}, false
+	}
+	first, second := t.readyRows[rng.IntN(n)], t.readyRows[rng.IntN(n)]
+	if t.state[second].inFlight < t.state[first].inFlight {
+		first = second
+	}
+	if !t.usable(first, q, at) {
+		return t.leastOutstanding(q, at, rng)
+	}
+	return t.pick(first, n, WhyDrawn, at)
+}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 )
@@ -20,6 +21,8 @@
 	arrived time.Time
 	body    *body
 	waiter  chan engine.Action
+	// feedback is what the last attempt showed of its target.
+	feedback route.Feedback
 }
 
 var _ http.Handler = (*Host)(nil)
@@ -70,7 +73,9 @@
 	case engine.Send:
 		h.logSend(c, action)
 		result := h.exchange.attempt(ctx, w, r, c, action)
-		h.system.Root.Send(c.service.pid, engine.Finish{Call: c.id, Result: result, Replayable: !c.body.started()})
+		h.system.Root.Send(c.service.pid, engine.Finish{
+			Call: c.id, Result: result, Replayable: !c.body.started(), Feedback: c.feedback,
+		})
 		if result == engine.Answered {
 			h.metrics.Count("calls_answered").Add(1)
 			return true
@@ -107,7 +112,8 @@
 		return
 	}
 	h.log.Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
-		"candidates", s.Candidates, "policy", c.service.doc.Route.Policy, "held_us", s.Held.Microseconds())
+		"candidates", s.Candidates, "policy", c.service.doc.Route.Policy, "why", string(s.Why),
+		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.Held.Microseconds())
 }
 
 func (h *Host) logRefuse(c *call, r engine.Refuse) {
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -12,12 +12,14 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/telem"
 )
 
 type (
 	// exchange sends calls to targets and streams their answers back.
 	exchange struct {
 		transport *http.Transport
+		metrics   *telem.Set
 	}
 
 	// body is a caller's request body; it notes when reading has begun, after
@@ -42,8 +44,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-func newExchange() *exchange {
-	return &exchange{transport: &http.Transport{
+func newExchange(metrics *telem.Set) *exchange {
+	return &exchange{metrics: metrics, transport: &http.Transport{
 		DialContext:            dialer(dialTimeout),
 		MaxIdleConnsPerHost:    idlePerTarget,
 		IdleConnTimeout:        idleTimeout,
@@ -85,15 +87,19 @@
 	)
 	if answer, err = x.transport.RoundTrip(out); err != nil {
 		if !connected {
+			c.feedback = noAnswer(r.Context(), engine.NotRun)
 			return engine.NotRun
 		}
+		c.feedback = noAnswer(r.Context(), engine.Unknown)
 		c.body.sent = true
 		return engine.Unknown
 	}
 	defer answer.Body.Close()
 	if answer.Header.Get(wire.HeaderOutcome) == wire.OutcomeNotRun && answer.StatusCode == http.StatusServiceUnavailable {
+		c.feedback = readFeedback(answer, engine.NotRun, x.metrics)
 		return engine.NotRun
 	}
+	c.feedback = readFeedback(answer, engine.Answered, x.metrics)
 	c.body.sent = true
 	giveAnswer(w, answer)
 	return engine.Answered
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -71,7 +71,7 @@
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.exchange = newExchange()
+	h.exchange = newExchange(h.metrics)
 	h.services.Store(&serviceMap{})
 	h.metrics.Func("targets", func() any { return h.targetCount() })
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/spec"
+	"cardamomspool/io/telem"
 )
 
 type (
@@ -40,6 +41,8 @@
 		engine  *engine.Service
 		waiters map[uint64]chan engine.Action
 		actions []engine.Action
+		metrics *telem.Set
+		wake    *time.Timer
 	}
 )
 
@@ -62,6 +65,28 @@
 		a.handle(m, now)
 	case engine.Event:
 		a.handle(m, now)
+	case *actor.Stopping:
+		a.stopWake()
+		return
+	}
+	a.setWake(ctx, now)
+}
+
+// setWake has the engine ticked when a held call may be sent before the next
+// event.
+func (a *serviceActor) setWake(ctx actor.Context, now time.Time) {
+	at, ok := a.engine.Wake(now)
+	if !ok {
+		return
+	}
+	a.stopWake()
+	self, root := ctx.Self(), ctx.ActorSystem().Root
+	a.wake = time.AfterFunc(at.Sub(now), func() { root.Send(self, engine.Tick{}) })
+}
+
+func (a *serviceActor) stopWake() {
+	if a.wake != nil {
+		a.wake.Stop()
 	}
 }
 
@@ -75,6 +100,7 @@
 func (a *serviceActor) deliver(action engine.Action) {
 	switch action := action.(type) {
 	case engine.Send:
+		a.count(action)
 		if waiter, ok := a.waiters[action.Call]; ok {
 			waiter <- action
 		}
@@ -86,6 +112,13 @@
 	}
 }
 
+func (a *serviceActor) count(s engine.Send) {
+	a.metrics.Count("attempts").Add(1)
+	if s.Attempt > 1 {
+		a.metrics.Count("retries").Add(1)
+	}
+}
+
 // find returns the service that takes a call, the one with the longest
 // matching path prefix first, or nil.
 func (m *serviceMap) find(hostPort, path string) *service {
@@ -162,7 +195,10 @@
 
 func (h *Host) spawn(doc spec.Service) *actor.PID {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	a := &serviceActor{engine: engine.NewService(doc, rng), waiters: make(map[uint64]chan engine.Action)}
+	a := &serviceActor{
+		engine:  engine.NewService(doc, rng, engine.WithDataCentre(h.cfg.DataCentre)),
+		waiters: make(map[uint64]chan engine.Action), metrics: h.metrics,
+	}
 	pid := h.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
 	h.system.Root.Send(pid, engine.Retarget{Records: h.targets.Service(nil, doc.Name)})
 	return pid
