--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -40,6 +40,12 @@
 		state   member.State
 		running chan struct{}
 		waiting int
+
+		behaviour Behaviour
+		started   time.Time
+		past      []pastLoad
+		spells    *rand.Rand
+		next      spell
 	}
 
 	// Option sets one property of a Target.
@@ -105,6 +111,7 @@
 		opt(t)
 	}
 	t.running = make(chan struct{}, t.slots)
+	t.started = time.Now()
 	return t
 }
 
@@ -192,7 +199,13 @@
 // ServeHTTP runs one call: it waits for a slot, holds it for the service time
 // and answers with the call's identity. A call beyond the queue is shed.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if t.behaviour.FailFast {
+		t.record.add(r.Header.Get(HeaderCall))
+		http.Error(w, "broken", http.StatusInternalServerError)
+		return
+	}
 	if !t.enter(r.Context()) {
+		t.reportLoad(w, 0)
 		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
@@ -204,11 +217,11 @@
 		return
 	}
 	select {
-	case <-time.After(t.draw()):
+	case <-time.After(t.draw(time.Now())):
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("running=%d", len(t.running)))
+	t.reportLoad(w, 1)
 	fmt.Fprintf(w, "%s\n", id)
 }
 
@@ -242,10 +255,10 @@
 	return true
 }
 
-func (t *Target) draw() time.Duration {
+func (t *Target) draw(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Duration(t.rng.ExpFloat64() * float64(t.serviceTime))
+	return time.Duration(t.rng.ExpFloat64() * float64(t.serviceTime) * t.slowdown(now))
 }
 
 func (r *Record) add(id string) {
