--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 )
@@ -25,6 +26,7 @@
 	maybeRun    bool           // An attempt may have run the call.
 	connections int            // The most connections to one target.
 	trusted     []netip.Prefix // Networks whose forwarding fields are kept.
+	feedback    route.Feedback // What the last attempt showed of its target.
 }
 
 const (
@@ -182,7 +184,9 @@
 		}
 	}
 	replayable := !result.Final() && c.body.replayable()
-	h.system.Root.Send(c.service.pid, engine.Finish{Call: c.id, Result: result, Replayable: replayable})
+	h.system.Root.Send(c.service.pid, engine.Finish{
+		Call: c.id, Result: result, Replayable: replayable, Feedback: c.feedback,
+	})
 	switch result {
 	case engine.Answered:
 		h.metrics.Count("calls_answered").Add(1)
@@ -247,7 +251,8 @@
 		return
 	}
 	h.log.Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
-		"candidates", s.Candidates, "policy", c.service.doc.Route.Policy, "held_us", s.Held.Microseconds())
+		"candidates", s.Candidates, "policy", c.service.doc.Route.Policy, "why", string(s.Why),
+		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.Held.Microseconds())
 }
 
 func (h *Host) logRefuse(c *call, r engine.Refuse) {
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -62,6 +62,7 @@
 	)
 	if l, err = x.pool.get(ctx, s.Address, !c.class.Idempotent); err != nil {
 		x.log.Info("target not reached", "call", c.name, "target", s.Target, "error", err)
+		c.feedback = noAnswer(r.Context(), engine.NotRun)
 		return engine.NotRun
 	}
 	x.pool.trim(s.Address, c.connections)
@@ -75,12 +76,16 @@
 		err = checkAnswer(answer, c)
 	}
 	if err != nil {
-		return x.failed(l, c, s, err)
+		result := x.failed(l, c, s, err)
+		c.feedback = noAnswer(r.Context(), result)
+		return result
 	}
 	if saysNotRun(answer) {
+		c.feedback = readFeedback(answer, engine.NotRun, x.metrics)
 		x.drop(l, answer)
 		return engine.NotRun
 	}
+	c.feedback = readFeedback(answer, engine.Answered, x.metrics)
 	if err = giveAnswer(w, answer); err != nil {
 		x.pool.discard(l)
 		x.log.Warn("answer cut short", "call", c.name, "target", s.Target, "error", err)
