Move the proposer into core and give control hosts incarnations

Cause: a control host with an empty or corrupt folder voted at once and so forgot accepted changes; ballots could be used twice after a restart, since the proposer sent before its own promise was synced; a buffered answer could make a host that had been frozen look up to date. Ruled out: carrying the promise set in Accept. It still lets a host that knows nothing of the new incarnation accept a value that does not descend from an agreed one; checking the votes where they are counted, against incarnations named in all replies, does not. Change: core/quorum.Node is the whole of one control host's part as a state machine (ballots, reads, learning, recovery, founding); io/ctrl carries messages, disk and time. A host without its votes reads n - majority + 1 voting hosts, which note its new incarnation first; a cluster begins only when all hosts were blank in two rounds running. Reads ask a majority. A reused request identity with another body is refused (422). Watch streams end on a host that no majority confirms.

--- a/core/quorum/acceptor.go
+++ b/core/quorum/acceptor.go
@@ -1,43 +1,13 @@
 package quorum
 
 import (
-	"cmp"
-	"time"
-
-	"cardamomspool/core/spec"
+	"maps"
+	"slices"
 )
 
 type (
-	// Ballot orders the attempts to change a register.
-	Ballot struct {
-		// Round grows with every attempt.
-		Round uint64 `json:"round"`
-		// Host is the control host that proposes; it breaks ties.
-		Host string `json:"host"`
-	}
-
-	// Request remembers an operator's accepted change, so that a resend gets
-	// the first answer again.
-	Request struct {
-		// ID is the identity that the operator gave the request.
-		ID string `json:"id"`
-		// Revision is the revision that the change created.
-		Revision uint64 `json:"revision"`
-	}
-
-	// Value is the content of a register. The zero value is an absent
-	// document at revision 0.
-	Value struct {
-		spec.Versioned
-		// Operator is who asked for the change; may be empty.
-		Operator string `json:"operator,omitempty"`
-		// At is when the proposing control host took the change.
-		At time.Time `json:"at,omitzero"`
-		// Requests are the latest accepted requests, oldest first.
-		Requests []Request `json:"requests,omitempty"`
-	}
-
-	// Register is what one control host must keep of one document.
+	// Register is what one control host must keep of its votes on one
+	// document.
 	Register struct {
 		// Name is the name of the service.
 		Name string `json:"name"`
@@ -47,6 +17,10 @@
 		Accepted Ballot `json:"accepted"`
 		// Value is the newest accepted value.
 		Value Value `json:"value"`
+	}
+
+	// Learnt is what one control host knows to be agreed on one document.
+	Learnt struct {
 		// Chosen is the newest value known to be held by a majority.
 		Chosen Value `json:"chosen"`
 		// History holds the latest chosen values that this host has learnt,
@@ -54,53 +28,40 @@
 		History []Value `json:"history,omitempty"`
 	}
 
-	// Promise answers a Prepare.
-	Promise struct {
-		// OK is false when a higher ballot was promised before.
-		OK bool
-		// Promised is the highest ballot promised.
-		Promised Ballot
-		// Accepted is the ballot of Value.
-		Accepted Ballot
-		// Value is the newest accepted value.
-		Value Value
-	}
-
-	// Acceptor holds the registers of one control host. The zero value holds
-	// none.
+	// Acceptor holds the registers of one control host and what it has
+	// learnt. The zero value holds none.
 	Acceptor struct {
 		registers map[string]*Register
+		learnt    map[string]*Learnt
 	}
 )
 
 // MaxHistory is the number of past values kept per document.
 const MaxHistory = 16
 
-// Compare returns -1, 0 or +1 as b is below, equal to or above other.
-func (b Ballot) Compare(other Ballot) int {
-	return cmp.Or(cmp.Compare(b.Round, other.Round), cmp.Compare(b.Host, other.Host))
-}
-
 // Restore puts back a register that was read from disk.
 func (a *Acceptor) Restore(r Register) {
 	*a.register(r.Name) = r
 }
 
+// RestoreLearnt puts back a learnt value that was read from disk.
+func (a *Acceptor) RestoreLearnt(l Learnt) {
+	*a.known(l.Chosen.Name) = l
+}
+
 // Prepare promises to accept nothing below b for the document called name.
-// When the promise is OK, the caller must sync the register before it
-// replies.
-func (a *Acceptor) Prepare(name string, b Ballot) (Promise, Register) {
+// When it reports true, the caller must sync the register before it replies.
+func (a *Acceptor) Prepare(name string, b Ballot) (bool, Register) {
 	r := a.register(name)
 	if b.Compare(r.Promised) <= 0 {
-		return Promise{Promised: r.Promised}, *r
+		return false, *r
 	}
 	r.Promised = b
-	return Promise{OK: true, Promised: b, Accepted: r.Accepted, Value: r.Value}, *r
+	return true, *r
 }
 
-// Accept stores v under ballot b unless a higher ballot was promised. It
-// reports whether v was stored; the caller must then sync the register before
-// it replies.
+// Accept stores v under ballot b unless a higher ballot was promised. When it
+// reports true, the caller must sync the register before it replies.
 func (a *Acceptor) Accept(b Ballot, v Value) (bool, Register) {
 	r := a.register(v.Name)
 	if b.Compare(r.Promised) < 0 {
@@ -111,36 +72,55 @@
 }
 
 // Learn takes in a value that a majority holds. It reports whether the value
-// is newer than all learnt before; the caller must then sync the register.
-func (a *Acceptor) Learn(v Value) (bool, Register) {
-	r := a.register(v.Name)
-	if v.Revision <= r.Chosen.Revision {
-		return false, *r
+// is newer than all learnt before; the caller must then sync what it returns.
+func (a *Acceptor) Learn(v Value) (bool, Learnt) {
+	if held := a.Learnt(v.Name); v.Revision <= held.Chosen.Revision {
+		return false, held
 	}
-	r.Chosen = v
+	l := a.known(v.Name)
+	l.Chosen = v
 	past := v
 	past.Requests = nil
-	r.History = append(r.History, past)
-	if extra := len(r.History) - MaxHistory; extra > 0 {
-		r.History = r.History[extra:]
+	l.History = append(slices.Clone(l.History), past)
+	if extra := len(l.History) - MaxHistory; extra > 0 {
+		l.History = l.History[extra:]
 	}
-	return true, *r
+	return true, *l
 }
 
 // Chosen appends the newest chosen value of every document to dst and returns
-// it, in no particular order.
+// it, by name.
 func (a *Acceptor) Chosen(dst []Value) []Value {
-	for _, r := range a.registers {
-		if r.Chosen.Revision > 0 {
-			dst = append(dst, r.Chosen)
+	for _, name := range slices.Sorted(maps.Keys(a.learnt)) {
+		if v := a.learnt[name].Chosen; v.Revision > 0 {
+			dst = append(dst, v)
 		}
 	}
 	return dst
 }
 
-// Register returns what is held of the document called name.
+// Registers appends all registers to dst and returns it, by name.
+func (a *Acceptor) Registers(dst []Register) []Register {
+	for _, name := range slices.Sorted(maps.Keys(a.registers)) {
+		dst = append(dst, *a.registers[name])
+	}
+	return dst
+}
+
+// Register returns the votes on the document called name.
 func (a *Acceptor) Register(name string) Register {
-	return *a.register(name)
+	if r, ok := a.registers[name]; ok {
+		return *r
+	}
+	return Register{Name: name}
+}
+
+// Learnt returns what is known of the document called name.
+func (a *Acceptor) Learnt(name string) Learnt {
+	if l, ok := a.learnt[name]; ok {
+		return *l
+	}
+	return Learnt{}
 }
 
 func (a *Acceptor) register(name string) *Register {
@@ -154,3 +134,15 @@
 	}
 	return r
 }
+
+func (a *Acceptor) known(name string) *Learnt {
+	if a.learnt == nil {
+		a.learnt = make(map[string]*Learnt)
+	}
+	l, ok := a.learnt[name]
+	if !ok {
+		l = &Learnt{}
+		a.learnt[name] = l
+	}
+	return l
+}
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -36,50 +38,86 @@
 		// Current is the document as it stands.
 		Current spec.Versioned
 	}
+
+	// ReusedError reports a request identity that was given to another
+	// change before. The change was not made.
+	ReusedError struct {
+		// First is the request that was accepted under the identity.
+		First Request
+	}
 )
 
-// MaxRequests is the number of accepted requests remembered per document.
-const MaxRequests = 64
+const (
+	// MaxRequests is the number of accepted requests remembered per document.
+	// A resend that comes after that many later changes is answered with a
+	// conflict instead of its first answer; it is never carried out again, as
+	// its base revision has passed.
+	MaxRequests = 64
+
+	digestBytes = 12
+)
 
-// ErrNoMajority reports that too few control hosts answered. The change may
-// or may not take effect; the operator resends it with the same identity.
-var ErrNoMajority = errors.New("quorum: no majority of control hosts answered")
+var (
+	// ErrNoMajority reports that too few control hosts answered. The change
+	// may or may not take effect; the operator resends it with the same
+	// identity.
+	ErrNoMajority = errors.New("quorum: no majority of control hosts answered")
+	// ErrRecovering reports that the control host asked does not vote yet.
+	// The change was not made through it.
+	ErrRecovering = errors.New("quorum: this control host recovers and takes no changes yet")
+)
 
 // Error describes the conflict.
 func (e *ConflictError) Error() string {
 	return fmt.Sprintf("quorum: document %q is at revision %d", e.Current.Name, e.Current.Revision)
 }
 
+// Error describes the reuse.
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("quorum: request identity %q was used before for another change, accepted as revision %d", e.First.ID, e.First.Revision)
+}
+
+// Digest returns a digest of what the change asks for: base revision, deletion
+// and body. Operator and time are left out, as a resend may differ in them.
+func (c *Change) Digest() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %t ", c.Base, c.Deleted)
+	h.Write(c.Body)
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
 // Majority returns the least number of hosts out of n that outvote the rest.
 func Majority(n int) int {
 	return n/2 + 1
 }
 
-// Newest returns the value accepted under the highest ballot in promises.
-func Newest(promises []Promise) Value {
-	var best Promise
-	for _, p := range promises {
-		if p.Accepted.Compare(best.Accepted) > 0 {
-			best = p
-		}
-	}
-	return best.Value
+// RecoveryReads returns the number of other hosts out of n that a host must
+// read from after it has lost its disk, so that it meets every majority that
+// it was ever part of.
+func RecoveryReads(n int) int {
+	return n - Majority(n) + 1
 }
 
 // Apply returns the value that follows from change c on v. A resend of an
 // accepted request returns v unchanged with the first answer. It returns a
+// *ReusedError when the request's identity belongs to another change, and a
 // *ConflictError when c is based on another revision than v's.
 func Apply(v Value, c Change) (Value, Request, error) {
 	v.Name = c.Name
+	digest := c.Digest()
 	for _, r := range v.Requests {
-		if r.ID == c.Request {
-			return v, r, nil
+		if r.ID != c.Request {
+			continue
+		}
+		if r.Digest != digest {
+			return v, Request{}, &ReusedError{First: r}
 		}
+		return v, r, nil
 	}
 	if c.Base != v.Revision {
 		return v, Request{}, &ConflictError{Current: v.Versioned}
 	}
-	done := Request{ID: c.Request, Revision: v.Revision + 1}
+	done := Request{ID: c.Request, Revision: v.Revision + 1, Digest: digest}
 	next := Value{
 		Versioned: spec.Versioned{Name: c.Name, Revision: done.Revision, Deleted: c.Deleted, Body: bytes.Clone(c.Body)},
 		Operator:  c.Operator,
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -1,9 +1,11 @@
 package quorum_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
@@ -35,13 +37,46 @@
 	g := gomega.NewWithT(t)
 	var a quorum.Acceptor
 	low, high := quorum.Ballot{Round: 1, Host: "a"}, quorum.Ballot{Round: 1, Host: "b"}
-	p, _ := a.Prepare("s", high)
-	g.Expect(p.OK).To(gomega.BeTrue())
+	promised, _ := a.Prepare("s", high)
+	g.Expect(promised).To(gomega.BeTrue())
 	v := quorum.Value{Versioned: spec.Versioned{Name: "s", Revision: 1}}
 	ok, _ := a.Accept(low, v)
 	g.Expect(ok).To(gomega.BeFalse())
-	p, _ = a.Prepare("s", low)
-	g.Expect(p.OK).To(gomega.BeFalse())
+	promised, _ = a.Prepare("s", low)
+	g.Expect(promised).To(gomega.BeFalse())
 	ok, _ = a.Accept(high, v)
 	g.Expect(ok).To(gomega.BeTrue())
 }
+
+func TestApplyRefusesAReusedIdentity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v, first, err := quorum.Apply(quorum.Value{}, quorum.Change{Name: "s", Request: "a", Body: []byte(`1`)})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	same, _, err := quorum.Apply(v, quorum.Change{Name: "s", Request: "a", Body: []byte(`2`)})
+	var reused *quorum.ReusedError
+	g.Expect(errors.As(err, &reused)).To(gomega.BeTrue())
+	g.Expect(reused.First).To(gomega.Equal(first))
+	g.Expect(same.Revision).To(gomega.Equal(uint64(1)))
+}
+
+func TestApplyNeverRunsAForgottenRequestAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var v quorum.Value
+	for i := range quorum.MaxRequests + 1 {
+		var err error
+		v, _, err = quorum.Apply(v, quorum.Change{Name: "s", Base: uint64(i), Request: fmt.Sprint(i), Body: []byte(`1`)})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(v.Requests).To(gomega.HaveLen(quorum.MaxRequests))
+	_, _, err := quorum.Apply(v, quorum.Change{Name: "s", Request: "0", Body: []byte(`1`)})
+	var conflict *quorum.ConflictError
+	g.Expect(errors.As(err, &conflict)).To(gomega.BeTrue())
+}
+
+func TestRecoveryReadsMeetEveryMajority(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for n := 2; n <= 7; n++ {
+		others := quorum.Majority(n) - 1 // hosts of a majority besides the one that recovers
+		g.Expect(quorum.RecoveryReads(n)+others).To(gomega.BeNumerically(">", n-1), "%d hosts", n)
+	}
+}
--- a/core/quorum/status.go
+++ b/core/quorum/status.go
@@ -14,6 +14,9 @@
 		Voting bool `json:"voting"`
 		// Recovery says why the host recovers; empty when it votes.
 		Recovery string `json:"recovery,omitempty"`
+		// Current reports that a majority has lately confirmed that the host
+		// has learnt all that they have.
+		Current bool `json:"current"`
 		// Registers is the number of documents held, deleted ones included.
 		Registers int `json:"registers"`
 		// Majority is the number of control hosts that a change needs.
@@ -27,6 +30,8 @@
 		DiskSyncs int64 `json:"disk_syncs"`
 		// DiskFailures counts the writes that failed since the start.
 		DiskFailures int64 `json:"disk_failures"`
+		// Proposals counts the changes and reads proposed since the start.
+		Proposals int64 `json:"proposals"`
 		// BallotsLost counts the ballots outbid by others since the start.
 		BallotsLost int64 `json:"ballots_lost"`
 		// Recoveries counts the recoveries ended since the start.
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -177,6 +177,7 @@
 	var (
 		done     quorum.Request
 		conflict *quorum.ConflictError
+		reused   *quorum.ReusedError
 		err      error
 	)
 	done, err = c.store.Apply(ctx, change)
@@ -187,6 +188,9 @@
 	case errors.As(err, &conflict):
 		c.log.Info("change conflicts", "service", change.Name, "base", change.Base, "request", change.Request)
 		reply(w, http.StatusConflict, Problem{Error: err.Error(), Current: &conflict.Current})
+	case errors.As(err, &reused):
+		c.log.Info("request identity reused", "service", change.Name, "request", change.Request)
+		reply(w, http.StatusUnprocessableEntity, Problem{Error: err.Error()})
 	default:
 		c.log.Warn("change not confirmed", "service", change.Name, "request", change.Request, "error", err)
 		w.Header().Set("Retry-After", "1")
--- /dev/null
+++ b/io/ctrl/restore.go
@@ -0,0 +1,96 @@
+package ctrl
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/io/disk"
+)
+
+// Names of the files in the data folder.
+const (
+	identityFile = "self"
+	votePrefix   = "vote."
+	learntPrefix = "learnt."
+)
+
+// fileName returns the name under which a record is kept.
+func fileName(r quorum.Record) string {
+	switch r := r.(type) {
+	case quorum.Register:
+		return votePrefix + r.Name
+	case quorum.Learnt:
+		return learntPrefix + r.Chosen.Name
+	default:
+		return identityFile
+	}
+}
+
+// restore reads the data folder. Corrupt files are set aside: a corrupt vote
+// makes the host recover, a corrupt learnt value is fetched again. Other
+// errors of the disk are returned.
+func (h *Host) restore() (quorum.Saved, error) {
+	var (
+		saved quorum.Saved
+		names []string
+		err   error
+	)
+	if names, err = h.folder.Names(); err != nil {
+		return saved, err
+	}
+	for _, name := range names {
+		err = h.restoreFile(name, &saved)
+		if errors.Is(err, disk.ErrCorrupt) {
+			saved.Damaged = saved.Damaged || !strings.HasPrefix(name, learntPrefix)
+			h.log.Error("corrupt file counts as lost and is set aside", "file", name, "error", err)
+			h.metrics.Count("corrupt_files").Add(1)
+			err = h.folder.SetAside(name)
+		}
+		if err != nil {
+			return saved, err
+		}
+	}
+	if saved.Damaged && saved.Identity != nil {
+		// Marks the loss, should this process end before it has recovered.
+		lost := *saved.Identity
+		lost.Stage = quorum.StageDamaged
+		if err = h.folder.Save(identityFile, lost); err != nil {
+			return saved, err
+		}
+	}
+	h.log.Info("data folder read", "registers", len(saved.Registers), "learnt", len(saved.Learnt), "damaged", saved.Damaged)
+	return saved, nil
+}
+
+func (h *Host) restoreFile(name string, saved *quorum.Saved) error {
+	switch {
+	case name == identityFile:
+		var id quorum.Identity
+		if err := h.folder.Load(name, &id); err != nil {
+			return err
+		}
+		saved.Identity = &id
+	case strings.HasPrefix(name, votePrefix):
+		var r quorum.Register
+		if err := h.folder.Load(name, &r); err != nil {
+			return err
+		}
+		if fileName(r) != name {
+			return errors.Wrap(disk.ErrCorrupt, name)
+		}
+		saved.Registers = append(saved.Registers, r)
+	case strings.HasPrefix(name, learntPrefix):
+		var l quorum.Learnt
+		if err := h.folder.Load(name, &l); err != nil {
+			return err
+		}
+		if fileName(l) != name {
+			return errors.Wrap(disk.ErrCorrupt, name)
+		}
+		saved.Learnt = append(saved.Learnt, l)
+		h.learnt[l.Chosen.Name] = l
+	}
+	return nil
+}
--- a/io/ctrl/serve.go
+++ b/io/ctrl/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -22,102 +23,84 @@
 		host *Host
 		stop context.Context
 	}
+
+	// watcher is one stream of documents.
+	watcher struct {
+		*configuration
+		stream   peerpb.Configuration_WatchServer
+		held     map[string]uint64
+		complete bool
+	}
 )
 
+// confirmWait is how long a watcher is kept waiting for a majority's
+// confirmation before it is sent to another control host.
+const confirmWait = 2 * time.Second
+
 var (
 	_ peerpb.AgreementServer     = (*agreement)(nil)
 	_ peerpb.ConfigurationServer = (*configuration)(nil)
-)
-
-func (h *Host) prepare(name string, b quorum.Ballot) (quorum.Promise, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	promise, register := h.acceptor.Prepare(name, b)
-	if !promise.OK {
-		return promise, nil
-	}
-	return promise, h.folder.Save(register.Name, register)
-}
-
-func (h *Host) accept(b quorum.Ballot, v quorum.Value) (bool, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	ok, register := h.acceptor.Accept(b, v)
-	if !ok {
-		return false, nil
-	}
-	return true, h.folder.Save(register.Name, register)
-}
 
-// Prepare promises a ballot; see quorum.Acceptor.
-func (a *agreement) Prepare(_ context.Context, m *peerpb.PrepareRequest) (*peerpb.PrepareReply, error) {
-	promise, err := a.host.prepare(m.GetName(), peer.ToBallot(m.GetBallot()))
-	if err != nil {
-		return nil, status.Error(codes.Unavailable, err.Error())
-	}
-	return &peerpb.PrepareReply{
-		Ok: promise.OK, Promised: peer.FromBallot(promise.Promised),
-		Accepted: peer.FromBallot(promise.Accepted), Value: peer.FromValue(promise.Value),
-	}, nil
-}
+	// errNotConfirmed ends the streams of a host that may be out of date.
+	errNotConfirmed = status.Error(codes.Unavailable, "no majority of control hosts confirms this host's documents")
+)
 
-// Accept stores a value under a ballot; see quorum.Acceptor.
-func (a *agreement) Accept(_ context.Context, m *peerpb.AcceptRequest) (*peerpb.AcceptReply, error) {
-	value := peer.ToValue(m.GetValue())
-	ok, err := a.host.accept(peer.ToBallot(m.GetBallot()), value)
-	if err != nil {
-		return nil, status.Error(codes.Unavailable, err.Error())
+// Exchange hands a message to the node. Its answer goes back with the call, all
+// else that the node has to say goes its own way.
+func (a *agreement) Exchange(_ context.Context, m *peerpb.Envelope) (*peerpb.Envelope, error) {
+	var (
+		e   quorum.Envelope
+		err error
+	)
+	if e, err = peer.ToEnvelope(m); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	return &peerpb.AcceptReply{Ok: ok}, nil
-}
-
-// Learn takes in a chosen value.
-func (a *agreement) Learn(_ context.Context, m *peerpb.LearnRequest) (*peerpb.LearnReply, error) {
-	if err := a.host.learn(peer.ToValue(m.GetValue())); err != nil {
-		return nil, status.Error(codes.Unavailable, err.Error())
+	reply := &peerpb.Envelope{}
+	out := a.host.do(func(now time.Time) quorum.Output { return a.host.node.Receive(now, e) })
+	for _, send := range out {
+		if reply.Message == nil && send.To == e.From && isAnswer(send.Message) {
+			reply = peer.FromEnvelope(send)
+			continue
+		}
+		a.host.send(send)
 	}
-	return &peerpb.LearnReply{}, nil
+	return reply, nil
 }
 
-// Fetch returns the chosen values newer than the ones held by the asker.
-func (a *agreement) Fetch(_ context.Context, m *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-	held := revisions(m.GetHeld())
-	reply := &peerpb.FetchReply{}
-	values, _ := a.host.chosen()
-	for _, v := range values {
-		if v.Revision > held[v.Name] {
-			reply.Values = append(reply.Values, peer.FromValue(v))
-		}
+func isAnswer(m quorum.Message) bool {
+	switch m.(type) {
+	case *quorum.Promise, *quorum.Accepted, *quorum.Answer, *quorum.Values, *quorum.Snapshot:
+		return true
 	}
-	return reply, nil
+	return false
 }
 
-// Watch sends every chosen document that is newer than the revisions held,
-// then an update marked complete, then each new one as it is chosen.
+// Watch sends every learnt document that is newer than the revisions held,
+// then an update marked complete, then each new one as it is learnt. Nothing
+// is sent, and the stream ends, unless a majority of control hosts has lately
+// confirmed that this host has learnt everything: the watcher then finds
+// another control host.
 func (c *configuration) Watch(m *peerpb.WatchRequest, stream peerpb.Configuration_WatchServer) error {
-	held := revisions(m.GetHeld())
-	c.host.log.Info("entry host watches", "entry", m.GetHost(), "documents_held", len(held))
-	complete := false
+	c.host.log.Info("entry host watches", "entry", m.GetHost(), "documents_held", len(m.GetHeld()))
+	w := &watcher{configuration: c, stream: stream, held: revisions(m.GetHeld())}
+	confirmed := time.NewTimer(confirmWait)
+	defer confirmed.Stop()
 	for {
-		values, changed := c.host.chosen()
-		for _, v := range values {
-			if v.Revision <= held[v.Name] {
-				continue
-			}
-			update := &peerpb.Update{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body}
-			if err := stream.Send(update); err != nil {
+		values, current, changed := c.host.chosen()
+		if current {
+			if err := w.send(values); err != nil {
 				return err
 			}
-			held[v.Name] = v.Revision
 		}
-		if !complete {
-			complete = true
-			if err := stream.Send(&peerpb.Update{Complete: true}); err != nil {
-				return err
-			}
+		if !current && w.complete {
+			return errNotConfirmed
 		}
 		select {
 		case <-changed:
+		case <-confirmed.C:
+			if !w.complete {
+				return errNotConfirmed
+			}
 		case <-stream.Context().Done():
 			return nil
 		case <-c.stop.Done():
@@ -126,6 +109,24 @@
 	}
 }
 
+func (w *watcher) send(values []quorum.Value) error {
+	for _, v := range values {
+		if v.Revision <= w.held[v.Name] {
+			continue
+		}
+		update := &peerpb.Update{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body}
+		if err := w.stream.Send(update); err != nil {
+			return err
+		}
+		w.held[v.Name] = v.Revision
+	}
+	if w.complete {
+		return nil
+	}
+	w.complete = true
+	return w.stream.Send(&peerpb.Update{Complete: true})
+}
+
 func revisions(held []*peerpb.Held) map[string]uint64 {
 	m := make(map[string]uint64, len(held))
 	for _, h := range held {
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -15,12 +16,16 @@
 
 // Folder is a locked data folder. Use Open.
 type Folder struct {
-	path string
-	lock *os.File
+	path     string
+	lock     *os.File
+	syncs    atomic.Int64
+	failures atomic.Int64
 }
 
 const (
 	suffix   = ".doc"
+	partial  = ".tmp"
+	aside    = ".bad"
 	lockName = "lock"
 	fileMode = 0o600
 	dirMode  = 0o700
@@ -31,6 +36,8 @@
 	ErrCorrupt = errors.New("disk: file is corrupt")
 	// ErrLocked reports a folder that another process uses.
 	ErrLocked = errors.New("disk: data folder is used by another process")
+	// ErrGone reports a folder that was removed or replaced while in use.
+	ErrGone = errors.New("disk: data folder was removed or replaced")
 
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 )
@@ -55,6 +62,32 @@
 	return &Folder{path: path, lock: lock}, nil
 }
 
+// Check returns ErrGone when the folder at the path is no longer the one that
+// was opened.
+func (f *Folder) Check() error {
+	var (
+		held, found os.FileInfo
+		err         error
+	)
+	if held, err = f.lock.Stat(); err != nil {
+		return errors.Wrap(err, "disk")
+	}
+	if found, err = os.Stat(filepath.Join(f.path, lockName)); err != nil || !os.SameFile(held, found) {
+		return ErrGone
+	}
+	return nil
+}
+
+// Syncs returns the number of files and folders synced since Open.
+func (f *Folder) Syncs() int64 {
+	return f.syncs.Load()
+}
+
+// Failures returns the number of failed saves since Open.
+func (f *Folder) Failures() int64 {
+	return f.failures.Load()
+}
+
 // Close releases the lock.
 func (f *Folder) Close() error {
 	return f.lock.Close()
@@ -70,15 +103,15 @@
 	if body, err = json.Marshal(v); err != nil {
 		return errors.Wrap(err, "disk")
 	}
-	content := fmt.Appendf(nil, "%08x\n", crc32.Checksum(body, castagnoli))
-	if err = f.replace(name+suffix, append(content, body...)); err != nil {
+	if err = f.replace(name+suffix, encode(body)); err != nil {
+		f.failures.Add(1)
 		return errors.Wrapf(err, "disk: save %s", name)
 	}
 	return nil
 }
 
 func (f *Folder) replace(name string, content []byte) error {
-	temporary := filepath.Join(f.path, name+".tmp")
+	temporary := filepath.Join(f.path, name+partial)
 	var (
 		w   *os.File
 		err error
@@ -90,6 +123,7 @@
 		w.Close()
 		return err
 	}
+	f.syncs.Add(1)
 	if err = w.Sync(); err != nil {
 		w.Close()
 		return err
@@ -112,6 +146,7 @@
 		return err
 	}
 	defer dir.Close()
+	f.syncs.Add(1)
 	return dir.Sync()
 }
 
@@ -126,12 +161,35 @@
 	if content, err = os.ReadFile(filepath.Join(f.path, name+suffix)); err != nil {
 		return err
 	}
+	if err = decode(content, v); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return nil
+}
+
+// SetAside renames the file of the document called name, so that it is no
+// longer loaded but can still be looked at.
+func (f *Folder) SetAside(name string) error {
+	if err := os.Rename(filepath.Join(f.path, name+suffix), filepath.Join(f.path, name+aside)); err != nil {
+		return errors.Wrap(err, "disk")
+	}
+	return errors.Wrap(f.syncFolder(), "disk")
+}
+
+// encode returns the content of a file: the checksum of body, a line feed and
+// body.
+func encode(body []byte) []byte {
+	return append(fmt.Appendf(nil, "%08x\n", crc32.Checksum(body, castagnoli)), body...)
+}
+
+// decode reads the content of a file into v.
+func decode(content []byte, v any) error {
 	sum, body, ok := bytes.Cut(content, []byte("\n"))
 	if !ok || string(sum) != fmt.Sprintf("%08x", crc32.Checksum(body, castagnoli)) {
-		return errors.Wrap(ErrCorrupt, name)
+		return ErrCorrupt
 	}
-	if err = json.Unmarshal(body, v); err != nil {
-		return errors.Wrap(ErrCorrupt, name)
+	if err := json.Unmarshal(body, v); err != nil {
+		return ErrCorrupt
 	}
 	return nil
 }
