Record scripted runs of the agreement as golden files

Eleven runs under the fake clock: first start, a second host lost after the first is repaired, two operators at one revision, resend in flight, isolated host, frozen host, forgotten promise, vote of a former incarnation, blank hosts one after another, an old disk put back, a proposer that dies before it tells. Seen red with broken variants: votes of former incarnations counted (TestSessionVoteOfFormerIncarnation), founding after one round (TestSessionBlankHostsOneAfterAnother), a promise not synced (TestSessionForgottenPromise), confirmation dated by arrival instead of by question (TestSessionFrozenHostIsNotCurrentOnOldAnswers), accepted values not finished (TestSessionProposerDiesBeforeItTells), superseded incarnation ignored (TestSessionOldDiskReturns). Not shown red: leftover registers restored, answers to older fetches counted.

--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -28,6 +28,8 @@
 		// on takes in what a host hands out.
 		on    func(host string, out quorum.Output)
 		trace io.Writer
+		// quiet leaves the periodic fetches out of the trace.
+		quiet bool
 	}
 
 	// member is one control host with its disk.
@@ -103,6 +105,10 @@
 	m.disk.identity = nil
 }
 
+func (m *member) copyDisk() disk {
+	return disk{identity: m.disk.identity, registers: maps.Clone(m.disk.registers), learnt: maps.Clone(m.disk.learnt)}
+}
+
 func (m *member) voting() bool {
 	return m.disk.identity != nil && m.disk.identity.Stage == quorum.StageVoting && !m.disk.damaged
 }
@@ -225,7 +231,9 @@
 		m.inbox = append(m.inbox, e)
 		return
 	}
-	c.tracef("%s -> %s %s", e.From, e.To, describe(e.Message))
+	if !c.quiet || !periodic(e.Message) {
+		c.tracef("%s -> %s %s", e.From, e.To, describe(e.Message))
+	}
 	c.carry(m, m.node.Receive(c.now, e))
 }
 
@@ -264,6 +272,14 @@
 	fmt.Fprintf(c.trace, format+"\n", args...)
 }
 
+func periodic(m quorum.Message) bool {
+	switch m.(type) {
+	case *quorum.Fetch, *quorum.Values:
+		return true
+	}
+	return false
+}
+
 func describe(m quorum.Message) string {
 	switch m := m.(type) {
 	case *quorum.Prepare:
--- /dev/null
+++ b/core/quorum/session_test.go
@@ -0,0 +1,399 @@
+package quorum_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/quorum"
+)
+
+// session is one scripted run whose trace is kept in a golden file.
+type session struct {
+	*cluster
+	*audit
+	g      *gomega.WithT
+	output bytes.Buffer
+	// answers holds the results by host and ticket.
+	results map[string]map[uint64]quorum.Result
+}
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+const settle = 3 * time.Second
+
+func newSession(t *testing.T, hosts int) *session {
+	s := &session{
+		cluster: newCluster(hosts, 1), audit: newAudit(), g: gomega.NewWithT(t),
+		results: make(map[string]map[uint64]quorum.Result),
+	}
+	s.trace, s.quiet = &s.output, true
+	s.on = func(host string, out quorum.Output) {
+		for _, v := range out.Learnt {
+			s.value(v)
+		}
+		for _, r := range out.Results {
+			s.note(host, r)
+		}
+	}
+	return s
+}
+
+func (s *session) note(host string, r quorum.Result) {
+	if s.results[host] == nil {
+		s.results[host] = make(map[uint64]quorum.Result)
+	}
+	s.results[host][r.Ticket] = r
+	if r.Err != nil {
+		s.tracef("%s -> operator: %v", host, r.Err)
+		return
+	}
+	s.tracef("%s -> operator: %s is at revision %d %s", host, r.Value.Name, r.Value.Revision, r.Value.Body)
+}
+
+// golden compares the trace with the golden file of the test.
+func (s *session) golden(t *testing.T) {
+	t.Helper()
+	s.g.Expect(s.fault).NotTo(gomega.HaveOccurred())
+	file := filepath.Join("testdata", t.Name()+".golden")
+	if *update {
+		s.g.Expect(os.WriteFile(file, s.output.Bytes(), 0o600)).To(gomega.Succeed())
+	}
+	want, err := os.ReadFile(file)
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.g.Expect(s.output.String()).To(gomega.Equal(string(want)))
+}
+
+// found starts all hosts and waits until they vote.
+func (s *session) found() {
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(settle)
+	for _, name := range s.names {
+		s.g.Expect(s.hosts[name].node.Current(s.now)).To(gomega.BeTrue(), name)
+	}
+}
+
+// lose restarts a host with an empty disk.
+func (s *session) lose(name string) {
+	s.stop(name)
+	s.hosts[name].wipe()
+	s.tracef("%s: disk lost", name)
+	s.start(name)
+}
+
+func set(base uint64, request, body string) quorum.Change {
+	return quorum.Change{Name: "x", Base: base, Request: request, Body: json.RawMessage(body)}
+}
+
+// change applies a change at a host and returns its result.
+func (s *session) change(host string, c quorum.Change) quorum.Result {
+	ticket := s.apply(host, c)
+	s.run(settle)
+	return s.results[host][ticket]
+}
+
+// readX reads the document at a host.
+func (s *session) readX(host string) quorum.Result {
+	ticket := s.read(host, "x")
+	s.run(settle)
+	return s.results[host][ticket]
+}
+
+// without makes the network lose the messages that lost selects.
+func (s *session) without(lost func(e quorum.Envelope) bool) {
+	s.delay = func(e quorum.Envelope) []time.Duration {
+		if lost(e) {
+			return nil
+		}
+		return []time.Duration{time.Millisecond}
+	}
+}
+
+func (s *session) isolate(name string) {
+	s.tracef("%s: cut off", name)
+	s.without(func(e quorum.Envelope) bool { return e.From == name || e.To == name })
+}
+
+func (s *session) join() {
+	s.tracef("the network is whole")
+	s.without(func(quorum.Envelope) bool { return false })
+}
+
+func TestSessionFirstStart(t *testing.T) {
+	s := newSession(t, 3)
+	s.start("a")
+	s.run(settle)
+	s.g.Expect(s.change("a", set(0, "early", `1`)).Err).To(gomega.MatchError(quorum.ErrRecovering))
+	s.start("b")
+	s.start("c")
+	s.run(settle)
+	s.g.Expect(s.change("b", set(0, "r1", `1`)).Done.Revision).To(gomega.Equal(uint64(1)))
+	s.g.Expect(s.readX("c").Value.Revision).To(gomega.Equal(uint64(1)))
+	s.golden(t)
+}
+
+func TestSessionSecondHostLostAfterTheFirstIsRepaired(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	s.isolate("c")
+	s.g.Expect(s.change("a", set(0, "r1", `1`)).Err).NotTo(gomega.HaveOccurred())
+	s.lose("b")
+	s.g.Expect(s.readX("b").Err).To(gomega.MatchError(quorum.ErrRecovering))
+	s.join()
+	s.run(settle)
+	s.g.Expect(s.hosts["b"].voting()).To(gomega.BeTrue())
+	s.lose("a")
+	s.isolate("a")
+	s.g.Expect(s.readX("c").Value.Revision).To(gomega.Equal(uint64(1)))
+	s.join()
+	s.run(settle)
+	s.g.Expect(s.readX("a").Value.Revision).To(gomega.Equal(uint64(1)))
+	s.golden(t)
+}
+
+func TestSessionTwoOperatorsAtOneRevision(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	first := s.apply("a", set(0, "anna", `1`))
+	second := s.apply("b", set(0, "bela", `2`))
+	s.run(settle)
+	won, lost := s.results["a"][first], s.results["b"][second]
+	if won.Err != nil {
+		won, lost = lost, won
+	}
+	s.g.Expect(won.Err).NotTo(gomega.HaveOccurred())
+	var conflict *quorum.ConflictError
+	s.g.Expect(errors.As(lost.Err, &conflict)).To(gomega.BeTrue())
+	s.g.Expect(conflict.Current).To(gomega.Equal(won.Value.Versioned))
+	s.golden(t)
+}
+
+func TestSessionResendWhileTheFirstIsInFlight(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	c := set(0, "r1", `1`)
+	first := s.apply("a", c)
+	s.run(3 * time.Millisecond)
+	s.g.Expect(s.results["a"]).NotTo(gomega.HaveKey(first))
+	again := s.change("b", c)
+	s.g.Expect(again.Err).NotTo(gomega.HaveOccurred())
+	s.g.Expect(s.results["a"][first].Done).To(gomega.Equal(again.Done))
+	s.stop("b")
+	s.start("b")
+	s.run(settle)
+	s.g.Expect(s.change("b", c).Done).To(gomega.Equal(again.Done))
+	var reused *quorum.ReusedError
+	s.g.Expect(errors.As(s.change("c", set(1, "r1", `2`)).Err, &reused)).To(gomega.BeTrue())
+	s.golden(t)
+}
+
+func TestSessionIsolatedHostReturns(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	s.g.Expect(s.change("c", set(0, "r1", `1`)).Err).NotTo(gomega.HaveOccurred())
+	s.isolate("c")
+	stale := s.apply("c", set(1, "cut", `9`))
+	s.run(10 * time.Second)
+	s.g.Expect(s.results["c"][stale].Err).To(gomega.MatchError(quorum.ErrNoMajority))
+	s.g.Expect(s.hosts["c"].node.Current(s.now)).To(gomega.BeFalse())
+	s.g.Expect(s.change("a", set(1, "r2", `2`)).Err).NotTo(gomega.HaveOccurred())
+	s.g.Expect(s.change("b", set(2, "r3", `3`)).Err).NotTo(gomega.HaveOccurred())
+	s.join()
+	s.run(settle)
+	s.g.Expect(s.hosts["c"].node.Current(s.now)).To(gomega.BeTrue())
+	s.g.Expect(s.hosts["c"].node.Learnt("x").Chosen.Revision).To(gomega.Equal(uint64(3)))
+	var conflict *quorum.ConflictError
+	s.g.Expect(errors.As(s.change("c", set(1, "cut", `9`)).Err, &conflict)).To(gomega.BeTrue())
+	s.golden(t)
+}
+
+func TestSessionFrozenHostIsNotCurrentOnOldAnswers(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	c := s.hosts["c"]
+	for {
+		s.run(time.Millisecond)
+		if s.asked("c") {
+			break
+		}
+	}
+	c.frozen = true
+	s.run(time.Minute)
+	s.g.Expect(s.change("a", set(0, "r1", `1`)).Err).NotTo(gomega.HaveOccurred())
+	s.thaw("c")
+	s.g.Expect(c.node.Current(s.now)).To(gomega.BeFalse())
+	s.run(settle)
+	s.g.Expect(c.node.Current(s.now)).To(gomega.BeTrue())
+	s.g.Expect(c.node.Learnt("x").Chosen.Revision).To(gomega.Equal(uint64(1)))
+	s.golden(t)
+}
+
+// asked reports whether a fetch of the host is under way.
+func (s *session) asked(host string) bool {
+	for _, f := range s.wire {
+		if _, ok := f.env.Message.(*quorum.Fetch); ok && f.env.From == host {
+			return true
+		}
+	}
+	return false
+}
+
+// TestSessionForgottenPromise has b promise a higher ballot and crash; the
+// lower ballot must not be accepted afterwards.
+func TestSessionForgottenPromise(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	s.delay = func(e quorum.Envelope) []time.Duration {
+		switch m := e.Message.(type) {
+		case *quorum.Prepare:
+			if e.From == "a" && e.To == "c" || e.From == "c" && e.To == "a" {
+				return nil
+			}
+		case *quorum.Accept:
+			if m.Ballot.Host == "a" || m.Ballot.Host == "c" {
+				if e.To != "b" {
+					return nil
+				}
+				return []time.Duration{map[string]time.Duration{"a": 200 * time.Millisecond, "c": 400 * time.Millisecond}[e.From]}
+			}
+		}
+		return []time.Duration{time.Millisecond}
+	}
+	s.apply("a", set(0, "anna", `1`))
+	s.run(20 * time.Millisecond)
+	s.apply("c", set(0, "cili", `2`))
+	s.run(20 * time.Millisecond)
+	s.stop("b")
+	s.start("b")
+	s.run(20 * time.Second)
+	s.golden(t)
+}
+
+// TestSessionVoteOfFormerIncarnation has a count on the promise of b, which
+// loses its disk and, as another incarnation, accepts a lower ballot.
+func TestSessionVoteOfFormerIncarnation(t *testing.T) {
+	s := newSession(t, 5)
+	s.found()
+	s.without(func(e quorum.Envelope) bool { return e.From == "a" })
+	s.change("a", set(0, "raises the round", `0`)) // No one hears of it.
+	s.run(10 * time.Second)
+	lost := false
+	s.delay = func(e quorum.Envelope) []time.Duration {
+		prepare, prepares := e.Message.(*quorum.Prepare)
+		switch {
+		case e.From == "b" && e.To == "a" && lost, e.From == "a" && e.To == "b" && lost:
+			return nil // b recovers without a
+		case e.From == "a" && prepares && e.To == "c" && prepare.Ballot.Host == "a":
+			return []time.Duration{700 * time.Millisecond}
+		case e.From == "a" && (e.To == "d" || e.To == "e"), e.To == "a" && (e.From == "d" || e.From == "e"):
+			return nil
+		case e.From == "d" && (e.To == "a" || e.To == "c") && isVoting(e.Message):
+			if _, accepts := e.Message.(*quorum.Accept); accepts || e.To == "a" {
+				return nil
+			}
+		}
+		return []time.Duration{time.Millisecond}
+	}
+	s.apply("a", set(0, "anna", `1`))
+	s.run(20 * time.Millisecond)
+	lost = true
+	s.lose("b")
+	s.run(400 * time.Millisecond)
+	s.g.Expect(s.hosts["b"].voting()).To(gomega.BeTrue())
+	s.apply("d", set(0, "dora", `2`))
+	s.run(20 * time.Second)
+	s.golden(t)
+}
+
+func isVoting(m quorum.Message) bool {
+	switch m.(type) {
+	case *quorum.Prepare, *quorum.Accept, *quorum.Learn:
+		return true
+	}
+	return false
+}
+
+// TestSessionBlankHostsOneAfterAnother has every host answer a as blank, but
+// never all at once; a must not begin an empty catalogue.
+func TestSessionBlankHostsOneAfterAnother(t *testing.T) {
+	s := newSession(t, 5)
+	s.found()
+	s.g.Expect(s.change("b", set(0, "r1", `1`)).Err).NotTo(gomega.HaveOccurred())
+	s.delay = func(e quorum.Envelope) []time.Duration {
+		if _, ok := e.Message.(*quorum.Recover); ok && e.From == "a" {
+			return []time.Duration{time.Duration(e.To[0]-'a')*time.Second - 500*time.Millisecond}
+		}
+		return []time.Duration{time.Millisecond}
+	}
+	s.lose("a")
+	s.hosts["a"].frozen = true
+	for _, name := range s.names[1:] {
+		s.run(400 * time.Millisecond)
+		deaf := true
+		usual := s.delay
+		s.delay = func(e quorum.Envelope) []time.Duration {
+			if deaf && e.From == name && e.To != "a" {
+				return nil
+			}
+			return usual(e)
+		}
+		s.lose(name)
+		s.run(200 * time.Millisecond)
+		deaf = false
+		s.run(400 * time.Millisecond)
+		s.g.Expect(s.hosts[name].voting()).To(gomega.BeTrue(), name)
+	}
+	s.delay = func(quorum.Envelope) []time.Duration { return []time.Duration{time.Millisecond} }
+	s.thaw("a")
+	s.run(settle)
+	s.g.Expect(s.readX("a").Value.Revision).To(gomega.Equal(uint64(1)))
+	s.golden(t)
+}
+
+// TestSessionOldDiskReturns brings back a disk of a former incarnation; its
+// votes must not count again.
+func TestSessionOldDiskReturns(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	old := s.hosts["b"].copyDisk()
+	s.isolate("c")
+	s.g.Expect(s.change("a", set(0, "r1", `1`)).Err).NotTo(gomega.HaveOccurred())
+	s.join()
+	s.lose("b")
+	s.run(settle)
+	s.stop("b")
+	s.hosts["b"].disk = old
+	s.tracef("b: an old copy of the disk is put back")
+	s.start("b")
+	s.run(settle)
+	s.g.Expect(s.readX("b").Value.Revision).To(gomega.Equal(uint64(1)))
+	s.g.Expect(s.hosts["b"].node.Status(s.now).Recoveries).To(gomega.Equal(int64(1)))
+	s.golden(t)
+}
+
+func TestSessionProposerDiesBeforeItTells(t *testing.T) {
+	s := newSession(t, 3)
+	s.found()
+	s.without(func(e quorum.Envelope) bool {
+		_, tells := e.Message.(*quorum.Learn)
+		return tells
+	})
+	s.apply("a", set(0, "r1", `1`))
+	s.run(20 * time.Millisecond)
+	s.stop("a")
+	s.tracef("a: lost for good")
+	s.run(settle)
+	for _, name := range []string{"b", "c"} {
+		s.g.Expect(s.hosts[name].node.Learnt("x").Chosen.Revision).To(gomega.Equal(uint64(1)), name)
+	}
+	s.golden(t)
+}
