Drive control hosts as processes through kills, freezes and lost disks

Seven tests start the binary itself: kill -9 in the middle of a change and a resend elsewhere, SIGSTOP and SIGCONT, a minority, removed data folders one after another, a half-written file, two operators racing, a restart after 500 changes.

--- /dev/null
+++ b/cmd/cardamomspool/control_test.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
+	"cardamomspool/io/setup"
+)
+
+type (
+	// controls runs control hosts as processes of their own.
+	controls struct {
+		t     testing.TB
+		g     *gomega.WithT
+		hosts []*control
+	}
+
+	control struct {
+		cfg     setup.Control
+		file    string
+		process *exec.Cmd
+		log     *os.File
+	}
+
+	// reply is the answer to a change.
+	reply struct {
+		status   int
+		Revision uint64          `json:"revision"`
+		Current  *spec.Versioned `json:"current"`
+	}
+)
+
+// processLimit is generous: the machine may be busy.
+const processLimit = 30 * time.Second
+
+func startControls(t testing.TB, n int) *controls {
+	c := &controls{t: t, g: gomega.NewWithT(t)}
+	ports := make([]netip.AddrPort, 2*n)
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).AddrPort()
+	}
+	var peers []setup.Peer
+	for i := range n {
+		peers = append(peers, setup.Peer{Host: fmt.Sprintf("control-%d", i+1), DataCentre: "dc", PeerAddress: ports[i]})
+	}
+	folder := t.TempDir()
+	for i, p := range peers {
+		h := &control{file: filepath.Join(folder, p.Host+".json")}
+		h.cfg.Common = setup.Common{
+			Host: p.Host, DataCentre: "dc", LogLevel: "info", AdminAddress: ports[n+i], PeerAddress: p.PeerAddress, Controls: peers,
+		}
+		h.cfg.DataFolder = filepath.Join(folder, p.Host)
+		data, err := json.Marshal(&h.cfg)
+		c.g.Expect(err).NotTo(gomega.HaveOccurred())
+		c.g.Expect(os.WriteFile(h.file, data, 0o600)).To(gomega.Succeed())
+		h.log, err = os.Create(filepath.Join(folder, p.Host+".log"))
+		c.g.Expect(err).NotTo(gomega.HaveOccurred())
+		c.hosts = append(c.hosts, h)
+	}
+	t.Cleanup(c.end)
+	return c
+}
+
+// start begins the processes and waits until all of them vote.
+func (c *controls) start(hosts ...int) {
+	for _, i := range hosts {
+		h := c.hosts[i]
+		h.process = exec.Command("cardamomspool", "control", "--settings", h.file)
+		h.process.Stdout, h.process.Stderr = h.log, h.log
+		c.g.Expect(h.process.Start()).To(gomega.Succeed())
+	}
+}
+
+func (c *controls) voting(hosts ...int) {
+	for _, i := range hosts {
+		c.g.Eventually(func() bool { return c.status(i).Current }, processLimit, 20*time.Millisecond).Should(gomega.BeTrue(), "host %d", i)
+	}
+}
+
+func (c *controls) kill(i int) {
+	if h := c.hosts[i]; h.process != nil {
+		h.process.Process.Kill()
+		h.process.Wait()
+		h.process = nil
+	}
+}
+
+func (c *controls) signal(i int, s syscall.Signal) {
+	c.g.Expect(c.hosts[i].process.Process.Signal(s)).To(gomega.Succeed())
+}
+
+func (c *controls) end() {
+	for i, h := range c.hosts {
+		c.kill(i)
+		if c.t.Failed() {
+			data, _ := os.ReadFile(h.log.Name())
+			c.t.Logf("log of %s:\n%s", h.cfg.Host, data[max(0, len(data)-4000):])
+		}
+		h.log.Close()
+	}
+}
+
+func (c *controls) url(i int, path string) string {
+	return fmt.Sprintf("http://%s%s", c.hosts[i].cfg.AdminAddress, path)
+}
+
+func (c *controls) status(i int) quorum.Status {
+	var vars struct {
+		Agreement quorum.Status `json:"agreement"`
+	}
+	if resp, err := http.Get(c.url(i, "/debug/vars")); err == nil {
+		defer resp.Body.Close()
+		if err = json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+			return quorum.Status{}
+		}
+	}
+	return vars.Agreement
+}
+
+// put sends a change of the service to host i; the status is 0 when there is
+// no answer.
+func (c *controls) put(i int, name string, base uint64, request string, weight int) reply {
+	doc := spec.Default()
+	doc.Name, doc.Receive.PathPrefixes, doc.Receive.Weight = name, []string{"/"}, weight
+	body, err := json.Marshal(doc)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	req, err := http.NewRequest(http.MethodPut, c.url(i, "/v1/services/"+name), bytes.NewReader(body))
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Header.Set("If-Match", fmt.Sprint(base))
+	req.Header.Set("Idempotency-Key", request)
+	client := http.Client{Timeout: processLimit}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	r := reply{status: resp.StatusCode}
+	if data, err := io.ReadAll(resp.Body); err != nil || json.Unmarshal(data, &r) != nil {
+		return reply{}
+	}
+	return r
+}
+
+// insist sends a change again, to one host after another, until it has an
+// answer other than "not confirmed".
+func (c *controls) insist(first int, name string, base uint64, request string, weight int) reply {
+	deadline := time.Now().Add(processLimit)
+	for i := first; time.Now().Before(deadline); i++ {
+		r := c.put(i%len(c.hosts), name, base, request, weight)
+		if r.status != 0 && r.status != http.StatusServiceUnavailable {
+			return r
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("change %s got no answer", request)
+	return reply{}
+}
+
+func (c *controls) revision(i int, name string) uint64 {
+	resp, err := http.Get(c.url(i, "/v1/services/"+name))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var v spec.Versioned
+	if json.NewDecoder(resp.Body).Decode(&v) != nil {
+		return 0
+	}
+	return v.Revision
+}
+
+func (c *controls) agree(name string, revision uint64) {
+	for i := range c.hosts {
+		c.g.Eventually(func() uint64 { return c.revision(i, name) }, processLimit, 20*time.Millisecond).Should(gomega.Equal(revision), "host %d", i)
+	}
+}
+
+func TestControlKilledMidChange(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	rng := rand.New(rand.NewPCG(1, 1))
+	const changes = 12
+	for n := range uint64(changes) {
+		victim := int(n % 3)
+		request := fmt.Sprintf("change-%d", n)
+		first := make(chan reply, 1)
+		go func() { first <- c.put(victim, "x", n, request, int(n)+1) }()
+		time.Sleep(time.Duration(rng.IntN(12)) * time.Millisecond)
+		c.kill(victim)
+		answer := <-first
+		c.start(victim)
+		again := c.insist(victim+1, "x", n, request, int(n)+1)
+		c.g.Expect(again.status).To(gomega.Equal(http.StatusOK))
+		c.g.Expect(again.Revision).To(gomega.Equal(n + 1))
+		if answer.status == http.StatusOK {
+			c.g.Expect(answer.Revision).To(gomega.Equal(again.Revision))
+		}
+		c.voting(victim)
+	}
+	c.agree("x", changes)
+	c.g.Expect(c.put(1, "x", 0, "change-0", 99).status).To(gomega.Equal(http.StatusUnprocessableEntity))
+}
+
+func TestControlFrozenAndBack(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	c.g.Expect(c.insist(2, "x", 0, "r1", 1).Revision).To(gomega.Equal(uint64(1)))
+	c.signal(2, syscall.SIGSTOP)
+	time.Sleep(quorum.CurrentAge + time.Second)
+	c.g.Expect(c.insist(0, "x", 1, "r2", 2).Revision).To(gomega.Equal(uint64(2)))
+	c.signal(2, syscall.SIGCONT)
+	late := c.insist(2, "x", 1, "late", 3)
+	c.g.Expect(late.status).To(gomega.Equal(http.StatusConflict))
+	c.g.Expect(late.Current.Revision).To(gomega.Equal(uint64(2)))
+	c.agree("x", 2)
+}
+
+func TestControlMinorityCannotAccept(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	c.g.Expect(c.insist(0, "x", 0, "r1", 1).Revision).To(gomega.Equal(uint64(1)))
+	c.signal(1, syscall.SIGSTOP)
+	c.kill(2)
+	c.g.Expect(c.put(0, "x", 1, "r2", 2).status).To(gomega.Equal(http.StatusServiceUnavailable))
+	c.g.Expect(c.revision(0, "x")).To(gomega.Equal(uint64(1)))
+	c.g.Eventually(func() bool { return c.status(0).Current }, processLimit).Should(gomega.BeFalse())
+	c.signal(1, syscall.SIGCONT)
+	c.g.Expect(c.insist(1, "x", 1, "r2", 2).Revision).To(gomega.Equal(uint64(2)))
+	c.start(2)
+	c.agree("x", 2)
+}
+
+func TestControlLosesItsFolderThenASecondOne(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	c.g.Expect(c.insist(0, "x", 0, "r1", 1).Revision).To(gomega.Equal(uint64(1)))
+	for n, victim := range []int{2, 1, 0} {
+		folder := c.hosts[victim].cfg.DataFolder
+		c.g.Eventually(func() error { return os.RemoveAll(folder) }, processLimit).Should(gomega.Succeed()) // It may be written to meanwhile.
+		err := c.hosts[victim].process.Wait()
+		c.hosts[victim].process = nil
+		c.g.Expect(err).To(gomega.HaveOccurred(), "a host without its folder must end")
+		c.start(victim)
+		c.voting(victim)
+		base := uint64(n + 1)
+		c.g.Expect(c.insist(victim, "x", base, fmt.Sprintf("after-%d", n), n+2).Revision).To(gomega.Equal(base + 1))
+	}
+	c.agree("x", 4)
+}
+
+func TestControlCorruptFileCountsAsLost(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	c.g.Expect(c.insist(0, "x", 0, "r1", 1).Revision).To(gomega.Equal(uint64(1)))
+	c.kill(2)
+	file := filepath.Join(c.hosts[2].cfg.DataFolder, "vote.x.doc")
+	data, err := os.ReadFile(file)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c.g.Expect(os.WriteFile(file, data[:len(data)/2], 0o600)).To(gomega.Succeed())
+	c.signal(1, syscall.SIGSTOP)
+	c.start(2)
+	c.g.Eventually(func() string { return c.status(2).Recovery }, processLimit).Should(gomega.Equal("damaged"))
+	c.g.Expect(c.put(2, "x", 1, "r2", 2).status).To(gomega.Equal(http.StatusServiceUnavailable))
+	c.g.Expect(c.put(0, "x", 1, "r2", 2).status).To(gomega.Equal(http.StatusServiceUnavailable))
+	c.signal(1, syscall.SIGCONT)
+	c.voting(2)
+	c.g.Expect(c.insist(2, "x", 1, "r2", 2).Revision).To(gomega.Equal(uint64(2)))
+	c.agree("x", 2)
+}
+
+func TestControlTwoOperatorsRace(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	for n := range uint64(15) {
+		var (
+			answers [2]reply
+			both    sync.WaitGroup
+		)
+		for i := range answers {
+			both.Go(func() { answers[i] = c.insist(i, "x", n, fmt.Sprintf("operator-%d-%d", i, n), i+1) })
+		}
+		both.Wait()
+		won, lost := answers[0], answers[1]
+		if won.status != http.StatusOK {
+			won, lost = lost, won
+		}
+		c.g.Expect(won.status).To(gomega.Equal(http.StatusOK))
+		c.g.Expect(won.Revision).To(gomega.Equal(n + 1))
+		c.g.Expect(lost.status).To(gomega.Equal(http.StatusConflict))
+		c.g.Expect(lost.Current.Revision).To(gomega.Equal(n + 1))
+	}
+}
+
+func TestControlRestartAfter500Changes(t *testing.T) {
+	c := startControls(t, 3)
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	const changes = 500
+	for n := range uint64(changes) {
+		c.g.Expect(c.insist(int(n%3), "x", n, fmt.Sprintf("change-%d", n), int(n)+1).Revision).To(gomega.Equal(n + 1))
+	}
+	for i := range c.hosts {
+		c.kill(i)
+	}
+	begin := time.Now()
+	c.start(0, 1, 2)
+	c.voting(0, 1, 2)
+	t.Logf("all hosts vote %s after the restart", time.Since(begin).Round(time.Millisecond))
+	for i := range c.hosts {
+		c.g.Expect(c.revision(i, "x")).To(gomega.Equal(uint64(changes)))
+	}
+}
