--- a/io/peer/agree.go
+++ b/io/peer/agree.go
@@ -12,8 +12,12 @@
 	"cardamomspool/io/peer/peerpb"
 )
 
-// ErrMessage reports a message that no control host of this version sends.
-var ErrMessage = errors.New("peer: message of an unknown kind")
+var (
+	// ErrMessage reports a message that no control host of this version sends.
+	ErrMessage = errors.New("peer: message of an unknown kind")
+	// ErrName reports a message about a document whose name is not valid.
+	ErrName = errors.New("peer: message about a document with an invalid name")
+)
 
 // FromEnvelope converts an envelope to its message.
 func FromEnvelope(e quorum.Envelope) *peerpb.Envelope {
@@ -56,7 +60,8 @@
 }
 
 // ToEnvelope converts a message to an envelope. It fails with ErrMessage when
-// the envelope holds no message of a known kind.
+// the envelope holds no message of a known kind, and with ErrName when a
+// document's name is not valid.
 func ToEnvelope(m *peerpb.Envelope) (quorum.Envelope, error) {
 	e := quorum.Envelope{
 		From: m.GetFrom(), To: m.GetTo(), Incarnation: toIncarnation(m.GetIncarnation()),
@@ -94,7 +99,42 @@
 	default:
 		return e, ErrMessage
 	}
-	return e, nil
+	return e, checkNames(e.Message)
+}
+
+// checkNames returns ErrName when a message would change a document whose name
+// is not valid: names become file names.
+func checkNames(m quorum.Message) error {
+	var names []string
+	switch m := m.(type) {
+	case *quorum.Prepare:
+		names = append(names, m.Name)
+	case *quorum.Accept:
+		names = append(names, m.Value.Name)
+	case *quorum.Promise:
+		names = append(names, m.Name)
+	case *quorum.Answer:
+		names = append(names, m.Name)
+	case *quorum.Learn:
+		names = append(names, m.Value.Name)
+	case *quorum.Values:
+		for _, v := range m.Values {
+			names = append(names, v.Name)
+		}
+	case *quorum.Snapshot:
+		for _, r := range m.Registers {
+			names = append(names, r.Name)
+		}
+		for _, v := range m.Learnt {
+			names = append(names, v.Name)
+		}
+	}
+	for _, name := range names {
+		if !spec.ValidName(name) {
+			return ErrName
+		}
+	}
+	return nil
 }
 
 func fromIncarnation(i quorum.Incarnation) *peerpb.Incarnation {
