Close the load tool's idle connections, so that local stops at once

Cause: http.Server.Shutdown gives connections that never carried a request 5 s, and the load tool's transport dials more connections than it uses. Ruled out: control hosts (stopped within 1 ms in the same logs) and the calls themselves (all had ended). Change: Load.Run closes its idle connections before it returns. A server whose own clients leave unused connections still waits 5 s.

--- a/io/load/load.go
+++ b/io/load/load.go
@@ -98,6 +98,8 @@
 // Run sends all calls at the set rate, whatever the time they take, and
 // returns once all have ended. When ctx ends it sends no more.
 func (l *Load) Run(ctx context.Context) Summary {
+	// A server that stops waits seconds for connections that were never used.
+	defer l.client.CloseIdleConnections()
 	var group sync.WaitGroup
 	start := time.Now()
 	stop := l.report()
