Describe every setting and document field in one table; print it

Cause: units, ranges and defaults stood only in code and comments, and a form for operators needs labels and help. Weighed: parsing doc comments (needs the source at run time), struct tags (long lines, no constants), a table per struct joined with reflection. Taken: the table; path, kind and default come from the type. Control hosts may list entry hosts whose targets are shown.

--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -76,6 +76,7 @@
 		processCommand("entry", "run an entry host", o, runEntry),
 		processCommand("control", "run a control host", o, runControl),
 		localCommand(o),
+		referenceCommand(),
 	}, ctlCommands(&o.ctl)...)
 	flaggy.Parse()
 	for _, c := range commands {
--- /dev/null
+++ b/cmd/cardamomspool/reference.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"cardamomspool/core/field"
+	"cardamomspool/core/spec"
+	"cardamomspool/io/setup"
+)
+
+// referencePart is one table of the reference.
+type referencePart struct {
+	title   string
+	text    string
+	entries []field.Entry
+}
+
+const referenceHead = `# Settings and documents
+
+This page is printed by ` + "`cardamomspool settings`" + ` from the tables that the code
+uses; a test keeps it as printed. A field that is left out has its default.
+Unknown fields and values outside their range are faults, each named by its
+path. Durations are written as "250ms", "1m30s" or "2h". "[]" stands for each
+entry of a list.
+`
+
+func referenceCommand() *command {
+	sub := flaggy.NewSubcommand("settings")
+	sub.Description = "print all settings and fields of service documents, as Markdown"
+	flaggy.AttachSubcommand(sub, 1)
+	return &command{parser: sub, run: func(context.Context, *options) error { return writeReference(os.Stdout) }}
+}
+
+// writeReference writes docs/SETTINGS.md.
+func writeReference(w io.Writer) error {
+	parts := []referencePart{
+		{"Service document", "What operators set per service, through the console, `ctl` or the API.", spec.Reference()},
+		{"Settings of an entry host", "The file given to `cardamomspool entry --settings`.", setup.EntryReference()},
+		{"Settings of a control host", "The file given to `cardamomspool control --settings`.", setup.ControlReference()},
+	}
+	if _, err := io.WriteString(w, referenceHead); err != nil {
+		return err
+	}
+	for _, p := range parts {
+		if _, err := fmt.Fprintf(w, "\n## %s\n\n%s\n\n", p.title, p.text); err != nil {
+			return err
+		}
+		if err := field.WriteMarkdown(w, p.entries); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/cardamomspool/reference_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// The page is written anew with: cardamomspool settings >docs/SETTINGS.md.
+func TestSettingsPageIsAsPrinted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var printed bytes.Buffer
+	g.Expect(writeReference(&printed)).To(gomega.Succeed())
+	g.Expect(string(page)).To(gomega.Equal(printed.String()))
+}
--- /dev/null
+++ b/io/setup/fields.go
@@ -0,0 +1,66 @@
+package setup
+
+import "cardamomspool/core/field"
+
+var (
+	commonFields = []field.Field{
+		{Path: "host", Label: "Host", Help: "Unique name of this host: 1 to 63 lower-case letters, digits and hyphens, a letter first."},
+		{Path: "data_centre", Label: "Data centre", Help: "Where this host runs."},
+		{
+			Path: "log_level", Label: "Log level", Choices: []string{"debug", "info", "warn", "error"},
+			Help: "Least level of the lines that are logged.",
+		},
+		{Path: "admin_address", Label: "Admin address", Unit: "IP number and port", Help: "Serves metrics and readiness; on control hosts the operators' API and the console too."},
+		{Path: "peer_address", Label: "Peer address", Unit: "IP number and port", Help: "Takes connections from the system's other processes."},
+		{Path: "controls[].host", Label: "Control host", Help: "Name of a control host; the list holds 1 to 7, on control hosts this host too."},
+		{Path: "controls[].data_centre", Label: "Its data centre", Help: "Where that control host runs."},
+		{Path: "controls[].peer_address", Label: "Its peer address", Unit: "IP number and port", Help: "Where that control host takes connections."},
+		{
+			Path: "stop_grace", Label: "Grace of a stop", Low: 0, High: int64(MaxGrace),
+			Help: "Longest time of a graceful stop; what is still open then is cut off.",
+		},
+	}
+
+	// EntryFields describes the settings of an entry host.
+	EntryFields = append([]field.Field{
+		{Path: "call_address", Label: "Call address", Unit: "IP number and port", Help: "Takes calls from the platform's balancer."},
+		{Path: "announce_address", Label: "Announce address", Unit: "IP number and port", Help: "Takes the announcements of targets."},
+		{Path: "entries[].host", Label: "Entry host", Help: "Name of an entry host; the list holds all of them."},
+		{Path: "entries[].data_centre", Label: "Its data centre", Help: "Where that entry host runs."},
+		{Path: "entries[].peer_address", Label: "Its peer address", Unit: "IP number and port", Help: "Where that entry host takes connections."},
+		{Path: "data_folder", Label: "Data folder", Help: "Keeps the last documents over a restart; may be empty."},
+		{
+			Path: "tick", Label: "Tick", Low: int64(MinTick), High: int64(MaxTick),
+			Help: "Time between two runs of the systems over the tables.",
+		},
+		{
+			Path: "announce_interval", Label: "Announce interval", Low: int64(MinInterval), High: int64(MaxInterval),
+			Help: "Time that targets are told to wait between announcements.",
+		},
+		{
+			Path: "decision_log_one_in", Label: "Decisions logged", Unit: "decisions per line", Low: 0, High: MaxLogOneIn,
+			Help: "Logs one in that many routing decisions; 0 logs none.",
+		},
+	}, commonFields...)
+
+	// ControlFields describes the settings of a control host.
+	ControlFields = append([]field.Field{
+		{Path: "data_folder", Label: "Data folder", Help: "Keeps the agreed documents; must be set, and on a disk."},
+		{Path: "operator_token_file", Label: "Token file", Help: "File with the token that operators present. Without it only a loopback address may be served."},
+		{Path: "entries[].host", Label: "Entry host", Help: "Name of an entry host to show on the console; the list may be empty, and nothing else depends on it."},
+		{Path: "entries[].data_centre", Label: "Its data centre", Help: "Where that entry host runs."},
+		{Path: "entries[].admin_address", Label: "Its admin address", Unit: "IP number and port", Help: "Where that entry host is asked for its targets."},
+	}, commonFields...)
+)
+
+// EntryReference returns an entry for each setting of an entry host.
+func EntryReference() []field.Entry {
+	s := DefaultEntry()
+	return field.Entries(EntryFields, &s)
+}
+
+// ControlReference returns an entry for each setting of a control host.
+func ControlReference() []field.Entry {
+	s := DefaultControl()
+	return field.Entries(ControlFields, &s)
+}
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -65,6 +65,16 @@
 		StopGrace strict.Duration `json:"stop_grace"`
 	}
 
+	// Watched is an entry host whose targets are shown to operators.
+	Watched struct {
+		// Host is its name.
+		Host string `json:"host"`
+		// DataCentre is where it runs.
+		DataCentre string `json:"data_centre"`
+		// AdminAddress is where it serves its targets.
+		AdminAddress netip.AddrPort `json:"admin_address"`
+	}
+
 	// Control holds the settings of a control host.
 	Control struct {
 		Common
@@ -73,6 +83,9 @@
 		// OperatorTokenFile holds the token that operators present. Without
 		// it only loopback addresses may be served.
 		OperatorTokenFile string `json:"operator_token_file"`
+		// Entries lists the entry hosts that the console and the API ask for
+		// their targets; may be empty. Nothing else depends on it.
+		Entries []Watched `json:"entries"`
 		// StopGrace bounds a graceful stop.
 		StopGrace strict.Duration `json:"stop_grace"`
 	}
@@ -91,6 +104,12 @@
 
 // LoadEntry reads and checks the settings file of an entry host.
 func LoadEntry(path string) (Entry, error) {
+	s := DefaultEntry()
+	return s, load(path, &s, s.Validate)
+}
+
+// DefaultEntry returns the settings that LoadEntry starts from.
+func DefaultEntry() Entry {
 	s := Entry{
 		Tick:             strict.Duration(10 * time.Millisecond),
 		AnnounceInterval: strict.Duration(time.Second),
@@ -98,14 +117,20 @@
 		StopGrace:        strict.Duration(30 * time.Second),
 	}
 	s.LogLevel = "info"
-	return s, load(path, &s, s.Validate)
+	return s
 }
 
 // LoadControl reads and checks the settings file of a control host.
 func LoadControl(path string) (Control, error) {
+	s := DefaultControl()
+	return s, load(path, &s, s.Validate)
+}
+
+// DefaultControl returns the settings that LoadControl starts from.
+func DefaultControl() Control {
 	s := Control{StopGrace: strict.Duration(30 * time.Second)}
 	s.LogLevel = "info"
-	return s, load(path, &s, s.Validate)
+	return s
 }
 
 func load(path string, v any, validate func() strict.Faults) error {
@@ -154,14 +179,13 @@
 	if !found {
 		f.Add("controls", "must list this host, %q", s.Host)
 	}
+	checkWatched(&f, s.Entries)
 	f.Span("stop_grace", s.StopGrace, 0, MaxGrace)
 	return f
 }
 
 func (c *Common) validate(f *strict.Faults) {
-	if !spec.ValidName(c.Host) {
-		f.Add("host", "is %q, must be 1 to 63 lower-case letters, digits and hyphens, a letter first", c.Host)
-	}
+	checkHost(f, "host", c.Host)
 	if c.DataCentre == "" {
 		f.Add("data_centre", "must be set")
 	}
@@ -184,9 +208,7 @@
 	seen := make(map[string]bool, len(peers))
 	for i, p := range peers {
 		at := fmt.Sprintf("%s[%d]", path, i)
-		if !spec.ValidName(p.Host) {
-			f.Add(at+".host", "is %q, must be 1 to 63 lower-case letters, digits and hyphens, a letter first", p.Host)
-		}
+		checkHost(f, at+".host", p.Host)
 		if seen[p.Host] {
 			f.Add(at+".host", "%q is listed twice", p.Host)
 		}
@@ -195,6 +217,25 @@
 	}
 }
 
+func checkWatched(f *strict.Faults, entries []Watched) {
+	seen := make(map[string]bool, len(entries))
+	for i, e := range entries {
+		at := fmt.Sprintf("entries[%d]", i)
+		checkHost(f, at+".host", e.Host)
+		if seen[e.Host] {
+			f.Add(at+".host", "%q is listed twice", e.Host)
+		}
+		seen[e.Host] = true
+		checkAddress(f, at+".admin_address", e.AdminAddress)
+	}
+}
+
+func checkHost(f *strict.Faults, path, name string) {
+	if !spec.ValidName(name) {
+		f.Add(path, "is %q, must be 1 to 63 lower-case letters, digits and hyphens, a letter first", name)
+	}
+}
+
 // Token reads an operator token file. An empty path means no token.
 func Token(path string) (string, error) {
 	if path == "" {
