--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -198,6 +198,9 @@
 		return doc, faults
 	}
 	faults := strict.Decode(data, &doc)
+	if len(faults) > 0 && faults[0].Path == "." {
+		return doc, faults // There are no fields to look at.
+	}
 	return doc, append(faults, doc.Validate()...)
 }
 
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -24,7 +26,8 @@
 	Store interface {
 		// Apply makes one change; see quorum.Apply for its errors.
 		Apply(ctx context.Context, c quorum.Change) (quorum.Request, error)
-		// Get returns the newest known document of a service.
+		// Get returns the newest known document of a service. A deleted one
+		// comes with its revision, and false.
 		Get(name string) (spec.Versioned, bool)
 		// List returns the newest known documents of all services.
 		List() []spec.Versioned
@@ -39,27 +42,37 @@
 		Status() quorum.Status
 	}
 
-	// Accepted is the answer to an accepted change.
-	Accepted struct {
-		Name     string `json:"name"`
-		Revision uint64 `json:"revision"`
-	}
-
 	// Problem is the answer to a request that was not carried out.
 	Problem struct {
 		// Error says what is wrong.
 		Error string `json:"error"`
-		// Faults lists what is wrong with the document, if that is it.
+		// Faults lists what is wrong with the request or the document, one
+		// entry each.
 		Faults strict.Faults `json:"faults,omitempty"`
-		// Current is the document as it stands, after a conflict.
+		// Current is the document as it stands, after a conflict, or the
+		// trace of a deleted one.
 		Current *spec.Versioned `json:"current,omitempty"`
 	}
 
+	// Checked is the answer to a document without faults.
+	Checked struct {
+		// Document is the document with every field filled in, as it would
+		// be stored.
+		Document json.RawMessage `json:"document"`
+	}
+
+	// Option sets one property of the handler that NewControl returns.
+	Option func(*control)
+
 	control struct {
 		store   Store
+		editor  *Editor
+		fleet   *Fleet
+		pages   http.Handler
 		token   string
 		log     *slog.Logger
 		metrics *telem.Set
+		now     func() time.Time
 	}
 )
 
@@ -67,34 +80,94 @@
 	// HeaderTimeout bounds the time that a client may take for its header.
 	HeaderTimeout = 5 * time.Second
 
-	applyTimeout  = 10 * time.Second
-	maxRequestID  = 128
-	headerRequest = "Idempotency-Key"
-	headerBase    = "If-Match"
-	// headerOperator names who makes a change; it is kept in the history.
-	headerOperator = "Spool-Operator"
+	// HeaderRequest carries the identity of a change over resends.
+	HeaderRequest = "Idempotency-Key"
+	// HeaderBase carries the revision that a change is based on.
+	HeaderBase = "If-Match"
+	// HeaderOperator names who makes a change; it is kept in the history.
+	HeaderOperator = "Spool-Operator"
 )
 
+// WithFleet sets the entry hosts that are asked for their targets.
+func WithFleet(f *Fleet) Option {
+	return func(c *control) { c.fleet = f }
+}
+
+// WithPages sets the handler of the console, which does its own
+// authorisation.
+func WithPages(h http.Handler) Option {
+	return func(c *control) { c.pages = h }
+}
+
+// WithClock sets the clock of the history; the default is time.Now.
+func WithClock(now func() time.Time) Option {
+	return func(c *control) { c.now = now }
+}
+
 // NewControl returns the handler of a control host's admin address. An empty
-// token lets everyone in.
-func NewControl(store Store, token string, metrics *telem.Set, log *slog.Logger) http.Handler {
-	c := &control{store: store, token: token, log: log, metrics: metrics}
-	api := http.NewServeMux()
-	api.HandleFunc("GET /v1/services", c.list)
-	api.HandleFunc("GET /v1/services/{name}", c.get)
-	api.HandleFunc("PUT /v1/services/{name}", c.put)
-	api.HandleFunc("DELETE /v1/services/{name}", c.delete)
+// token lets everyone in who asks under a loopback address.
+func NewControl(store Store, token string, metrics *telem.Set, log *slog.Logger, opts ...Option) http.Handler {
+	c := &control{store: store, token: token, log: log, metrics: metrics, now: time.Now, fleet: NewFleet(nil)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.editor = NewEditor(store, log, c.now)
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", c.authorised(api))
+	mux.Handle("/v1/", c.authorised(c.api()))
 	mux.Handle("GET /debug/vars", metrics)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	if c.pages != nil {
+		mux.Handle("/", c.pages)
+	}
+	return c.localOnly(mux)
+}
+
+func (c *control) api() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/services", c.list)
+	mux.HandleFunc("GET /v1/services/{name}", c.get)
+	mux.HandleFunc("PUT /v1/services/{name}", c.put)
+	mux.HandleFunc("DELETE /v1/services/{name}", c.delete)
+	mux.HandleFunc("GET /v1/services/{name}/history", c.history)
+	mux.HandleFunc("POST /v1/validate", c.validate)
+	mux.HandleFunc("GET /v1/status", c.status)
+	mux.HandleFunc("GET "+TargetsPath, c.targets)
 	return mux
 }
 
+// localOnly turns away requests to a host name while there is no token. A page
+// elsewhere whose name resolves to a loopback address gets no answer that way.
+func (c *control) localOnly(next http.Handler) http.Handler {
+	if c.token != "" {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isLoopback(r.Host) {
+			c.log.Warn("request under a foreign name refused", "remote", r.RemoteAddr, "name", r.Host)
+			reply(w, http.StatusMisdirectedRequest, Problem{Error: "without an operator token only loopback addresses are served"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// isLoopback reports whether hostPort is localhost or a loopback IP number.
+func isLoopback(hostPort string) bool {
+	host := hostPort
+	if name, _, err := net.SplitHostPort(hostPort); err == nil {
+		host = name
+	}
+	if host == "localhost" {
+		return true
+	}
+	address, err := netip.ParseAddr(strings.Trim(host, "[]"))
+	return err == nil && address.IsLoopback()
+}
+
 func (c *control) authorised(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if c.token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(c.token)) != 1 {
+		if c.token != "" && !SameToken(given, c.token) {
 			c.log.Warn("operator refused", "remote", r.RemoteAddr, "path", r.URL.Path)
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			reply(w, http.StatusUnauthorized, Problem{Error: "the operator token is missing or wrong"})
@@ -104,91 +177,132 @@
 	})
 }
 
+// SameToken compares two tokens in a time that tells nothing of them.
+func SameToken(given, token string) bool {
+	return subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1
+}
+
 func (c *control) list(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, c.store.List())
 }
 
 func (c *control) get(w http.ResponseWriter, r *http.Request) {
-	v, ok := c.store.Get(r.PathValue("name"))
-	if !ok {
+	name := r.PathValue("name")
+	if !spec.ValidName(name) {
 		reply(w, http.StatusNotFound, Problem{Error: "no such service"})
 		return
 	}
+	v, confirmed := c.editor.Read(r.Context(), name)
+	if v.Revision == 0 || v.Deleted {
+		reply(w, http.StatusNotFound, Problem{Error: "no such service", Current: &v})
+		return
+	}
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(v.Revision, 10)))
-	reply(w, http.StatusOK, v)
+	reply(w, http.StatusOK, Document{Versioned: v, Confirmed: confirmed})
 }
 
-func (c *control) put(w http.ResponseWriter, r *http.Request) {
-	change, ok := c.change(w, r)
-	if !ok {
+func (c *control) history(w http.ResponseWriter, r *http.Request) {
+	pasts := Pasts(c.store, r.PathValue("name"))
+	if len(pasts) == 0 {
+		reply(w, http.StatusNotFound, Problem{Error: "no such service"})
 		return
 	}
-	var err error
-	if change.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, spec.MaxDocumentBytes)); err != nil {
-		reply(w, http.StatusRequestEntityTooLarge, Problem{Error: "the document is too large or was cut short"})
+	reply(w, http.StatusOK, pasts)
+}
+
+func (c *control) validate(w http.ResponseWriter, r *http.Request) {
+	body, ok := readDocument(w, r)
+	if !ok {
 		return
 	}
-	doc, faults := spec.Parse(change.Body)
-	if len(faults) == 0 && doc.Name != change.Name {
-		faults.Add("name", "is %q, must be %q as in the address", doc.Name, change.Name)
-	}
+	doc, faults := spec.Parse(body)
 	if len(faults) > 0 {
 		reply(w, http.StatusBadRequest, Problem{Error: "the document has faults", Faults: faults})
 		return
 	}
-	c.apply(w, r, change)
+	reply(w, http.StatusOK, Checked{Document: spec.Canonical(doc)})
+}
+
+func (c *control) status(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, c.store.Status())
+}
+
+func (c *control) targets(w http.ResponseWriter, r *http.Request) {
+	reply(w, http.StatusOK, c.fleet.Look(r.Context()))
+}
+
+func (c *control) put(w http.ResponseWriter, r *http.Request) {
+	d, ok := c.draft(w, r)
+	if !ok {
+		return
+	}
+	if d.Document, ok = readDocument(w, r); ok {
+		c.submit(w, r, d)
+	}
 }
 
 func (c *control) delete(w http.ResponseWriter, r *http.Request) {
-	change, ok := c.change(w, r)
+	d, ok := c.draft(w, r)
 	if !ok {
 		return
 	}
-	change.Deleted = true
-	c.apply(w, r, change)
+	d.Deleted = true
+	c.submit(w, r, d)
 }
 
-// change reads the parts that every change has. It answers the request itself
-// and reports false when one is missing.
-func (c *control) change(w http.ResponseWriter, r *http.Request) (quorum.Change, bool) {
-	change := quorum.Change{
-		Name: r.PathValue("name"), Request: r.Header.Get(headerRequest),
-		Operator: r.Header.Get(headerOperator), At: time.Now().UTC(),
+// draft reads the parts that every change has. It answers the request itself
+// and reports false when the base revision is missing or malformed.
+func (c *control) draft(w http.ResponseWriter, r *http.Request) (Draft, bool) {
+	d := Draft{Name: r.PathValue("name"), Key: r.Header.Get(HeaderRequest), Operator: r.Header.Get(HeaderOperator)}
+	given := r.Header.Get(HeaderBase)
+	if given == "" {
+		reply(w, http.StatusPreconditionRequired, Problem{
+			Error: HeaderBase + ` must give the revision that the change is based on, "0" for a new service`,
+		})
+		return d, false
 	}
-	if !spec.ValidName(change.Name) {
-		reply(w, http.StatusBadRequest, Problem{Error: "the service name is not valid"})
-		return change, false
+	var err error
+	if d.Base, err = strconv.ParseUint(strings.Trim(given, `"`), 10, 64); err != nil {
+		reply(w, http.StatusBadRequest, Problem{Error: HeaderBase + " is " + strconv.Quote(given) + ", must be a revision"})
+		return d, false
 	}
-	if change.Request == "" || len(change.Request) > maxRequestID {
-		reply(w, http.StatusBadRequest, Problem{Error: headerRequest + " must have 1 to 128 characters"})
-		return change, false
+	return d, true
+}
+
+// readDocument reads the body of a request. It answers the request itself and
+// reports false when the body is too large or was cut short.
+func readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, spec.MaxDocumentBytes))
+	if err == nil {
+		return body, true
 	}
-	var err error
-	if change.Base, err = strconv.ParseUint(strings.Trim(r.Header.Get(headerBase), `"`), 10, 64); err != nil {
-		reply(w, http.StatusPreconditionRequired, Problem{Error: headerBase + ` must give the revision that the change is based on, "0" for a new service`})
-		return change, false
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		reply(w, http.StatusRequestEntityTooLarge, Problem{
+			Error: "the document is longer than " + strconv.Itoa(spec.MaxDocumentBytes) + " bytes",
+		})
+		return nil, false
 	}
-	return change, true
+	reply(w, http.StatusBadRequest, Problem{Error: "the document was cut short"})
+	return nil, false
 }
 
-func (c *control) apply(w http.ResponseWriter, r *http.Request, change quorum.Change) {
-	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
-	defer cancel()
+func (c *control) submit(w http.ResponseWriter, r *http.Request, d Draft) {
 	var (
-		done     quorum.Request
+		done     Accepted
+		faults   strict.Faults
 		conflict *quorum.ConflictError
 		err      error
 	)
-	done, err = c.store.Apply(ctx, change)
+	done, err = c.editor.Submit(r.Context(), d)
 	switch {
 	case err == nil:
-		c.log.Info("change accepted", "service", change.Name, "revision", done.Revision, "request", change.Request)
-		reply(w, http.StatusOK, Accepted{Name: change.Name, Revision: done.Revision})
+		reply(w, http.StatusOK, done)
+	case errors.As(err, &faults):
+		reply(w, http.StatusBadRequest, Problem{Error: "the change has faults", Faults: faults})
 	case errors.As(err, &conflict):
-		c.log.Info("change conflicts", "service", change.Name, "base", change.Base, "request", change.Request)
 		reply(w, http.StatusConflict, Problem{Error: err.Error(), Current: &conflict.Current})
 	default:
-		c.log.Warn("change not confirmed", "service", change.Name, "request", change.Request, "error", err)
 		w.Header().Set("Retry-After", "1")
 		reply(w, http.StatusServiceUnavailable, Problem{Error: err.Error() + "; send the same request again"})
 	}
@@ -196,8 +310,11 @@
 
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
 	w.WriteHeader(status)
 	enc := json.NewEncoder(w)
+	enc.SetEscapeHTML(false)
 	enc.SetIndent("", "  ")
 	if err := enc.Encode(v); err != nil {
 		return // The client has gone; there is no one left to tell.
--- /dev/null
+++ b/io/admin/editor.go
@@ -0,0 +1,146 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+)
+
+type (
+	// Editor validates operators' changes and hands them to the store. Use
+	// NewEditor.
+	Editor struct {
+		store Store
+		log   *slog.Logger
+		now   func() time.Time
+	}
+
+	// Draft is a change as an operator sent it.
+	Draft struct {
+		// Name is the name of the service.
+		Name string
+		// Base is the revision that the change is based on, 0 for a new
+		// service.
+		Base uint64
+		// Key is the identity that the operator gave the request.
+		Key string
+		// Operator is who asks; may be empty.
+		Operator string
+		// Deleted asks to remove the service.
+		Deleted bool
+		// Document is the new document; ignored when Deleted.
+		Document []byte
+	}
+)
+
+const (
+	applyTimeout = 10 * time.Second
+	readTimeout  = 3 * time.Second
+	maxKey       = 128
+	maxOperator  = 64
+	digestBytes  = 8
+)
+
+// NewEditor returns an Editor that changes store and takes the time from now.
+func NewEditor(store Store, log *slog.Logger, now func() time.Time) *Editor {
+	return &Editor{store: store, log: log, now: now}
+}
+
+// Read returns the document called name, with revision 0 when there never was
+// one, and whether a majority of control hosts confirmed it. Without a
+// majority it is the newest document that this host has learnt.
+func (e *Editor) Read(ctx context.Context, name string) (spec.Versioned, bool) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	v, err := e.store.Read(ctx, name)
+	if err != nil {
+		e.log.Warn("document read without a majority", "service", name, "error", err)
+		v, _ = e.store.Get(name)
+	}
+	v.Name = name
+	return v, err == nil
+}
+
+// Submit carries out one change. It returns strict.Faults when the draft is
+// not usable, a *quorum.ConflictError when the document has moved on, and
+// another error when the outcome is not known; the same draft may then be
+// submitted again, to any control host, and takes effect at most once.
+func (e *Editor) Submit(ctx context.Context, d Draft) (Accepted, error) {
+	change, faults := e.change(d)
+	if err := faults.Err(); err != nil {
+		e.log.Info("change refused", "service", d.Name, "request", d.Key, "operator", d.Operator, "error", err)
+		return Accepted{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	var (
+		done     quorum.Request
+		conflict *quorum.ConflictError
+		err      error
+	)
+	done, err = e.store.Apply(ctx, change)
+	log := e.log.With("service", d.Name, "base", d.Base, "request", d.Key, "operator", d.Operator)
+	switch {
+	case err == nil:
+		log.Info("change accepted", "revision", done.Revision)
+		return Accepted{Name: d.Name, Revision: done.Revision}, nil
+	case errors.As(err, &conflict):
+		log.Info("change conflicts", "current", conflict.Current.Revision)
+	default:
+		log.Warn("change not confirmed", "error", err)
+	}
+	return Accepted{}, err
+}
+
+// change checks a draft. The stored document is the canonical one, so that a
+// later change of a default does not change what operators have accepted.
+func (e *Editor) change(d Draft) (quorum.Change, strict.Faults) {
+	var faults strict.Faults
+	change := quorum.Change{
+		Name: d.Name, Base: d.Base, Request: identity(d), Operator: d.Operator, At: e.now().UTC(), Deleted: d.Deleted,
+	}
+	if d.Key == "" || len(d.Key) > maxKey {
+		faults.Add("request", "must have 1 to %d characters", maxKey)
+	}
+	if len(d.Operator) > maxOperator {
+		faults.Add("operator", "must have at most %d characters", maxOperator)
+	}
+	if d.Deleted {
+		return change, append(faults, checkDeletion(d)...)
+	}
+	doc, found := spec.Parse(d.Document)
+	if len(found) == 0 && doc.Name != d.Name {
+		found.Add("name", "is %q, must be %q as in the address", doc.Name, d.Name)
+	}
+	change.Body = spec.Canonical(doc)
+	return change, append(faults, found...)
+}
+
+func checkDeletion(d Draft) strict.Faults {
+	var faults strict.Faults
+	if !spec.ValidName(d.Name) {
+		faults.Add("name", "is %q, which is no name of a service", d.Name)
+	}
+	if d.Base == 0 {
+		faults.Add("base", "must be the revision of the service that is deleted")
+	}
+	return faults
+}
+
+// identity joins the operator's key with a digest of what is asked, so that a
+// key used again for another document is not taken for a resend.
+func identity(d Draft) string {
+	h := sha256.New()
+	if !d.Deleted {
+		h.Write(d.Document)
+	}
+	return d.Key + "/" + hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
--- /dev/null
+++ b/io/consol/change.go
@@ -0,0 +1,226 @@
+package consol
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/admin"
+)
+
+type (
+	// formPage shows the form of one document.
+	formPage struct {
+		page
+		changeFields
+		Sections []section
+		Faults   strict.Faults
+		Notice   string
+		// Confirmed is false when no majority confirmed the document shown.
+		Confirmed bool
+	}
+
+	// changeFields are the hidden fields that a change carries from its form
+	// to its application.
+	changeFields struct {
+		Name    string
+		Base    uint64
+		Request string
+	}
+
+	// changePage shows a document that is about to be applied, or why it was
+	// not.
+	changePage struct {
+		page
+		changeFields
+		Deleted  bool
+		Document []byte
+		Current  spec.Versioned
+		Text     string
+	}
+)
+
+// change reads the hidden fields of a posted form.
+func change(r *http.Request) (changeFields, error) {
+	var err error
+	f := changeFields{Name: r.PostFormValue("name"), Request: r.PostFormValue("request")}
+	f.Base, err = strconv.ParseUint(r.PostFormValue("base"), 10, 64)
+	return f, err
+}
+
+func (c *Console) newForm(w http.ResponseWriter, _ *http.Request, s session) {
+	p := formPage{page: c.page("New service", s), changeFields: changeFields{Request: c.newID()}, Confirmed: true}
+	p.Sections = formOf(spec.Default()).sections(false)
+	c.render(w, http.StatusOK, "form", p)
+}
+
+// editForm shows the form of the current document, or of a past one as a new
+// change to the current.
+func (c *Console) editForm(w http.ResponseWriter, r *http.Request, s session) {
+	name := r.PathValue("name")
+	current, confirmed := c.editor.Read(r.Context(), name)
+	body, notice := current.Body, ""
+	if from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64); err == nil {
+		body = c.past(name, from)
+		notice = "These are the values of revision " + strconv.FormatUint(from, 10) + ". Nothing is changed until you apply them."
+	}
+	if applied, err := strconv.ParseUint(r.URL.Query().Get("applied"), 10, 64); err == nil {
+		notice = appliedNotice(applied, current)
+	}
+	if len(body) == 0 {
+		c.problem(w, http.StatusNotFound, s, "No such service", strings.TrimSpace(notice+" There is no service of this name, or not in this version."))
+		return
+	}
+	doc, faults := spec.Parse(body)
+	f := formOf(doc)
+	f.faults = faults
+	p := formPage{
+		page: c.page("Service "+name, s), changeFields: changeFields{Name: name, Base: current.Revision, Request: c.newID()},
+		Sections: f.sections(true), Faults: faults, Notice: notice, Confirmed: confirmed,
+	}
+	c.render(w, http.StatusOK, "form", p)
+}
+
+// appliedNotice tells an operator that a change was accepted as a revision,
+// and that others have followed it.
+func appliedNotice(applied uint64, current spec.Versioned) string {
+	if applied > current.Revision {
+		return ""
+	}
+	notice := fmt.Sprintf("Revision %d is accepted: a majority of control hosts holds it on disk.", applied)
+	if applied < current.Revision {
+		return notice + fmt.Sprintf(" The service has since moved on to revision %d.", current.Revision)
+	}
+	return notice + " See under hosts where it is in force."
+}
+
+func (c *Console) past(name string, revision uint64) []byte {
+	for _, p := range admin.Pasts(c.store, name) {
+		if p.Revision == revision {
+			return p.Body
+		}
+	}
+	return nil
+}
+
+// review validates a posted form and shows its document before it is applied,
+// or the form again with its faults.
+func (c *Console) review(w http.ResponseWriter, r *http.Request, s session) {
+	fields, err := change(r)
+	if err != nil {
+		c.problem(w, http.StatusBadRequest, s, "This form is damaged", "Nothing was changed. Start again from the list.")
+		return
+	}
+	f := posted(r.PostForm)
+	doc := f.document()
+	if len(f.faults) > 0 {
+		c.showForm(w, s, http.StatusUnprocessableEntity, fields, f)
+		return
+	}
+	if r.PostFormValue("more") != "" {
+		c.showForm(w, s, http.StatusOK, fields, f)
+		return
+	}
+	fields.Name = doc.Name
+	current, _ := c.editor.Read(r.Context(), doc.Name)
+	if fields.Base == 0 && current.Deleted {
+		fields.Base = current.Revision // A deleted service is made again on top of its trace.
+	}
+	c.render(w, http.StatusOK, "review", changePage{
+		page: c.page("Review the change to "+doc.Name, s), changeFields: fields,
+		Document: spec.Canonical(doc), Current: current,
+	})
+}
+
+func (c *Console) showForm(w http.ResponseWriter, s session, status int, fields changeFields, f *form) {
+	title := "Service " + fields.Name
+	if fields.Base == 0 {
+		title = "New service"
+	}
+	c.render(w, status, "form", formPage{
+		page: c.page(title, s), changeFields: fields, Confirmed: true,
+		Sections: f.sections(fields.Base > 0), Faults: f.faults,
+	})
+}
+
+// again shows the form of a document that was reviewed or in conflict.
+func (c *Console) again(w http.ResponseWriter, r *http.Request, s session) {
+	fields, err := change(r)
+	doc, faults := spec.Parse([]byte(r.PostFormValue("document")))
+	if err != nil || len(faults) > 0 {
+		c.problem(w, http.StatusBadRequest, s, "This form is damaged", "Nothing was changed. Start again from the list.")
+		return
+	}
+	fields.Request = c.newID()
+	c.showForm(w, s, http.StatusOK, fields, formOf(doc))
+}
+
+func (c *Console) apply(w http.ResponseWriter, r *http.Request, s session) {
+	c.submit(w, r, s, admin.Draft{Document: []byte(r.PostFormValue("document"))})
+}
+
+func (c *Console) delete(w http.ResponseWriter, r *http.Request, s session) {
+	c.submit(w, r, s, admin.Draft{Deleted: true})
+}
+
+// submit carries out a change and shows its outcome. A resend of the same
+// form gets the outcome of the first.
+func (c *Console) submit(w http.ResponseWriter, r *http.Request, s session, d admin.Draft) {
+	fields, err := change(r)
+	if err != nil {
+		c.problem(w, http.StatusBadRequest, s, "This form is damaged", "Nothing was changed. Start again from the list.")
+		return
+	}
+	d.Name, d.Base, d.Key, d.Operator = fields.Name, fields.Base, fields.Request, s.Operator
+	p := changePage{changeFields: fields, Deleted: d.Deleted, Document: d.Document}
+	var (
+		done     admin.Accepted
+		faults   strict.Faults
+		conflict *quorum.ConflictError
+	)
+	done, err = c.editor.Submit(r.Context(), d)
+	switch {
+	case err == nil:
+		http.Redirect(w, r, afterChange(done, d.Deleted), http.StatusSeeOther)
+	case errors.As(err, &faults):
+		c.problem(w, http.StatusUnprocessableEntity, s, "The change has faults", err.Error())
+	case errors.As(err, &conflict):
+		p.page = c.page("Conflict over "+d.Name, s)
+		p.Current = conflict.Current
+		p.Request = c.newID()
+		c.render(w, http.StatusConflict, "conflict", p)
+	default:
+		p.page = c.page("Outcome not known", s)
+		p.Text = err.Error()
+		w.Header().Set("Retry-After", "1")
+		c.render(w, http.StatusServiceUnavailable, "unknown", p)
+	}
+}
+
+func afterChange(done admin.Accepted, deleted bool) string {
+	if deleted {
+		return "/?deleted=" + url.QueryEscape(done.Name)
+	}
+	return "/services/" + url.PathEscape(done.Name) + "?applied=" + strconv.FormatUint(done.Revision, 10)
+}
+
+// deleteForm asks for confirmation.
+func (c *Console) deleteForm(w http.ResponseWriter, r *http.Request, s session) {
+	name := r.PathValue("name")
+	current, _ := c.editor.Read(r.Context(), name)
+	if current.Revision == 0 || current.Deleted {
+		c.problem(w, http.StatusNotFound, s, "No such service", "There is no service of this name.")
+		return
+	}
+	c.render(w, http.StatusOK, "delete", changePage{
+		page: c.page("Delete "+name, s), Current: current, Deleted: true,
+		changeFields: changeFields{Name: name, Base: current.Revision, Request: c.newID()},
+	})
+}
--- /dev/null
+++ b/io/consol/console.go
@@ -0,0 +1,168 @@
+package consol
+
+import (
+	"bytes"
+	"crypto/rand"
+	"embed"
+	"html/template"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"cardamomspool/core/spec"
+	"cardamomspool/io/admin"
+)
+
+type (
+	// Console serves the operators' pages. Use New.
+	Console struct {
+		store  admin.Store
+		editor *admin.Editor
+		fleet  *admin.Fleet
+		host   string
+		token  string
+		signer signer
+		log    *slog.Logger
+		now    func() time.Time
+		newID  func() string
+		mux    *http.ServeMux
+	}
+
+	// Option sets one property of a Console.
+	Option func(*Console)
+
+	// pageHandler answers a request that has a session.
+	pageHandler func(w http.ResponseWriter, r *http.Request, s session)
+)
+
+const (
+	maxFormBytes = 4 * spec.MaxDocumentBytes
+
+	// policy lets a page load the console's own style and nothing else.
+	policy = "default-src 'none'; style-src 'self'; img-src data:; form-action 'self'; frame-ancestors 'none'; base-uri 'none'"
+)
+
+var (
+	_ http.Handler = (*Console)(nil)
+
+	//go:embed pages
+	files embed.FS
+
+	templates = template.Must(template.New("").Funcs(template.FuncMap{
+		"when":         when,
+		"indent":       func(body []byte) string { return string(spec.Indent(body)) },
+		"diff":         diffLines,
+		"field":        fieldID,
+		"nextRevision": func(base uint64) uint64 { return base + 1 },
+	}).ParseFS(files, "pages/*.html"))
+)
+
+// WithToken asks operators for a token; the default lets everyone in.
+func WithToken(token string) Option {
+	return func(c *Console) { c.token = token }
+}
+
+// WithFleet sets the entry hosts that are shown.
+func WithFleet(f *admin.Fleet) Option {
+	return func(c *Console) { c.fleet = f }
+}
+
+// WithLogger sets the logger; the default discards.
+func WithLogger(log *slog.Logger) Option {
+	return func(c *Console) { c.log = log }
+}
+
+// WithClock sets the clock; the default is time.Now.
+func WithClock(now func() time.Time) Option {
+	return func(c *Console) { c.now = now }
+}
+
+// WithIDs sets where identities of requests and sessions come from; the
+// default is crypto/rand.Text. They must not be guessable.
+func WithIDs(newID func() string) Option {
+	return func(c *Console) { c.newID = newID }
+}
+
+// New returns the console of the control host called host.
+func New(store admin.Store, host string, opts ...Option) *Console {
+	c := &Console{
+		store: store, host: host, fleet: admin.NewFleet(nil), log: slog.New(slog.DiscardHandler),
+		now: time.Now, newID: rand.Text, mux: http.NewServeMux(),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.signer = newSigner(c.token)
+	c.editor = admin.NewEditor(store, c.log, c.now)
+	c.routes()
+	return c
+}
+
+func (c *Console) routes() {
+	c.mux.HandleFunc("GET /style.css", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cache-Control", "max-age=300")
+		http.ServeFileFS(w, r, files, "pages/style.css")
+	})
+	c.mux.HandleFunc("GET /login", c.loginForm)
+	c.mux.HandleFunc("POST /login", c.login)
+	c.handle("GET /{$}", c.list)
+	c.handle("GET /hosts", c.hosts)
+	c.handle("GET /new", c.newForm)
+	c.handle("GET /services/{name}", c.editForm)
+	c.handle("GET /services/{name}/history", c.history)
+	c.handle("GET /services/{name}/delete", c.deleteForm)
+	c.handle("POST /form", c.again)
+	c.handle("POST /review", c.review)
+	c.handle("POST /apply", c.apply)
+	c.handle("POST /delete", c.delete)
+	c.handle("POST /logout", func(w http.ResponseWriter, r *http.Request, _ session) { c.logout(w, r) })
+	c.handle("GET /", func(w http.ResponseWriter, _ *http.Request, s session) {
+		c.problem(w, http.StatusNotFound, s, "No such page", "There is nothing under this address.")
+	})
+}
+
+// handle serves pattern to operators who have a session, and posts only with
+// the hidden value that forms of the session carry.
+func (c *Console) handle(pattern string, next pageHandler) {
+	c.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		s, ok := c.session(w, r)
+		switch {
+		case !ok && r.Method == http.MethodGet:
+			http.Redirect(w, r, "/login", http.StatusSeeOther)
+		case r.Method == http.MethodPost && (!ok || !c.signer.checkForm(s, r.PostFormValue("form"))):
+			c.log.Warn("form refused", "remote", r.RemoteAddr, "path", r.URL.Path)
+			c.problem(w, http.StatusForbidden, s, "This form has expired",
+				"Nothing was changed. Your session has ended, or the form is from another one. Log in again and start again from the list.")
+		default:
+			next(w, r, s)
+		}
+	})
+}
+
+// ServeHTTP serves one request. Requests that another site's page makes are
+// refused.
+func (c *Console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("Content-Security-Policy", policy)
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("X-Frame-Options", "DENY")
+	h.Set("Referrer-Policy", "same-origin")
+	h.Set("Cache-Control", "no-store")
+	r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
+	http.NewCrossOriginProtection().Handler(c.mux).ServeHTTP(w, r)
+}
+
+// render writes a page whole, or an error when its template fails.
+func (c *Console) render(w http.ResponseWriter, status int, name string, data any) {
+	var buf bytes.Buffer
+	if err := templates.ExecuteTemplate(&buf, name, data); err != nil {
+		c.log.Error("page not rendered", "page", name, "error", err)
+		http.Error(w, "the page could not be rendered", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.WriteHeader(status)
+	if _, err := buf.WriteTo(w); err != nil {
+		return // The operator has gone.
+	}
+}
--- /dev/null
+++ b/io/consol/fake_test.go
@@ -0,0 +1,242 @@
+package consol_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"html"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
+	"cardamomspool/io/admin"
+	"cardamomspool/io/consol"
+	"cardamomspool/io/telem"
+)
+
+type (
+	// fakeStore keeps documents in memory. It carries out a change and loses
+	// the answer as often as lose says.
+	fakeStore struct {
+		values  map[string]quorum.Value
+		history map[string][]quorum.Value
+		lose    int
+		cut     bool
+	}
+
+	// transcript drives the operators' address and writes down what was said.
+	transcript struct {
+		t       *testing.T
+		store   *fakeStore
+		handler http.Handler
+		text    strings.Builder
+		cookies map[string][]*http.Cookie
+		body    string
+	}
+)
+
+var (
+	_ admin.Store = (*fakeStore)(nil)
+
+	start = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+
+	head        = regexp.MustCompile(`(?s)<head>.*</head>|<header>.*</header>|<a class="skip".*?</a>|<footer>.*</footer>`)
+	controls    = regexp.MustCompile(`(?s)<(input|textarea|select)[^>]*?name="([^"]*)"[^>]*>`)
+	document    = regexp.MustCompile(`(?s)<pre tabindex="0">.*?</pre>`)
+	fieldForm   = regexp.MustCompile(`(?s)<form method="post" action="/review">.*?</form>`)
+	faulty      = regexp.MustCompile(`<[^>]*aria-invalid="true"[^>]*>|<p class="fault">.*?</p>`)
+	breaks      = regexp.MustCompile(`</(p|th|td|h1|h2|tr|li|pre|span|legend|label|fieldset|form|table|div|section|summary|button)>`)
+	tags        = regexp.MustCompile(`<[^>]*>`)
+	blankLines  = regexp.MustCompile(`\n\s*\n+`)
+	hiddenValue = regexp.MustCompile(`<input type="hidden" name="([^"]*)" value="([^"]*)">`)
+)
+
+func (s *fakeStore) Apply(_ context.Context, c quorum.Change) (quorum.Request, error) {
+	if s.cut {
+		return quorum.Request{}, quorum.ErrNoMajority
+	}
+	old := s.values[c.Name]
+	next, done, err := quorum.Apply(old, c)
+	if err == nil && next.Revision > old.Revision {
+		s.values[c.Name] = next
+		s.history[c.Name] = append(s.history[c.Name], next)
+	}
+	if s.lose > 0 {
+		s.lose--
+		return quorum.Request{}, quorum.ErrNoMajority
+	}
+	return done, err
+}
+
+func (s *fakeStore) Get(name string) (spec.Versioned, bool) {
+	v := s.values[name].Versioned
+	return v, v.Revision > 0 && !v.Deleted
+}
+
+func (s *fakeStore) Read(_ context.Context, name string) (spec.Versioned, error) {
+	if s.cut {
+		return spec.Versioned{}, quorum.ErrNoMajority
+	}
+	return s.values[name].Versioned, nil
+}
+
+func (s *fakeStore) List() []spec.Versioned {
+	list := []spec.Versioned{}
+	for _, v := range s.values {
+		if !v.Deleted {
+			list = append(list, v.Versioned)
+		}
+	}
+	return list
+}
+
+func (s *fakeStore) History(name string) []quorum.Value {
+	return s.history[name]
+}
+
+func (s *fakeStore) Status() quorum.Status {
+	return quorum.Status{Host: "control-1", Voting: true, Majority: 2, Reachable: 3, Registers: len(s.values)}
+}
+
+// newTranscript returns a session against a store with the service bookings.
+func newTranscript(t *testing.T, token string) *transcript {
+	tr := &transcript{
+		t: t, cookies: make(map[string][]*http.Cookie),
+		store: &fakeStore{values: make(map[string]quorum.Value), history: make(map[string][]quorum.Value)},
+	}
+	now, ids := start, 0
+	clock := func() time.Time { now = now.Add(time.Second); return now }
+	newID := func() string { ids++; return fmt.Sprintf("id-%d", ids) }
+	pages := consol.New(tr.store, "control-1", consol.WithToken(token), consol.WithClock(clock), consol.WithIDs(newID))
+	tr.handler = admin.NewControl(tr.store, token, telem.NewSet(), slog.New(slog.DiscardHandler),
+		admin.WithPages(pages), admin.WithClock(clock))
+	doc := spec.Default()
+	doc.Name, doc.Receive.PathPrefixes = "bookings", []string{"/bookings"}
+	_, err := admin.NewEditor(tr.store, slog.New(slog.DiscardHandler), clock).Submit(context.Background(),
+		admin.Draft{Name: "bookings", Key: "first", Operator: "marta", Document: spec.Canonical(doc)})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return tr
+}
+
+// do sends one request as an operator and returns the status.
+func (tr *transcript) do(who, method, target, body string, headers ...string) int {
+	r := httptest.NewRequest(method, "http://127.0.0.1:7001"+target, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		if headers[i] == "Host" {
+			r.Host = headers[i+1]
+		}
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	for _, cookie := range tr.cookies[who] {
+		r.AddCookie(cookie)
+	}
+	w := httptest.NewRecorder()
+	tr.handler.ServeHTTP(w, r)
+	tr.body = w.Body.String()
+	if set := w.Result().Cookies(); len(set) > 0 {
+		tr.cookies[who] = set
+	}
+	fmt.Fprintf(&tr.text, "%s> %s %s\n", who, method, target)
+	for i := 0; i+1 < len(headers); i += 2 {
+		if headers[i] != "Content-Type" {
+			fmt.Fprintf(&tr.text, "%s> %s: %s\n", who, headers[i], headers[i+1])
+		}
+	}
+	if method != http.MethodGet && len(body) < 300 && headers != nil && headers[0] != "Content-Type" {
+		fmt.Fprintf(&tr.text, "%s> %s\n", who, body)
+	}
+	tr.writeAnswer(w)
+	return w.Code
+}
+
+func (tr *transcript) writeAnswer(w *httptest.ResponseRecorder) {
+	fmt.Fprintf(&tr.text, "< %d\n", w.Code)
+	for _, name := range []string{"Location", "Retry-After", "Etag", "WWW-Authenticate"} {
+		if v := w.Header().Get(name); v != "" {
+			fmt.Fprintf(&tr.text, "< %s: %s\n", name, v)
+		}
+	}
+	text := tr.body
+	if strings.HasPrefix(w.Header().Get("Content-Type"), "text/html") {
+		text = plain(text)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, []byte(text)); err == nil {
+		text = compact.String()
+	}
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		fmt.Fprintf(&tr.text, "  %s\n", strings.TrimRight(line, " "))
+	}
+	tr.text.WriteString("\n")
+}
+
+// plain returns what a page says: documents on one line each, and of a form
+// only its faults and the fields that have them.
+func plain(page string) string {
+	page = head.ReplaceAllString(page, "")
+	page = document.ReplaceAllStringFunc(page, func(block string) string {
+		var buf bytes.Buffer
+		if err := json.Compact(&buf, []byte(html.UnescapeString(tags.ReplaceAllString(block, "")))); err != nil {
+			return block
+		}
+		return html.EscapeString(buf.String()) + "</pre>"
+	})
+	page = fieldForm.ReplaceAllStringFunc(page, func(form string) string {
+		return strings.Join(append(faulty.FindAllString(form, -1), "[form]</p>"), "\n")
+	})
+	page = hiddenValue.ReplaceAllString(page, "")
+	page = controls.ReplaceAllString(page, "[$2]")
+	page = breaks.ReplaceAllString(page, "\n")
+	page = html.UnescapeString(tags.ReplaceAllString(page, ""))
+	return blankLines.ReplaceAllString(page, "\n")
+}
+
+// hidden returns the hidden values of the last page's form that posts to
+// action.
+func (tr *transcript) hidden(action string) url.Values {
+	_, form, ok := strings.Cut(tr.body, `action="`+action+`"`)
+	if !ok {
+		tr.t.Fatalf("the page has no form for %s:\n%s", action, tr.body)
+	}
+	form, _, _ = strings.Cut(form, "</form>")
+	values := url.Values{}
+	for _, m := range hiddenValue.FindAllStringSubmatch(form, -1) {
+		values.Set(m[1], html.UnescapeString(m[2]))
+	}
+	return values
+}
+
+// post sends a form.
+func (tr *transcript) post(who, action string, values url.Values) int {
+	return tr.do(who, http.MethodPost, action, values.Encode(), "Content-Type", "application/x-www-form-urlencoded")
+}
+
+func (tr *transcript) say(text string) {
+	fmt.Fprintf(&tr.text, "# %s\n", text)
+}
+
+// check compares the transcript with its golden file; UPDATE_GOLDEN=1 writes
+// it anew.
+func (tr *transcript) check(name string) {
+	g := gomega.NewWithT(tr.t)
+	path := filepath.Join("testdata", name+".golden")
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		g.Expect(os.MkdirAll("testdata", 0o755)).To(gomega.Succeed())
+		g.Expect(os.WriteFile(path, []byte(tr.text.String()), 0o644)).To(gomega.Succeed())
+	}
+	want, err := os.ReadFile(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(tr.text.String()).To(gomega.Equal(string(want)))
+}
--- /dev/null
+++ b/io/consol/sessions_test.go
@@ -0,0 +1,165 @@
+package consol_test
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+const token = "correct-horse"
+
+// fields returns the fields of the sample service as its form posts them.
+func fields(hidden url.Values, changed ...string) url.Values {
+	values := url.Values{
+		"name": {"bookings"}, "receive.path_prefixes": {"/bookings"}, "receive.weight": {"1"},
+		"receive.deadline": {"10s"}, "receive.non_idempotent_methods": {"POST", "PATCH"},
+		"hold.length": {"64"}, "hold.longest_wait": {"500ms"}, "refuse.retry_after": {"1s"},
+		"refuse.open_calls": {"4096"}, "measure.probes_per_second": {"0"}, "retry.budget_percent": {"10"},
+		"route.policy": {"least_outstanding"}, "retry.attempts": {"3"}, "targets.slots": {"4"}, "targets.connections": {"200"},
+	}
+	for name, v := range hidden {
+		values[name] = v
+	}
+	for i := 0; i+1 < len(changed); i += 2 {
+		values.Set(changed[i], changed[i+1])
+	}
+	return values
+}
+
+func (tr *transcript) login(who string) {
+	tr.post(who, "/login", url.Values{"operator": {who}, "token": {token}})
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := newTranscript(t, token)
+	tr.login("ana")
+	tr.login("beni")
+	tr.say("Both open the form of revision 1 and review a change.")
+	tr.do("ana", "GET", "/services/bookings", "")
+	anas := fields(tr.hidden("/review"), "retry.attempts", "2")
+	tr.do("beni", "GET", "/services/bookings", "")
+	benis := fields(tr.hidden("/review"), "targets.slots", "3",
+		"receive.routes[0].path_prefix", "/bookings/deposits", "receive.routes[0].weight", "2",
+		"receive.routes[0].deadline", "0s", "receive.routes[0].non_idempotent", "on")
+	g.Expect(tr.post("ana", "/review", anas)).To(gomega.Equal(200))
+	anas = tr.hidden("/apply")
+	g.Expect(tr.post("beni", "/review", benis)).To(gomega.Equal(200))
+	benis = tr.hidden("/apply")
+	tr.say("Ana applies first and clicks twice; Beni gets the conflict.")
+	g.Expect(tr.post("ana", "/apply", anas)).To(gomega.Equal(303))
+	g.Expect(tr.post("ana", "/apply", anas)).To(gomega.Equal(303))
+	g.Expect(tr.post("beni", "/apply", benis)).To(gomega.Equal(409))
+	g.Expect(tr.store.values["bookings"].Revision).To(gomega.Equal(uint64(2)))
+	tr.say("Beni takes his version to the form on top of revision 2 and applies it.")
+	g.Expect(tr.post("beni", "/form", tr.hidden("/form"))).To(gomega.Equal(200))
+	benis = fields(tr.hidden("/review"), "targets.slots", "3", "retry.attempts", "2")
+	g.Expect(tr.post("beni", "/review", benis)).To(gomega.Equal(200))
+	g.Expect(tr.post("beni", "/apply", tr.hidden("/apply"))).To(gomega.Equal(303))
+	tr.do("beni", "GET", "/services/bookings/history", "")
+	tr.check("race")
+}
+
+func TestLostAnswerIsSentAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := newTranscript(t, token)
+	tr.login("ana")
+	tr.do("ana", "GET", "/services/bookings", "")
+	tr.post("ana", "/review", fields(tr.hidden("/review"), "targets.slots", "5"))
+	tr.say("The change takes effect, and its answer is lost.")
+	tr.store.lose = 1
+	g.Expect(tr.post("ana", "/apply", tr.hidden("/apply"))).To(gomega.Equal(503))
+	again := tr.hidden("/apply")
+	tr.say("Ana sends the same change again, and again after another one by the API.")
+	g.Expect(tr.post("ana", "/apply", again)).To(gomega.Equal(303))
+	g.Expect(tr.do("api", "DELETE", "/v1/services/bookings", "", "Authorization", "Bearer "+token,
+		"If-Match", "2", "Idempotency-Key", "d1", "Spool-Operator", "carla")).To(gomega.Equal(200))
+	g.Expect(tr.post("ana", "/apply", again)).To(gomega.Equal(303))
+	g.Expect(tr.store.values["bookings"].Revision).To(gomega.Equal(uint64(3)))
+	g.Expect(tr.do("ana", "GET", "/services/bookings?applied=2", "")).To(gomega.Equal(404))
+	tr.say("The deleted service is used again from its history.")
+	tr.do("ana", "GET", "/services/bookings/history", "")
+	tr.do("ana", "GET", "/services/bookings?from=2", "")
+	tr.post("ana", "/review", fields(tr.hidden("/review"), "targets.slots", "5"))
+	g.Expect(tr.post("ana", "/apply", tr.hidden("/apply"))).To(gomega.Equal(303))
+	tr.say("Without a majority the newest known version is shown as such.")
+	tr.store.cut = true
+	tr.do("ana", "GET", "/services/bookings/delete", "")
+	g.Expect(tr.post("ana", "/delete", tr.hidden("/delete"))).To(gomega.Equal(503))
+	g.Expect(tr.store.values["bookings"].Deleted).To(gomega.BeFalse())
+	tr.check("lost_answer")
+}
+
+func TestStrangersGetNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := newTranscript(t, token)
+	g.Expect(tr.do("eve", "GET", "/", "")).To(gomega.Equal(303))
+	g.Expect(tr.post("eve", "/login", url.Values{"operator": {"eve"}, "token": {"wrong"}})).To(gomega.Equal(403))
+	g.Expect(tr.post("eve", "/apply", url.Values{"name": {"bookings"}, "base": {"1"}, "request": {"x"}})).To(gomega.Equal(403))
+	g.Expect(tr.do("eve", "GET", "/v1/services", "")).To(gomega.Equal(401))
+	g.Expect(tr.do("eve", "DELETE", "/v1/services/bookings", "", "Authorization", "Bearer wrong")).To(gomega.Equal(401))
+	tr.say("A form of Ana's session is no use in Eve's hands, nor from another site.")
+	tr.login("ana")
+	tr.do("ana", "GET", "/services/bookings/delete", "")
+	form := tr.hidden("/delete")
+	g.Expect(tr.post("eve", "/delete", form)).To(gomega.Equal(403))
+	form.Set("form", "forged")
+	g.Expect(tr.post("ana", "/delete", form)).To(gomega.Equal(403))
+	g.Expect(tr.do("ana", "POST", "/delete", form.Encode(), "Content-Type", "application/x-www-form-urlencoded",
+		"Origin", "http://elsewhere.example", "Sec-Fetch-Site", "cross-site")).To(gomega.Equal(403))
+	g.Expect(tr.store.values["bookings"].Revision).To(gomega.Equal(uint64(1)))
+	tr.check("strangers")
+}
+
+func TestWithoutTokenOnlyLoopbackNamesAreServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := newTranscript(t, "")
+	g.Expect(tr.do("local", "GET", "/", "")).To(gomega.Equal(200))
+	for _, name := range []string{"rebound.example:7001", "192.0.2.7", ""} {
+		g.Expect(tr.do("eve", "GET", "/v1/services", "", "Host", name)).To(gomega.Equal(421), name)
+		g.Expect(tr.do("eve", "GET", "/", "", "Host", name)).To(gomega.Equal(421), name)
+	}
+	for _, name := range []string{"localhost:7001", "[::1]:7001", "127.0.0.1"} {
+		g.Expect(tr.do("local", "GET", "/", "", "Host", name)).To(gomega.Equal(200), name)
+	}
+	w := tr.cookies["local"][0]
+	g.Expect(w.HttpOnly).To(gomega.BeTrue())
+	g.Expect(w.SameSite).To(gomega.Equal(http.SameSiteStrictMode))
+}
+
+func TestBadInputChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := newTranscript(t, "")
+	good := `{"name":"bookings","receive":{"path_prefixes":["/"]}}`
+	put := func(status int, body string, headers ...string) {
+		g.Expect(tr.do("api", "PUT", "/v1/services/bookings", body, headers...)).To(gomega.Equal(status))
+	}
+	put(400, `{"name":"bookings",`, "If-Match", "1", "Idempotency-Key", "k1")
+	put(400, `{"name":"books","receive":{"weight":0,"colour":"red"},"hold":{"length":"x"}}`, "If-Match", "1", "Idempotency-Key", "k2")
+	put(413, strings.Repeat(" ", 70<<10)+good, "If-Match", "1", "Idempotency-Key", "k3")
+	put(428, good, "Idempotency-Key", "k4")
+	put(400, good, "If-Match", "one", "Idempotency-Key", "k5")
+	put(400, good, "If-Match", "1")
+	tr.say("A new service under a name that is taken, and a revision that never was.")
+	put(409, good, "If-Match", "0", "Idempotency-Key", "k6")
+	put(409, good, "If-Match", "7", "Idempotency-Key", "k6")
+	tr.say("The key of an accepted request under another document is no resend.")
+	put(409, good, "If-Match", "0", "Idempotency-Key", "first")
+	g.Expect(tr.do("api", "PUT", "/v1/services/Bad..Name", good, "If-Match", "0", "Idempotency-Key", "k7")).To(gomega.Equal(400))
+	g.Expect(tr.do("api", "DELETE", "/v1/services/nothing", "", "If-Match", "0", "Idempotency-Key", "k8")).To(gomega.Equal(400))
+	g.Expect(tr.do("api", "GET", "/v1/services/nothing", "")).To(gomega.Equal(404))
+	g.Expect(tr.do("api", "POST", "/v1/validate", `{"name":"x"}`)).To(gomega.Equal(400))
+	g.Expect(tr.do("api", "POST", "/v1/validate", good)).To(gomega.Equal(200))
+	g.Expect(tr.do("api", "GET", "/v1/services/bookings/history", "")).To(gomega.Equal(200))
+	tr.say("The form names each fault beside its field.")
+	tr.do("ana", "GET", "/new", "")
+	g.Expect(tr.post("ana", "/review", fields(tr.hidden("/review"), "name", "Bookings", "receive.path_prefixes", "bookings\n/x",
+		"retry.attempts", "many", "hold.longest_wait", "soon", "targets.slots", "0",
+		"receive.routes[4].path_prefix", "y", "receive.routes[4].weight", "0", "receive.routes[4].deadline", "0s"))).To(gomega.Equal(422))
+	g.Expect(tr.store.values).To(gomega.HaveLen(1))
+	g.Expect(tr.store.values["bookings"].Revision).To(gomega.Equal(uint64(1)))
+	tr.check("bad_input")
+}
--- /dev/null
+++ b/io/consol/show.go
@@ -0,0 +1,240 @@
+package consol
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/diff"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
+	"cardamomspool/io/admin"
+)
+
+type (
+	// page is what every page has.
+	page struct {
+		Title    string
+		Host     string
+		Operator string
+		Token    bool
+		LoggedIn bool
+		Form     string
+	}
+
+	loginPage struct {
+		page
+		Operator      string
+		TokenFault    string
+		OperatorFault string
+	}
+
+	listPage struct {
+		page
+		Services []admin.Past
+		Notice   string
+	}
+
+	problemPage struct {
+		page
+		Text string
+	}
+
+	historyPage struct {
+		page
+		Name    string
+		Entries []historyEntry
+	}
+
+	historyEntry struct {
+		admin.Past
+		Previous []byte
+		Newest   bool
+	}
+
+	hostsPage struct {
+		page
+		Status    quorum.Status
+		Sightings []hostRow
+		Targets   []targetRow
+		Taken     time.Time
+	}
+
+	// hostRow is one entry host with the services that are behind.
+	hostRow struct {
+		admin.Sighting
+		Behind []string
+	}
+
+	// targetRow is one target as all answering entry hosts see it.
+	targetRow struct {
+		admin.TargetView
+		States string
+	}
+
+	// diffLine is one line of a difference with its class of style.
+	diffLine struct {
+		Class string
+		Text  string
+	}
+)
+
+func (c *Console) page(title string, s session) page {
+	return page{
+		Title: title, Host: c.host, Operator: s.Operator, Token: c.token != "",
+		LoggedIn: s.Nonce != "", Form: c.signer.formToken(s),
+	}
+}
+
+func (c *Console) problem(w http.ResponseWriter, status int, s session, title, text string) {
+	c.render(w, status, "problem", problemPage{page: c.page(title, s), Text: text})
+}
+
+// latest returns the newest entry of a service's history.
+func (c *Console) latest(v spec.Versioned) admin.Past {
+	for _, p := range admin.Pasts(c.store, v.Name) {
+		if p.Revision == v.Revision {
+			return p
+		}
+	}
+	return admin.Past{Versioned: v}
+}
+
+func (c *Console) list(w http.ResponseWriter, r *http.Request, s session) {
+	p := listPage{page: c.page("Services", s)}
+	for _, v := range c.store.List() {
+		p.Services = append(p.Services, c.latest(v))
+	}
+	if name := r.URL.Query().Get("deleted"); spec.ValidName(name) {
+		p.Notice = "Service " + name + " is deleted."
+	}
+	c.render(w, http.StatusOK, "list", p)
+}
+
+func (c *Console) history(w http.ResponseWriter, r *http.Request, s session) {
+	p := historyPage{Name: r.PathValue("name")}
+	pasts := admin.Pasts(c.store, p.Name)
+	if len(pasts) == 0 {
+		c.problem(w, http.StatusNotFound, s, "No such service", "There has been no service of this name on this control host.")
+		return
+	}
+	p.page = c.page("History of "+p.Name, s)
+	for i, past := range pasts {
+		e := historyEntry{Past: past, Newest: i == 0}
+		if i+1 < len(pasts) {
+			e.Previous = pasts[i+1].Body
+		}
+		p.Entries = append(p.Entries, e)
+	}
+	c.render(w, http.StatusOK, "history", p)
+}
+
+func (c *Console) hosts(w http.ResponseWriter, r *http.Request, s session) {
+	if every, err := strconv.Atoi(r.URL.Query().Get("every")); err == nil && every >= 1 && every <= 3600 {
+		w.Header().Set("Refresh", strconv.Itoa(every))
+	}
+	p := hostsPage{page: c.page("Hosts and targets", s), Status: c.store.Status(), Taken: c.now()}
+	sightings := c.fleet.Look(r.Context())
+	for _, sighting := range sightings {
+		p.Sightings = append(p.Sightings, hostRow{Sighting: sighting, Behind: c.behind(sighting)})
+	}
+	p.Targets = targetRows(sightings)
+	c.render(w, http.StatusOK, "hosts", p)
+}
+
+// behind lists the services whose newest document is not in force on an
+// entry host.
+func (c *Console) behind(s admin.Sighting) []string {
+	inForce := make(map[string]uint64, len(s.Services))
+	for _, v := range s.Services {
+		inForce[v.Name] = v.Revision
+	}
+	var list []string
+	for _, v := range c.store.List() {
+		if s.Problem == "" && inForce[v.Name] < v.Revision {
+			list = append(list, fmt.Sprintf("%s at %d, not %d", v.Name, inForce[v.Name], v.Revision))
+		}
+	}
+	return list
+}
+
+// targetRows joins what the entry hosts say into one row for each target.
+func targetRows(sightings []admin.Sighting) []targetRow {
+	type key struct{ service, name string }
+	views := make(map[key]admin.TargetView)
+	states := make(map[key]map[string]int)
+	for _, s := range sightings {
+		for _, t := range s.Targets {
+			k := key{t.Service, t.Name}
+			if states[k] == nil {
+				states[k] = make(map[string]int)
+			}
+			states[k][t.State]++
+			if t.Incarnation >= views[k].Incarnation {
+				views[k] = t
+			}
+		}
+	}
+	rows := make([]targetRow, 0, len(views))
+	for k, view := range views {
+		rows = append(rows, targetRow{TargetView: view, States: countText(states[k])})
+	}
+	slices.SortFunc(rows, func(a, b targetRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return rows
+}
+
+func countText(counts map[string]int) string {
+	var parts []string
+	for state, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s on %d", state, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+// when writes a time for people; a missing one as a dash.
+func when(t time.Time) string {
+	if t.IsZero() {
+		return "–"
+	}
+	return t.UTC().Format("2006-01-02 15:04:05 UTC")
+}
+
+// diffLines returns the lines in which two documents differ, with some lines
+// around them. It returns nil when they are equal.
+func diffLines(before, after []byte) []diffLine {
+	text := diff.Diff("before", spec.Indent(before), "after", spec.Indent(after))
+	var lines []diffLine
+	for _, line := range bytes.Split(bytes.TrimSpace(text), []byte("\n")) {
+		switch {
+		case len(line) == 0 || bytes.HasPrefix(line, []byte("diff ")),
+			bytes.HasPrefix(line, []byte("--- ")), bytes.HasPrefix(line, []byte("+++ ")):
+		case line[0] == '+':
+			lines = append(lines, diffLine{"added", string(line)})
+		case line[0] == '-':
+			lines = append(lines, diffLine{"removed", string(line)})
+		case line[0] == '@':
+			lines = append(lines, diffLine{"place", string(line)})
+		default:
+			lines = append(lines, diffLine{"", string(line)})
+		}
+	}
+	return lines
+}
+
+// fieldID returns the identifier in the page of the field called name, or of
+// the list that the entry called name belongs to.
+func fieldID(name string) string {
+	if strings.HasSuffix(name, "]") {
+		name = name[:strings.LastIndex(name, "[")]
+	}
+	return "f-" + strings.NewReplacer(".", "-", "[", "-", "]", "").Replace(name)
+}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -137,7 +137,7 @@
 	peers := grpc.NewServer()
 	peerpb.RegisterAgreementServer(peers, &agreement{host: h})
 	peerpb.RegisterConfigurationServer(peers, &configuration{host: h, stop: ctx})
-	api := drain.New(&http.Server{Handler: admin.NewControl(h, h.token, h.metrics, h.log), ReadHeaderTimeout: admin.HeaderTimeout})
+	api := drain.New(&http.Server{Handler: h.operators(), ReadHeaderTimeout: admin.HeaderTimeout})
 	failed := make(chan error, 2)
 	go func() { failed <- peers.Serve(peerListener) }()
 	go func() { failed <- api.Serve(adminListener) }()
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -177,16 +177,3 @@
 	defer h.mu.Unlock()
 	return h.targets.Len()
 }
-
-func (h *Host) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", h.metrics)
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if h.ready.Load() {
-			w.WriteHeader(http.StatusNoContent)
-			return
-		}
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})
-	return mux
-}
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -156,10 +156,22 @@
 			DecisionLogOneIn: 1, StopGrace: strict.Duration(5 * time.Second),
 		})
 	}
+	for i := range s.controls {
+		s.controls[i].Entries = s.watched()
+	}
 	s.targets = ports
 	return nil
 }
 
+// watched lists the entry hosts that the console shows.
+func (s *System) watched() []setup.Watched {
+	var list []setup.Watched
+	for _, e := range s.entries {
+		list = append(list, setup.Watched{Host: e.Host, DataCentre: e.DataCentre, AdminAddress: e.AdminAddress})
+	}
+	return list
+}
+
 func common(p setup.Peer, adminAddress netip.AddrPort, controls []setup.Peer) setup.Common {
 	return setup.Common{
 		Host: p.Host, DataCentre: p.DataCentre, LogLevel: "info",
