Give ctl delete, history, validate, status and targets, and resends

Cause: ctl had get and apply to one address, with base 0 unless given, one exit code and no resend; an answer that was lost was the operator's to handle. Resending is safe as the control hosts answer a resend with the first answer. Tests: scripts against a control host in the test's process, one behind a front that loses the first answer to a change.

--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -1,120 +1,335 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/diff"
 
 	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/client"
 	"cardamomspool/io/setup"
 )
 
-// ctlOptions are the values of the operators' command line.
-type ctlOptions struct {
-	control   string
-	tokenFile string
-	name      string
-	file      string
-	base      string
-	request   string
-}
+type (
+	// ctlOptions are the values of the operators' command line.
+	ctlOptions struct {
+		control   string
+		tokenFile string
+		operator  string
+		output    string
+		timeout   time.Duration
+		name      string
+		file      string
+		base      string
+		request   string
+		revision  uint64
+		dryRun    bool
+	}
+
+	// ctlRun carries out one subcommand of ctl.
+	ctlRun func(ctx context.Context, c *client.Client, o *ctlOptions) error
+)
 
 const (
 	defaultControl = "127.0.0.1:7001"
 	ctlTimeout     = 15 * time.Second
-	maxReplyBytes  = 16 << 20
+	outputTable    = "table"
+	outputJSON     = "json"
+)
+
+// Exit codes of ctl, beside exitFailed and exitUsage.
+const (
+	exitConflict = 3 // The service has moved on; nothing was changed.
+	exitFaults   = 4 // The document or the request has faults; nothing was changed.
+	exitUnknown  = 5 // No final answer; send the same request again.
+	exitToken    = 6 // The operator token is missing or wrong.
 )
 
 func ctlCommands(o *ctlOptions) []*command {
-	o.control, o.base = defaultControl, "0"
+	o.control, o.output, o.timeout, o.operator = defaultControl, outputTable, ctlTimeout, os.Getenv("USER")
 	ctl := flaggy.NewSubcommand("ctl")
 	ctl.Description = "read and change service documents"
-	ctl.String(&o.control, "a", "control", "admin address of a control host")
-	ctl.String(&o.tokenFile, "t", "token-file", "file with the operator token")
-	get := flaggy.NewSubcommand("get")
-	get.Description = "print one service document, or all without a name"
-	get.AddPositionalValue(&o.name, "name", 1, false, "name of the service")
-	apply := flaggy.NewSubcommand("apply")
-	apply.Description = "replace a service document"
-	apply.AddPositionalValue(&o.file, "file", 1, true, "JSON file with the document")
-	apply.String(&o.base, "b", "base", "revision that the change is based on, 0 for a new service")
-	apply.String(&o.request, "q", "request", "identity of the request; give the same one to send it again")
-	ctl.AttachSubcommand(get, 1)
-	ctl.AttachSubcommand(apply, 1)
 	flaggy.AttachSubcommand(ctl, 1)
-	return []*command{
-		{parser: get, run: func(ctx context.Context, _ *options) error { return ctlGet(ctx, o) }},
-		{parser: apply, run: func(ctx context.Context, _ *options) error { return ctlApply(ctx, o) }},
-		{parser: ctl, run: func(context.Context, *options) error { return errUsage }},
+	commands := []*command{
+		ctlGetCommand(o), ctlApplyCommand(o), ctlDeleteCommand(o), ctlHistoryCommand(o), ctlValidateCommand(o),
+		ctlCommand(o, "status", "print how each control host stands", ctlStatus),
+		ctlCommand(o, "targets", "print the targets that entry hosts know", ctlTargets),
+	}
+	for _, c := range commands {
+		ctl.AttachSubcommand(c.parser, 1)
 	}
+	return append(commands, &command{parser: ctl, run: func(context.Context, *options) error { return errUsage }})
+}
+
+// ctlCommand returns a subcommand with the flags that all of them have.
+func ctlCommand(o *ctlOptions, name, description string, run ctlRun) *command {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	sub.String(&o.control, "a", "control", "admin addresses of control hosts, with commas between them")
+	sub.String(&o.tokenFile, "t", "token-file", "file with the operator token")
+	sub.String(&o.operator, "u", "operator", "name that is kept in the history")
+	sub.String(&o.output, "o", "output", "table or json")
+	sub.Duration(&o.timeout, "w", "timeout", "longest wait for a final answer")
+	return &command{parser: sub, run: func(ctx context.Context, _ *options) error {
+		ctx, cancel := context.WithTimeout(ctx, o.timeout)
+		defer cancel()
+		c, err := newClient(o)
+		if err != nil {
+			return err
+		}
+		return run(ctx, c, o)
+	}}
 }
 
-func ctlGet(ctx context.Context, o *ctlOptions) error {
-	path := "/v1/services"
-	if o.name != "" {
-		path += "/" + o.name
+func ctlGetCommand(o *ctlOptions) *command {
+	c := ctlCommand(o, "get", "print one service document, or a list without a name", ctlGet)
+	c.parser.AddPositionalValue(&o.name, "name", 1, false, "name of the service")
+	return c
+}
+
+func ctlApplyCommand(o *ctlOptions) *command {
+	c := ctlCommand(o, "apply", "replace or make a service document", ctlApply)
+	c.parser.AddPositionalValue(&o.file, "file", 1, true, "JSON file with the document, - for standard input")
+	c.parser.Bool(&o.dryRun, "d", "dry-run", "show the difference and change nothing")
+	changeFlags(c.parser, o)
+	return c
+}
+
+func ctlDeleteCommand(o *ctlOptions) *command {
+	c := ctlCommand(o, "delete", "delete a service", ctlDelete)
+	c.parser.AddPositionalValue(&o.name, "name", 1, true, "name of the service")
+	changeFlags(c.parser, o)
+	return c
+}
+
+func changeFlags(sub *flaggy.Subcommand, o *ctlOptions) {
+	sub.String(&o.base, "b", "base", "revision that the change is based on; without it the current one")
+	sub.String(&o.request, "q", "request", "identity of the request; give the same one to send it again")
+}
+
+func ctlHistoryCommand(o *ctlOptions) *command {
+	c := ctlCommand(o, "history", "print the latest versions of a service", ctlHistory)
+	c.parser.AddPositionalValue(&o.name, "name", 1, true, "name of the service")
+	c.parser.UInt64(&o.revision, "r", "revision", "print the document of this revision")
+	return c
+}
+
+func ctlValidateCommand(o *ctlOptions) *command {
+	c := ctlCommand(o, "validate", "check a service document and print it as it would be stored", ctlValidate)
+	c.parser.AddPositionalValue(&o.file, "file", 1, true, "JSON file with the document, - for standard input")
+	return c
+}
+
+func newClient(o *ctlOptions) (*client.Client, error) {
+	if o.output != outputTable && o.output != outputJSON {
+		return nil, errors.Wrapf(errUsage, "--output is %q, must be table or json", o.output)
+	}
+	var controls []netip.AddrPort
+	for _, text := range strings.Split(o.control, ",") {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, errors.Wrapf(errUsage, "--control: %q is no IP number with a port", text)
+		}
+		controls = append(controls, address)
+	}
+	token, err := setup.Token(o.tokenFile)
+	if err != nil {
+		return nil, err
 	}
-	return ctlDo(ctx, o, http.MethodGet, path, nil)
+	return client.New(controls, client.WithToken(token), client.WithOperator(o.operator)), nil
 }
 
-func ctlApply(ctx context.Context, o *ctlOptions) error {
+// exitCode returns the exit code that stands for err.
+func exitCode(err error) int {
 	var (
-		data []byte
-		err  error
+		status *client.StatusError
+		faults strict.Faults
 	)
-	if data, err = os.ReadFile(o.file); err != nil {
-		return errors.Wrap(err, "document")
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, client.ErrNoAnswer):
+		return exitUnknown
+	case errors.As(err, &faults):
+		return exitFaults
+	case errors.As(err, &status):
+		return statusExitCode(status.Code)
+	default:
+		return exitFailed
+	}
+}
+
+func statusExitCode(status int) int {
+	switch status {
+	case http.StatusConflict:
+		return exitConflict
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return exitFaults
+	case http.StatusUnauthorized:
+		return exitToken
+	default:
+		return exitFailed
+	}
+}
+
+func ctlGet(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	if o.name == "" {
+		list, err := c.List(ctx)
+		if err != nil {
+			return err
+		}
+		return printServices(os.Stdout, o.output, list)
+	}
+	doc, err := c.Get(ctx, o.name)
+	if err != nil {
+		return err
+	}
+	if !doc.Confirmed {
+		fmt.Fprintln(os.Stderr, "no majority of control hosts answered; a newer version may exist")
+	}
+	if o.output == outputJSON {
+		return printJSON(os.Stdout, doc)
+	}
+	_, err = os.Stdout.Write(spec.Indent(doc.Body))
+	return err
+}
+
+func ctlApply(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	data, err := readFile(o.file)
+	if err != nil {
+		return err
 	}
 	doc, faults := spec.Parse(data)
 	if err = faults.Err(); err != nil {
 		return errors.Wrapf(err, "document %s", o.file)
 	}
-	if o.request == "" {
-		o.request = rand.Text()
+	change := client.Change{Name: doc.Name, Document: data}
+	if !o.dryRun {
+		return submit(ctx, c, o, change)
+	}
+	current, err := c.Revision(ctx, doc.Name)
+	if err != nil {
+		return err
 	}
-	return ctlDo(ctx, o, http.MethodPut, "/v1/services/"+doc.Name, data)
+	return printDiff(os.Stdout, current, spec.Canonical(doc))
 }
 
-// ctlDo sends one request to the control host and prints its answer.
-func ctlDo(ctx context.Context, o *ctlOptions, method, path string, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, ctlTimeout)
-	defer cancel()
-	var (
-		req   *http.Request
-		resp  *http.Response
-		token string
-		data  []byte
-		err   error
-	)
-	if req, err = http.NewRequestWithContext(ctx, method, "http://"+o.control+path, bytes.NewReader(body)); err != nil {
-		return errors.Wrap(err, "ctl")
-	}
-	if token, err = setup.Token(o.tokenFile); err != nil {
+func ctlDelete(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	return submit(ctx, c, o, client.Change{Name: o.name, Deleted: true})
+}
+
+// submit carries out a change and tells how to send it again when its outcome
+// is not known.
+func submit(ctx context.Context, c *client.Client, o *ctlOptions, change client.Change) error {
+	var err error
+	if change.Base, err = base(ctx, c, o, change.Name); err != nil {
 		return err
 	}
-	if token != "" {
-		req.Header.Set("Authorization", "Bearer "+token)
+	if change.Request = o.request; change.Request == "" {
+		change.Request = rand.Text()
 	}
-	req.Header.Set("If-Match", o.base)
-	req.Header.Set("Idempotency-Key", o.request)
-	if resp, err = http.DefaultClient.Do(req); err != nil {
-		return errors.Wrapf(err, "ctl: no answer to request %q", o.request)
+	done, err := c.Apply(ctx, change)
+	if errors.Is(err, client.ErrNoAnswer) {
+		return errors.WithMessagef(err, "send it again with --base %d --request %s", change.Base, change.Request)
 	}
-	defer resp.Body.Close()
-	if data, err = io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes)); err != nil {
-		return errors.Wrap(err, "ctl")
+	if err != nil {
+		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("ctl: %s\n%s", resp.Status, data)
+	if o.output == outputJSON {
+		return printJSON(os.Stdout, done)
 	}
-	fmt.Print(string(data))
+	fmt.Printf("%s is at revision %d, based on %d\n", done.Name, done.Revision, change.Base)
 	return nil
 }
+
+// base returns the revision that the operator gave, or the current one.
+func base(ctx context.Context, c *client.Client, o *ctlOptions, name string) (uint64, error) {
+	if o.base != "" {
+		n, err := strconv.ParseUint(o.base, 10, 64)
+		if err != nil {
+			return 0, errors.Wrapf(errUsage, "--base is %q, must be a revision", o.base)
+		}
+		return n, nil
+	}
+	current, err := c.Revision(ctx, name)
+	return current.Revision, err
+}
+
+func ctlHistory(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	pasts, err := c.History(ctx, o.name)
+	if err != nil {
+		return err
+	}
+	if o.revision == 0 {
+		return printHistory(os.Stdout, o.output, pasts)
+	}
+	for _, p := range pasts {
+		if p.Revision == o.revision && !p.Deleted {
+			_, err = os.Stdout.Write(spec.Indent(p.Body))
+			return err
+		}
+	}
+	return errors.Errorf("no document of revision %d is known", o.revision)
+}
+
+func ctlValidate(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	data, err := readFile(o.file)
+	if err != nil {
+		return err
+	}
+	checked, err := c.Validate(ctx, data)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(spec.Indent(checked.Document))
+	return err
+}
+
+func ctlStatus(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	return printStatus(os.Stdout, o.output, c.Status(ctx))
+}
+
+func ctlTargets(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	list, err := c.Targets(ctx)
+	if err != nil {
+		return err
+	}
+	return printTargets(os.Stdout, o.output, list)
+}
+
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		return data, errors.Wrap(err, "document")
+	}
+	data, err := os.ReadFile(path)
+	return data, errors.Wrap(err, "document")
+}
+
+// printDiff writes how after differs from the current document.
+func printDiff(w io.Writer, current spec.Versioned, after []byte) error {
+	var before []byte
+	if !current.Deleted && current.Revision > 0 {
+		before = spec.Indent(current.Body)
+	}
+	text := diff.Diff(fmt.Sprintf("revision %d", current.Revision), before, "file", spec.Indent(after))
+	if len(text) == 0 {
+		text = []byte("no difference\n")
+	}
+	_, err := w.Write(text)
+	return err
+}
--- /dev/null
+++ b/cmd/cardamomspool/ctl_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"cardamomspool/core/strict"
+	"cardamomspool/io/ctrl"
+	"cardamomspool/io/setup"
+)
+
+// TestCtlScripts runs each script against a control host of its own. CONTROL
+// is its address, DEAD one where nothing listens, LOSSY one that hands requests
+// on and loses the first answer to each change.
+func TestCtlScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/ctl", Setup: startControl})
+}
+
+func startControl(env *testscript.Env) error {
+	adminAddress, peerAddress, dead := freeAddress(), freeAddress(), freeAddress()
+	token := filepath.Join(env.WorkDir, "token")
+	if err := os.WriteFile(token, []byte("correct-horse\n"), 0o600); err != nil {
+		return err
+	}
+	cfg := setup.DefaultControl()
+	cfg.Host, cfg.DataCentre, cfg.AdminAddress, cfg.PeerAddress = "control-1", "test", adminAddress, peerAddress
+	cfg.Controls = []setup.Peer{{Host: "control-1", DataCentre: "test", PeerAddress: peerAddress}}
+	cfg.Entries = []setup.Watched{{Host: "entry-1", DataCentre: "test", AdminAddress: dead}}
+	cfg.DataFolder, cfg.OperatorTokenFile = filepath.Join(env.WorkDir, "data"), token
+	cfg.StopGrace = strict.Duration(time.Second)
+	host, err := ctrl.New(cfg)
+	if err != nil {
+		return err
+	}
+	lossy := &http.Server{Handler: &lossyFront{control: adminAddress.String()}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	go lossy.Serve(l)
+	env.Defer(func() {
+		lossy.Close()
+		cancel()
+		<-ended
+	})
+	env.Setenv("CONTROL", adminAddress.String())
+	env.Setenv("DEAD", dead.String())
+	env.Setenv("LOSSY", l.Addr().String())
+	return nil
+}
+
+func freeAddress() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// lossyFront hands every request to a control host and breaks the connection
+// instead of answering the first change.
+type lossyFront struct {
+	control string
+	lost    bool
+}
+
+func (f *lossyFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.URL.Scheme, r.URL.Host, r.RequestURI = "http", f.control, ""
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer resp.Body.Close()
+	if r.Method != http.MethodGet && !f.lost {
+		f.lost = true
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(resp.StatusCode)
+	if _, err = io.Copy(w, resp.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -64,7 +64,7 @@
 	}
 	if err := chosen.run(ctx, &o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
+		os.Exit(exitCode(err))
 	}
 }
 
--- /dev/null
+++ b/cmd/cardamomspool/print.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"cardamomspool/core/spec"
+	"cardamomspool/io/admin"
+	"cardamomspool/io/client"
+)
+
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetEscapeHTML(false)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// printRows writes v as JSON, or the rows under a heading, as output says.
+func printRows(w io.Writer, output string, v any, heading string, rows []string) error {
+	if output == outputJSON {
+		return printJSON(w, v)
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, heading)
+	for _, row := range rows {
+		fmt.Fprintln(tw, row)
+	}
+	return tw.Flush()
+}
+
+func printServices(w io.Writer, output string, list []spec.Versioned) error {
+	var rows []string
+	for _, v := range list {
+		rows = append(rows, fmt.Sprintf("%s\t%d", v.Name, v.Revision))
+	}
+	return printRows(w, output, list, "SERVICE\tREVISION", rows)
+}
+
+func printHistory(w io.Writer, output string, list []admin.Past) error {
+	var rows []string
+	for _, p := range list {
+		what := "changed"
+		if p.Deleted {
+			what = "deleted"
+		}
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s", p.Revision, what, dash(p.Operator), p.At.UTC().Format(time.RFC3339)))
+	}
+	return printRows(w, output, list, "REVISION\tWHAT\tOPERATOR\tAT", rows)
+}
+
+func printStatus(w io.Writer, output string, list []client.HostStatus) error {
+	var rows []string
+	for _, s := range list {
+		if s.Problem != "" {
+			rows = append(rows, fmt.Sprintf("%s\t-\t-\t-\t-\t%s", s.Address, s.Problem))
+			continue
+		}
+		state := "votes"
+		if !s.Voting {
+			state = "recovers: " + s.Recovery
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%s", s.Address, s.Host, s.Registers, s.Reachable, s.Majority, state))
+	}
+	return printRows(w, output, list, "ADDRESS\tHOST\tDOCUMENTS\tHEARD\tNEEDED\tSTATE", rows)
+}
+
+func printTargets(w io.Writer, output string, list []admin.Sighting) error {
+	var rows []string
+	for _, s := range list {
+		if s.Problem != "" {
+			rows = append(rows, fmt.Sprintf("%s\t-\t-\t-\t-\tunreachable: %s", s.Host, s.Problem))
+		}
+		for _, t := range s.Targets {
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", s.Host, t.Service, t.Name, t.Address, t.DataCentre, t.State))
+		}
+	}
+	return printRows(w, output, list, "SEEN BY\tSERVICE\tTARGET\tADDRESS\tDATA CENTRE\tSTATE", rows)
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/io/client/client.go
@@ -0,0 +1,251 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
+	"cardamomspool/io/admin"
+)
+
+type (
+	// Client asks control hosts. Use New.
+	Client struct {
+		controls []netip.AddrPort
+		token    string
+		operator string
+		http     *http.Client
+		pause    time.Duration
+	}
+
+	// Option sets one property of a Client.
+	Option func(*Client)
+
+	// Change is a change of one service.
+	Change struct {
+		// Name is the name of the service.
+		Name string
+		// Base is the revision that the change is based on.
+		Base uint64
+		// Request identifies the change over resends.
+		Request string
+		// Deleted asks to remove the service.
+		Deleted bool
+		// Document is the new document; ignored when Deleted.
+		Document []byte
+	}
+
+	// StatusError is a final answer other than success.
+	StatusError struct {
+		// Code is the HTTP status.
+		Code int
+		// Problem is what the control host says.
+		Problem admin.Problem
+	}
+
+	// HostStatus is what one control host says of itself, or why it does not.
+	HostStatus struct {
+		// Address is the one that was asked.
+		Address netip.AddrPort `json:"address"`
+		quorum.Status
+		// Problem says why there is no answer; empty if there is.
+		Problem string `json:"problem,omitempty"`
+	}
+
+	// request is one request to any control host.
+	request struct {
+		method string
+		path   string
+		header http.Header
+		body   []byte
+	}
+)
+
+const (
+	attemptTimeout = 12 * time.Second
+	statusTimeout  = 2 * time.Second
+	defaultPause   = 200 * time.Millisecond
+	maxAnswerBytes = 16 << 20
+)
+
+// ErrNoAnswer reports that no control host gave a final answer in time. A
+// change may or may not have taken effect.
+var ErrNoAnswer = errors.New("no control host gave a final answer")
+
+// WithToken sets the operator token.
+func WithToken(token string) Option {
+	return func(c *Client) { c.token = token }
+}
+
+// WithOperator sets the name that is kept in the history of changes.
+func WithOperator(name string) Option {
+	return func(c *Client) { c.operator = name }
+}
+
+// New returns a Client of the given control hosts, asked in that order. There
+// must be at least one.
+func New(controls []netip.AddrPort, opts ...Option) *Client {
+	c := &Client{controls: controls, http: &http.Client{Timeout: attemptTimeout}, pause: defaultPause}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Error describes the answer, with each fault on a line of its own.
+func (e *StatusError) Error() string {
+	text := e.Problem.Error
+	if text == "" {
+		text = http.StatusText(e.Code)
+	}
+	if len(e.Problem.Faults) > 0 {
+		text += "\n" + e.Problem.Faults.Error()
+	}
+	return text
+}
+
+// Get returns the current document of a service.
+func (c *Client) Get(ctx context.Context, name string) (admin.Document, error) {
+	var d admin.Document
+	return d, c.do(ctx, request{method: http.MethodGet, path: servicePath(name)}, &d)
+}
+
+// Revision returns the revision that a new change to a service is based on: 0
+// when there never was one, the one of the deletion when it was deleted.
+func (c *Client) Revision(ctx context.Context, name string) (spec.Versioned, error) {
+	d, err := c.Get(ctx, name)
+	var status *StatusError
+	if errors.As(err, &status) && status.Code == http.StatusNotFound && status.Problem.Current != nil {
+		return *status.Problem.Current, nil
+	}
+	return d.Versioned, err
+}
+
+// List returns the documents of all services.
+func (c *Client) List(ctx context.Context) ([]spec.Versioned, error) {
+	var list []spec.Versioned
+	return list, c.do(ctx, request{method: http.MethodGet, path: "/v1/services"}, &list)
+}
+
+// History returns the latest versions of a service, newest first.
+func (c *Client) History(ctx context.Context, name string) ([]admin.Past, error) {
+	var list []admin.Past
+	return list, c.do(ctx, request{method: http.MethodGet, path: servicePath(name) + "/history"}, &list)
+}
+
+// Validate returns a document as it would be stored.
+func (c *Client) Validate(ctx context.Context, document []byte) (admin.Checked, error) {
+	var checked admin.Checked
+	return checked, c.do(ctx, request{method: http.MethodPost, path: "/v1/validate", body: document}, &checked)
+}
+
+// Targets returns what each entry host knows.
+func (c *Client) Targets(ctx context.Context) ([]admin.Sighting, error) {
+	var list []admin.Sighting
+	return list, c.do(ctx, request{method: http.MethodGet, path: admin.TargetsPath}, &list)
+}
+
+// Apply carries out a change.
+func (c *Client) Apply(ctx context.Context, ch Change) (admin.Accepted, error) {
+	r := request{method: http.MethodPut, path: servicePath(ch.Name), header: http.Header{}, body: ch.Document}
+	if ch.Deleted {
+		r.method, r.body = http.MethodDelete, nil
+	}
+	r.header.Set(admin.HeaderBase, strconv.FormatUint(ch.Base, 10))
+	r.header.Set(admin.HeaderRequest, ch.Request)
+	r.header.Set(admin.HeaderOperator, c.operator)
+	var done admin.Accepted
+	return done, c.do(ctx, r, &done)
+}
+
+// Status asks every control host for its own status, at the same time.
+func (c *Client) Status(ctx context.Context) []HostStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	answers := make(chan int, len(c.controls))
+	list := make([]HostStatus, len(c.controls))
+	for i, address := range c.controls {
+		list[i].Address = address
+		go func() {
+			if err := c.attempt(ctx, address, request{method: http.MethodGet, path: "/v1/status"}, &list[i].Status); err != nil {
+				list[i].Problem = err.Error()
+			}
+			answers <- i
+		}()
+	}
+	for range c.controls {
+		<-answers
+	}
+	return list
+}
+
+func servicePath(name string) string {
+	return "/v1/services/" + url.PathEscape(name)
+}
+
+// do sends r to one control host after another until one gives a final answer
+// or ctx ends.
+func (c *Client) do(ctx context.Context, r request, v any) error {
+	for i := 0; ; i++ {
+		address := c.controls[i%len(c.controls)]
+		err := c.attempt(ctx, address, r, v)
+		if err == nil || isFinal(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.WithMessage(ErrNoAnswer, fmt.Sprintf("%s: %v", address, err))
+		case <-time.After(c.pause):
+		}
+	}
+}
+
+// isFinal reports whether asking again can't bring another answer.
+func isFinal(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Code != http.StatusServiceUnavailable
+}
+
+func (c *Client) attempt(ctx context.Context, to netip.AddrPort, r request, v any) error {
+	var (
+		req  *http.Request
+		resp *http.Response
+		data []byte
+		err  error
+	)
+	if req, err = http.NewRequestWithContext(ctx, r.method, "http://"+to.String()+r.path, bytes.NewReader(r.body)); err != nil {
+		return err
+	}
+	if r.header != nil {
+		req.Header = r.header.Clone()
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	if resp, err = c.http.Do(req); err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return errors.Wrap(json.Unmarshal(data, v), "answer of the control host")
+	}
+	status := &StatusError{Code: resp.StatusCode}
+	if err = json.Unmarshal(data, &status.Problem); err != nil {
+		status.Problem.Error = resp.Status
+	}
+	return status
+}
