--- a/io/local/local.go
+++ b/io/local/local.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -22,6 +21,7 @@
 	"cardamomspool/io/ctrl"
 	"cardamomspool/io/entry"
 	"cardamomspool/io/load"
+	"cardamomspool/io/ports"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/stub"
 	"cardamomspool/io/telem"
@@ -127,13 +127,13 @@
 
 // plan chooses free loopback ports and writes down the settings of all hosts.
 func (s *System) plan() error {
-	ports, err := freePorts(2*controlHosts + 4*entryHosts + targetCount)
+	free, err := ports.Free(2*controlHosts + 4*entryHosts + targetCount)
 	if err != nil {
 		return err
 	}
 	next := func() netip.AddrPort {
-		a := ports[0]
-		ports = ports[1:]
+		a := free[0]
+		free = free[1:]
 		return a
 	}
 	var controls, entries []setup.Peer
@@ -156,10 +156,22 @@
 			DecisionLogOneIn: 1, StopGrace: strict.Duration(5 * time.Second),
 		})
 	}
-	s.targets = ports
+	for i := range s.controls {
+		s.controls[i].Entries = s.watched()
+	}
+	s.targets = free
 	return nil
 }
 
+// watched lists the entry hosts that the console shows.
+func (s *System) watched() []setup.Watched {
+	var list []setup.Watched
+	for _, e := range s.entries {
+		list = append(list, setup.Watched{Host: e.Host, DataCentre: e.DataCentre, AdminAddress: e.AdminAddress})
+	}
+	return list
+}
+
 func common(p setup.Peer, adminAddress netip.AddrPort, controls []setup.Peer) setup.Common {
 	return setup.Common{
 		Host: p.Host, DataCentre: p.DataCentre, LogLevel: "info",
@@ -305,17 +317,3 @@
 	}
 	return nil
 }
-
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "local: free port")
-		}
-		defer l.Close()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return list, nil
-}
