--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -292,6 +292,7 @@
 		done     Accepted
 		faults   strict.Faults
 		conflict *quorum.ConflictError
+		reused   *quorum.ReusedError
 		err      error
 	)
 	done, err = c.editor.Submit(r.Context(), d)
@@ -302,6 +303,9 @@
 		reply(w, http.StatusBadRequest, Problem{Error: "the change has faults", Faults: faults})
 	case errors.As(err, &conflict):
 		reply(w, http.StatusConflict, Problem{Error: err.Error(), Current: &conflict.Current})
+	case errors.As(err, &reused):
+		c.log.Info("request identity reused", "service", d.Name, "request", d.Key)
+		reply(w, http.StatusUnprocessableEntity, Problem{Error: err.Error()})
 	default:
 		w.Header().Set("Retry-After", "1")
 		reply(w, http.StatusServiceUnavailable, Problem{Error: err.Error() + "; send the same request again"})
