--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -152,5 +152,7 @@
 
 func logger(c setup.Common) *slog.Logger {
 	level, _ := telem.Level(c.LogLevel)
-	return telem.Logger(os.Stderr, level, c.Host, c.DataCentre)
+	log := telem.Logger(os.Stderr, level, c.Host, c.DataCentre)
+	slog.SetDefault(log) // Libraries that write to the standard logger follow.
+	return log
 }
