Refuse what callers and targets could read differently

Ruled out: relying on the library alone; it mends both length fields and folded lines in silence. TLS callers' bytes are not looked into.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -131,13 +131,30 @@
 	c.mu.Unlock()
 }
 
-// bothLengths reports whether the present request has a Content-Length, or
+// lengthsClash reports whether the present request has a Content-Length, or
 // whether its header was too long to tell.
-func (c *callerConn) bothLengths() bool {
+func (c *callerConn) lengthsClash() bool {
+	header, whole := c.header()
+	return !whole || bytes.Contains(bytes.ToLower(header), []byte("\ncontent-length"))
+}
+
+// folded reports whether a line of the present header begins with a blank.
+func (c *callerConn) folded() bool {
+	header, _ := c.header()
+	return bytes.Contains(header, []byte("\n ")) || bytes.Contains(header, []byte("\n\t"))
+}
+
+// header returns the recorded header of the present request and whether it was
+// recorded whole. It stays valid until the next request.
+func (c *callerConn) header() ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	head, _, found := bytes.Cut(c.head, []byte("\r\n\r\n"))
-	return !found || bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length"))
+	for _, end := range []string{"\r\n\r\n", "\n\n"} {
+		if header, _, found := bytes.Cut(c.head, []byte(end)); found {
+			return header, true
+		}
+	}
+	return c.head, false
 }
 
 // reset makes the close of the connection visible as a reset, so that an
@@ -172,11 +189,13 @@
 	return c
 }
 
-// bothLengths reports whether a chunked request also has a Content-Length,
-// which the library has removed by now. Callers with TLS are not checked.
-func bothLengths(r *http.Request) bool {
-	c := callerOf(r.Context())
-	return c != nil && r.TLS == nil && c.bothLengths()
+// recorded returns the connection whose recorded header can be looked into, or
+// nil. What callers with TLS send is not recorded in the clear.
+func recorded(r *http.Request) *callerConn {
+	if r.TLS != nil {
+		return nil
+	}
+	return callerOf(r.Context())
 }
 
 // noteState logs requests that the HTTP library refused by itself.
--- a/io/entry/screen.go
+++ b/io/entry/screen.go
@@ -32,8 +32,9 @@
 		return &problem{http.StatusRequestEntityTooLarge, reasonTooLarge, "content length"}
 	case r.Host == "" && r.ProtoAtLeast(1, 1):
 		return &problem{http.StatusBadRequest, reasonBadRequest, "no host"}
-	case len(r.TransferEncoding) > 0 && bothLengths(r):
-		return &problem{http.StatusBadRequest, reasonBadRequest, "content length beside transfer encoding"}
+	}
+	if detail := headerFault(r); detail != "" {
+		return &problem{http.StatusBadRequest, reasonBadRequest, detail}
 	}
 	if detail := pathFault(r.URL.Path, r.URL.EscapedPath()); detail != "" {
 		return &problem{http.StatusBadRequest, reasonBadRequest, detail}
@@ -41,6 +42,21 @@
 	return nil
 }
 
+// headerFault says what the library has mended in the header although it may
+// mean something else to others on the way, or returns "".
+func headerFault(r *http.Request) string {
+	conn := recorded(r)
+	switch {
+	case conn == nil:
+		return ""
+	case conn.folded():
+		return "folded header line"
+	case len(r.TransferEncoding) > 0 && conn.lengthsClash():
+		return "content length beside transfer encoding"
+	}
+	return ""
+}
+
 // pathFault says what is ambiguous about a path, or returns "".
 func pathFault(path, escaped string) string {
 	lower := strings.ToLower(escaped)
