--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -15,9 +15,9 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
-	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
+	"cardamomspool/io/drain"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
@@ -120,7 +120,6 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	go h.watch(work)
-	go h.tick(work)
 	go h.exchange.pool.reap(work)
 	if h.keys != nil {
 		go h.keys.follow(work, keyPairCheck, h.log)
@@ -183,7 +182,11 @@
 	result := httpServer("call", h.cfg.CallAddress, s)
 	result.serve = func(l net.Listener) error {
 		callers := &callerListener{Listener: l, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
-		s.ConnState = callers.noteState
+		track := s.ConnState
+		s.ConnState = func(c net.Conn, state http.ConnState) {
+			track(c, state)
+			callers.noteState(c, state)
+		}
 		if h.keys == nil {
 			return s.Serve(callers)
 		}
@@ -193,7 +196,8 @@
 	return result
 }
 
-func httpServer(name string, address netip.AddrPort, s *http.Server) server {
+func httpServer(name string, address netip.AddrPort, inner *http.Server) server {
+	s := drain.New(inner)
 	return server{
 		name: name, address: address, serve: s.Serve,
 		stop: func(ctx context.Context) {
@@ -212,22 +216,6 @@
 	}
 }
 
-// tick lets time pass in the engines of all services until ctx ends.
-func (h *Host) tick(ctx context.Context) {
-	ticker := time.NewTicker(h.cfg.Tick.Std())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, s := range h.services.Load().list {
-				h.system.Root.Send(s.pid, engine.Tick{})
-			}
-		}
-	}
-}
-
 func (h *Host) targetCount() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
