--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -12,7 +12,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", h.metrics)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if h.ready.Load() {
+		if h.isReady() {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -27,7 +27,7 @@
 // view returns the services in force and all known targets.
 func (h *Host) view() admin.EntryView {
 	v := admin.EntryView{
-		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.ready.Load(),
+		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.isReady(),
 		Services: []admin.ServiceView{}, Targets: []admin.TargetView{},
 	}
 	for _, s := range h.services.Load().list {
@@ -43,3 +43,8 @@
 	}
 	return v
 }
+
+// isReady reports whether the platform's balancer may send calls here.
+func (h *Host) isReady() bool {
+	return h.ready.Load() && !h.draining.Load()
+}
