Let operators drain a target by its name in the document

Cause: a target drained only by its own announcement. Weighed: a request to each entry host (no revision, no history, lost by a host that is away) against a list of names in the service document. Taken: the list. Change: targets.drain in the document; the engine holds a listed target as draining at least, at each change of records or document; ctl drain and undrain; the view of targets marks it. Test: TestATargetThatTheDocumentDrainsGetsNoNewCall, seen red before the change (the second call went to the drained target); drain.txtar.

--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -31,6 +31,7 @@
 		output    string
 		timeout   time.Duration
 		name      string
+		target    string
 		file      string
 		base      string
 		request   string
@@ -64,6 +65,8 @@
 	flaggy.AttachSubcommand(ctl, 1)
 	commands := []*command{
 		ctlGetCommand(o), ctlApplyCommand(o), ctlDeleteCommand(o), ctlHistoryCommand(o), ctlValidateCommand(o),
+		ctlDrainCommand(o, "drain", "give a target no new calls", true),
+		ctlDrainCommand(o, "undrain", "give a drained target calls again", false),
 		ctlCommand(o, "status", "print how each control host stands", ctlStatus),
 		ctlCommand(o, "targets", "print the targets that entry hosts know", ctlTargets),
 	}
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomspool/core/admit"
+	"cardamomspool/core/member"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 )
@@ -19,6 +20,7 @@
 		calls   map[uint64]*call
 		credit  float64
 		rng     *rand.Rand
+		records []member.Record
 		expired []admit.Held
 	}
 
@@ -56,11 +58,11 @@
 	case Cancel:
 		return s.cancel(dst, e.Call, now)
 	case Retarget:
-		s.targets.Update(e.Records)
-		return s.serveHeld(dst, now)
+		s.records = e.Records
+		return s.retarget(dst, now)
 	case Configure:
 		s.configure(e.Document)
-		return s.serveHeld(dst, now)
+		return s.retarget(dst, now)
 	case Tick:
 		return s.tick(dst, now)
 	}
--- a/core/spec/fields.go
+++ b/core/spec/fields.go
@@ -98,6 +98,10 @@
 		Path: "targets.connections", Label: "Connections", Unit: "connections per target", Low: 1, High: MaxConnections,
 		Help: "Most connections to a target, over all entry hosts.",
 	},
+	{
+		Path: "targets.drain", Label: "Drained targets",
+		Help: "Names of targets that get no new calls, whatever they announce; calls in progress end as usual.",
+	},
 }
 
 // Reference returns an entry for each field of a service document, in the
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -109,6 +109,9 @@
 		// Connections is the most connections to a target, over all entry
 		// hosts.
 		Connections int `json:"connections"`
+		// Drain lists the names of targets that get no new calls, whatever
+		// they announce.
+		Drain []string `json:"drain"`
 	}
 
 	// Class is how one call is treated.
@@ -153,6 +156,8 @@
 	MaxConnections   = 100_000
 	MaxAttempts      = 10
 	MaxPercent       = 100
+	MaxDrained       = 1000
+	MaxTargetName    = 128
 	MinDeadline      = time.Millisecond
 	MaxDeadline      = time.Hour
 	MaxRetryAfter    = time.Hour
@@ -223,9 +228,24 @@
 	f.Range("retry.attempts", s.Retry.Attempts, 1, MaxAttempts)
 	f.Range("targets.slots", s.Targets.Slots, 1, MaxSlots)
 	f.Range("targets.connections", s.Targets.Connections, 1, MaxConnections)
+	s.Targets.validateDrain(&f)
 	return f
 }
 
+func (t *Targets) validateDrain(f *strict.Faults) {
+	if len(t.Drain) > MaxDrained {
+		f.Add("targets.drain", "has %d names, must have at most %d", len(t.Drain), MaxDrained)
+	}
+	for i, name := range t.Drain {
+		switch {
+		case name == "" || len(name) > MaxTargetName:
+			f.Add(fmt.Sprintf("targets.drain[%d]", i), "must have 1 to %d characters", MaxTargetName)
+		case slices.Contains(t.Drain[:i], name):
+			f.Add(fmt.Sprintf("targets.drain[%d]", i), "%q is listed twice", name)
+		}
+	}
+}
+
 func (r *Receive) validate(f *strict.Faults) {
 	if len(r.Hosts) == 0 && len(r.PathPrefixes) == 0 {
 		f.Add("receive", "must name at least one of hosts and path_prefixes")
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
@@ -30,7 +31,8 @@
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.isReady(),
 		Services: []admin.ServiceView{}, Targets: []admin.TargetView{},
 	}
-	for _, s := range h.services.Load().list {
+	services := h.services.Load()
+	for _, s := range services.list {
 		v.Services = append(v.Services, admin.ServiceView{Name: s.doc.Name, Revision: s.revision})
 	}
 	h.mu.Lock()
@@ -38,7 +40,7 @@
 	for _, r := range h.targets.All([]member.Record(nil)) {
 		v.Targets = append(v.Targets, admin.TargetView{
 			Service: r.Service, Name: r.Target, Address: r.Address, DataCentre: r.DataCentre,
-			State: r.State.String(), Incarnation: r.Incarnation, Voucher: r.Voucher,
+			State: stateText(services, r), Incarnation: r.Incarnation, Voucher: r.Voucher,
 		})
 	}
 	return v
@@ -48,3 +50,13 @@
 func (h *Host) isReady() bool {
 	return h.ready.Load() && !h.draining.Load()
 }
+
+// stateText returns the state that a target announced, with a mark when the
+// operators have drained it.
+func stateText(services *serviceMap, r member.Record) string {
+	s, ok := services.byName[r.Service]
+	if ok && slices.Contains(s.doc.Targets.Drain, r.Target) {
+		return r.State.String() + ", drained by operators"
+	}
+	return r.State.String()
+}
