Keep documents whole through the form; name who made a conflicting change

Cause: a form posts one text per line, so a path prefix or a name with white space at its ends or with a line break came out of it changed. Methods came out in another order. Change: spec refuses control characters and outer white space in host names, prefixes and names of targets; the canonical form lists methods once each in a fixed order.

--- a/core/spec/canonical.go
+++ b/core/spec/canonical.go
@@ -2,16 +2,23 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"reflect"
+	"slices"
 )
 
 // Canonical returns the document as compact JSON with every field written
-// out, in the order of the struct, and empty lists as []. Equal documents give
+// out, in the order of the struct, empty lists as [], and methods once each in
+// a fixed order. Equal documents give
 // equal bytes, and a later change of a default can't change the meaning of a
 // document that is kept in this form.
 func Canonical(s Service) json.RawMessage {
 	fillLists(reflect.ValueOf(&s).Elem())
+	sortMethods(&s.Receive.NonIdempotentMethods)
+	for i := range s.Receive.Routes {
+		sortMethods(&s.Receive.Routes[i].Methods)
+	}
 	var buf bytes.Buffer
 	enc := json.NewEncoder(&buf)
 	enc.SetEscapeHTML(false)
@@ -21,6 +28,14 @@
 	return bytes.TrimSpace(buf.Bytes())
 }
 
+// sortMethods puts a list of methods into the order of methods, each once.
+func sortMethods(list *[]string) {
+	slices.SortFunc(*list, func(a, b string) int {
+		return cmp.Compare(slices.Index(methods, a), slices.Index(methods, b))
+	})
+	*list = slices.Compact(*list)
+}
+
 // Indent returns body with one field per line, for people to read. A body
 // that is not JSON comes back as it is.
 func Indent(body []byte) []byte {
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 
 	"cardamomspool/core/strict"
 )
@@ -242,6 +243,8 @@
 			f.Add(fmt.Sprintf("targets.drain[%d]", i), "must have 1 to %d characters", MaxTargetName)
 		case slices.Contains(t.Drain[:i], name):
 			f.Add(fmt.Sprintf("targets.drain[%d]", i), "%q is listed twice", name)
+		default:
+			checkText(f, fmt.Sprintf("targets.drain[%d]", i), name)
 		}
 	}
 }
@@ -253,7 +256,9 @@
 	for i, host := range r.Hosts {
 		if host == "" || strings.ContainsAny(host, "/: \t\r\n") {
 			f.Add(fmt.Sprintf("receive.hosts[%d]", i), "is %q, must be a host name without port", host)
+			continue
 		}
+		checkText(f, fmt.Sprintf("receive.hosts[%d]", i), host)
 	}
 	for i, prefix := range r.PathPrefixes {
 		checkPrefix(f, fmt.Sprintf("receive.path_prefixes[%d]", i), prefix)
@@ -278,6 +283,15 @@
 func checkPrefix(f *strict.Faults, path, prefix string) {
 	if !strings.HasPrefix(prefix, "/") {
 		f.Add(path, "is %q, must start with a slash", prefix)
+		return
+	}
+	checkText(f, path, prefix)
+}
+
+// checkText adds a fault when text can't stand on one line of a form as it is.
+func checkText(f *strict.Faults, path, text string) {
+	if strings.TrimSpace(text) != text || strings.ContainsFunc(text, unicode.IsControl) {
+		f.Add(path, "is %q, must not have control characters, nor white space at its ends", text)
 	}
 }
 
--- a/io/consol/change.go
+++ b/io/consol/change.go
@@ -43,7 +43,9 @@
 		Deleted  bool
 		Document []byte
 		Current  spec.Versioned
-		Text     string
+		// By is who made the current version, as far as this host has learnt.
+		By   admin.Past
+		Text string
 	}
 )
 
@@ -193,7 +195,7 @@
 		c.problem(w, http.StatusUnprocessableEntity, s, "The change has faults", err.Error())
 	case errors.As(err, &conflict):
 		p.page = c.page("Conflict over "+d.Name, s)
-		p.Current = conflict.Current
+		p.Current, p.By = conflict.Current, c.latest(conflict.Current)
 		p.Request = c.newID()
 		c.render(w, http.StatusConflict, "conflict", p)
 	default:
--- a/io/consol/show.go
+++ b/io/consol/show.go
@@ -39,6 +39,7 @@
 		page
 		Services []admin.Past
 		Notice   string
+		Status   quorum.Status
 	}
 
 	problemPage struct {
@@ -107,7 +108,7 @@
 }
 
 func (c *Console) list(w http.ResponseWriter, r *http.Request, s session) {
-	p := listPage{page: c.page("Services", s)}
+	p := listPage{page: c.page("Services", s), Status: c.store.Status()}
 	for _, v := range c.store.List() {
 		p.Services = append(p.Services, c.latest(v))
 	}
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 
@@ -43,6 +44,9 @@
 			State: stateText(services, r), Incarnation: r.Incarnation, Voucher: r.Voucher,
 		})
 	}
+	slices.SortFunc(v.Targets, func(a, b admin.TargetView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
 	return v
 }
 
