--- a/core/field/field.go
+++ b/core/field/field.go
@@ -200,7 +200,7 @@
 	case string:
 		return value
 	}
-	if v.Kind() == reflect.Struct && v.IsZero() {
+	if v.Kind() != reflect.Int && v.Kind() != reflect.Bool && v.IsZero() {
 		return ""
 	}
 	return fmt.Sprint(v.Interface())
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -304,7 +304,6 @@
 	case errors.As(err, &conflict):
 		reply(w, http.StatusConflict, Problem{Error: err.Error(), Current: &conflict.Current})
 	case errors.As(err, &reused):
-		c.log.Info("request identity reused", "service", d.Name, "request", d.Key)
 		reply(w, http.StatusUnprocessableEntity, Problem{Error: err.Error()})
 	default:
 		w.Header().Set("Retry-After", "1")
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 
 	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
@@ -12,7 +14,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", h.metrics)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if h.ready.Load() && !h.draining.Load() {
+		if h.isReady() {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -27,10 +29,11 @@
 // view returns the services in force and all known targets.
 func (h *Host) view() admin.EntryView {
 	v := admin.EntryView{
-		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.ready.Load(),
+		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.isReady(),
 		Services: []admin.ServiceView{}, Targets: []admin.TargetView{},
 	}
-	for _, s := range h.services.Load().list {
+	services := h.services.Load()
+	for _, s := range services.list {
 		v.Services = append(v.Services, admin.ServiceView{Name: s.doc.Name, Revision: s.revision})
 	}
 	h.mu.Lock()
@@ -38,8 +41,26 @@
 	for _, r := range h.targets.All([]member.Record(nil)) {
 		v.Targets = append(v.Targets, admin.TargetView{
 			Service: r.Service, Name: r.Target, Address: r.Address, DataCentre: r.DataCentre,
-			State: r.State.String(), Incarnation: r.Incarnation, Voucher: r.Voucher,
+			State: stateText(services, r), Incarnation: r.Incarnation, Voucher: r.Voucher,
 		})
 	}
+	slices.SortFunc(v.Targets, func(a, b admin.TargetView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
 	return v
 }
+
+// isReady reports whether the platform's balancer may send calls here.
+func (h *Host) isReady() bool {
+	return h.ready.Load() && !h.draining.Load()
+}
+
+// stateText returns the state that a target announced, with a mark when the
+// operators have drained it.
+func stateText(services *serviceMap, r member.Record) string {
+	s, ok := services.byName[r.Service]
+	if ok && slices.Contains(s.doc.Targets.Drain, r.Target) {
+		return r.State.String() + ", drained by operators"
+	}
+	return r.State.String()
+}
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -29,6 +29,10 @@
 		{Path: "entries[].data_centre", Label: "Its data centre", Help: "Where that entry host runs."},
 		{Path: "entries[].peer_address", Label: "Its peer address", Unit: "IP number and port", Help: "Where that entry host takes connections."},
 		{Path: "data_folder", Label: "Data folder", Help: "Keeps the last documents over a restart; may be empty."},
+		{
+			Path: "drain_delay", Label: "Drain delay", Low: 0, High: int64(MaxGrace),
+			Help: "Time that a stopping host still takes calls after its readiness is withdrawn, so that the platform's balancer can see it.",
+		},
 		{
 			Path: "tick", Label: "Tick", Low: int64(MinTick), High: int64(MaxTick),
 			Help: "Time between two runs of the systems over the tables.",
@@ -41,37 +45,36 @@
 			Path: "decision_log_one_in", Label: "Decisions logged", Unit: "decisions per line", Low: 0, High: MaxLogOneIn,
 			Help: "Logs one in that many routing decisions; 0 logs none.",
 		},
-		{
-			Path: "drain_delay", Label: "Drain delay", Low: 0, High: int64(MaxGrace),
-			Help: "Time for which a stopping host, no longer ready, goes on taking calls.",
-		},
+	}, append(callerFields, commonFields...)...)
+
+	callerFields = []field.Field{
 		{
 			Path: "callers.max_connections", Label: "Connections of callers", Unit: "connections", Low: 0, High: maxConnections,
-			Help: "Most open connections of callers; one more is answered with 503 and closed. 0 takes 10,000.",
+			Help: "Most open connections of callers; one more is answered with 503 and closed. 0 takes the default.",
 		},
 		{
-			Path: "callers.max_header_bytes", Label: "Header size", Unit: "bytes", Low: 0, High: maxHeaderBytes,
-			Help: "Largest header of a request; 0 takes 32 KiB.",
+			Path: "callers.max_header_bytes", Label: "Length of a header", Unit: "bytes", Low: 0, High: maxHeaderBytes,
+			Help: "Greatest length of the header of a request. 0 takes the default.",
 		},
 		{
-			Path: "callers.max_body_bytes", Label: "Body size", Unit: "bytes", Low: 0, High: maxBodyBytes,
-			Help: "Largest body of a request; 0 takes 256 MiB.",
+			Path: "callers.max_body_bytes", Label: "Length of a body", Unit: "bytes", Low: 0, High: maxBodyBytes,
+			Help: "Greatest length of the body of a request. 0 takes the default.",
 		},
 		{
 			Path: "callers.header_timeout", Label: "Header timeout", Low: 0, High: int64(longestForHeaders),
-			Help: "Longest time for a header to arrive; 0s takes 5s.",
+			Help: "Longest time for a header to arrive. 0s takes the default.",
 		},
 		{
 			Path: "callers.idle_timeout", Label: "Idle timeout", Low: 0, High: int64(longestIdle),
-			Help: "Longest wait of a connection for its next request; 0s takes 90s.",
+			Help: "Longest time that a connection waits for its next request. 0s takes the default.",
 		},
 		{
-			Path: "callers.trusted_proxies", Label: "Trusted proxies", Unit: "networks",
-			Help: "Networks whose forwarding fields are passed on, as \"10.0.0.0/8\"; those of other callers are replaced.",
+			Path: "callers.trusted_proxies", Label: "Trusted proxies", Unit: "IP networks",
+			Help: "Networks whose X-Forwarded-For and related fields are passed on; those of other callers are replaced.",
 		},
-		{Path: "callers.tls.certificate_file", Label: "Certificate", Help: "PEM file with the certificate chain for TLS towards callers; empty for no TLS."},
-		{Path: "callers.tls.key_file", Label: "Key", Help: "PEM file with the private key; read again, with the certificate, when the files change."},
-	}, commonFields...)
+		{Path: "callers.tls.certificate_file", Label: "Certificate file", Help: "PEM file with the certificate chain; read again when it changes. Empty means no TLS."},
+		{Path: "callers.tls.key_file", Label: "Key file", Help: "PEM file with the private key; set together with the certificate file."},
+	}
 
 	// ControlFields describes the settings of a control host.
 	ControlFields = append([]field.Field{
@@ -86,6 +89,7 @@
 // EntryReference returns an entry for each setting of an entry host.
 func EntryReference() []field.Entry {
 	s := DefaultEntry()
+	s.Callers = s.Callers.WithDefaults()
 	return field.Entries(EntryFields, &s)
 }
 
