--- /dev/null
+++ b/cmd/spoollab/experiment.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/spec"
+	"cardamomspool/io/exper"
+)
+
+// experimentOptions are the flags of the experiment subcommand.
+type experimentOptions struct {
+	cfg       exper.Config
+	scenarios string
+	policies  string
+	output    string
+}
+
+func experimentCommand() *command {
+	o := &experimentOptions{policies: strings.Join(spec.Policies, ","), scenarios: "all", cfg: exper.Config{
+		Controls: 3, Entries: 14, Targets: 10, Slots: 3, Queue: 1, Mean: 16 * time.Millisecond,
+		Span: 5 * time.Second, Seeds: 3, LogOneIn: 100,
+	}}
+	sub := flaggy.NewSubcommand("experiment")
+	sub.Description = "compare routing policies on real processes and print a table"
+	sub.String(&o.cfg.Binary, "b", "binary", "path of cardamomspool; beside spoollab when left out")
+	sub.String(&o.scenarios, "s", "scenarios", "scenarios, separated by commas")
+	sub.String(&o.policies, "p", "policies", "policies, separated by commas")
+	sub.String(&o.output, "o", "output", "file that each result is appended to as a JSON line")
+	sub.Int(&o.cfg.Entries, "", "entries", "number of entry hosts")
+	sub.Int(&o.cfg.Controls, "", "controls", "number of control hosts")
+	sub.Int(&o.cfg.Targets, "", "targets", "number of targets")
+	sub.Int(&o.cfg.Slots, "", "slots", "slots of each target")
+	sub.Int(&o.cfg.Queue, "", "queue", "calls a target queues beyond its slots")
+	sub.Duration(&o.cfg.Mean, "", "mean", "mean service time")
+	sub.Duration(&o.cfg.Span, "", "span", "time measured for each policy and seed")
+	sub.Int(&o.cfg.Seeds, "", "seeds", "number of seeds")
+	sub.Int(&o.cfg.LogOneIn, "", "log-one-in", "decision_log_one_in of the entry hosts")
+	flaggy.AttachSubcommand(sub, 1)
+	return &command{parser: sub, run: func(ctx context.Context) error { return runExperiment(ctx, o) }}
+}
+
+func runExperiment(ctx context.Context, o *experimentOptions) error {
+	var (
+		out  *os.File
+		rows []exper.Row
+		err  error
+	)
+	if o.cfg.Lab, err = os.Executable(); err != nil {
+		return errors.Wrap(err, "experiment")
+	}
+	if o.cfg.Binary == "" {
+		o.cfg.Binary = filepath.Join(filepath.Dir(o.cfg.Lab), "cardamomspool")
+	}
+	o.cfg.Policies = strings.Split(o.policies, ",")
+	if o.output != "" {
+		if out, err = os.OpenFile(o.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+			return errors.Wrap(err, "--output")
+		}
+		defer out.Close()
+	}
+	var scenarios []exper.Scenario
+	if scenarios, err = chosenScenarios(o.scenarios); err != nil {
+		return err
+	}
+	for _, s := range scenarios {
+		err = exper.Run(ctx, o.cfg, s, func(r exper.Row) {
+			rows = append(rows, r)
+			writeRow(out, r)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	exper.WriteTable(os.Stdout, rows)
+	return nil
+}
+
+func chosenScenarios(names string) ([]exper.Scenario, error) {
+	if names == "all" {
+		return exper.Scenarios, nil
+	}
+	var list []exper.Scenario
+	for name := range strings.SplitSeq(names, ",") {
+		s, ok := exper.ScenarioByName(name)
+		if !ok {
+			return nil, errors.Errorf("--scenarios: there is no %q", name)
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+// writeRow appends a result to out, when there is a file, and tells of it.
+func writeRow(out *os.File, r exper.Row) {
+	line, err := json.Marshal(r)
+	if err == nil && out != nil {
+		_, err = fmt.Fprintf(out, "%s\n", line)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "result not written:", err)
+	}
+	fmt.Fprintf(os.Stderr, "%s\n", line)
+}
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -46,8 +46,8 @@
 	retryBurst = 10
 	// maxSheds is the number of targets that may shed a call before it is
 	// refused. A shed costs no retry budget: the target did not run the call,
-	// and is left alone for a growing time.
-	maxSheds = 20
+	// and is left alone for a while.
+	maxSheds = 100
 )
 
 // WithDataCentre names the data centre of the entry host.
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -57,20 +57,18 @@
 	longestOut = 16 * time.Second
 	returnRamp = 2 * time.Second
 
-	// A target that shed is left alone for firstPause, and with HotCold for
-	// twice as long each further time in a row, up to longestPause.
-	firstPause   = 4 * time.Millisecond
-	longestPause = 128 * time.Millisecond
+	// A target that shed is left alone for pauseMeans mean answer times, from
+	// leastPause to longestPause.
+	pauseMeans   = 0.5
+	leastPause   = 2 * time.Millisecond
+	longestPause = 50 * time.Millisecond
 
 	// A report that says full counts for fullMeans mean answer times, times 1
 	// plus the calls queued per slot, up to longestFull.
-	fullMeans   = 2
+	fullMeans   = 0.5
 	leastFull   = 2 * time.Millisecond
 	longestFull = 250 * time.Millisecond
 
-	// windowGrowth is added to a window with each answer.
-	windowGrowth = 0.25
-
 	// A straggler answers stragglerRatio times slower than the mean over
 	// stragglerSamples answers or more; its share comes back over
 	// stragglerReturn without answers.
@@ -91,17 +89,16 @@
 	}
 	at := t.offset(now)
 	s := &t.state[i]
-	inFlight := s.inFlight
-	s.inFlight = max(inFlight-1, 0)
+	s.inFlight = max(s.inFlight-1, 0)
 	if f.Ending == Dropped {
 		return
 	}
 	s.progress = at
 	switch f.Ending {
 	case Served:
-		t.served(s, i, elapsed, at)
+		t.served(s, elapsed, at)
 	case Shed:
-		t.shed(s, inFlight, at)
+		t.shed(s, at)
 	case Failed:
 		t.failed(s, failingWeight, at)
 	case Unreachable:
@@ -116,27 +113,21 @@
 	}
 }
 
-func (t *Table) served(s *state, i int, elapsed, at time.Duration) {
+func (t *Table) served(s *state, elapsed, at time.Duration) {
 	t.mean = moved(t.mean, float64(elapsed), meanWeight)
 	s.latency = moved(s.latency, float64(elapsed), latencyWeight)
 	s.samples++
 	s.latestAt = at
-	s.sheds = 0
-	s.window = s.window + windowGrowth
-	if slots := t.slots[i]; slots > 0 {
-		s.window = min(s.window, float64(slots))
-	}
 	s.failing -= s.failing * failingWeight
 	if s.failing < failingNone {
 		s.strikes = 0
 	}
 }
 
-func (t *Table) shed(s *state, inFlight int, at time.Duration) {
-	pause := min(firstPause<<min(s.sheds, 16), longestPause)
-	s.pausedUntil, s.shedUntil = at+firstPause, at+pause
-	s.sheds++
-	s.window = max(float64(inFlight)/2, 1)
+// shed leaves the target alone until one of its slots has probably come free.
+func (t *Table) shed(s *state, at time.Duration) {
+	pause := time.Duration(pauseMeans * t.mean)
+	s.shedUntil = at + min(max(pause, leastPause), longestPause)
 }
 
 // failed counts a failure of the given weight and leaves the target out when
@@ -151,7 +142,6 @@
 	s.failing = failingAgain
 	s.failedUntil = at + out
 	s.rampFrom, s.rampEnd = s.failedUntil, s.failedUntil+returnRamp
-	s.window = 1
 }
 
 func (t *Table) report(s *state, l wire.Load, at time.Duration) {
--- a/core/route/hot_cold.go
+++ b/core/route/hot_cold.go
@@ -6,12 +6,11 @@
 )
 
 type (
-	// HotCold picks the cold target with the fewest calls in flight from this
-	// entry host; ties fall by lot. A target is hot for a time after its
-	// report said that it was full, while it ends no call although it has
-	// some, and by lot while it has less than its full share. A target that
-	// sheds is left alone for a growing time. Hot targets are used when no
-	// other is left, and failing ones when none but those are left.
+	// HotCold picks the target with the fewest calls in flight from this entry
+	// host, counting one more for a target that is hot; ties fall by lot. A
+	// target is hot for a time after its report said that it was full, while
+	// it ends no call although it has some, and by lot while it has less than
+	// its full share. Failing targets are used when no others are left.
 	//
 	// Reports are taken as hot or cold and not as numbers, because entry
 	// hosts that rank targets by the same stale numbers all send to the same
@@ -48,26 +47,30 @@
 	bestHeat := failing
 	for _, i := range t.readyRows {
 		s := &t.state[i]
-		if s.shedUntil > at || s.inFlight >= max(int(s.window), 1) || !t.usable(i, q, at) {
+		if s.shedUntil > at || !t.usable(i, q, at) {
 			continue
 		}
 		candidates++
 		h := t.heat(s, at, rng)
 		switch {
-		case best < 0 || h < bestHeat || h == bestHeat && t.before(p, i, best):
+		case best < 0 || t.before(p, i, h, best, bestHeat):
 			best, bestHeat = i, h
 			t.ties = append(t.ties[:0], i)
-		case h == bestHeat && !t.before(p, best, i):
+		case !t.before(p, best, bestHeat, i, h):
 			t.ties = append(t.ties, i)
 		}
 	}
 	return t.pick(t.drawTie(best, rng), candidates, bestHeat.why(), at)
 }
 
-// before reports whether row i goes before row j of the same heat.
-func (t *Table) before(p HotCold, i, j int) bool {
-	if t.state[i].inFlight != t.state[j].inFlight {
-		return t.state[i].inFlight < t.state[j].inFlight
+// before reports whether row i of heat h goes before row j of heat k.
+func (t *Table) before(p HotCold, i int, h heat, j int, k heat) bool {
+	if (h == failing) != (k == failing) {
+		return k == failing
+	}
+	n, m := t.state[i].inFlight+int(h), t.state[j].inFlight+int(k)
+	if n != m {
+		return n < m
 	}
 	return p.PreferNear && !t.remote[i] && t.remote[j]
 }
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -90,7 +90,7 @@
 // excluded. Every policy leaves a target alone for a moment after it shed.
 func (t *Table) usable(i int, q Query, at time.Duration) bool {
 	s := &t.state[i]
-	if s.inFlight >= t.limit(i, q) || s.pausedUntil > at {
+	if s.inFlight >= t.limit(i, q) || s.shedUntil > at {
 		return false
 	}
 	for _, name := range q.Exclude {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -39,17 +39,11 @@
 	state struct {
 		// inFlight counts this entry's calls at the target.
 		inFlight int
-		// window bounds inFlight; it shrinks with sheds and grows with answers.
-		window float64
 		// progress is when the target last ended a call, or was given its
 		// first.
 		progress time.Duration
-		// pausedUntil is until when every policy leaves the target alone after
-		// it shed, and shedUntil until when HotCold does.
-		pausedUntil time.Duration
-		shedUntil   time.Duration
-		// sheds counts sheds in a row.
-		sheds int
+		// shedUntil is until when the target is left alone after it shed.
+		shedUntil time.Duration
 		// fullUntil is until when the target counts as full by its report.
 		fullUntil time.Duration
 		// reportAt is when the last report came in.
@@ -92,7 +86,7 @@
 	t.reset(len(records))
 	for i := range records {
 		r := &records[i]
-		s := state{window: 1, rampFrom: at, rampEnd: at + ramp}
+		s := state{rampFrom: at, rampEnd: at + ramp}
 		if j, ok := old.index[r.Target]; ok && old.incarnation[j] == r.Incarnation {
 			s = old.state[j]
 			if r.State == member.Ready && !wasReady[r.Target] && !s.drains {
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -26,6 +27,7 @@
 		RanTwice      int     `json:"ran_twice"`
 		P50           float64 `json:"p50"`
 		P99           float64 `json:"p99"`
+		P999          float64 `json:"p99_9"`
 	}
 
 	// Load is a number of calls to send. Use New.
@@ -38,6 +40,9 @@
 		record   *stub.Record
 		progress func(done, calls int)
 		client   *http.Client
+		rng      *rand.Rand
+		surge    Surge
+		noBody   bool
 
 		mu      sync.Mutex
 		sum     Summary
@@ -46,6 +51,16 @@
 		sent    []string
 	}
 
+	// Surge raises the rate for a part of each period.
+	Surge struct {
+		// Factor multiplies the rate; 0 means no surge.
+		Factor float64
+		// Span is how long a surge lasts.
+		Span time.Duration
+		// Every is the time from the start of a surge to the next one.
+		Every time.Duration
+	}
+
 	// Option sets one property of a Load.
 	Option func(*Load)
 )
@@ -62,6 +77,22 @@
 	return func(l *Load) { l.rate = perSecond }
 }
 
+// WithPoisson makes calls arrive at exponential intervals drawn from seed,
+// rather than at equal ones.
+func WithPoisson(seed uint64) Option {
+	return func(l *Load) { l.rng = rand.New(rand.NewPCG(seed, 2)) }
+}
+
+// WithSurge raises the rate at times.
+func WithSurge(s Surge) Option {
+	return func(l *Load) { l.surge = s }
+}
+
+// WithoutBody sends calls without a body.
+func WithoutBody() Option {
+	return func(l *Load) { l.noBody = true }
+}
+
 // WithMethod sets the method; the default is POST.
 func WithMethod(method string) Option {
 	return func(l *Load) { l.method = method }
@@ -101,8 +132,9 @@
 	var group sync.WaitGroup
 	start := time.Now()
 	stop := l.report()
+	due := start
 	for i := range l.calls {
-		due := start.Add(time.Duration(float64(i) / l.rate * float64(time.Second)))
+		due = due.Add(l.interval(due.Sub(start)))
 		if !sleepUntil(ctx, due) {
 			break
 		}
@@ -113,6 +145,19 @@
 	return l.summary()
 }
 
+// interval returns the time between the call due at offset and the next.
+func (l *Load) interval(offset time.Duration) time.Duration {
+	rate := l.rate
+	if l.surge.Factor > 0 && offset%l.surge.Every < l.surge.Span {
+		rate *= l.surge.Factor
+	}
+	mean := float64(time.Second) / rate
+	if l.rng == nil {
+		return time.Duration(mean)
+	}
+	return time.Duration(mean * l.rng.ExpFloat64())
+}
+
 func (l *Load) report() func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
@@ -176,7 +221,11 @@
 		body []byte
 		err  error
 	)
-	if req, err = http.NewRequest(l.method, url, strings.NewReader(id)); err != nil {
+	var payload io.Reader
+	if !l.noBody {
+		payload = strings.NewReader(id)
+	}
+	if req, err = http.NewRequest(l.method, url, payload); err != nil {
 		return 0, "", "", err
 	}
 	req.Header.Set(stub.HeaderCall, id)
@@ -198,7 +247,7 @@
 	defer l.mu.Unlock()
 	s := l.sum
 	slices.Sort(l.times)
-	s.P50, s.P99 = Quantile(l.times, 0.50), Quantile(l.times, 0.99)
+	s.P50, s.P99, s.P999 = Quantile(l.times, 0.50), Quantile(l.times, 0.99), Quantile(l.times, 0.999)
 	if l.record == nil {
 		return s
 	}
--- a/io/stub/behaviour.go
+++ b/io/stub/behaviour.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"cardamomspool/core/member"
@@ -98,7 +99,7 @@
 func (t *Target) noisy(now time.Time) bool {
 	if t.spells == nil {
 		t.spells = rand.New(rand.NewPCG(t.rng.Uint64(), 1))
-		t.next = t.nextSpell(t.started)
+		t.next = t.nextSpell(t.spellsFrom)
 	}
 	for !now.Before(t.next.to) {
 		t.next = t.nextSpell(t.next.to)
@@ -141,3 +142,19 @@
 	}
 	return t.past[0].load
 }
+
+// reseed starts all random draws anew, so that policies can be compared under
+// the same spells.
+func (t *Target) reseed(w http.ResponseWriter, r *http.Request) {
+	seed, err := strconv.ParseUint(r.URL.Query().Get("seed"), 10, 64)
+	if err != nil {
+		http.Error(w, "seed must be a number", http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rng = rand.New(rand.NewPCG(seed, 0))
+	t.spells = nil
+	t.spellsFrom = time.Now()
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -46,6 +46,8 @@
 		past      []pastLoad
 		spells    *rand.Rand
 		next      spell
+
+		spellsFrom time.Time
 	}
 
 	// Option sets one property of a Target.
@@ -63,6 +65,9 @@
 	// HeaderCall is the identity that a test caller gives its call; it is
 	// written back in the answer's body.
 	HeaderCall = "Lab-Call"
+	// ReseedPath takes a POST that starts the service times and the noisy
+	// spells anew from the seed in the query.
+	ReseedPath = "/lab/reseed"
 
 	defaultInterval = 200 * time.Millisecond
 	announceTimeout = time.Second
@@ -112,6 +117,7 @@
 	}
 	t.running = make(chan struct{}, t.slots)
 	t.started = time.Now()
+	t.spellsFrom = t.started
 	return t
 }
 
@@ -199,6 +205,10 @@
 // ServeHTTP runs one call: it waits for a slot, holds it for the service time
 // and answers with the call's identity. A call beyond the queue is shed.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ReseedPath {
+		t.reseed(w, r)
+		return
+	}
 	if t.behaviour.FailFast {
 		t.record.add(r.Header.Get(HeaderCall))
 		http.Error(w, "broken", http.StatusInternalServerError)
