--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -64,6 +64,7 @@
 		targetCommand(),
 		loadCommand(),
 		experimentCommand(),
+		slopesCommand(),
 	}
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -131,9 +131,9 @@
 		c.sheds++
 	}
 	switch {
-	case e.Result == Answered:
+	case e.Result.Final():
 		delete(s.calls, e.Call)
-	case shed && e.Replayable && c.sheds < maxSheds && now.Before(c.deadline):
+	case shed && s.mayMove(c, e, now):
 		dst = s.sendOrReturn(dst, e.Call, c, now)
 	case s.mayRetry(c, e, now):
 		s.credit--
@@ -151,9 +151,21 @@
 	return TargetFailed
 }
 
+// mayMove reports whether a call that a target has shed may go elsewhere. A
+// shed costs the targets next to nothing, so it draws on no budget; a document
+// that allows one attempt allows no move either.
+func (s *Service) mayMove(c *call, e Finish, now time.Time) bool {
+	return s.mayRepeat(c, e, now) && c.sheds < maxSheds
+}
+
 func (s *Service) mayRetry(c *call, e Finish, now time.Time) bool {
 	safe := e.Result == NotRun || c.class.Idempotent
-	return safe && e.Replayable && c.attempts-c.sheds < s.doc.Retry.Attempts && s.credit >= 1 && now.Before(c.deadline)
+	return safe && s.mayRepeat(c, e, now) && c.attempts-c.sheds < s.doc.Retry.Attempts && s.credit >= 1
+}
+
+// mayRepeat reports whether a call may be sent once more at all.
+func (s *Service) mayRepeat(c *call, e Finish, now time.Time) bool {
+	return e.Replayable && s.doc.Retry.Attempts > 1 && now.Before(c.deadline)
 }
 
 func (s *Service) cancel(dst []Action, id uint64, now time.Time) []Action {
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -36,13 +36,16 @@
 		waiter chan engine.Action
 	}
 
-	// serviceActor owns the engine of one service.
+	// serviceActor owns the engine of one service. It lets time pass in the
+	// engine only while calls are held, so that an idle service costs nothing.
 	serviceActor struct {
 		engine  *engine.Service
 		waiters map[uint64]chan engine.Action
 		actions []engine.Action
 		metrics *telem.Set
+		tick    time.Duration
 		wake    *time.Timer
+		due     time.Time // When the next Tick comes; zero for never.
 	}
 )
 
@@ -57,12 +60,15 @@
 		a.handle(m.event, now)
 	case engine.Finish:
 		a.handle(m, now)
-		if m.Result == engine.Answered {
+		if m.Result.Final() {
 			delete(a.waiters, m.Call)
 		}
 	case engine.Cancel:
 		delete(a.waiters, m.Call)
 		a.handle(m, now)
+	case engine.Tick:
+		a.due = time.Time{}
+		a.handle(m, now)
 	case engine.Event:
 		a.handle(m, now)
 	case *actor.Stopping:
@@ -72,19 +78,28 @@
 	a.setWake(ctx, now)
 }
 
-// setWake has the engine ticked when a held call may be sent before the next
-// event.
+// setWake has the engine ticked while calls are held: after one tick's time,
+// or sooner when a held call may be sent before that.
 func (a *serviceActor) setWake(ctx actor.Context, now time.Time) {
-	at, ok := a.engine.Wake(now)
-	if !ok {
+	if a.engine.Held() == 0 {
+		a.stopWake()
+		return
+	}
+	at := now.Add(a.tick)
+	if sooner, ok := a.engine.Wake(now); ok && sooner.Before(at) {
+		at = sooner
+	}
+	if !a.due.IsZero() && !at.Before(a.due) {
 		return
 	}
 	a.stopWake()
 	self, root := ctx.Self(), ctx.ActorSystem().Root
+	a.due = at
 	a.wake = time.AfterFunc(at.Sub(now), func() { root.Send(self, engine.Tick{}) })
 }
 
 func (a *serviceActor) stopWake() {
+	a.due = time.Time{}
 	if a.wake != nil {
 		a.wake.Stop()
 	}
@@ -197,7 +212,9 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	a := &serviceActor{
 		engine:  engine.NewService(doc, rng, engine.WithDataCentre(h.cfg.DataCentre)),
-		waiters: make(map[uint64]chan engine.Action), metrics: h.metrics,
+		waiters: make(map[uint64]chan engine.Action),
+		metrics: h.metrics,
+		tick:    h.cfg.Tick.Std(),
 	}
 	pid := h.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
 	h.system.Root.Send(pid, engine.Retarget{Records: h.targets.Service(nil, doc.Name)})
