--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -12,8 +12,8 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/pkg/errors"
 
-	"cardamomspool/core/engine"
 	"cardamomspool/io/admin"
+	"cardamomspool/io/drain"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
@@ -102,7 +102,6 @@
 	defer stopWork()
 	go h.config.run(work)
 	go h.members.run(work)
-	go h.tick(work)
 	h.log.Info("entry host serves", "call_address", h.cfg.CallAddress, "admin_address", h.cfg.AdminAddress,
 		"announce_address", h.cfg.AnnounceAddress)
 	var err error
@@ -120,7 +119,7 @@
 // servers returns the host's servers in the order in which they stop.
 func (h *Host) servers() []server {
 	calls := &http.Server{Handler: h, ReadHeaderTimeout: admin.HeaderTimeout}
-	announce := &http.Server{Handler: h.announceHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
+	announce := drain.New(&http.Server{Handler: h.announceHandler(), ReadHeaderTimeout: admin.HeaderTimeout})
 	operators := &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
 	peers := peer.NewServer()
 	peerpb.RegisterMembershipServer(peers, h.members)
@@ -141,11 +140,12 @@
 	}
 }
 
-func httpServer(name string, address netip.AddrPort, s *http.Server) server {
+func httpServer(name string, address netip.AddrPort, inner *http.Server) server {
+	s := drain.New(inner)
 	return server{name: name, address: address, serve: s.Serve, stop: stopHTTP(s)}
 }
 
-func stopHTTP(s *http.Server) func(context.Context) {
+func stopHTTP(s *drain.Server) func(context.Context) {
 	return func(ctx context.Context) {
 		if err := s.Shutdown(ctx); err != nil {
 			s.Close()
@@ -161,22 +161,6 @@
 	}
 }
 
-// tick lets time pass in the engines of all services until ctx ends.
-func (h *Host) tick(ctx context.Context) {
-	ticker := time.NewTicker(h.cfg.Tick.Std())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, s := range h.services.Load().list {
-				h.system.Root.Send(s.pid, engine.Tick{})
-			}
-		}
-	}
-}
-
 func (h *Host) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", h.metrics)
