Stop the targets of a local system before its hosts

Cause: with the hosts gone, targets tried for their whole three seconds to say that they leave.

Change: hosts stop once all targets have.

--- a/io/local/local.go
+++ b/io/local/local.go
@@ -98,22 +98,32 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	if err = s.start(ctx, group); err != nil {
-		return err
+	hostsContext, stopHosts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHosts()
+	hosts, hostsContext := errgroup.WithContext(hostsContext)
+	context.AfterFunc(hostsContext, cancel)
+	targets, ctx := errgroup.WithContext(ctx)
+	// Targets stop before the hosts, which they tell that they are leaving.
+	stop := func() error {
+		cancel()
+		err := targets.Wait()
+		stopHosts()
+		return firstError(err, hosts.Wait())
+	}
+	if err = s.startHosts(hostsContext, hosts); err != nil {
+		return firstError(err, stop())
 	}
+	s.startTargets(ctx, targets)
 	if err = s.prepare(ctx); err != nil {
-		cancel()
-		return errors.Wrap(firstError(group.Wait(), err), "local: start")
+		return errors.Wrap(firstError(stop(), err), "local: start")
 	}
 	s.printAddresses()
 	if s.calls > 0 {
 		err = s.sendCalls(ctx)
-		cancel()
-		return firstError(err, group.Wait())
+		return firstError(err, stop())
 	}
 	<-ctx.Done()
-	return group.Wait()
+	return stop()
 }
 
 func firstError(errs ...error) error {
@@ -167,7 +177,7 @@
 	}
 }
 
-func (s *System) start(ctx context.Context, group *errgroup.Group) error {
+func (s *System) startHosts(ctx context.Context, group *errgroup.Group) error {
 	for _, cfg := range s.controls {
 		h, err := ctrl.New(cfg, ctrl.WithLogger(s.logger(cfg.Host)))
 		if err != nil {
@@ -179,12 +189,15 @@
 		h := entry.New(cfg, entry.WithLogger(s.logger(cfg.Host)))
 		group.Go(func() error { return h.Run(ctx) })
 	}
+	return nil
+}
+
+func (s *System) startTargets(ctx context.Context, group *errgroup.Group) {
 	for i, address := range s.targets {
 		t := stub.New(serviceName, fmt.Sprintf("target-%d", i+1), address, s.entries[i%entryHosts].AnnounceAddress,
 			stub.WithRecord(&s.record), stub.WithServiceTime(serviceTime), stub.WithSeed(uint64(i)))
 		group.Go(func() error { return t.Run(ctx) })
 	}
-	return nil
 }
 
 func (s *System) logger(host string) *slog.Logger {
