Measure control alone, time to force and time to leave; wake only when due

Cause: nothing measured what control costs without calls. A change made while another host was starting was tried once and then left to the next digest.

Change: spoollab control, force and leaving. The node says when its next tick is due. A change that reached nobody is spread again, five times at most.

--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -61,6 +61,9 @@
 		targetCommand(),
 		loadCommand(),
 		slopesCommand(),
+		controlCommand(),
+		forceCommand(),
+		leavingCommand(),
 	}
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/core/member/node.go
+++ b/core/member/node.go
@@ -43,6 +43,8 @@
 		message Message
 		// tried are the hosts that a Spread has been sent to.
 		tried []string
+		// retries counts how often the change has been spread again.
+		retries int
 	}
 
 	// waiting is an announcement that is answered once another entry host
@@ -54,8 +56,9 @@
 
 	// pending is a change that has not been spread yet.
 	pending struct {
-		key  Key
-		from string
+		key     Key
+		from    string
+		retries int
 	}
 )
 
@@ -85,6 +88,8 @@
 	// entry host.
 	announceSpacing = time.Second
 	flushDelay      = 20 * time.Millisecond
+	spreadRetry     = 150 * time.Millisecond
+	mostRetries     = 5
 	digestInterval  = time.Second
 	sweepInterval   = time.Second
 	downTime        = 2 * time.Second
@@ -129,6 +134,14 @@
 	if n.started.IsZero() {
 		n.started = now
 	}
+	dst = n.dispatch(dst, e, now)
+	if len(n.pending) > 0 && n.nextFlush.IsZero() {
+		n.nextFlush = now.Add(flushDelay)
+	}
+	return dst
+}
+
+func (n *Node) dispatch(dst []Action, e Event, now time.Time) []Action {
 	switch e := e.(type) {
 	case Announce:
 		return n.hear(dst, e, now)
@@ -200,6 +213,23 @@
 	return n.table.total
 }
 
+// Wake returns when the next Tick is due.
+func (n *Node) Wake() time.Time {
+	next := n.nextSweep
+	if !n.alone() && n.nextDigest.Before(next) {
+		next = n.nextDigest
+	}
+	if !n.nextFlush.IsZero() && n.nextFlush.Before(next) {
+		next = n.nextFlush
+	}
+	for _, w := range n.waiting {
+		if w.deadline.Before(next) {
+			next = w.deadline
+		}
+	}
+	return next
+}
+
 // alone reports whether there is no other entry host.
 func (n *Node) alone() bool {
 	return len(n.ring) == 1
--- a/core/member/node_test.go
+++ b/core/member/node_test.go
@@ -161,6 +161,22 @@
 	g.Expect(n.state("e01", target("t1", 1, 0).Key)).To(gomega.Equal(member.Leaving))
 }
 
+// TestIsolatedHostGivesUpSpreading bounds what a host sends when nobody can be
+// reached: the digests that go on repair the rest.
+func TestIsolatedHostGivesUpSpreading(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(7, 14)
+	n.cut["e01"] = 1
+	n.announce("e01", 1, target("t1", 1, member.Ready))
+	n.run(time.Minute)
+	spreads := n.messages["Spread"]
+	n.run(time.Minute)
+	g.Expect(n.messages["Spread"]).To(gomega.Equal(spreads))
+	n.heal()
+	n.run(leavingLimit)
+	g.Expect(n.everywhere(target("t1", 1, 0).Key, member.Ready)).To(gomega.BeTrue())
+}
+
 // TestTargetThatAnswersStays stops the announcements of a target that goes on
 // answering calls at one host, and of one that does not.
 func TestTargetThatAnswersStays(t *testing.T) {
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -13,6 +13,7 @@
 // dies, and no host sends more than three messages for a change.
 func (n *Node) flush(dst []Action, now time.Time) []Action {
 	byOrigin := make(map[string][]Record)
+	retries := make(map[string]int)
 	var origins []string
 	for _, p := range n.pending {
 		i, known := n.table.find(p.key)
@@ -23,19 +24,29 @@
 			origins = append(origins, p.from)
 		}
 		byOrigin[p.from] = append(byOrigin[p.from], n.table.records[i])
+		retries[p.from] = max(retries[p.from], p.retries)
 	}
 	n.pending = n.pending[:0]
 	n.nextFlush = time.Time{}
 	for _, from := range origins {
 		for _, to := range n.links(from, now) {
-			dst = n.send(dst, to, Spread{Records: byOrigin[from]}, []string{n.host, from})
+			dst = n.send(dst, sending{to: to, message: Spread{Records: byOrigin[from]}, tried: []string{n.host, from}, retries: retries[from]})
 		}
 	}
 	return dst
 }
 
-// links returns the hosts that a change from another host is sent to.
+// links returns the hosts that a change from another host is sent to. When all
+// are down, they are tried nevertheless.
 func (n *Node) links(from string, now time.Time) []string {
+	if list := n.linksAt(from, now); len(list) > 0 {
+		return list
+	}
+	return n.linksAt(from, now.Add(downTime))
+}
+
+// linksAt returns the links among the hosts that are not down at now.
+func (n *Node) linksAt(from string, now time.Time) []string {
 	var list []string
 	avoid := []string{n.host, from}
 	for _, offset := range []int{1, 2, len(n.ring) / 2} {
@@ -63,10 +74,11 @@
 	return slices.Index(n.ring, n.host)
 }
 
-func (n *Node) send(dst []Action, to string, m Message, tried []string) []Action {
+func (n *Node) send(dst []Action, s sending) []Action {
 	n.nextID++
-	n.sent[n.nextID] = sending{to: to, message: m, tried: append(slices.Clone(tried), to)}
-	return append(dst, Send{ID: n.nextID, To: to, Message: m})
+	s.tried = append(slices.Clone(s.tried), s.to)
+	n.sent[n.nextID] = s
+	return append(dst, Send{ID: n.nextID, To: s.to, Message: s.message})
 }
 
 // receive answers a message of another entry host.
@@ -184,7 +196,7 @@
 	if bits.OnesCount64(mask) == 0 {
 		return dst
 	}
-	return n.send(dst, to, Repair{Mask: mask, Records: n.table.inBuckets(nil, mask)}, nil)
+	return n.send(dst, sending{to: to, message: Repair{Mask: mask, Records: n.table.inBuckets(nil, mask)}})
 }
 
 // acknowledged answers the leaving targets whose record another host has.
@@ -217,7 +229,8 @@
 	return ids
 }
 
-// failed notes a host as down and hands a change to the next one instead.
+// failed notes a host as down and hands a change to the next one instead. When
+// there is none, the change is spread again a little later.
 func (n *Node) failed(dst []Action, e Failed, now time.Time) []Action {
 	s, ok := n.sent[e.ID]
 	if !ok {
@@ -230,7 +243,14 @@
 		return dst
 	}
 	if to, ok := n.successor(1, s.tried, now); ok {
-		return n.send(dst, to, spread, s.tried)
+		s.to = to
+		return n.send(dst, s)
+	}
+	if s.retries < mostRetries {
+		for i := range spread.Records {
+			n.pending = append(n.pending, pending{key: spread.Records[i].Key, from: n.host, retries: s.retries + 1})
+		}
+		n.nextFlush = now.Add(spreadRetry)
 	}
 	return dst
 }
--- a/core/member/sweep.go
+++ b/core/member/sweep.go
@@ -7,13 +7,8 @@
 
 // tick runs every system whose time has come over the table.
 func (n *Node) tick(dst []Action, now time.Time) []Action {
-	if len(n.pending) > 0 {
-		if n.nextFlush.IsZero() {
-			n.nextFlush = now.Add(flushDelay)
-		}
-		if !now.Before(n.nextFlush) {
-			dst = n.flush(dst, now)
-		}
+	if len(n.pending) > 0 && !n.nextFlush.IsZero() && !now.Before(n.nextFlush) {
+		dst = n.flush(dst, now)
 	}
 	dst = n.giveUpWaiting(dst, now)
 	if !now.Before(n.nextSweep) {
@@ -56,7 +51,7 @@
 	}
 	to := n.order[0]
 	n.order = n.order[1:]
-	return n.send(dst, to, Digest{Sum: n.table.total, AnnounceAddress: n.address}, nil)
+	return n.send(dst, sending{to: to, message: Digest{Sum: n.table.total, AnnounceAddress: n.address}})
 }
 
 // sweep brings leases, suspicions and tombstones up to date.
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -38,6 +38,8 @@
 		State string `json:"state"`
 		// InForce is the number of services.
 		InForce int `json:"in_force"`
+		// Revisions is the sum of the revisions in force.
+		Revisions uint64 `json:"revisions"`
 		// Reported counts the control hosts heard since the start.
 		Reported int `json:"controls_reported"`
 		// Needed is the number of them that is a majority.
@@ -214,6 +216,9 @@
 	defer c.mu.Unlock()
 	s := documentStatus{State: stateWaiting, InForce: len(c.host.services.Load().list), Behind: c.follower.Behind()}
 	s.Reported, s.Needed = c.follower.Reported()
+	for _, service := range c.host.services.Load().list {
+		s.Revisions += service.revision
+	}
 	for _, k := range c.controls {
 		if k.open {
 			s.Streams++
--- a/io/entry/member.go
+++ b/io/entry/member.go
@@ -34,10 +34,13 @@
 	node    *member.Node
 	nextID  uint64
 	answers map[uint64]chan member.Action
+	// wake tells run that a Tick is due before the one it waits for.
+	wake chan struct{}
+	// armed is when run gives the node its next Tick.
+	armed time.Time
 }
 
 const (
-	memberTick     = 25 * time.Millisecond
 	evidencePeriod = time.Second
 )
 
@@ -47,7 +50,7 @@
 	m := &membership{
 		log: log, metrics: metrics, peers: make(map[string]*peerConn),
 		retarget: func(string, []member.Record) {}, ctx: context.Background(),
-		answers: make(map[uint64]chan member.Action),
+		answers: make(map[uint64]chan member.Action), wake: make(chan struct{}, 1),
 	}
 	traffic := trafficOf(metrics, "peer")
 	var names []string
@@ -76,22 +79,32 @@
 	m.ctx = ctx
 	m.mu.Unlock()
 	defer m.close()
-	ticker := time.NewTicker(memberTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for next := time.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			if !now.Before(next) {
-				next = now.Add(evidencePeriod)
-				m.giveEvidence()
-			}
-			m.handle(member.Tick{})
+		case <-m.wake:
+		case <-timer.C:
 		}
+		if now := time.Now(); !now.Before(next) {
+			next = now.Add(evidencePeriod)
+			m.giveEvidence()
+		}
+		m.handle(member.Tick{})
+		timer.Reset(time.Until(m.arm()))
 	}
 }
 
+// arm sets when run gives the node its next Tick and returns it.
+func (m *membership) arm() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.armed = m.node.Wake()
+	return m.armed
+}
+
 func (m *membership) close() {
 	for _, p := range m.peers {
 		p.close()
@@ -143,9 +156,19 @@
 	for service := range moved {
 		m.retarget(service, m.node.Service(nil, service))
 	}
+	if m.node.Wake().Before(m.armed) {
+		m.wakeUp()
+	}
 	return response
 }
 
+func (m *membership) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (m *membership) answer(id uint64, a member.Action) {
 	if c, ok := m.answers[id]; ok {
 		c <- a
--- a/io/slope/fleet.go
+++ b/io/slope/fleet.go
@@ -147,7 +147,7 @@
 			}
 			select {
 			case <-ctx.Done():
-				return errors.Errorf("slope: metric %s of an entry host did not reach %g", name, n)
+				return errors.Errorf("slope: metric %s of an entry host is %v, not %g (%v); the end of its log: %s", name, vars[name], n, err, p.logEnd())
 			case <-time.After(readyPoll):
 			}
 		}
@@ -165,6 +165,11 @@
 
 // apply sends a change of one document, based on revision base.
 func (f *fleet) apply(ctx context.Context, doc spec.Service, base uint64, request string) error {
+	return f.applyAt(ctx, f.controls[0], doc, base, request)
+}
+
+// applyAt sends a change to one control host.
+func (f *fleet) applyAt(ctx context.Context, p *process, doc spec.Service, base uint64, request string) error {
 	var (
 		body []byte
 		req  *http.Request
@@ -174,7 +179,7 @@
 	if body, err = json.Marshal(doc); err != nil {
 		return errors.Wrap(err, "slope")
 	}
-	url := fmt.Sprintf("http://%s/v1/services/%s", f.controls[0].admin, doc.Name)
+	url := fmt.Sprintf("http://%s/v1/services/%s", p.admin, doc.Name)
 	if req, err = http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body)); err != nil {
 		return errors.Wrap(err, "slope")
 	}
--- a/io/slope/process.go
+++ b/io/slope/process.go
@@ -44,6 +44,7 @@
 	suffixIn     = "_bytes_in"
 	suffixOut    = "_bytes_out"
 	httpDeadline = 5 * time.Second
+	logEndBytes  = 500
 )
 
 // start runs the product's binary with a subcommand and a settings file. Its
@@ -68,6 +69,9 @@
 // stop asks the process to end and kills it when it does not in time.
 func (p *process) stop() {
 	defer p.log.Close()
+	if p.cmd.ProcessState != nil {
+		return // It was killed.
+	}
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return // The process has ended by itself.
 	}
@@ -78,6 +82,32 @@
 	}
 }
 
+// kill ends the process at once.
+func (p *process) kill() error {
+	if err := p.cmd.Process.Kill(); err != nil {
+		return errors.Wrap(err, "slope: kill")
+	}
+	p.cmd.Wait() //nolint:errcheck // It was killed.
+	return nil
+}
+
+// restart starts a killed process again with its settings.
+func (p *process) restart() error {
+	next := exec.Command(p.cmd.Path, p.cmd.Args[1:]...)
+	next.Stderr = p.log
+	p.cmd = next
+	return errors.Wrap(next.Start(), "slope: restart")
+}
+
+// logEnd returns the last lines of the process's log.
+func (p *process) logEnd() string {
+	data, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(len(data)-logEndBytes, 0):])
+}
+
 // usage reads what the process has spent so far.
 func (p *process) usage(ctx context.Context) (usage, error) {
 	u := usage{at: time.Now()}
