--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -65,6 +65,9 @@
 		loadCommand(),
 		experimentCommand(),
 		slopesCommand(),
+		controlCommand(),
+		forceCommand(),
+		leavingCommand(),
 	}
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/io/admin/view.go
+++ b/io/admin/view.go
@@ -62,8 +62,13 @@
 		DataCentre  string         `json:"data_centre"`
 		State       string         `json:"state"`
 		Incarnation uint64         `json:"incarnation"`
+		Slots       int            `json:"slots"`
 		// Voucher is the entry host that hears the target's announcements.
 		Voucher string `json:"voucher"`
+		// Lapsed says that the target's lease has ended.
+		Lapsed bool `json:"lapsed"`
+		// Suspect says that the target was not heard and has not answered.
+		Suspect bool `json:"suspect"`
 	}
 
 	// Sighting is an answer of one entry host, or why there is none.
--- a/io/ctrl/serve.go
+++ b/io/ctrl/serve.go
@@ -29,13 +29,18 @@
 		*configuration
 		stream   peerpb.Configuration_WatchServer
 		held     map[string]uint64
+		pending  []*peerpb.Held
 		complete bool
 	}
 )
 
-// confirmWait is how long a watcher is kept waiting for a majority's
-// confirmation before it is sent to another control host.
-const confirmWait = 2 * time.Second
+const (
+	// confirmWait is how long a watcher is kept waiting for a majority's
+	// confirmation before it is sent to another control host.
+	confirmWait = 2 * time.Second
+	// heartbeatPeriod is the time between heartbeats on a stream of documents.
+	heartbeatPeriod = 2 * time.Second
+)
 
 var (
 	_ peerpb.AgreementServer     = (*agreement)(nil)
@@ -85,7 +90,12 @@
 	w := &watcher{configuration: c, stream: stream, held: revisions(m.GetHeld())}
 	confirmed := time.NewTimer(confirmWait)
 	defer confirmed.Stop()
+	beat := time.NewTicker(heartbeatPeriod)
+	defer beat.Stop()
 	for {
+		// Taken before the learnt documents, so that one learnt in between is
+		// in one list or the other.
+		w.pending = c.host.pending()
 		values, current, changed := c.host.chosen()
 		if current {
 			if err := w.send(values); err != nil {
@@ -101,6 +111,10 @@
 			if !w.complete {
 				return errNotConfirmed
 			}
+		case <-beat.C:
+			if err := stream.Send(&peerpb.Update{}); err != nil {
+				return err
+			}
 		case <-stream.Context().Done():
 			return nil
 		case <-c.stop.Done():
@@ -124,7 +138,7 @@
 		return nil
 	}
 	w.complete = true
-	return w.stream.Send(&peerpb.Update{Complete: true})
+	return w.stream.Send(&peerpb.Update{Complete: true, Pending: w.pending})
 }
 
 func revisions(held []*peerpb.Held) map[string]uint64 {
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -18,7 +18,7 @@
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
-		w.WriteHeader(http.StatusServiceUnavailable)
+		writeJSON(w, http.StatusServiceUnavailable, h.config.status())
 	})
 	mux.HandleFunc("GET "+admin.TargetsPath, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, h.view())
@@ -36,12 +36,11 @@
 	for _, s := range services.list {
 		v.Services = append(v.Services, admin.ServiceView{Name: s.doc.Name, Revision: s.revision})
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, r := range h.targets.All([]member.Record(nil)) {
+	for _, r := range h.members.all() {
 		v.Targets = append(v.Targets, admin.TargetView{
 			Service: r.Service, Name: r.Target, Address: r.Address, DataCentre: r.DataCentre,
-			State: stateText(services, r), Incarnation: r.Incarnation, Voucher: r.Voucher,
+			State: stateText(services, r), Incarnation: r.Incarnation, Slots: r.Slots, Voucher: r.Voucher,
+			Lapsed: r.Lapsed, Suspect: r.Suspect,
 		})
 	}
 	slices.SortFunc(v.Targets, func(a, b admin.TargetView) int {
@@ -52,7 +51,7 @@
 
 // isReady reports whether the platform's balancer may send calls here.
 func (h *Host) isReady() bool {
-	return h.ready.Load() && !h.draining.Load()
+	return h.config.ready() && !h.draining.Load()
 }
 
 // stateText returns the state that a target announced, with a mark when the
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -21,9 +21,10 @@
 type (
 	// exchange sends calls to targets and streams their answers back.
 	exchange struct {
-		pool    *pool
-		log     *slog.Logger
-		metrics *telem.Set
+		pool     *pool
+		evidence *evidence
+		log      *slog.Logger
+		metrics  *telem.Set
 	}
 
 	// answerWriter gives the caller its answer.
@@ -62,6 +63,7 @@
 	)
 	if l, err = x.pool.get(ctx, s.Address, !c.class.Idempotent); err != nil {
 		x.log.Info("target not reached", "call", c.name, "target", s.Target, "error", err)
+		x.evidence.failed(c.service.doc.Name, s.Target)
 		c.feedback = noAnswer(r.Context(), engine.NotRun)
 		return engine.NotRun
 	}
@@ -76,10 +78,12 @@
 		err = checkAnswer(answer, c)
 	}
 	if err != nil {
+		x.evidence.failed(c.service.doc.Name, s.Target)
 		result := x.failed(l, c, s, err)
 		c.feedback = noAnswer(r.Context(), result)
 		return result
 	}
+	x.evidence.answered(c.service.doc.Name, s.Target, answer.Header)
 	if saysNotRun(answer) {
 		c.feedback = readFeedback(answer, engine.NotRun, x.metrics)
 		x.drop(l, answer)
--- a/io/entry/harness_test.go
+++ b/io/entry/harness_test.go
@@ -227,10 +227,10 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(b.host.apply(spec.Versioned{Name: "s", Revision: 1, Body: body})).To(gomega.Succeed())
 	for i, address := range targets {
-		b.host.merge(member.Record{
+		b.host.members.handle(member.Announce{Record: member.Record{
 			Key: member.Key{Service: "s", Target: string(rune('a' + i))}, Address: address, DataCentre: "lab",
 			State: member.Ready, Incarnation: 1, Voucher: "entry-1",
-		})
+		}})
 	}
 	var ctx context.Context
 	ctx, b.stop = context.WithCancel(context.Background())
