--- a/core/engine/drain.go
+++ b/core/engine/drain.go
@@ -10,7 +10,7 @@
 // retarget puts the records last heard in force, as the document has them, and
 // serves held calls.
 func (s *Service) retarget(dst []Action, now time.Time) []Action {
-	s.targets.Update(drained(s.records, s.doc.Targets.Drain))
+	s.targets.Update(drained(s.records, s.doc.Targets.Drain), s.doc.Route.Ramp.Std(), now)
 	return s.serveHeld(dst, now)
 }
 
--- a/core/spec/fields.go
+++ b/core/spec/fields.go
@@ -78,6 +78,14 @@
 		Path: "route.policy", Label: "Policy", Choices: Policies,
 		Help: "How a target is picked for a call.",
 	},
+	{
+		Path: "route.ramp", Label: "Ramp", Low: 0, High: int64(MaxRamp),
+		Help: "Time over which a new target grows to its full share of calls.",
+	},
+	{
+		Path: "route.prefer_own_data_centre", Label: "Prefer the own data centre",
+		Help: "Targets of the entry host's own data centre go first among equals.",
+	},
 	{
 		Path: "measure.probes_per_second", Label: "Probes", Unit: "probes per second", Low: 0, High: MaxProbes,
 		Help: "Budget for measuring targets, over all entry hosts, in any second; 0 measures nothing.",
--- a/io/admin/editor.go
+++ b/io/admin/editor.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"log/slog"
 	"time"
 
@@ -46,7 +44,6 @@
 	readTimeout  = 3 * time.Second
 	maxKey       = 128
 	maxOperator  = 64
-	digestBytes  = 8
 )
 
 // NewEditor returns an Editor that changes store and takes the time from now.
@@ -70,9 +67,10 @@
 }
 
 // Submit carries out one change. It returns strict.Faults when the draft is
-// not usable, a *quorum.ConflictError when the document has moved on, and
-// another error when the outcome is not known; the same draft may then be
-// submitted again, to any control host, and takes effect at most once.
+// not usable, a *quorum.ConflictError when the document has moved on, a
+// *quorum.ReusedError when its key belongs to another change, and another error
+// when the outcome is not known; the same draft may then be submitted again, to
+// any control host, and takes effect at most once.
 func (e *Editor) Submit(ctx context.Context, d Draft) (Accepted, error) {
 	change, faults := e.change(d)
 	if err := faults.Err(); err != nil {
@@ -84,6 +82,7 @@
 	var (
 		done     quorum.Request
 		conflict *quorum.ConflictError
+		reused   *quorum.ReusedError
 		err      error
 	)
 	done, err = e.store.Apply(ctx, change)
@@ -94,6 +93,8 @@
 		return Accepted{Name: d.Name, Revision: done.Revision}, nil
 	case errors.As(err, &conflict):
 		log.Info("change conflicts", "current", conflict.Current.Revision)
+	case errors.As(err, &reused):
+		log.Info("request identity reused", "first", reused.First.Revision)
 	default:
 		log.Warn("change not confirmed", "error", err)
 	}
@@ -105,7 +106,7 @@
 func (e *Editor) change(d Draft) (quorum.Change, strict.Faults) {
 	var faults strict.Faults
 	change := quorum.Change{
-		Name: d.Name, Base: d.Base, Request: identity(d), Operator: d.Operator, At: e.now().UTC(), Deleted: d.Deleted,
+		Name: d.Name, Base: d.Base, Request: d.Key, Operator: d.Operator, At: e.now().UTC(), Deleted: d.Deleted,
 	}
 	if d.Key == "" || len(d.Key) > maxKey {
 		faults.Add("request", "must have 1 to %d characters", maxKey)
@@ -134,13 +135,3 @@
 	}
 	return faults
 }
-
-// identity joins the operator's key with a digest of what is asked, so that a
-// key used again for another document is not taken for a resend.
-func identity(d Draft) string {
-	h := sha256.New()
-	if !d.Deleted {
-		h.Write(d.Document)
-	}
-	return d.Key + "/" + hex.EncodeToString(h.Sum(nil)[:digestBytes])
-}
--- a/io/consol/change.go
+++ b/io/consol/change.go
@@ -186,6 +186,7 @@
 		done     admin.Accepted
 		faults   strict.Faults
 		conflict *quorum.ConflictError
+		reused   *quorum.ReusedError
 	)
 	done, err = c.editor.Submit(r.Context(), d)
 	switch {
@@ -194,10 +195,11 @@
 	case errors.As(err, &faults):
 		c.problem(w, http.StatusUnprocessableEntity, s, "The change has faults", err.Error())
 	case errors.As(err, &conflict):
-		p.page = c.page("Conflict over "+d.Name, s)
-		p.Current, p.By = conflict.Current, c.latest(conflict.Current)
-		p.Request = c.newID()
-		c.render(w, http.StatusConflict, "conflict", p)
+		c.conflict(w, s, p, conflict.Current)
+	case errors.As(err, &reused):
+		// An applied form that was changed and sent once more.
+		current, _ := c.editor.Read(r.Context(), d.Name)
+		c.conflict(w, s, p, current)
 	default:
 		p.page = c.page("Outcome not known", s)
 		p.Text = err.Error()
@@ -206,6 +208,14 @@
 	}
 }
 
+// conflict shows the operator's version beside the current one.
+func (c *Console) conflict(w http.ResponseWriter, s session, p changePage, current spec.Versioned) {
+	p.page = c.page("Conflict over "+p.Name, s)
+	p.Current, p.By = current, c.latest(current)
+	p.Request = c.newID()
+	c.render(w, http.StatusConflict, "conflict", p)
+}
+
 func afterChange(done admin.Accepted, deleted bool) string {
 	if deleted {
 		return "/?deleted=" + url.QueryEscape(done.Name)
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/spec"
+	"cardamomspool/io/telem"
 )
 
 type (
@@ -41,8 +42,10 @@
 		engine  *engine.Service
 		waiters map[uint64]chan engine.Action
 		actions []engine.Action
+		metrics *telem.Set
 		tick    time.Duration
-		ticking bool
+		wake    *time.Timer
+		due     time.Time // When the next Tick comes; zero for never.
 	}
 )
 
@@ -64,23 +67,42 @@
 		delete(a.waiters, m.Call)
 		a.handle(m, now)
 	case engine.Tick:
-		a.ticking = false
+		a.due = time.Time{}
 		a.handle(m, now)
 	case engine.Event:
 		a.handle(m, now)
+	case *actor.Stopping:
+		a.stopWake()
+		return
 	}
-	a.armTick(ctx)
+	a.setWake(ctx, now)
 }
 
-// armTick sends the actor a Tick after one tick's time if calls are held and
-// none is on its way.
-func (a *serviceActor) armTick(ctx actor.Context) {
-	if a.ticking || a.engine.Held() == 0 {
+// setWake has the engine ticked while calls are held: after one tick's time,
+// or sooner when a held call may be sent before that.
+func (a *serviceActor) setWake(ctx actor.Context, now time.Time) {
+	if a.engine.Held() == 0 {
+		a.stopWake()
 		return
 	}
-	a.ticking = true
-	system, self := ctx.ActorSystem(), ctx.Self()
-	time.AfterFunc(a.tick, func() { system.Root.Send(self, engine.Tick{}) })
+	at := now.Add(a.tick)
+	if sooner, ok := a.engine.Wake(now); ok && sooner.Before(at) {
+		at = sooner
+	}
+	if !a.due.IsZero() && !at.Before(a.due) {
+		return
+	}
+	a.stopWake()
+	self, root := ctx.Self(), ctx.ActorSystem().Root
+	a.due = at
+	a.wake = time.AfterFunc(at.Sub(now), func() { root.Send(self, engine.Tick{}) })
+}
+
+func (a *serviceActor) stopWake() {
+	a.due = time.Time{}
+	if a.wake != nil {
+		a.wake.Stop()
+	}
 }
 
 func (a *serviceActor) handle(e engine.Event, now time.Time) {
@@ -93,6 +115,7 @@
 func (a *serviceActor) deliver(action engine.Action) {
 	switch action := action.(type) {
 	case engine.Send:
+		a.count(action)
 		if waiter, ok := a.waiters[action.Call]; ok {
 			waiter <- action
 		}
@@ -104,6 +127,13 @@
 	}
 }
 
+func (a *serviceActor) count(s engine.Send) {
+	a.metrics.Count("attempts").Add(1)
+	if s.Attempt > 1 {
+		a.metrics.Count("retries").Add(1)
+	}
+}
+
 // find returns the service that takes a call, the one with the longest
 // matching path prefix first, or nil.
 func (m *serviceMap) find(hostPort, path string) *service {
@@ -181,8 +211,9 @@
 func (h *Host) spawn(doc spec.Service) *actor.PID {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	a := &serviceActor{
-		engine:  engine.NewService(doc, rng),
+		engine:  engine.NewService(doc, rng, engine.WithDataCentre(h.cfg.DataCentre)),
 		waiters: make(map[uint64]chan engine.Action),
+		metrics: h.metrics,
 		tick:    h.cfg.Tick.Std(),
 	}
 	pid := h.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
