--- a/io/consol/change.go
+++ b/io/consol/change.go
@@ -44,8 +44,10 @@
 		Document []byte
 		Current  spec.Versioned
 		// By is who made the current version, as far as this host has learnt.
-		By   admin.Past
-		Text string
+		By admin.Past
+		// NotMade says that this control host could not take the change.
+		NotMade bool
+		Text    string
 	}
 )
 
@@ -202,6 +204,9 @@
 		c.conflict(w, s, p, current)
 	default:
 		p.page = c.page("Outcome not known", s)
+		if p.NotMade = errors.Is(err, quorum.ErrRecovering); p.NotMade {
+			p.Title = "Not possible here now"
+		}
 		p.Text = err.Error()
 		w.Header().Set("Retry-After", "1")
 		c.render(w, http.StatusServiceUnavailable, "unknown", p)
--- a/io/consol/fake_test.go
+++ b/io/consol/fake_test.go
@@ -34,6 +34,8 @@
 		history map[string][]quorum.Value
 		lose    int
 		cut     bool
+		// recovers makes the host take no changes.
+		recovers bool
 	}
 
 	// transcript drives the operators' address and writes down what was said.
@@ -64,8 +66,11 @@
 )
 
 func (s *fakeStore) Apply(_ context.Context, c quorum.Change) (quorum.Request, error) {
-	if s.cut {
+	switch {
+	case s.cut:
 		return quorum.Request{}, quorum.ErrNoMajority
+	case s.recovers:
+		return quorum.Request{}, quorum.ErrRecovering
 	}
 	old := s.values[c.Name]
 	next, done, err := quorum.Apply(old, c)
--- a/io/consol/sessions_test.go
+++ b/io/consol/sessions_test.go
@@ -99,6 +99,8 @@
 	tr.store.cut = true
 	tr.do("ana", "GET", "/services/bookings/delete", "")
 	g.Expect(tr.post("ana", "/delete", tr.hidden("/delete"))).To(gomega.Equal(503))
+	tr.store.cut, tr.store.recovers = false, true
+	g.Expect(tr.post("ana", "/delete", tr.hidden("/delete"))).To(gomega.Equal(503))
 	g.Expect(tr.store.values["bookings"].Deleted).To(gomega.BeFalse())
 	tr.check("lost_answer")
 }
