--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -77,11 +77,12 @@
 	return fmt.Sprintf("quorum: request identity %q was used before for another change, accepted as revision %d", e.First.ID, e.First.Revision)
 }
 
-// Digest returns a digest of what the change asks for: base revision, deletion
-// and body. Operator and time are left out, as a resend may differ in them.
+// Digest returns a digest of what the change asks for: deletion and body. The
+// base revision, the operator and the time are left out, as a resend may
+// differ in them.
 func (c *Change) Digest() string {
 	h := sha256.New()
-	fmt.Fprintf(h, "%d %t ", c.Base, c.Deleted)
+	fmt.Fprintf(h, "%t ", c.Deleted)
 	h.Write(c.Body)
 	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
