--- a/io/admin/editor.go
+++ b/io/admin/editor.go
@@ -68,8 +68,9 @@
 
 // Submit carries out one change. It returns strict.Faults when the draft is
 // not usable, a *quorum.ConflictError when the document has moved on, a
-// *quorum.ReusedError when the key belongs to another change, and another error when the outcome is not known; the same draft may then be
-// submitted again, to any control host, and takes effect at most once.
+// *quorum.ReusedError when its key belongs to another change, and another error
+// when the outcome is not known; the same draft may then be submitted again, to
+// any control host, and takes effect at most once.
 func (e *Editor) Submit(ctx context.Context, d Draft) (Accepted, error) {
 	change, faults := e.change(d)
 	if err := faults.Err(); err != nil {
