--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -64,7 +64,7 @@
 	}
 	if err := chosen.run(ctx, &o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
+		os.Exit(exitCode(err))
 	}
 }
 
@@ -76,6 +76,7 @@
 		processCommand("entry", "run an entry host", o, runEntry),
 		processCommand("control", "run a control host", o, runControl),
 		localCommand(o),
+		referenceCommand(),
 	}, ctlCommands(&o.ctl)...)
 	flaggy.Parse()
 	for _, c := range commands {
@@ -152,5 +153,7 @@
 
 func logger(c setup.Common) *slog.Logger {
 	level, _ := telem.Level(c.LogLevel)
-	return telem.Logger(os.Stderr, level, c.Host, c.DataCentre)
+	log := telem.Logger(os.Stderr, level, c.Host, c.DataCentre)
+	slog.SetDefault(log) // Libraries that write to the standard logger follow.
+	return log
 }
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamomspool/core/admit"
+	"cardamomspool/core/member"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 )
@@ -20,6 +21,7 @@
 		calls   map[uint64]*call
 		credit  float64
 		rng     *rand.Rand
+		records []member.Record
 		expired []admit.Held
 		passed  []admit.Held
 	}
@@ -46,8 +48,8 @@
 	retryBurst = 10
 	// maxSheds is the number of targets that may shed a call before it is
 	// refused. A shed costs no retry budget: the target did not run the call,
-	// and is left alone for a growing time.
-	maxSheds = 20
+	// and is left alone for a while.
+	maxSheds = 100
 )
 
 // WithDataCentre names the data centre of the entry host.
@@ -77,11 +79,11 @@
 	case Cancel:
 		return s.cancel(dst, e.Call, now)
 	case Retarget:
-		s.targets.Update(e.Records, s.doc.Route.Ramp.Std(), now)
-		return s.serveHeld(dst, now)
+		s.records = e.Records
+		return s.retarget(dst, now)
 	case Configure:
 		s.configure(e.Document)
-		return s.serveHeld(dst, now)
+		return s.retarget(dst, now)
 	case Tick:
 		return s.tick(dst, now)
 	}
--- /dev/null
+++ b/io/entry/admin.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"cardamomspool/core/member"
+	"cardamomspool/io/admin"
+)
+
+// adminHandler serves metrics, readiness and what this host knows of targets.
+func (h *Host) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", h.metrics)
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if h.isReady() {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		writeJSON(w, http.StatusServiceUnavailable, h.config.status())
+	})
+	mux.HandleFunc("GET "+admin.TargetsPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, h.view())
+	})
+	return mux
+}
+
+// view returns the services in force and all known targets.
+func (h *Host) view() admin.EntryView {
+	v := admin.EntryView{
+		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.isReady(),
+		Services: []admin.ServiceView{}, Targets: []admin.TargetView{},
+	}
+	services := h.services.Load()
+	for _, s := range services.list {
+		v.Services = append(v.Services, admin.ServiceView{Name: s.doc.Name, Revision: s.revision})
+	}
+	for _, r := range h.members.all() {
+		v.Targets = append(v.Targets, admin.TargetView{
+			Service: r.Service, Name: r.Target, Address: r.Address, DataCentre: r.DataCentre,
+			State: stateText(services, r), Incarnation: r.Incarnation, Slots: r.Slots, Voucher: r.Voucher,
+			Lapsed: r.Lapsed, Suspect: r.Suspect,
+		})
+	}
+	slices.SortFunc(v.Targets, func(a, b admin.TargetView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return v
+}
+
+// isReady reports whether the platform's balancer may send calls here.
+func (h *Host) isReady() bool {
+	return h.config.ready() && !h.draining.Load()
+}
+
+// stateText returns the state that a target announced, with a mark when the
+// operators have drained it.
+func stateText(services *serviceMap, r member.Record) string {
+	s, ok := services.byName[r.Service]
+	if ok && slices.Contains(s.doc.Targets.Drain, r.Target) {
+		return r.State.String() + ", drained by operators"
+	}
+	return r.State.String()
+}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -7,17 +7,15 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/pkg/errors"
-	"google.golang.org/grpc"
 
-	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/drain"
+	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
@@ -31,8 +29,8 @@
 		metrics  *telem.Set
 		system   *actor.ActorSystem
 		exchange *exchange
-		peers    []*remote
-		ready    atomic.Bool
+		members  *membership
+		config   *configuration
 		draining atomic.Bool
 		nextCall atomic.Uint64
 		services atomic.Pointer[serviceMap]
@@ -42,10 +40,6 @@
 		keys       *keyPair
 		openCalls  atomic.Int64
 		namePrefix string
-
-		mu      sync.Mutex
-		targets member.Table
-		held    map[string]uint64
 	}
 
 	// Option sets one property of a Host.
@@ -72,7 +66,7 @@
 
 // New returns a host that follows cfg, which must be valid.
 func New(cfg setup.Entry, opts ...Option) *Host {
-	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(), held: make(map[string]uint64)}
+	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet()}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -83,7 +77,12 @@
 	// The start time keeps names of calls apart over restarts.
 	h.namePrefix = cfg.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
 	h.services.Store(&serviceMap{})
-	h.metrics.Func("targets", func() any { return h.targetCount() })
+	h.members = newMembership(&h.cfg, h.log, h.metrics)
+	h.members.retarget = h.retarget
+	h.exchange.evidence = &h.members.evidence
+	h.config = newConfiguration(h)
+	h.metrics.Func("targets", func() any { return h.members.usable() })
+	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
 	h.metrics.Func("connections_open", func() any { return h.exchange.pool.openCount() })
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
@@ -94,10 +93,10 @@
 // calls in progress end, and after the settings' grace the rest is cut off.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.system.Shutdown()
-	if err := h.dialPeers(); err != nil {
+	if err := h.config.open(); err != nil {
 		return err
 	}
-	defer h.closePeers()
+	defer h.config.close()
 	if h.callers.TLS.Enabled() {
 		var err error
 		if h.keys, err = loadKeyPair(h.callers.TLS); err != nil {
@@ -119,7 +118,8 @@
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	go h.watch(work)
+	go h.config.run(work)
+	go h.members.run(work)
 	go h.exchange.pool.reap(work)
 	if h.keys != nil {
 		go h.keys.follow(work, keyPairCheck, h.log)
@@ -131,6 +131,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	h.config.stopping.Store(true)
 	if err == nil {
 		err = h.drain(failed)
 	}
@@ -157,16 +158,22 @@
 
 // servers returns the host's servers in the order in which they stop.
 func (h *Host) servers() []server {
-	announce := &http.Server{Handler: h.announceHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
+	announce := drain.New(&http.Server{Handler: h.announceHandler(), ReadHeaderTimeout: admin.HeaderTimeout})
 	operators := &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
-	peers := grpc.NewServer()
-	peerpb.RegisterMembershipServer(peers, &membership{host: h})
+	peers := peer.NewServer()
+	peerpb.RegisterMembershipServer(peers, h.members)
+	peerTraffic, announceTraffic := trafficOf(h.metrics, "peer"), trafficOf(h.metrics, "announce")
 	return []server{
 		h.callServer(),
-		httpServer("announce", h.cfg.AnnounceAddress, announce),
 		{
-			name: "peer", address: h.cfg.PeerAddress, serve: peers.Serve,
-			stop: func(context.Context) { peers.Stop() },
+			name: "announce", address: h.cfg.AnnounceAddress,
+			serve: func(l net.Listener) error { return announce.Serve(peer.CountListener(l, announceTraffic)) },
+			stop:  stopHTTP(announce),
+		},
+		{
+			name: "peer", address: h.cfg.PeerAddress,
+			serve: func(l net.Listener) error { return peers.Serve(peer.CountListener(l, peerTraffic)) },
+			stop:  func(context.Context) { peers.Stop() },
 		},
 		httpServer("admin", h.cfg.AdminAddress, operators),
 	}
@@ -198,13 +205,14 @@
 
 func httpServer(name string, address netip.AddrPort, inner *http.Server) server {
 	s := drain.New(inner)
-	return server{
-		name: name, address: address, serve: s.Serve,
-		stop: func(ctx context.Context) {
-			if err := s.Shutdown(ctx); err != nil {
-				s.Close()
-			}
-		},
+	return server{name: name, address: address, serve: s.Serve, stop: stopHTTP(s)}
+}
+
+func stopHTTP(s *drain.Server) func(context.Context) {
+	return func(ctx context.Context) {
+		if err := s.Shutdown(ctx); err != nil {
+			s.Close()
+		}
 	}
 }
 
@@ -215,22 +223,3 @@
 		s.stop(ctx)
 	}
 }
-
-func (h *Host) targetCount() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.targets.Len()
-}
-
-func (h *Host) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", h.metrics)
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if h.ready.Load() && !h.draining.Load() {
-			w.WriteHeader(http.StatusNoContent)
-			return
-		}
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})
-	return mux
-}
