Never keep the incarnation of a damaged disk

Cause: a host marked its disk as damaged before it took a new incarnation; had it died in between, it would have recovered under the incarnation it had voted in, and its former votes would have counted. Found by reading; seen red in TestStartOnADamagedDiskTakesANewIncarnation. Also: a blank host that learns a value before it hears of the founding can still found by the list of founders; document names are checked before they reach the agreement.

--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -207,8 +207,12 @@
 	if saved.Identity == nil || saved.Damaged {
 		return false
 	}
-	if saved.Identity.Stage == StageBlank {
+	switch saved.Identity.Stage {
+	case StageBlank:
 		return len(saved.Registers) == 0
+	case StageDamaged:
+		return false // It may have voted in this incarnation before.
+	case StageVoting:
 	}
 	held := make(map[string]bool, len(saved.Registers))
 	for _, r := range saved.Registers {
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -80,3 +82,28 @@
 		g.Expect(quorum.RecoveryReads(n)+others).To(gomega.BeNumerically(">", n-1), "%d hosts", n)
 	}
 }
+
+// A host that marked its disk as damaged and died before it took a new
+// incarnation has voted under the one it finds.
+func TestStartOnADamagedDiskTakesANewIncarnation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node, err := quorum.NewNode("a", []string{"a", "b", "c"}, rand.New(rand.NewPCG(1, 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	old := quorum.Incarnation{Number: 4, Nonce: 4}
+	out := node.Start(time.Time{}, quorum.Saved{Identity: &quorum.Identity{Incarnation: old, Stage: quorum.StageDamaged}})
+	g.Expect(out.Saves).NotTo(gomega.BeEmpty())
+	saved := out.Saves[len(out.Saves)-1].(quorum.Identity)
+	g.Expect(saved.Incarnation.Number).To(gomega.Equal(old.Number + 1))
+	g.Expect(saved.Stage).To(gomega.Equal(quorum.StageDamaged))
+}
+
+func TestStartWithoutAListedRegisterCountsAsLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node, err := quorum.NewNode("a", []string{"a", "b", "c"}, rand.New(rand.NewPCG(1, 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	node.Start(time.Time{}, quorum.Saved{
+		Identity:  &quorum.Identity{Incarnation: quorum.Incarnation{Number: 1}, Stage: quorum.StageVoting, Registers: []string{"x", "y"}},
+		Registers: []quorum.Register{{Name: "x"}},
+	})
+	g.Expect(node.Status(time.Time{}).Recovery).To(gomega.Equal("damaged"))
+}
--- a/core/quorum/recover.go
+++ b/core/quorum/recover.go
@@ -73,7 +73,7 @@
 			n.tallyBlanks(now)
 		}
 	case StageVoting:
-		if n.identity.Stage == StageBlank && m.Founders[n.host] == n.identity.Incarnation {
+		if m.Founders[n.host] == n.identity.Incarnation { // It was blank then, and has not voted since.
 			n.found(now, m.Founders)
 			return
 		}
--- a/io/ctrl/store.go
+++ b/io/ctrl/store.go
@@ -7,16 +7,24 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
 )
 
+// errName reports a change to a document whose name is not valid.
+var errName = errors.New("control: the service name is not valid")
+
 // Apply makes one change and returns once a majority of control hosts holds
 // it on disk. It returns a *quorum.ConflictError when the document has moved
 // on, a *quorum.ReusedError when the request's identity belongs to another
 // change, quorum.ErrRecovering when this host does not vote, and
 // quorum.ErrNoMajority when the outcome is not known.
 func (h *Host) Apply(ctx context.Context, c quorum.Change) (quorum.Request, error) {
+	if !spec.ValidName(c.Name) {
+		return quorum.Request{}, errName
+	}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
 	return r.Done, r.Err
 }
@@ -26,6 +34,9 @@
 // when there never was one. It returns quorum.ErrNoMajority when too few
 // answer and quorum.ErrRecovering when this host does not vote.
 func (h *Host) Read(ctx context.Context, name string) (spec.Versioned, error) {
+	if !spec.ValidName(name) {
+		return spec.Versioned{Name: name}, nil // There can be none.
+	}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Read(now, name) })
 	return r.Value.Versioned, r.Err
 }
