--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -122,9 +122,11 @@
 	// has learnt for the host to count as current.
 	CurrentAge = 4 * time.Second
 
-	fetchPeriod   = time.Second
-	finishAfter   = time.Second
-	recoverPeriod = 250 * time.Millisecond
+	fetchPeriod = time.Second
+	// firstFetchPeriod holds until a majority has confirmed this host.
+	firstFetchPeriod = 200 * time.Millisecond
+	finishAfter      = time.Second
+	recoverPeriod    = 250 * time.Millisecond
 )
 
 // ErrHosts reports a list of control hosts that does not hold the own host or
@@ -305,7 +307,11 @@
 		}
 		return n.take()
 	}
-	if now.Sub(n.fetched) >= fetchPeriod {
+	period := fetchPeriod
+	if !n.Current(now) {
+		period = firstFetchPeriod // Peers that start at the same time may not have heard the last one.
+	}
+	if now.Sub(n.fetched) >= period {
 		n.startFetch(now)
 	}
 	n.finish(now)
