--- a/io/admin/view.go
+++ b/io/admin/view.go
@@ -65,8 +65,13 @@
 		DataCentre  string         `json:"data_centre"`
 		State       string         `json:"state"`
 		Incarnation uint64         `json:"incarnation"`
+		Slots       int            `json:"slots"`
 		// Voucher is the entry host that hears the target's announcements.
 		Voucher string `json:"voucher"`
+		// Lapsed says that the target's lease has ended.
+		Lapsed bool `json:"lapsed"`
+		// Suspect says that the target was not heard and has not answered.
+		Suspect bool `json:"suspect"`
 	}
 
 	// Sighting is an answer of one entry host, or why there is none.
@@ -77,6 +82,17 @@
 	}
 )
 
+// Condition returns the target's state with the marks that it bears.
+func (t *TargetView) Condition() string {
+	switch {
+	case t.Suspect:
+		return t.State + ", suspect"
+	case t.Lapsed:
+		return t.State + ", lease lapsed"
+	}
+	return t.State
+}
+
 // Pasts returns the history of a service, newest first.
 func Pasts(store Store, name string) []Past {
 	values := store.History(name)
--- a/io/consol/show.go
+++ b/io/consol/show.go
@@ -186,7 +186,7 @@
 			if states[k] == nil {
 				states[k] = make(map[string]int)
 			}
-			states[k][t.State]++
+			states[k][t.Condition()]++
 			if t.Incarnation >= views[k].Incarnation {
 				views[k] = t
 			}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -16,6 +16,7 @@
 	"cardamomspool/io/admin"
 	"cardamomspool/io/disk"
 	"cardamomspool/io/drain"
+	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
@@ -131,12 +132,12 @@
 		return err
 	}
 	defer h.closePeers()
-	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.StatsHandler(newTraffic(h.metrics)))
+	peers := peer.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.StatsHandler(newTraffic(h.metrics)))
 	peerpb.RegisterAgreementServer(peers, &agreement{host: h})
 	peerpb.RegisterConfigurationServer(peers, &configuration{host: h, stop: ctx})
 	api := drain.New(&http.Server{Handler: h.operators(), ReadHeaderTimeout: admin.HeaderTimeout})
 	h.do(func(now time.Time) quorum.Output { return h.node.Start(now, saved) })
-	go func() { h.fail(peers.Serve(peerListener)) }()
+	go func() { h.fail(peers.Serve(peer.CountListener(peerListener, h.peerTraffic()))) }()
 	go func() { h.fail(api.Serve(adminListener)) }()
 	go h.tick(work)
 	h.log.Info("control host serves", "peer_address", h.cfg.PeerAddress, "admin_address", h.cfg.AdminAddress)
@@ -149,6 +150,12 @@
 	return err
 }
 
+// peerTraffic returns the counters of all bytes between this host and the
+// system's other processes.
+func (h *Host) peerTraffic() peer.Traffic {
+	return peer.Traffic{In: h.metrics.Count("peer_bytes_in"), Out: h.metrics.Count("peer_bytes_out")}
+}
+
 // fail ends Run with err, unless it ends already.
 func (h *Host) fail(err error) {
 	select {
