--- /dev/null
+++ b/io/consol/layout.go
@@ -0,0 +1,152 @@
+package consol
+
+import (
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cardamomspool/core/field"
+)
+
+type (
+	// section is a part of the rendered form.
+	section struct {
+		Title  string
+		Faults []string
+		Inputs []input
+		Groups []group
+	}
+
+	// group is a list of objects in a section.
+	group struct {
+		Title string
+		Path  string
+		Rows  []row
+	}
+
+	row struct {
+		Title  string
+		Remove string
+		Inputs []input
+	}
+
+	// input is one rendered field.
+	input struct {
+		field.Entry
+		Name     string
+		Value    string
+		Checked  bool
+		ReadOnly bool
+		Options  []option
+		Faults   []string
+	}
+
+	option struct {
+		Value  string
+		Chosen bool
+	}
+)
+
+// blankRows is the number of empty rows offered after the filled ones.
+const blankRows = 1
+
+var anyIndex = regexp.MustCompile(`\[\d+\]`)
+
+// sections returns the form as it is rendered. A fault stands beside its
+// field, or at the head of its section when it belongs to none.
+func (f *form) sections(nameFixed bool) []section {
+	var list []section
+	for _, e := range f.entries {
+		title, _, _ := strings.Cut(e.Path, ".")
+		if len(list) == 0 || list[len(list)-1].Title != title {
+			list = append(list, section{Title: title, Faults: f.strays(title)})
+		}
+		s := &list[len(list)-1]
+		if path, rest, isRow := strings.Cut(e.Path, "[]"); isRow {
+			f.addToGroup(s, e, path, rest)
+			continue
+		}
+		in := f.input(e, e.Path)
+		in.ReadOnly = nameFixed && e.Path == "name"
+		s.Inputs = append(s.Inputs, in)
+	}
+	return list
+}
+
+func (f *form) addToGroup(s *section, e field.Entry, path, rest string) {
+	i := slices.IndexFunc(s.Groups, func(g group) bool { return g.Path == path })
+	if i < 0 {
+		i = len(s.Groups)
+		s.Groups = append(s.Groups, f.newGroup(path))
+	}
+	for n := range s.Groups[i].Rows {
+		r := &s.Groups[i].Rows[n]
+		in := f.input(e, rowPath(path, n)+rest)
+		if r.Remove == "" {
+			in.Value = e.Default
+		}
+		r.Inputs = append(r.Inputs, in)
+	}
+}
+
+func (f *form) newGroup(path string) group {
+	g := group{Title: path[strings.LastIndex(path, ".")+1:], Path: path}
+	filled := f.rows(path)
+	for n := range filled {
+		g.Rows = append(g.Rows, row{Title: strconv.Itoa(n + 1), Remove: rowPath(path, n) + removeName})
+	}
+	for range blankRows {
+		g.Rows = append(g.Rows, row{Title: "new"})
+	}
+	return g
+}
+
+func (f *form) input(e field.Entry, path string) input {
+	in := input{Entry: e, Name: path, Value: f.values.Get(path)}
+	for _, fault := range f.faults {
+		if covers(path, fault.Path) {
+			in.Faults = append(in.Faults, fault.Problem)
+		}
+	}
+	switch {
+	case e.Kind == field.Flag:
+		in.Checked = in.Value != ""
+	case e.Kind == field.List && e.Choices == nil:
+		in.Value = strings.Join(f.values[path], "\n")
+	case e.Choices != nil:
+		for _, c := range e.Choices {
+			in.Options = append(in.Options, option{Value: c, Chosen: slices.Contains(f.values[path], c)})
+		}
+	}
+	return in
+}
+
+// strays returns the faults of a section that belong to none of its fields.
+func (f *form) strays(title string) []string {
+	var list []string
+	for _, fault := range f.faults {
+		section, _, _ := strings.Cut(fault.Path, ".")
+		known := slices.ContainsFunc(f.entries, func(e field.Entry) bool { return covers(e.Path, fault.Path) })
+		switch {
+		case known || section != title:
+		case fault.Path == title:
+			list = append(list, fault.Problem)
+		default:
+			list = append(list, fault.Path+": "+fault.Problem)
+		}
+	}
+	return list
+}
+
+// covers reports whether a fault's path belongs to the field at path, or to an
+// entry of the list there. An empty index in path stands for any.
+func covers(path, fault string) bool {
+	if strings.HasSuffix(fault, "]") {
+		fault = fault[:strings.LastIndex(fault, "[")]
+	}
+	if strings.Contains(path, "[]") {
+		fault = anyIndex.ReplaceAllString(fault, "[]")
+	}
+	return path == fault
+}
--- a/io/consol/main_test.go
+++ b/io/consol/main_test.go
@@ -8,8 +8,10 @@
 
 // TestMain fixes the seed of the random runs; -rapid.seed sets another.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "4"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "4", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	flag.Parse()
 	os.Exit(m.Run())
