Keep documents with many rules whole through the form

Cause: a posted form was read up to its 200th row, so the form of a document with more rules lost the rest, shown only in the review's difference. Change: rows are taken from the names that were posted; a form may be 1 MiB long, enough for the longest document. Test: TestFormKeepsManyRules, with as many rules as 64 KiB hold, seen red.

--- a/io/consol/console.go
+++ b/io/consol/console.go
@@ -36,7 +36,8 @@
 )
 
 const (
-	maxFormBytes = 4 * spec.MaxDocumentBytes
+	// maxFormBytes is enough for the form of the longest document.
+	maxFormBytes = 16 * spec.MaxDocumentBytes
 
 	// policy lets a page load the console's own style and nothing else.
 	policy = "default-src 'none'; style-src 'self'; img-src data:; form-action 'self'; frame-ancestors 'none'; base-uri 'none'"
--- a/io/consol/form.go
+++ b/io/consol/form.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,11 +25,8 @@
 	}
 )
 
-const (
-	// maxRows bounds the rows that a form may have.
-	maxRows    = 200
-	removeName = ".remove"
-)
+// removeName ends the name of the box that takes out a row.
+const removeName = ".remove"
 
 // formOf returns the form of a valid document.
 func formOf(doc spec.Service) *form {
@@ -71,13 +70,17 @@
 // taken out.
 func posted(values url.Values) *form {
 	f := &form{entries: spec.Reference(), values: url.Values{}}
+	rows := make(map[string][]int)
 	for _, e := range f.entries {
 		list, rest, isRow := strings.Cut(e.Path, "[]")
 		if !isRow {
 			f.take(e, e.Path, values[e.Path])
 			continue
 		}
-		for to, from := range filledRows(f.entries, values, list) {
+		if _, ok := rows[list]; !ok {
+			rows[list] = filledRows(f.entries, values, list)
+		}
+		for to, from := range rows[list] {
 			f.take(e, rowPath(list, to)+rest, values[rowPath(list, from)+rest])
 		}
 	}
@@ -103,10 +106,17 @@
 	return list
 }
 
-// filledRows returns the numbers of the posted rows of a list that count.
+// filledRows returns the numbers of the posted rows of a list that count, in
+// order.
 func filledRows(entries []field.Entry, values url.Values, list string) []int {
+	seen := make(map[int]bool)
+	for name := range values {
+		if i, ok := rowOf(name, list); ok {
+			seen[i] = true
+		}
+	}
 	var rows []int
-	for i := range maxRows {
+	for _, i := range slices.Sorted(maps.Keys(seen)) {
 		at := rowPath(list, i)
 		if !values.Has(at+removeName) && !blank(entries, values, list, at) {
 			rows = append(rows, i)
@@ -115,6 +125,17 @@
 	return rows
 }
 
+// rowOf returns the number of the row of a list that a field belongs to.
+func rowOf(name, list string) (int, bool) {
+	rest, ok := strings.CutPrefix(name, list+"[")
+	if !ok {
+		return 0, false
+	}
+	number, _, _ := strings.Cut(rest, "]")
+	i, err := strconv.Atoi(number)
+	return i, err == nil && i >= 0
+}
+
 // blank reports whether every field of a row is empty or at its default.
 func blank(entries []field.Entry, values url.Values, list, at string) bool {
 	for _, e := range entries {
@@ -137,11 +158,8 @@
 func (f *form) rows(list string) int {
 	n := 0
 	for path := range f.values {
-		if rest, ok := strings.CutPrefix(path, list+"["); ok {
-			number, _, _ := strings.Cut(rest, "]")
-			if i, err := strconv.Atoi(number); err == nil {
-				n = max(n, i+1)
-			}
+		if i, ok := rowOf(path, list); ok {
+			n = max(n, i+1)
 		}
 	}
 	return n
--- a/io/consol/form_test.go
+++ b/io/consol/form_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"cardamomspool/core/spec"
@@ -94,3 +96,17 @@
 		}
 	})
 }
+
+// A document may hold more rules than an operator would type.
+func TestFormKeepsManyRules(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Name, doc.Receive.PathPrefixes = "many", []string{"/"}
+	for len(spec.Canonical(doc)) < spec.MaxDocumentBytes-500 {
+		doc.Receive.Routes = append(doc.Receive.Routes, spec.RouteRule{PathPrefix: "/" + strconv.Itoa(len(doc.Receive.Routes))})
+	}
+	values := rendered(formOf(doc))
+	g.Expect(len(values.Encode())).To(gomega.BeNumerically("<", maxFormBytes))
+	again := posted(values).document()
+	g.Expect(string(spec.Canonical(again))).To(gomega.Equal(string(spec.Canonical(doc))))
+}
