--- /dev/null
+++ b/io/slope/fault_test.go
@@ -0,0 +1,142 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/io/setup"
+)
+
+// entryState is what an entry process shows of its documents.
+type entryState struct {
+	Documents struct {
+		State     string `json:"state"`
+		InForce   int    `json:"in_force"`
+		Revisions int    `json:"revisions"`
+	} `json:"documents"`
+}
+
+// faultLimit is generous, since the machine may be busy.
+const faultLimit = 20 * time.Second
+
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "cardamomspool")
+	out, err := exec.Command("go", "build", "-o", path, "cardamomspool/cmd/cardamomspool").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+func (f *fleet) state(i int) entryState {
+	var s entryState
+	if err := getJSON(context.Background(), fmt.Sprintf("http://%s/debug/vars", f.entries[i].admin), &s); err != nil {
+		s.Documents.State = err.Error()
+	}
+	return s
+}
+
+func (f *fleet) readyStatus(i int) int {
+	resp, err := http.Get(fmt.Sprintf("http://%s/ready", f.entries[i].admin))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestEntryWithoutControlHosts kills all control hosts and restarts two entry
+// hosts: the one with a data folder serves its last documents, the other one
+// waits and says so, until control is back.
+func TestEntryWithoutControlHosts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	folder := t.TempDir()
+	f, err := startFleet(ctx, buildBinary(t), 2, time.Second, func(s *setup.Entry) {
+		if s.Host == "entry-1" {
+			s.DataFolder = filepath.Join(folder, s.Host)
+		}
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer f.stop()
+	for i := range 20 {
+		g.Expect(f.change(ctx, i)).To(gomega.Succeed())
+	}
+	g.Expect(f.waitRevisions(ctx, 21)).To(gomega.Succeed())
+	for _, p := range append(f.controls, f.entries...) {
+		g.Expect(p.kill()).To(gomega.Succeed())
+	}
+	g.Expect(f.entries[0].restart()).To(gomega.Succeed())
+	g.Expect(f.entries[1].restart()).To(gomega.Succeed())
+	g.Eventually(func() int { return f.readyStatus(0) }, faultLimit).Should(gomega.Equal(http.StatusNoContent))
+	g.Expect(f.state(0).Documents.Revisions).To(gomega.Equal(21))
+	g.Expect(f.state(0).Documents.State).To(gomega.Equal("restored"))
+	g.Expect(f.readyStatus(1)).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(f.state(1).Documents.State).To(gomega.Equal("waiting"))
+	g.Expect(f.state(1).Documents.InForce).To(gomega.BeZero())
+	g.Expect(f.controls[0].restart()).To(gomega.Succeed())
+	g.Expect(f.controls[1].restart()).To(gomega.Succeed())
+	g.Eventually(func() int { return f.readyStatus(1) }, faultLimit).Should(gomega.Equal(http.StatusNoContent))
+	g.Expect(f.state(1).Documents.Revisions).To(gomega.Equal(21))
+}
+
+// TestStaleControlHost freezes a control host during a change and leaves it as
+// the only one: an entry host that restarts without memory does not take its
+// older document.
+func TestStaleControlHost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	f, err := startFleet(ctx, buildBinary(t), 1, time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer f.stop()
+	stale := f.controls[2].cmd.Process
+	g.Expect(stale.Signal(syscall.SIGSTOP)).To(gomega.Succeed())
+	for i := range 2 {
+		g.Expect(f.change(ctx, i)).To(gomega.Succeed())
+	}
+	g.Expect(f.waitRevisions(ctx, 3)).To(gomega.Succeed())
+	for _, p := range []*process{f.controls[0], f.controls[1], f.entries[0]} {
+		g.Expect(p.kill()).To(gomega.Succeed())
+	}
+	g.Expect(stale.Signal(syscall.SIGCONT)).To(gomega.Succeed())
+	g.Expect(f.entries[0].restart()).To(gomega.Succeed())
+	g.Eventually(func() string { return f.state(0).Documents.State }, faultLimit).Should(gomega.Equal("waiting"))
+	g.Consistently(func() int { return f.state(0).Documents.InForce }, 2*time.Second, 50*time.Millisecond).Should(gomega.BeZero())
+	g.Expect(f.controls[0].restart()).To(gomega.Succeed())
+	g.Eventually(func() int { return f.state(0).Documents.Revisions }, faultLimit).Should(gomega.Equal(3))
+}
+
+// TestFrozenControlHost freezes one control host after another, with their
+// connections open, and makes a change each time.
+func TestFrozenControlHost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	f, err := startFleet(ctx, buildBinary(t), 2, time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer f.stop()
+	for i := range f.controls {
+		// Changes go to the host before the one that is frozen.
+		p := f.controls[(i+1)%len(f.controls)]
+		g.Expect(p.cmd.Process.Signal(syscall.SIGSTOP)).To(gomega.Succeed())
+		g.Expect(f.change(ctx, i)).To(gomega.Succeed())
+		g.Expect(f.waitRevisions(ctx, i+2)).To(gomega.Succeed())
+		g.Expect(p.cmd.Process.Signal(syscall.SIGCONT)).To(gomega.Succeed())
+	}
+}
+
+// TestLeavingHeardByAHostThatDies runs a few trials of the measurement.
+func TestLeavingHeardByAHostThatDies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	times, err := New(buildBinary(t), WithProgress(t.Output())).leaving(context.Background(), 5, 4)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(times.Most).To(gomega.BeNumerically("<", 3000))
+}
--- a/io/slope/fleet.go
+++ b/io/slope/fleet.go
@@ -25,6 +25,7 @@
 	controls []*process
 	entries  []*process
 	settings []setup.Entry
+	adjust   []func(*setup.Entry)
 }
 
 const (
@@ -35,9 +36,10 @@
 )
 
 // startFleet starts three control hosts and a number of entry hosts whose
-// targets announce themselves at the given interval.
-func startFleet(ctx context.Context, binary string, entries int, interval time.Duration) (*fleet, error) {
-	f := &fleet{}
+// targets announce themselves at the given interval. Each of adjust may change
+// the settings of an entry host.
+func startFleet(ctx context.Context, binary string, entries int, interval time.Duration, adjust ...func(*setup.Entry)) (*fleet, error) {
+	f := &fleet{adjust: adjust}
 	var err error
 	if f.folder, err = os.MkdirTemp("", "cardamomspool-slope-"); err != nil {
 		return nil, errors.Wrap(err, "slope")
@@ -88,6 +90,9 @@
 			Tick: strict.Duration(10 * time.Millisecond), AnnounceInterval: strict.Duration(interval),
 			DecisionLogOneIn: 1, StopGrace: strict.Duration(time.Second),
 		}
+		for _, change := range f.adjust {
+			change(&cfg)
+		}
 		process, err := f.launch(binary, "entry", cfg.Host, cfg, cfg.AdminAddress)
 		if err != nil {
 			return err
--- a/io/slope/force.go
+++ b/io/slope/force.go
@@ -65,7 +65,7 @@
 			if err := f.change(ctx, i); err != nil {
 				return err
 			}
-			if err := f.waitForce(ctx, float64(i+2)); err != nil {
+			if err := f.waitRevisions(ctx, i+2+3); err != nil {
 				return err
 			}
 			times = append(times, time.Since(begin))
@@ -122,24 +122,24 @@
 	}
 }
 
-// waitForce waits until the sum of the revisions in force is that of the
-// first document at revision plus the other documents at 1, on every entry.
-func (f *fleet) waitForce(ctx context.Context, revision float64) error {
+// waitRevisions waits until the revisions in force on every entry host add up
+// to sum.
+func (f *fleet) waitRevisions(ctx context.Context, sum int) error {
 	ctx, cancel := context.WithTimeout(ctx, forceLimit)
 	defer cancel()
 	for _, p := range f.entries {
 		for {
 			var state struct {
 				Documents struct {
-					Revisions float64 `json:"revisions"`
+					Revisions int `json:"revisions"`
 				} `json:"documents"`
 			}
 			err := getJSON(ctx, fmt.Sprintf("http://%s/debug/vars", p.admin), &state)
-			if err == nil && state.Documents.Revisions >= revision+3 {
+			if err == nil && state.Documents.Revisions >= sum {
 				break
 			}
 			if err := sleep(ctx, forcePoll); err != nil {
-				return errors.Wrapf(err, "slope: %s has revisions %g in force, not %g", p.admin, state.Documents.Revisions, revision+3)
+				return errors.Wrapf(err, "slope: %s has revisions %d in force, not %d", p.admin, state.Documents.Revisions, sum)
 			}
 		}
 	}
@@ -151,8 +151,12 @@
 // other one of 14 entry hosts knows. A target without an answer repeats itself
 // to the next address, as docs/TARGETS.md tells it.
 func (r *Runner) Leaving(ctx context.Context, trials int) (Times, error) {
+	return r.leaving(ctx, controlEntries, trials)
+}
+
+func (r *Runner) leaving(ctx context.Context, entries, trials int) (Times, error) {
 	var times []time.Duration
-	err := r.withFleet(ctx, controlEntries, 36, 4, func(f *fleet) error {
+	err := r.withFleet(ctx, entries, 36, 4, func(f *fleet) error {
 		for i := range trials {
 			d, err := f.leave(ctx, i, trials)
 			if err != nil {
