--- a/io/entry/announce.go
+++ b/io/entry/announce.go
@@ -12,27 +12,6 @@
 	"cardamomspool/core/wire"
 )
 
-type (
-	// targetView is one target as operators see it.
-	targetView struct {
-		Service     string `json:"service"`
-		Target      string `json:"target"`
-		Address     string `json:"address"`
-		DataCentre  string `json:"data_centre"`
-		State       string `json:"state"`
-		Incarnation uint64 `json:"incarnation"`
-		Slots       int    `json:"slots"`
-		Voucher     string `json:"voucher"`
-		Lapsed      bool   `json:"lapsed"`
-		Suspect     bool   `json:"suspect"`
-	}
-
-	targetsView struct {
-		Host    string       `json:"host"`
-		Targets []targetView `json:"targets"`
-	}
-)
-
 // isolatedRetryAfter tells a leaving target to turn to another entry host at
 // once.
 const isolatedRetryAfter = "0"
@@ -98,19 +77,6 @@
 	writeJSON(w, status, p)
 }
 
-// listTargets writes every target that this host knows.
-func (h *Host) listTargets(w http.ResponseWriter, _ *http.Request) {
-	view := targetsView{Host: h.cfg.Host, Targets: []targetView{}}
-	for _, r := range h.members.all() {
-		view.Targets = append(view.Targets, targetView{
-			Service: r.Service, Target: r.Target, Address: r.Address.String(), DataCentre: r.DataCentre,
-			State: r.State.String(), Incarnation: r.Incarnation, Slots: r.Slots, Voucher: r.Voucher,
-			Lapsed: r.Lapsed, Suspect: r.Suspect,
-		})
-	}
-	writeJSON(w, http.StatusOK, view)
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(status)
--- a/io/slope/announce.go
+++ b/io/slope/announce.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cardamomspool/core/wire"
+	"cardamomspool/io/ports"
 	"cardamomspool/io/stub"
 )
 
@@ -39,12 +40,12 @@
 // startTargets runs n stand-in targets that answer at once until ctx ends, and
 // returns the addresses at which they can be called directly.
 func (f *fleet) startTargets(ctx context.Context, group *sync.WaitGroup, n int) ([]string, error) {
-	ports, err := freePorts(n)
+	addresses, err := ports.Free(n)
 	if err != nil {
 		return nil, err
 	}
 	var urls []string
-	for i, address := range ports {
+	for i, address := range addresses {
 		t := stub.New(document(0).Name, fmt.Sprintf("target-%d", i), address, f.settings[0].AnnounceAddress,
 			stub.WithSlots(callSlots, callSlots), stub.WithServiceTime(0))
 		group.Go(func() {
--- a/io/slope/fleet.go
+++ b/io/slope/fleet.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +15,7 @@
 
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
+	"cardamomspool/io/ports"
 	"cardamomspool/io/setup"
 )
 
@@ -56,13 +56,13 @@
 }
 
 func (f *fleet) start(binary string, entries int, interval time.Duration) error {
-	ports, err := freePorts(2*controlHosts + 4*entries)
+	free, err := ports.Free(2*controlHosts + 4*entries)
 	if err != nil {
 		return err
 	}
 	next := func() netip.AddrPort {
-		a := ports[0]
-		ports = ports[1:]
+		a := free[0]
+		free = free[1:]
 		return a
 	}
 	var controlPeers, entryPeers []setup.Peer
@@ -199,17 +199,3 @@
 	}
 	return nil
 }
-
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "slope: free port")
-		}
-		defer l.Close()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return list, nil
-}
--- a/io/slope/force.go
+++ b/io/slope/force.go
@@ -31,8 +31,8 @@
 	// sighting is the part of an entry host's list of targets that is read.
 	sighting struct {
 		Targets []struct {
-			Target string `json:"target"`
-			State  string `json:"state"`
+			Name  string `json:"name"`
+			State string `json:"state"`
 		} `json:"targets"`
 	}
 )
@@ -251,7 +251,7 @@
 
 func (s *sighting) has(target, state string) bool {
 	for _, t := range s.Targets {
-		if t.Target == target && t.State == state {
+		if t.Name == target && strings.HasPrefix(t.State, state) {
 			return true
 		}
 	}
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -39,6 +39,14 @@
 		running chan struct{}
 		waiting int
 		changed chan struct{}
+
+		behaviour Behaviour
+		started   time.Time
+		past      []pastLoad
+		spells    *rand.Rand
+		next      spell
+
+		spellsFrom time.Time
 	}
 
 	// Option sets one property of a Target.
@@ -56,6 +64,9 @@
 	// HeaderCall is the identity that a test caller gives its call; it is
 	// written back in the answer's body.
 	HeaderCall = "Lab-Call"
+	// ReseedPath takes a POST that starts the service times and the noisy
+	// spells anew from the seed in the query.
+	ReseedPath = "/lab/reseed"
 
 	headerTimeout = time.Second
 )
@@ -105,6 +116,8 @@
 	}
 	t.announcer = newAnnouncer(announce)
 	t.running = make(chan struct{}, t.slots)
+	t.started = time.Now()
+	t.spellsFrom = t.started
 	return t
 }
 
@@ -132,8 +145,17 @@
 // ServeHTTP runs one call: it waits for a slot, holds it for the service time
 // and answers with the call's identity. A call beyond the queue is shed.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ReseedPath {
+		t.reseed(w, r)
+		return
+	}
+	if t.behaviour.FailFast {
+		t.record.add(r.Header.Get(HeaderCall))
+		http.Error(w, "broken", http.StatusInternalServerError)
+		return
+	}
 	if !t.enter(r.Context()) {
-		t.mark(w.Header())
+		t.reportLoad(w, 0)
 		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
@@ -145,12 +167,11 @@
 		return
 	}
 	select {
-	case <-time.After(t.draw()):
+	case <-time.After(t.draw(time.Now())):
 	case <-r.Context().Done():
 		return
 	}
-	t.mark(w.Header())
-	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("running=%d", len(t.running)))
+	t.reportLoad(w, 1)
 	fmt.Fprintf(w, "%s\n", id)
 }
 
@@ -184,10 +205,10 @@
 	return true
 }
 
-func (t *Target) draw() time.Duration {
+func (t *Target) draw(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Duration(t.rng.ExpFloat64() * float64(t.serviceTime))
+	return time.Duration(t.rng.ExpFloat64() * float64(t.serviceTime) * t.slowdown(now))
 }
 
 func (r *Record) add(id string) {
