--- a/core/quorum/learn.go
+++ b/core/quorum/learn.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// Pending appends the values that this host has accepted and does not know to
+// be chosen to dst and returns it.
+func (n *Node) Pending(dst []Value) []Value {
+	for _, r := range n.acceptor.Registers(nil) {
+		if r.Value.Revision > n.acceptor.Learnt(r.Name).Chosen.Revision {
+			dst = append(dst, r.Value)
+		}
+	}
+	return dst
+}
+
 // noteUnlearnt remembers when a value was accepted that is not learnt yet.
 func (n *Node) noteUnlearnt(now time.Time, v Value) {
 	if v.Revision <= n.acceptor.Learnt(v.Name).Chosen.Revision {
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -349,18 +349,6 @@
 	return n.acceptor.Chosen(nil)
 }
 
-// Pending returns the revisions that this host has accepted and has not learnt
-// to be chosen, in no particular order.
-func (n *Node) Pending() []Held {
-	var list []Held
-	for _, r := range n.acceptor.Registers(nil) {
-		if r.Value.Revision > n.acceptor.Learnt(r.Name).Chosen.Revision {
-			list = append(list, Held{Name: r.Name, Revision: r.Value.Revision})
-		}
-	}
-	return list
-}
-
 // Learnt returns what is known of the document called name.
 func (n *Node) Learnt(name string) Learnt {
 	return n.acceptor.Learnt(name)
--- a/io/consol/sessions_test.go
+++ b/io/consol/sessions_test.go
@@ -54,6 +54,16 @@
 	g.Expect(tr.post("ana", "/apply", anas)).To(gomega.Equal(303))
 	g.Expect(tr.post("beni", "/apply", benis)).To(gomega.Equal(409))
 	g.Expect(tr.store.values["bookings"].Revision).To(gomega.Equal(uint64(2)))
+	beniConflict := tr.body
+	tr.say("Ana goes back to the form that she has applied, changes another field and applies it.")
+	changed := url.Values{}
+	for name, v := range anas {
+		changed[name] = v
+	}
+	changed.Set("document", strings.Replace(anas.Get("document"), `"slots":4`, `"slots":9`, 1))
+	g.Expect(tr.post("ana", "/apply", changed)).To(gomega.Equal(409))
+	g.Expect(tr.store.values["bookings"].Revision).To(gomega.Equal(uint64(2)))
+	tr.body = beniConflict
 	tr.say("Beni takes his version to the form on top of revision 2 and applies it.")
 	g.Expect(tr.post("beni", "/form", tr.hidden("/form"))).To(gomega.Equal(200))
 	benis = fields(tr.hidden("/review"), "targets.slots", "3", "retry.attempts", "2")
@@ -89,6 +99,8 @@
 	tr.store.cut = true
 	tr.do("ana", "GET", "/services/bookings/delete", "")
 	g.Expect(tr.post("ana", "/delete", tr.hidden("/delete"))).To(gomega.Equal(503))
+	tr.store.cut, tr.store.recovers = false, true
+	g.Expect(tr.post("ana", "/delete", tr.hidden("/delete"))).To(gomega.Equal(503))
 	g.Expect(tr.store.values["bookings"].Deleted).To(gomega.BeFalse())
 	tr.check("lost_answer")
 }
--- a/io/ctrl/pending.go
+++ b/io/ctrl/pending.go
@@ -8,8 +8,8 @@
 	h.step.Lock()
 	defer h.step.Unlock()
 	var list []*peerpb.Held
-	for _, held := range h.node.Pending() {
-		list = append(list, &peerpb.Held{Name: held.Name, Revision: held.Revision})
+	for _, v := range h.node.Pending(nil) {
+		list = append(list, &peerpb.Held{Name: v.Name, Revision: v.Revision})
 	}
 	return list
 }
--- a/io/ctrl/remote.go
+++ b/io/ctrl/remote.go
@@ -42,7 +42,7 @@
 
 func (h *Host) dialPeers(ctx context.Context) error {
 	options := []grpc.DialOption{
-		grpc.WithStatsHandler(newTraffic(h.metrics)), peer.WithTraffic(socketTraffic(h.metrics)),
+		peer.WithTraffic(h.peerTraffic()), grpc.WithStatsHandler(newTraffic(h.metrics)),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 	}
 	for _, p := range h.cfg.Controls {
--- a/io/ctrl/serve.go
+++ b/io/ctrl/serve.go
@@ -29,6 +29,7 @@
 		*configuration
 		stream   peerpb.Configuration_WatchServer
 		held     map[string]uint64
+		pending  []*peerpb.Held
 		complete bool
 	}
 )
@@ -94,10 +95,10 @@
 	for {
 		// Taken before the learnt documents, so that one learnt in between is
 		// in one list or the other.
-		pending := c.host.pending()
+		w.pending = c.host.pending()
 		values, current, changed := c.host.chosen()
 		if current {
-			if err := w.send(values, pending); err != nil {
+			if err := w.send(values); err != nil {
 				return err
 			}
 		}
@@ -106,14 +107,14 @@
 		}
 		select {
 		case <-changed:
-		case <-beat.C:
-			if err := stream.Send(&peerpb.Update{}); err != nil {
-				return err
-			}
 		case <-confirmed.C:
 			if !w.complete {
 				return errNotConfirmed
 			}
+		case <-beat.C:
+			if err := stream.Send(&peerpb.Update{}); err != nil {
+				return err
+			}
 		case <-stream.Context().Done():
 			return nil
 		case <-c.stop.Done():
@@ -122,7 +123,7 @@
 	}
 }
 
-func (w *watcher) send(values []quorum.Value, pending []*peerpb.Held) error {
+func (w *watcher) send(values []quorum.Value) error {
 	for _, v := range values {
 		if v.Revision <= w.held[v.Name] {
 			continue
@@ -137,7 +138,7 @@
 		return nil
 	}
 	w.complete = true
-	return w.stream.Send(&peerpb.Update{Complete: true, Pending: pending})
+	return w.stream.Send(&peerpb.Update{Complete: true, Pending: w.pending})
 }
 
 func revisions(held []*peerpb.Held) map[string]uint64 {
--- a/io/ctrl/traffic.go
+++ b/io/ctrl/traffic.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/grpc/stats"
 
-	"cardamomspool/io/peer"
 	"cardamomspool/io/telem"
 )
 
@@ -27,12 +26,6 @@
 
 var _ stats.Handler = (*traffic)(nil)
 
-// socketTraffic returns the counters of all bytes between this host and other
-// processes of the system, with HTTP/2 headers.
-func socketTraffic(s *telem.Set) peer.Traffic {
-	return peer.Traffic{In: s.Count("peer_bytes_in"), Out: s.Count("peer_bytes_out")}
-}
-
 func newTraffic(s *telem.Set) *traffic {
 	of := func(name string) direction {
 		return direction{in: s.Count(name + "_bytes_in"), out: s.Count(name + "_bytes_out"), messages: s.Count(name + "_messages")}
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -39,7 +39,8 @@
 	for _, r := range h.members.all() {
 		v.Targets = append(v.Targets, admin.TargetView{
 			Service: r.Service, Name: r.Target, Address: r.Address, DataCentre: r.DataCentre,
-			State: stateText(services, r), Incarnation: r.Incarnation, Voucher: r.Voucher,
+			State: stateText(services, r), Incarnation: r.Incarnation, Slots: r.Slots, Voucher: r.Voucher,
+			Lapsed: r.Lapsed, Suspect: r.Suspect,
 		})
 	}
 	slices.SortFunc(v.Targets, func(a, b admin.TargetView) int {
@@ -54,15 +55,11 @@
 }
 
 // stateText returns the state that a target announced, with a mark when the
-// operators have drained it or its announcements have stopped.
+// operators have drained it.
 func stateText(services *serviceMap, r member.Record) string {
-	text := r.State.String()
 	s, ok := services.byName[r.Service]
 	if ok && slices.Contains(s.doc.Targets.Drain, r.Target) {
-		text += ", drained by operators"
+		return r.State.String() + ", drained by operators"
 	}
-	if r.Suspect {
-		text += ", suspect"
-	}
-	return text
+	return r.State.String()
 }
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,7 +20,8 @@
 	// the data folder, follows control hosts, saves what is new and puts it in
 	// force, in this order.
 	configuration struct {
-		host *Host
+		host     *Host
+		stopping atomic.Bool
 
 		mu       sync.Mutex
 		follower *follow.Follower
@@ -201,6 +203,9 @@
 
 // ready reports whether this host should be given calls.
 func (c *configuration) ready() bool {
+	if c.stopping.Load() {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.follower.Confirmed() || c.trusted && time.Since(c.started) >= confirmWait
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -22,9 +22,9 @@
 	// exchange sends calls to targets and streams their answers back.
 	exchange struct {
 		pool     *pool
+		evidence *evidence
 		log      *slog.Logger
 		metrics  *telem.Set
-		evidence *evidence
 	}
 
 	// answerWriter gives the caller its answer.
@@ -63,8 +63,8 @@
 	)
 	if l, err = x.pool.get(ctx, s.Address, !c.class.Idempotent); err != nil {
 		x.log.Info("target not reached", "call", c.name, "target", s.Target, "error", err)
-		c.feedback = noAnswer(r.Context(), engine.NotRun)
 		x.evidence.failed(c.service.doc.Name, s.Target)
+		c.feedback = noAnswer(r.Context(), engine.NotRun)
 		return engine.NotRun
 	}
 	x.pool.trim(s.Address, c.connections)
--- a/io/entry/harness_test.go
+++ b/io/entry/harness_test.go
@@ -229,7 +229,7 @@
 	for i, address := range targets {
 		b.host.members.handle(member.Announce{Record: member.Record{
 			Key: member.Key{Service: "s", Target: string(rune('a' + i))}, Address: address, DataCentre: "lab",
-			State: member.Ready, Incarnation: 1,
+			State: member.Ready, Incarnation: 1, Voucher: "entry-1",
 		}})
 	}
 	var ctx context.Context
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -131,6 +131,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	h.config.stopping.Store(true)
 	if err == nil {
 		err = h.drain(failed)
 	}
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -73,8 +73,9 @@
 }
 
 // NewServer returns a server for the system's other processes.
-func NewServer() *grpc.Server {
-	return grpc.NewServer(grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
+func NewServer(opts ...grpc.ServerOption) *grpc.Server {
+	opts = append([]grpc.ServerOption{grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window)}, opts...)
+	return grpc.NewServer(opts...)
 }
 
 // CountListener returns a listener whose connections count their bytes in t.
--- a/io/stub/announce.go
+++ b/io/stub/announce.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -155,3 +156,11 @@
 	default:
 	}
 }
+
+// mark writes the target's state on an answer.
+func (t *Target) mark(header http.Header) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	header.Set(wire.HeaderState, t.state.String())
+	header.Set(wire.HeaderIncarnation, strconv.FormatUint(t.incarnation, 10))
+}
--- a/io/stub/behaviour.go
+++ b/io/stub/behaviour.go
@@ -119,7 +119,6 @@
 	defer t.mu.Unlock()
 	if t.state >= member.Draining {
 		w.Header().Set(wire.HeaderState, t.state.String())
-		w.Header().Set(wire.HeaderIncarnation, strconv.FormatUint(t.incarnation, 10))
 	}
 	load := wire.Load{Running: max(len(t.running)-own, 0), Queued: t.waiting, Slots: t.slots}
 	switch t.behaviour.Report {
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -38,7 +38,6 @@
 		state   member.State
 		running chan struct{}
 		waiting int
-		changed chan struct{}
 
 		behaviour Behaviour
 		started   time.Time
@@ -47,6 +46,7 @@
 		next      spell
 
 		spellsFrom time.Time
+		changed    chan struct{}
 	}
 
 	// Option sets one property of a Target.
@@ -155,6 +155,7 @@
 		return
 	}
 	if !t.enter(r.Context()) {
+		t.mark(w.Header())
 		t.reportLoad(w, 0)
 		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
 		http.Error(w, "full", http.StatusServiceUnavailable)
@@ -171,6 +172,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	t.mark(w.Header())
 	t.reportLoad(w, 1)
 	fmt.Fprintf(w, "%s\n", id)
 }
