--- a/cmd/spoollab/control.go
+++ b/cmd/spoollab/control.go
@@ -23,6 +23,18 @@
 	}}
 }
 
+func churnCommand() *command {
+	binary := "./cardamomspool"
+	sub := flaggy.NewSubcommand("churn")
+	sub.Description = "measure what restarts of targets cost each entry host"
+	sub.String(&binary, "b", "binary", "path of the cardamomspool binary")
+	flaggy.AttachSubcommand(sub, 1)
+	return &command{parser: sub, run: func(ctx context.Context) error {
+		_, err := slope.New(binary).Churn(ctx)
+		return err
+	}}
+}
+
 func forceCommand() *command {
 	binary, changes, kills := "./cardamomspool", 500, false
 	sub := flaggy.NewSubcommand("force")
--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -66,6 +66,7 @@
 		experimentCommand(),
 		slopesCommand(),
 		controlCommand(),
+		churnCommand(),
 		forceCommand(),
 		leavingCommand(),
 	}
--- a/core/member/node.go
+++ b/core/member/node.go
@@ -99,6 +99,7 @@
 	// freshLife is how long records learnt by repair are not sent on.
 	freshLife   = 10 * time.Second
 	othersNamed = 3
+	maxContacts = 4096
 )
 
 // WithInterval sets the shortest interval between two announcements of a
--- a/core/member/node_test.go
+++ b/core/member/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -177,6 +178,25 @@
 	g.Expect(n.everywhere(target("t1", 1, 0).Key, member.Ready)).To(gomega.BeTrue())
 }
 
+// TestHostMissingFromLists adds an entry host that the others do not list yet,
+// as while their settings are changed one by one: the targets that announce
+// themselves there are known everywhere and not suspect.
+func TestHostMissingFromLists(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(8, 3)
+	n.nodes["e01"] = member.NewNode("e01", []string{"e02"}, rand.New(rand.NewPCG(1, 1)))
+	n.nodes["e02"] = member.NewNode("e02", []string{"e01"}, rand.New(rand.NewPCG(2, 2)))
+	for range 60 {
+		n.announce("e03", 1, target("t1", 1, member.Ready))
+		n.run(time.Second)
+	}
+	for _, host := range n.hosts {
+		usable, suspect := n.usable(host, target("t1", 1, 0).Key)
+		g.Expect(usable).To(gomega.BeTrue(), host)
+		g.Expect(suspect).To(gomega.BeFalse(), host)
+	}
+}
+
 // TestTargetThatAnswersStays stops the announcements of a target that goes on
 // answering calls at one host, and of one that does not.
 func TestTargetThatAnswersStays(t *testing.T) {
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -137,7 +137,8 @@
 }
 
 func (n *Node) reached(host string, now time.Time) {
-	if slices.Contains(n.ring, host) {
+	// Hosts that are not listed yet count too, so that one can be added.
+	if slices.Contains(n.ring, host) || len(n.contact) < maxContacts {
 		n.contact[host] = now
 	}
 	delete(n.down, host)
