Take over the targets of a dead voucher within one short interval

Cause: a target that moved to another entry host was told the long interval and taken over only at its second announcement; until then entry hosts called it suspect, for up to a minute with 60 targets to a host. A host that had just restarted was told of changes only by its own digest while the connections to it backed off.

Change: a host that does not vouch for a target asks it to announce itself again after the shortest interval. A message from a host ends the back-off of the connection to it.

Seen red: TestTargetOfADeadVoucherIsTakenOver without the short interval.

--- a/core/member/hear.go
+++ b/core/member/hear.go
@@ -30,7 +30,7 @@
 	if r.State == Leaving {
 		return n.acknowledge(dst, e.ID, r.Key, now)
 	}
-	return append(dst, n.accept(e.ID))
+	return append(dst, n.accept(e.ID, r.Key))
 }
 
 // refusal returns why an announcement cannot be taken, or nil.
@@ -74,7 +74,7 @@
 // acknowledge answers a leaving target once a second entry host knows.
 func (n *Node) acknowledge(dst []Action, id uint64, k Key, now time.Time) []Action {
 	if n.alone() {
-		return append(dst, n.accept(id))
+		return append(dst, n.accept(id, k))
 	}
 	n.waiting[id] = waiting{key: k, deadline: now.Add(AckLimit)}
 	// A resend finds the change already spread; it is sent once more, so that
@@ -83,9 +83,14 @@
 	return n.flush(dst, now)
 }
 
-func (n *Node) accept(id uint64) Accept {
-	interval := n.nextInterval()
-	return Accept{ID: id, Interval: interval, Lease: LeaseIntervals * interval, Others: n.others()}
+// accept answers an announcement. A target that another host vouches for is
+// asked to announce itself again soon, so that this host takes it over.
+func (n *Node) accept(id uint64, k Key) Accept {
+	a := Accept{ID: id, Interval: n.nextInterval(), Lease: n.lease(), Others: n.others()}
+	if i, ok := n.table.find(k); ok && n.table.records[i].Voucher != n.host {
+		a.Interval = n.interval
+	}
+	return a
 }
 
 // nextInterval returns the time between announcements at which all targets
--- a/core/member/node_test.go
+++ b/core/member/node_test.go
@@ -296,6 +296,37 @@
 	})
 }
 
+// TestTargetOfADeadVoucherIsTakenOver lets the host die that vouches for
+// targets with long intervals: the next host has them announce themselves again
+// soon, and no host calls them suspect.
+func TestTargetOfADeadVoucherIsTakenOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(9, 3)
+	for range 2 {
+		for i := range 60 {
+			for _, host := range n.hosts {
+				n.announce(host, 0, target(fmt.Sprintf("%s-%d", host, i), 1, member.Ready))
+			}
+		}
+		n.run(2 * time.Second)
+	}
+	n.kill("e01")
+	n.run(20 * time.Second)
+	r := target("e01-0", 1, member.Ready)
+	n.announce("e02", 1, r)
+	n.run(step)
+	g.Expect(n.log.String()).To(gomega.HaveSuffix("e02 accepts announcement, next in 1s\n"))
+	n.run(time.Second)
+	n.announce("e02", 2, r)
+	n.run(30 * time.Second)
+	for _, host := range n.live() {
+		_, suspect := n.usable(host, r.Key)
+		g.Expect(suspect).To(gomega.BeFalse(), host)
+		_, suspect = n.usable(host, target("e01-1", 1, 0).Key)
+		g.Expect(suspect).To(gomega.BeTrue(), "one that has not moved is")
+	}
+}
+
 // TestRandomFaults draws a schedule of announcements, losses, duplicates,
 // cuts, freezes and crashes, and checks that no host ever uses a departed
 // incarnation once it knew of the departure, and that all hosts agree after
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -212,7 +212,7 @@
 		}
 		for _, id := range n.waitingFor(spread.Records[i].Key) {
 			delete(n.waiting, id)
-			dst = append(dst, n.accept(id))
+			dst = append(dst, n.accept(id, spread.Records[i].Key))
 		}
 	}
 	return dst
--- a/io/entry/member.go
+++ b/io/entry/member.go
@@ -235,6 +235,9 @@
 
 // receive gives the node a message of another host and returns the response.
 func (m *membership) receive(from string, message member.Message) (member.Reply, error) {
+	if p, ok := m.peers[from]; ok {
+		p.heard()
+	}
 	reply := m.handle(member.Receive{From: from, Message: message})
 	if reply == nil {
 		return nil, status.Error(codes.Internal, "the message has no response")
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"cardamomspool/core/member"
@@ -78,6 +79,16 @@
 	conn.Close()
 }
 
+// heard makes a connection that waits to be tried again try at once, since the
+// other host has just shown that it runs.
+func (p *peerConn) heard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil && p.conn.GetState() == connectivity.TransientFailure {
+		p.conn.ResetConnectBackoff()
+	}
+}
+
 func (p *peerConn) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
