--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -117,9 +118,11 @@
 		go func() { failed <- s.serve(l) }()
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	var background sync.WaitGroup
+	defer background.Wait()
 	defer stopWork()
-	go h.config.run(work)
-	go h.members.run(work)
+	background.Go(func() { h.config.run(work) })
+	background.Go(func() { h.members.run(work) })
 	go h.exchange.pool.reap(work)
 	if h.keys != nil {
 		go h.keys.follow(work, keyPairCheck, h.log)
