--- /dev/null
+++ b/io/entry/config_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/spec"
+	"cardamomspool/io/peer/peerpb"
+)
+
+func document(t *testing.T, name string) []byte {
+	t.Helper()
+	doc := spec.Default()
+	doc.Name = name
+	doc.Receive.PathPrefixes = []string{"/"}
+	body, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// confirmedHost returns a host with a data folder that its one control host has
+// told that there is no document.
+func confirmedHost(t *testing.T, folder string) *Host {
+	t.Helper()
+	h := newTestHost()
+	h.cfg.DataFolder = folder
+	if err := h.config.open(); err != nil {
+		t.Fatal(err)
+	}
+	h.config.receive(h.config.controls[0], &peerpb.Update{Complete: true})
+	return h
+}
+
+func TestDocumentWithAPathForANameIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	folder := t.TempDir()
+	h := confirmedHost(t, filepath.Join(folder, "data"))
+	defer h.config.close()
+	h.config.receive(h.config.controls[0], &peerpb.Update{Name: "x/../../escaped", Revision: 1, Body: document(t, "a")})
+	g.Expect(h.config.status().InForce).To(gomega.BeZero())
+	entries, err := os.ReadDir(folder)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(entries).To(gomega.HaveLen(1))
+}
+
+// TestDamagedDocumentIsNotTakenForTheNewest damages a kept document: the host
+// then waits for control instead of trusting the folder.
+func TestDamagedDocumentIsNotTakenForTheNewest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	folder := t.TempDir()
+	h := confirmedHost(t, folder)
+	for i, name := range []string{"a", "b"} {
+		h.config.receive(h.config.controls[0], &peerpb.Update{Name: name, Revision: uint64(3 + i), Body: document(t, name)})
+	}
+	h.config.close()
+	again := newTestHost()
+	again.cfg.DataFolder = folder
+	g.Expect(again.config.open()).To(gomega.Succeed())
+	g.Expect(again.config.status().State).To(gomega.Equal("restored"))
+	g.Expect(again.config.status().Revisions).To(gomega.Equal(uint64(7)))
+	again.config.close()
+	g.Expect(os.WriteFile(filepath.Join(folder, "document-b.doc"), []byte("00000000\n{}"), 0o600)).To(gomega.Succeed())
+	damaged := newTestHost()
+	damaged.cfg.DataFolder = folder
+	g.Expect(damaged.config.open()).To(gomega.Succeed())
+	defer damaged.config.close()
+	g.Expect(damaged.config.status().State).To(gomega.Equal("waiting"))
+	g.Expect(damaged.config.ready()).To(gomega.BeFalse())
+	g.Expect(damaged.config.status().Revisions).To(gomega.Equal(uint64(3)))
+}
--- a/io/entry/watch.go
+++ b/io/entry/watch.go
@@ -142,6 +142,9 @@
 		}
 		c.opened(k)
 		c.report(k.peer.Host, accepted)
+	case u.GetName() != "" && !spec.ValidName(u.GetName()):
+		c.host.metrics.Count("documents_refused").Add(1)
+		c.host.log.Error("document refused: its name is no service name", "control", k.peer.Host, "name", u.GetName())
 	case u.GetName() != "":
 		c.update(spec.Versioned{Name: u.GetName(), Revision: u.GetRevision(), Deleted: u.GetDeleted(), Body: u.GetBody()})
 	}
