--- a/core/member/node_test.go
+++ b/core/member/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -177,6 +178,25 @@
 	g.Expect(n.everywhere(target("t1", 1, 0).Key, member.Ready)).To(gomega.BeTrue())
 }
 
+// TestHostMissingFromLists adds an entry host that the others do not list yet,
+// as while their settings are changed one by one: the targets that announce
+// themselves there are known everywhere and not suspect.
+func TestHostMissingFromLists(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(8, 3)
+	n.nodes["e01"] = member.NewNode("e01", []string{"e02"}, rand.New(rand.NewPCG(1, 1)))
+	n.nodes["e02"] = member.NewNode("e02", []string{"e01"}, rand.New(rand.NewPCG(2, 2)))
+	for range 60 {
+		n.announce("e03", 1, target("t1", 1, member.Ready))
+		n.run(time.Second)
+	}
+	for _, host := range n.hosts {
+		usable, suspect := n.usable(host, target("t1", 1, 0).Key)
+		g.Expect(usable).To(gomega.BeTrue(), host)
+		g.Expect(suspect).To(gomega.BeFalse(), host)
+	}
+}
+
 // TestTargetThatAnswersStays stops the announcements of a target that goes on
 // answering calls at one host, and of one that does not.
 func TestTargetThatAnswersStays(t *testing.T) {
@@ -276,6 +296,37 @@
 	})
 }
 
+// TestTargetOfADeadVoucherIsTakenOver lets the host die that vouches for
+// targets with long intervals: the next host has them announce themselves again
+// soon, and no host calls them suspect.
+func TestTargetOfADeadVoucherIsTakenOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(9, 3)
+	for range 2 {
+		for i := range 60 {
+			for _, host := range n.hosts {
+				n.announce(host, 0, target(fmt.Sprintf("%s-%d", host, i), 1, member.Ready))
+			}
+		}
+		n.run(2 * time.Second)
+	}
+	n.kill("e01")
+	n.run(20 * time.Second)
+	r := target("e01-0", 1, member.Ready)
+	n.announce("e02", 1, r)
+	n.run(step)
+	g.Expect(n.log.String()).To(gomega.HaveSuffix("e02 accepts announcement, next in 1s\n"))
+	n.run(time.Second)
+	n.announce("e02", 2, r)
+	n.run(30 * time.Second)
+	for _, host := range n.live() {
+		_, suspect := n.usable(host, r.Key)
+		g.Expect(suspect).To(gomega.BeFalse(), host)
+		_, suspect = n.usable(host, target("e01-1", 1, 0).Key)
+		g.Expect(suspect).To(gomega.BeTrue(), "one that has not moved is")
+	}
+}
+
 // TestRandomFaults draws a schedule of announcements, losses, duplicates,
 // cuts, freezes and crashes, and checks that no host ever uses a departed
 // incarnation once it knew of the departure, and that all hosts agree after
