--- a/io/local/local.go
+++ b/io/local/local.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -22,6 +21,7 @@
 	"cardamomspool/io/ctrl"
 	"cardamomspool/io/entry"
 	"cardamomspool/io/load"
+	"cardamomspool/io/ports"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/stub"
 	"cardamomspool/io/telem"
@@ -98,22 +98,32 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	if err = s.start(ctx, group); err != nil {
-		return err
+	hostsContext, stopHosts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHosts()
+	hosts, hostsContext := errgroup.WithContext(hostsContext)
+	context.AfterFunc(hostsContext, cancel)
+	targets, ctx := errgroup.WithContext(ctx)
+	// Targets stop before the hosts, which they tell that they are leaving.
+	stop := func() error {
+		cancel()
+		err := targets.Wait()
+		stopHosts()
+		return firstError(err, hosts.Wait())
+	}
+	if err = s.startHosts(hostsContext, hosts); err != nil {
+		return firstError(err, stop())
 	}
+	s.startTargets(ctx, targets)
 	if err = s.prepare(ctx); err != nil {
-		cancel()
-		return errors.Wrap(firstError(group.Wait(), err), "local: start")
+		return errors.Wrap(firstError(stop(), err), "local: start")
 	}
 	s.printAddresses()
 	if s.calls > 0 {
 		err = s.sendCalls(ctx)
-		cancel()
-		return firstError(err, group.Wait())
+		return firstError(err, stop())
 	}
 	<-ctx.Done()
-	return group.Wait()
+	return stop()
 }
 
 func firstError(errs ...error) error {
@@ -127,13 +137,13 @@
 
 // plan chooses free loopback ports and writes down the settings of all hosts.
 func (s *System) plan() error {
-	ports, err := freePorts(2*controlHosts + 4*entryHosts + targetCount)
+	free, err := ports.Free(2*controlHosts + 4*entryHosts + targetCount)
 	if err != nil {
 		return err
 	}
 	next := func() netip.AddrPort {
-		a := ports[0]
-		ports = ports[1:]
+		a := free[0]
+		free = free[1:]
 		return a
 	}
 	var controls, entries []setup.Peer
@@ -156,10 +166,22 @@
 			DecisionLogOneIn: 1, StopGrace: strict.Duration(5 * time.Second),
 		})
 	}
-	s.targets = ports
+	for i := range s.controls {
+		s.controls[i].Entries = s.watched()
+	}
+	s.targets = free
 	return nil
 }
 
+// watched lists the entry hosts that the console shows.
+func (s *System) watched() []setup.Watched {
+	var list []setup.Watched
+	for _, e := range s.entries {
+		list = append(list, setup.Watched{Host: e.Host, DataCentre: e.DataCentre, AdminAddress: e.AdminAddress})
+	}
+	return list
+}
+
 func common(p setup.Peer, adminAddress netip.AddrPort, controls []setup.Peer) setup.Common {
 	return setup.Common{
 		Host: p.Host, DataCentre: p.DataCentre, LogLevel: "info",
@@ -167,7 +189,7 @@
 	}
 }
 
-func (s *System) start(ctx context.Context, group *errgroup.Group) error {
+func (s *System) startHosts(ctx context.Context, group *errgroup.Group) error {
 	for _, cfg := range s.controls {
 		h, err := ctrl.New(cfg, ctrl.WithLogger(s.logger(cfg.Host)))
 		if err != nil {
@@ -179,12 +201,15 @@
 		h := entry.New(cfg, entry.WithLogger(s.logger(cfg.Host)))
 		group.Go(func() error { return h.Run(ctx) })
 	}
+	return nil
+}
+
+func (s *System) startTargets(ctx context.Context, group *errgroup.Group) {
 	for i, address := range s.targets {
 		t := stub.New(serviceName, fmt.Sprintf("target-%d", i+1), address, s.entries[i%entryHosts].AnnounceAddress,
 			stub.WithRecord(&s.record), stub.WithServiceTime(serviceTime), stub.WithSeed(uint64(i)))
 		group.Go(func() error { return t.Run(ctx) })
 	}
-	return nil
 }
 
 func (s *System) logger(host string) *slog.Logger {
@@ -305,17 +330,3 @@
 	}
 	return nil
 }
-
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "local: free port")
-		}
-		defer l.Close()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return list, nil
-}
--- a/io/slope/fleet.go
+++ b/io/slope/fleet.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +15,7 @@
 
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
+	"cardamomspool/io/ports"
 	"cardamomspool/io/setup"
 )
 
@@ -54,13 +54,13 @@
 }
 
 func (f *fleet) start(binary string, entries int, interval time.Duration) error {
-	ports, err := freePorts(2*controlHosts + 4*entries)
+	free, err := ports.Free(2*controlHosts + 4*entries)
 	if err != nil {
 		return err
 	}
 	next := func() netip.AddrPort {
-		a := ports[0]
-		ports = ports[1:]
+		a := free[0]
+		free = free[1:]
 		return a
 	}
 	var controlPeers, entryPeers []setup.Peer
@@ -147,7 +147,7 @@
 			}
 			select {
 			case <-ctx.Done():
-				return errors.Errorf("slope: metric %s of an entry host did not reach %g", name, n)
+				return errors.Errorf("slope: metric %s of an entry host is %v, not %g (%v); the end of its log: %s", name, vars[name], n, err, p.logEnd())
 			case <-time.After(readyPoll):
 			}
 		}
@@ -165,6 +165,11 @@
 
 // apply sends a change of one document, based on revision base.
 func (f *fleet) apply(ctx context.Context, doc spec.Service, base uint64, request string) error {
+	return f.applyAt(ctx, f.controls[0], doc, base, request)
+}
+
+// applyAt sends a change to one control host.
+func (f *fleet) applyAt(ctx context.Context, p *process, doc spec.Service, base uint64, request string) error {
 	var (
 		body []byte
 		req  *http.Request
@@ -174,7 +179,7 @@
 	if body, err = json.Marshal(doc); err != nil {
 		return errors.Wrap(err, "slope")
 	}
-	url := fmt.Sprintf("http://%s/v1/services/%s", f.controls[0].admin, doc.Name)
+	url := fmt.Sprintf("http://%s/v1/services/%s", p.admin, doc.Name)
 	if req, err = http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body)); err != nil {
 		return errors.Wrap(err, "slope")
 	}
@@ -189,17 +194,3 @@
 	}
 	return nil
 }
-
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "slope: free port")
-		}
-		defer l.Close()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return list, nil
-}
