--- a/io/entry/harness_test.go
+++ b/io/entry/harness_test.go
@@ -76,7 +76,7 @@
 	return b.buf.String()
 }
 
-func newRawTarget(t *testing.T, script func(*rawConn)) *rawTarget {
+func newRawTarget(t testing.TB, script func(*rawConn)) *rawTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -189,7 +189,7 @@
 
 // freeAddress returns an address that was free a moment ago. Each has its own
 // IP number, so that no connection or other test takes its port.
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	n := addresses.Add(1)
 	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(n >> 8), byte(n)})
@@ -201,9 +201,9 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func newBench(t *testing.T, change func(*spec.Service, *setup.Entry), targets ...netip.AddrPort) *bench {
+func newBench(t testing.TB, change func(*spec.Service, *setup.Entry), targets ...netip.AddrPort) *bench {
 	t.Helper()
-	g := gomega.NewWithT(t)
+	g := gomega.NewGomega(func(message string, _ ...int) { t.Fatal(message) })
 	peer := setup.Peer{Host: "entry-1", DataCentre: "lab", PeerAddress: freeAddress(t)}
 	cfg := setup.Entry{
 		Common: setup.Common{
@@ -248,7 +248,7 @@
 
 // session sends raw bytes to the host, closes nothing, and returns all bytes
 // of the answer and whether the connection ended with a reset.
-func (b *bench) session(t *testing.T, parts ...string) (string, bool) {
+func (b *bench) session(t testing.TB, parts ...string) (string, bool) {
 	t.Helper()
 	conn, err := net.Dial("tcp", b.address)
 	if err != nil {
--- a/io/entry/link_test.go
+++ b/io/entry/link_test.go
@@ -33,7 +33,7 @@
 	reader *bufio.Reader
 }
 
-func (b *bench) dial(t *testing.T) *caller {
+func (b *bench) dial(t testing.TB) *caller {
 	t.Helper()
 	conn, err := net.Dial("tcp", b.address)
 	if err != nil {
@@ -47,7 +47,7 @@
 }
 
 // call sends a request and returns the answer with its body.
-func (c *caller) call(t *testing.T, request string) (*http.Response, string) {
+func (c *caller) call(t testing.TB, request string) (*http.Response, string) {
 	t.Helper()
 	io.WriteString(c, request)
 	answer, err := http.ReadResponse(c.reader, nil)
--- a/io/storm/storm_test.go
+++ b/io/storm/storm_test.go
@@ -1,11 +1,13 @@
 package storm
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -88,3 +90,36 @@
 	g.Expect(os.WriteFile(file, []byte("a\nb\na\n"), 0o600)).To(gomega.Succeed())
 	g.Expect(readRuns([]string{file})).To(gomega.Equal(map[string]int{"a": 2, "b": 1}))
 }
+
+// TestSecondSignalEndsAnEntryHostAtOnce signals a host with a long drain
+// delay twice.
+func TestSecondSignalEndsAnEntryHostAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	system, _ := programs(t)
+	s := New(system, nil, t.TempDir())
+	controls, err := peers(KindControl, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	entries, err := peers(KindEntry, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = s.planEntry(entries[0], controls, entries)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	p := s.entries[0]
+	file := p.args[len(p.args)-1]
+	data, err := os.ReadFile(file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	long := bytes.Replace(data, []byte(`"drain_delay":"1s"`), []byte(`"drain_delay":"10m0s"`), 1)
+	g.Expect(long).NotTo(gomega.Equal(data))
+	g.Expect(os.WriteFile(file, long, 0o600)).To(gomega.Succeed())
+	g.Expect(p.start()).To(gomega.Succeed())
+	t.Cleanup(func() { p.kill() })
+	logged := func() string {
+		text, _ := os.ReadFile(filepath.Join(s.folder, p.name+".log"))
+		return string(text)
+	}
+	g.Eventually(logged, testLimit).Should(gomega.ContainSubstring("entry host serves"))
+	g.Expect(p.signal(syscall.SIGTERM)).To(gomega.Succeed())
+	g.Eventually(logged, testLimit).Should(gomega.ContainSubstring("entry host drains"))
+	g.Consistently(p.exited, 300*time.Millisecond).ShouldNot(gomega.BeClosed())
+	g.Expect(p.signal(syscall.SIGTERM)).To(gomega.Succeed())
+	g.Expect(p.wait()).To(gomega.Succeed())
+}
