--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -65,6 +65,8 @@
 		loadCommand(),
 		experimentCommand(),
 		slopesCommand(),
+		stormCommand(),
+		stormTargetCommand(),
 		controlCommand(),
 		churnCommand(),
 		forceCommand(),
