--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -46,6 +47,8 @@
 const (
 	version         = "0.1.0"
 	defaultSettings = "settings.json"
+	// logLines is the number of log lines that an entry host buffers.
+	logLines = 4096
 )
 
 // errUsage reports a command line that can not be carried out.
@@ -114,7 +117,15 @@
 	if cfg, err = setup.LoadEntry(settingsPath(o)); err != nil || o.check {
 		return err
 	}
-	return entry.New(cfg, entry.WithLogger(logger(cfg.Common))).Run(ctx)
+	out := telem.NewAsync(os.Stderr, logLines)
+	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	group.Go(func() { out.Run(logCtx) })
+	defer group.Wait()
+	defer stopLog()
+	metrics := telem.NewSet()
+	metrics.Func("log_lines_dropped", func() any { return out.Dropped() })
+	return entry.New(cfg, entry.WithLogger(logger(cfg.Common, out)), entry.WithMetrics(metrics)).Run(ctx)
 }
 
 func runControl(ctx context.Context, o *options) error {
@@ -126,7 +137,7 @@
 	if cfg, err = setup.LoadControl(settingsPath(o)); err != nil || o.check {
 		return err
 	}
-	if host, err = ctrl.New(cfg, ctrl.WithLogger(logger(cfg.Common))); err != nil {
+	if host, err = ctrl.New(cfg, ctrl.WithLogger(logger(cfg.Common, os.Stderr))); err != nil {
 		return err
 	}
 	return host.Run(ctx)
@@ -151,9 +162,9 @@
 	return o.settings
 }
 
-func logger(c setup.Common) *slog.Logger {
+func logger(c setup.Common, w io.Writer) *slog.Logger {
 	level, _ := telem.Level(c.LogLevel)
-	log := telem.Logger(os.Stderr, level, c.Host, c.DataCentre)
+	log := telem.Logger(w, level, c.Host, c.DataCentre)
 	slog.SetDefault(log) // Libraries that write to the standard logger follow.
 	return log
 }
--- /dev/null
+++ b/io/telem/async.go
@@ -0,0 +1,79 @@
+package telem
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+)
+
+// Async is a writer that never makes its callers wait: lines go into a bounded
+// buffer and Run writes them out. A line that finds the buffer full is dropped
+// and counted. Use NewAsync.
+type Async struct {
+	w       io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// batchBytes bounds what one write to the underlying writer carries, but for
+// single lines that are longer.
+const batchBytes = 32 << 10
+
+var _ io.Writer = (*Async)(nil)
+
+// NewAsync returns a writer to w that buffers up to lines lines, at least 1.
+func NewAsync(w io.Writer, lines int) *Async {
+	return &Async{w: w, lines: make(chan []byte, max(lines, 1))}
+}
+
+// Write takes one line. It always succeeds; see Dropped.
+func (a *Async) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that found the buffer full or could not
+// be written.
+func (a *Async) Dropped() int64 {
+	return a.dropped.Load()
+}
+
+// Run writes lines out until ctx ends, and then those still in the buffer.
+func (a *Async) Run(ctx context.Context) {
+	var batch []byte
+	for {
+		select {
+		case line := <-a.lines:
+			batch = a.flush(append(batch[:0], line...))
+		case <-ctx.Done():
+			for len(a.lines) > 0 {
+				batch = a.flush(batch[:0])
+			}
+			return
+		}
+	}
+}
+
+// flush adds the lines that wait already to batch, writes it and returns its
+// memory for the next one.
+func (a *Async) flush(batch []byte) []byte {
+	lines := int64(1)
+	for len(batch) < batchBytes {
+		select {
+		case line := <-a.lines:
+			batch = append(batch, line...)
+			lines++
+			continue
+		default:
+		}
+		break
+	}
+	if _, err := a.w.Write(batch); err != nil {
+		a.dropped.Add(lines)
+	}
+	return batch
+}
