--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -53,7 +53,7 @@
 // Exit codes of ctl, beside exitFailed and exitUsage.
 const (
 	exitConflict = 3 // The service has moved on; nothing was changed.
-	exitFaults   = 4 // The document or the request has faults; nothing was changed.
+	exitFaults   = 4 // The document or the request can't be used; nothing was changed.
 	exitUnknown  = 5 // No final answer; send the same request again.
 	exitToken    = 6 // The operator token is missing or wrong.
 )
@@ -180,7 +180,7 @@
 	switch status {
 	case http.StatusConflict:
 		return exitConflict
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return exitFaults
 	case http.StatusUnauthorized:
 		return exitToken
--- a/io/consol/change.go
+++ b/io/consol/change.go
@@ -44,8 +44,10 @@
 		Document []byte
 		Current  spec.Versioned
 		// By is who made the current version, as far as this host has learnt.
-		By   admin.Past
-		Text string
+		By admin.Past
+		// NotMade says that this control host could not take the change.
+		NotMade bool
+		Text    string
 	}
 )
 
@@ -186,6 +188,7 @@
 		done     admin.Accepted
 		faults   strict.Faults
 		conflict *quorum.ConflictError
+		reused   *quorum.ReusedError
 	)
 	done, err = c.editor.Submit(r.Context(), d)
 	switch {
@@ -194,18 +197,30 @@
 	case errors.As(err, &faults):
 		c.problem(w, http.StatusUnprocessableEntity, s, "The change has faults", err.Error())
 	case errors.As(err, &conflict):
-		p.page = c.page("Conflict over "+d.Name, s)
-		p.Current, p.By = conflict.Current, c.latest(conflict.Current)
-		p.Request = c.newID()
-		c.render(w, http.StatusConflict, "conflict", p)
+		c.conflict(w, s, p, conflict.Current)
+	case errors.As(err, &reused):
+		// An applied form that was changed and sent once more.
+		current, _ := c.editor.Read(r.Context(), d.Name)
+		c.conflict(w, s, p, current)
 	default:
 		p.page = c.page("Outcome not known", s)
+		if p.NotMade = errors.Is(err, quorum.ErrRecovering); p.NotMade {
+			p.Title = "Not possible here now"
+		}
 		p.Text = err.Error()
 		w.Header().Set("Retry-After", "1")
 		c.render(w, http.StatusServiceUnavailable, "unknown", p)
 	}
 }
 
+// conflict shows the operator's version beside the current one.
+func (c *Console) conflict(w http.ResponseWriter, s session, p changePage, current spec.Versioned) {
+	p.page = c.page("Conflict over "+p.Name, s)
+	p.Current, p.By = current, c.latest(current)
+	p.Request = c.newID()
+	c.render(w, http.StatusConflict, "conflict", p)
+}
+
 func afterChange(done admin.Accepted, deleted bool) string {
 	if deleted {
 		return "/?deleted=" + url.QueryEscape(done.Name)
