Count a missed deadline against the target that had the call

Now a deadline that passes after the target had the call for four mean answer times counts as a failure, and the target is left out after a few. A call that was sent late says nothing, nor does a caller who left.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -43,10 +43,12 @@
 		Feedback route.Feedback
 	}
 
-	// Cancel reports that the caller has gone.
+	// Cancel reports that the caller has gone or that the deadline has passed.
 	Cancel struct {
 		// Call identifies the call.
 		Call uint64
+		// Overdue says that the deadline has passed.
+		Overdue bool
 	}
 
 	// Retarget replaces the targets of the service.
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -50,6 +50,9 @@
 	// refused. A shed costs no retry budget: the target did not run the call,
 	// and is left alone for a while.
 	maxSheds = 100
+	// overdueMeans is the number of mean answer times that a target must have
+	// had before a passed deadline counts against it.
+	overdueMeans = 4
 )
 
 // WithDataCentre names the data centre of the entry host.
@@ -77,7 +80,7 @@
 	case Finish:
 		return s.finish(dst, e, now)
 	case Cancel:
-		return s.cancel(dst, e.Call, now)
+		return s.cancel(dst, e, now)
 	case Retarget:
 		s.records = e.Records
 		return s.retarget(dst, now)
@@ -170,14 +173,18 @@
 	return e.Replayable && s.doc.Retry.Attempts > 1 && now.Before(c.deadline)
 }
 
-func (s *Service) cancel(dst []Action, id uint64, now time.Time) []Action {
-	c, ok := s.calls[id]
+func (s *Service) cancel(dst []Action, e Cancel, now time.Time) []Action {
+	c, ok := s.calls[e.Call]
 	if !ok {
 		return dst
 	}
-	s.queue.Remove(id)
-	s.targets.End(c.target, route.Feedback{}, now.Sub(c.sent), now)
-	delete(s.calls, id)
+	s.queue.Remove(e.Call)
+	var f route.Feedback
+	if e.Overdue && now.Sub(c.sent) > overdueMeans*s.targets.Mean() {
+		f.Ending = route.Failed
+	}
+	s.targets.End(c.target, f, now.Sub(c.sent), now)
+	delete(s.calls, e.Call)
 	return s.serveHeld(dst, now)
 }
 
--- a/core/engine/service_test.go
+++ b/core/engine/service_test.go
@@ -141,6 +141,29 @@
 	g.Expect(actions[0]).To(gomega.And(gomega.HaveField("Call", uint64(1)), gomega.HaveField("Target", second.Target)))
 }
 
+func TestTargetThatLetsDeadlinesPassIsLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Targets.Slots = 100
+	s := engine.NewService(doc, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(2), start)
+	id, now, silent := uint64(0), start, 0
+	for range 200 {
+		id++
+		now = now.Add(20 * time.Millisecond)
+		send := s.Handle(nil, engine.Arrive{Call: id, Class: class, Deadline: now.Add(time.Second)}, now)[0].(engine.Send)
+		if send.Target == "b" {
+			now = now.Add(10 * time.Millisecond)
+			s.Handle(nil, engine.Finish{Call: id, Result: engine.Answered, Feedback: route.Feedback{Ending: route.Served}}, now)
+			continue
+		}
+		silent++
+		now = now.Add(time.Second)
+		s.Handle(nil, engine.Cancel{Call: id, Overdue: true}, now)
+	}
+	g.Expect(silent).To(gomega.BeNumerically("<=", 12))
+}
+
 func TestPatientCallDoesNotOvertakeHeldPromptCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
 	doc := spec.Default()
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -200,7 +200,7 @@
 
 // giveUp ends a call whose deadline has passed or whose caller has gone.
 func (h *Host) giveUp(w answerWriter, r *http.Request, c *call) {
-	h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id})
+	h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id, Overdue: r.Context().Err() == nil})
 	reason := reasonDeadline
 	if r.Context().Err() != nil {
 		reason = "caller_gone"
