--- a/core/engine/service_test.go
+++ b/core/engine/service_test.go
@@ -164,6 +164,29 @@
 	g.Expect(silent).To(gomega.BeNumerically("<=", 12))
 }
 
+func TestRetryBudgetBoundsAttemptsWhenNoTargetCanBeReached(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := engine.NewService(spec.Default(), rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(3), start)
+	const calls = 1000
+	attempts := 0
+	for id := uint64(1); id <= calls; id++ {
+		actions := s.Handle(nil, engine.Arrive{Call: id, Class: class, Deadline: start.Add(time.Second)}, start)
+		for len(actions) == 1 {
+			if _, sent := actions[0].(engine.Send); !sent {
+				break
+			}
+			attempts++
+			actions = s.Handle(nil, engine.Finish{
+				Call: id, Result: engine.NotRun, Replayable: true, Feedback: route.Feedback{Ending: route.Unreachable},
+			}, start)
+		}
+	}
+	// A tenth of the calls, and the ten that a service may make at first.
+	g.Expect(attempts).To(gomega.BeNumerically("~", calls+calls/10, 10))
+	g.Expect(s.Open()).To(gomega.BeZero())
+}
+
 func TestPatientCallDoesNotOvertakeHeldPromptCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
 	doc := spec.Default()
