Pass over the end of an attempt for a call that waits in the queue

Cause: such a Finish deleted the call but left it in the queue, and serving the queue then failed. No code path sends one today; a model with hedged calls did. Seen red: the new test panicked.

--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -124,7 +124,7 @@
 
 func (s *Service) finish(dst []Action, e Finish, now time.Time) []Action {
 	c, ok := s.calls[e.Call]
-	if !ok {
+	if !ok || c.target == "" {
 		return dst
 	}
 	s.targets.End(c.target, e.Feedback, now.Sub(c.sent), now)
--- a/core/engine/service_test.go
+++ b/core/engine/service_test.go
@@ -187,6 +187,18 @@
 	g.Expect(s.Open()).To(gomega.BeZero())
 }
 
+func TestFinishOfACallThatIsNotAtATargetIsPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newService()
+	s.Handle(nil, targets(1), start)
+	s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
+	s.Handle(nil, engine.Arrive{Call: 2, Class: class, Deadline: start.Add(time.Second)}, start)
+	g.Expect(s.Handle(nil, engine.Finish{Call: 2, Result: engine.Answered}, start)).To(gomega.BeEmpty())
+	g.Expect(s.Held()).To(gomega.Equal(1))
+	actions := s.Handle(nil, engine.Finish{Call: 1, Result: engine.Answered}, start)
+	g.Expect(actions).To(gomega.ConsistOf(gomega.HaveField("Call", uint64(2))))
+}
+
 func TestPatientCallDoesNotOvertakeHeldPromptCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
 	doc := spec.Default()
