--- a/cmd/cardamomspool/print.go
+++ b/cmd/cardamomspool/print.go
@@ -75,7 +75,7 @@
 			rows = append(rows, fmt.Sprintf("%s\t-\t-\t-\t-\tunreachable: %s", s.Host, s.Problem))
 		}
 		for _, t := range s.Targets {
-			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", s.Host, t.Service, t.Name, t.Address, t.DataCentre, t.State))
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", s.Host, t.Service, t.Name, t.Address, t.DataCentre, t.Condition()))
 		}
 	}
 	return printRows(w, output, list, "SEEN BY\tSERVICE\tTARGET\tADDRESS\tDATA CENTRE\tSTATE", rows)
--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -65,7 +65,10 @@
 		loadCommand(),
 		experimentCommand(),
 		slopesCommand(),
+		stormCommand(),
+		stormTargetCommand(),
 		controlCommand(),
+		churnCommand(),
 		forceCommand(),
 		leavingCommand(),
 	}
--- a/core/engine/service_test.go
+++ b/core/engine/service_test.go
@@ -141,6 +141,64 @@
 	g.Expect(actions[0]).To(gomega.And(gomega.HaveField("Call", uint64(1)), gomega.HaveField("Target", second.Target)))
 }
 
+func TestTargetThatLetsDeadlinesPassIsLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Targets.Slots = 100
+	s := engine.NewService(doc, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(2), start)
+	id, now, silent := uint64(0), start, 0
+	for range 200 {
+		id++
+		now = now.Add(20 * time.Millisecond)
+		send := s.Handle(nil, engine.Arrive{Call: id, Class: class, Deadline: now.Add(time.Second)}, now)[0].(engine.Send)
+		if send.Target == "b" {
+			now = now.Add(10 * time.Millisecond)
+			s.Handle(nil, engine.Finish{Call: id, Result: engine.Answered, Feedback: route.Feedback{Ending: route.Served}}, now)
+			continue
+		}
+		silent++
+		now = now.Add(time.Second)
+		s.Handle(nil, engine.Cancel{Call: id, Overdue: true}, now)
+	}
+	g.Expect(silent).To(gomega.BeNumerically("<=", 12))
+}
+
+func TestRetryBudgetBoundsAttemptsWhenNoTargetCanBeReached(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := engine.NewService(spec.Default(), rand.New(rand.NewPCG(1, 1)))
+	s.Handle(nil, targets(3), start)
+	const calls = 1000
+	attempts := 0
+	for id := uint64(1); id <= calls; id++ {
+		actions := s.Handle(nil, engine.Arrive{Call: id, Class: class, Deadline: start.Add(time.Second)}, start)
+		for len(actions) == 1 {
+			if _, sent := actions[0].(engine.Send); !sent {
+				break
+			}
+			attempts++
+			actions = s.Handle(nil, engine.Finish{
+				Call: id, Result: engine.NotRun, Replayable: true, Feedback: route.Feedback{Ending: route.Unreachable},
+			}, start)
+		}
+	}
+	// A tenth of the calls, and the ten that a service may make at first.
+	g.Expect(attempts).To(gomega.BeNumerically("~", calls+calls/10, 10))
+	g.Expect(s.Open()).To(gomega.BeZero())
+}
+
+func TestFinishOfACallThatIsNotAtATargetIsPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newService()
+	s.Handle(nil, targets(1), start)
+	s.Handle(nil, engine.Arrive{Call: 1, Class: class, Deadline: start.Add(time.Second)}, start)
+	s.Handle(nil, engine.Arrive{Call: 2, Class: class, Deadline: start.Add(time.Second)}, start)
+	g.Expect(s.Handle(nil, engine.Finish{Call: 2, Result: engine.Answered}, start)).To(gomega.BeEmpty())
+	g.Expect(s.Held()).To(gomega.Equal(1))
+	actions := s.Handle(nil, engine.Finish{Call: 1, Result: engine.Answered}, start)
+	g.Expect(actions).To(gomega.ConsistOf(gomega.HaveField("Call", uint64(2))))
+}
+
 func TestPatientCallDoesNotOvertakeHeldPromptCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
 	doc := spec.Default()
--- a/io/consol/form.go
+++ b/io/consol/form.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/url"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,8 +15,6 @@
 	"cardamomspool/core/strict"
 )
 
-var anyIndex = regexp.MustCompile(`\[\d+\]`)
-
 type (
 	// form is the fields of a document as posted, by path, with the faults
 	// found in them. Lists of objects are rows, as in "receive.routes[0]".
@@ -25,52 +23,10 @@
 		values  url.Values
 		faults  strict.Faults
 	}
-
-	// section is a part of the rendered form.
-	section struct {
-		Title  string
-		Faults []string
-		Inputs []input
-		Groups []group
-	}
-
-	// group is a list of objects in a section.
-	group struct {
-		Title string
-		Path  string
-		Rows  []row
-	}
-
-	row struct {
-		Title  string
-		Remove string
-		Inputs []input
-	}
-
-	// input is one rendered field.
-	input struct {
-		field.Entry
-		Name     string
-		Value    string
-		Checked  bool
-		ReadOnly bool
-		Options  []option
-		Faults   []string
-	}
-
-	option struct {
-		Value  string
-		Chosen bool
-	}
 )
 
-const (
-	// blankRows is the number of empty rows offered after the filled ones.
-	blankRows = 1
-	// maxRows bounds the rows that a form may have.
-	maxRows    = 200
-	removeName = ".remove"
-)
+// removeName ends the name of the box that takes out a row.
+const removeName = ".remove"
 
 // formOf returns the form of a valid document.
 func formOf(doc spec.Service) *form {
@@ -114,13 +70,17 @@
 // taken out.
 func posted(values url.Values) *form {
 	f := &form{entries: spec.Reference(), values: url.Values{}}
+	rows := make(map[string][]int)
 	for _, e := range f.entries {
 		list, rest, isRow := strings.Cut(e.Path, "[]")
 		if !isRow {
 			f.take(e, e.Path, values[e.Path])
 			continue
 		}
-		for to, from := range filledRows(f.entries, values, list) {
+		if _, ok := rows[list]; !ok {
+			rows[list] = filledRows(f.entries, values, list)
+		}
+		for to, from := range rows[list] {
 			f.take(e, rowPath(list, to)+rest, values[rowPath(list, from)+rest])
 		}
 	}
@@ -146,10 +106,17 @@
 	return list
 }
 
-// filledRows returns the numbers of the posted rows of a list that count.
+// filledRows returns the numbers of the posted rows of a list that count, in
+// order.
 func filledRows(entries []field.Entry, values url.Values, list string) []int {
+	seen := make(map[int]bool)
+	for name := range values {
+		if i, ok := rowOf(name, list); ok {
+			seen[i] = true
+		}
+	}
 	var rows []int
-	for i := range maxRows {
+	for _, i := range slices.Sorted(maps.Keys(seen)) {
 		at := rowPath(list, i)
 		if !values.Has(at+removeName) && !blank(entries, values, list, at) {
 			rows = append(rows, i)
@@ -158,6 +125,17 @@
 	return rows
 }
 
+// rowOf returns the number of the row of a list that a field belongs to.
+func rowOf(name, list string) (int, bool) {
+	rest, ok := strings.CutPrefix(name, list+"[")
+	if !ok {
+		return 0, false
+	}
+	number, _, _ := strings.Cut(rest, "]")
+	i, err := strconv.Atoi(number)
+	return i, err == nil && i >= 0
+}
+
 // blank reports whether every field of a row is empty or at its default.
 func blank(entries []field.Entry, values url.Values, list, at string) bool {
 	for _, e := range entries {
@@ -180,11 +158,8 @@
 func (f *form) rows(list string) int {
 	n := 0
 	for path := range f.values {
-		if rest, ok := strings.CutPrefix(path, list+"["); ok {
-			number, _, _ := strings.Cut(rest, "]")
-			if i, err := strconv.Atoi(number); err == nil {
-				n = max(n, i+1)
-			}
+		if i, ok := rowOf(path, list); ok {
+			n = max(n, i+1)
 		}
 	}
 	return n
@@ -263,101 +238,3 @@
 	tree[list] = rows
 	set(rows[i], rest, value)
 }
-
-// sections returns the form as it is rendered. A fault stands beside its
-// field, or at the head of its section when it belongs to none.
-func (f *form) sections(nameFixed bool) []section {
-	var list []section
-	for _, e := range f.entries {
-		title, _, _ := strings.Cut(e.Path, ".")
-		if len(list) == 0 || list[len(list)-1].Title != title {
-			list = append(list, section{Title: title, Faults: f.strays(title)})
-		}
-		s := &list[len(list)-1]
-		if path, rest, isRow := strings.Cut(e.Path, "[]"); isRow {
-			f.addToGroup(s, e, path, rest)
-			continue
-		}
-		in := f.input(e, e.Path)
-		in.ReadOnly = nameFixed && e.Path == "name"
-		s.Inputs = append(s.Inputs, in)
-	}
-	return list
-}
-
-func (f *form) addToGroup(s *section, e field.Entry, path, rest string) {
-	i := slices.IndexFunc(s.Groups, func(g group) bool { return g.Path == path })
-	if i < 0 {
-		i = len(s.Groups)
-		s.Groups = append(s.Groups, f.newGroup(path))
-	}
-	for n := range s.Groups[i].Rows {
-		r := &s.Groups[i].Rows[n]
-		in := f.input(e, rowPath(path, n)+rest)
-		if r.Remove == "" {
-			in.Value = e.Default
-		}
-		r.Inputs = append(r.Inputs, in)
-	}
-}
-
-func (f *form) newGroup(path string) group {
-	g := group{Title: path[strings.LastIndex(path, ".")+1:], Path: path}
-	filled := f.rows(path)
-	for n := range filled {
-		g.Rows = append(g.Rows, row{Title: strconv.Itoa(n + 1), Remove: rowPath(path, n) + removeName})
-	}
-	for range blankRows {
-		g.Rows = append(g.Rows, row{Title: "new"})
-	}
-	return g
-}
-
-func (f *form) input(e field.Entry, path string) input {
-	in := input{Entry: e, Name: path, Value: f.values.Get(path)}
-	for _, fault := range f.faults {
-		if covers(path, fault.Path) {
-			in.Faults = append(in.Faults, fault.Problem)
-		}
-	}
-	switch {
-	case e.Kind == field.Flag:
-		in.Checked = in.Value != ""
-	case e.Kind == field.List && e.Choices == nil:
-		in.Value = strings.Join(f.values[path], "\n")
-	case e.Choices != nil:
-		for _, c := range e.Choices {
-			in.Options = append(in.Options, option{Value: c, Chosen: slices.Contains(f.values[path], c)})
-		}
-	}
-	return in
-}
-
-// strays returns the faults of a section that belong to none of its fields.
-func (f *form) strays(title string) []string {
-	var list []string
-	for _, fault := range f.faults {
-		section, _, _ := strings.Cut(fault.Path, ".")
-		known := slices.ContainsFunc(f.entries, func(e field.Entry) bool { return covers(e.Path, fault.Path) })
-		switch {
-		case known || section != title:
-		case fault.Path == title:
-			list = append(list, fault.Problem)
-		default:
-			list = append(list, fault.Path+": "+fault.Problem)
-		}
-	}
-	return list
-}
-
-// covers reports whether a fault's path belongs to the field at path, or to an
-// entry of the list there. An empty index in path stands for any.
-func covers(path, fault string) bool {
-	if strings.HasSuffix(fault, "]") {
-		fault = fault[:strings.LastIndex(fault, "[")]
-	}
-	if strings.Contains(path, "[]") {
-		fault = anyIndex.ReplaceAllString(fault, "[]")
-	}
-	return path == fault
-}
--- a/io/slope/process.go
+++ b/io/slope/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -47,6 +48,9 @@
 	logEndBytes  = 500
 )
 
+// socketKinds are the kinds of control traffic that are counted at the socket.
+var socketKinds = []string{"peer", "config", "announce"}
+
 // start runs the product's binary with a subcommand and a settings file. Its
 // log goes to a file beside the settings.
 func start(binary, subcommand, settings string, admin netip.AddrPort) (*process, error) {
@@ -125,6 +129,9 @@
 		return u, err
 	}
 	for name, value := range vars {
+		if kind, _, _ := strings.Cut(name, "_"); !slices.Contains(socketKinds, kind) {
+			continue // Payloads counted by themselves are part of these.
+		}
 		n, ok := value.(float64)
 		switch {
 		case ok && strings.HasSuffix(name, suffixIn):
