Make two golden runs fail for the fault itself, not for their trace

The broken variants behind TestSessionVoteOfFormerIncarnation and TestSessionBlankHostsOneAfterAnother were red only by a differing trace. The first now lets the new incarnation take the void ballot, and results are audited: 'revision 1 of x is both false 2 and false 1'. The second now asks that the host recovers rather than founds: 0 recoveries against 1.

--- a/core/quorum/session_test.go
+++ b/core/quorum/session_test.go
@@ -51,6 +51,7 @@
 		s.results[host] = make(map[uint64]quorum.Result)
 	}
 	s.results[host][r.Ticket] = r
+	s.value(r.Value)
 	if r.Err != nil {
 		s.tracef("%s -> operator: %v", host, r.Err)
 		return
@@ -310,6 +311,8 @@
 	s.run(400 * time.Millisecond)
 	s.g.Expect(s.hosts["b"].voting()).To(gomega.BeTrue())
 	s.apply("d", set(0, "dora", `2`))
+	s.run(200 * time.Millisecond)
+	lost = false // The new incarnation of b would accept the ballot of a.
 	s.run(20 * time.Second)
 	s.golden(t)
 }
@@ -355,6 +358,7 @@
 	s.delay = func(quorum.Envelope) []time.Duration { return []time.Duration{time.Millisecond} }
 	s.thaw("a")
 	s.run(settle)
+	s.g.Expect(s.hosts["a"].node.Status(s.now).Recoveries).To(gomega.Equal(int64(1)), "it must recover, not found")
 	s.g.Expect(s.readX("a").Value.Revision).To(gomega.Equal(uint64(1)))
 	s.golden(t)
 }
