Count the calls cut off by a stop before their connections close

Ruled out: the stop itself, which cut the call off in time. Change: the number is taken when the grace ends.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -40,6 +40,7 @@
 		callers    setup.Callers
 		keys       *keyPair
 		openCalls  atomic.Int64
+		cutOff     atomic.Int64 // Calls open when the grace of a stop ended.
 		namePrefix string
 	}
 
@@ -141,7 +142,7 @@
 	begin := time.Now()
 	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", h.cfg.StopGrace.Std().String())
 	stopAll(servers, h.cfg.StopGrace.Std())
-	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.openCalls.Load())
+	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.cutOff.Load())
 	return err
 }
 
@@ -171,14 +172,14 @@
 		{
 			name: "announce", address: h.cfg.AnnounceAddress,
 			serve: func(l net.Listener) error { return announce.Serve(peer.CountListener(l, announceTraffic)) },
-			stop:  stopHTTP(announce),
+			stop:  stopHTTP(announce, func() {}),
 		},
 		{
 			name: "peer", address: h.cfg.PeerAddress,
 			serve: func(l net.Listener) error { return peers.Serve(peer.CountListener(l, peerTraffic)) },
 			stop:  func(context.Context) { peers.Stop() },
 		},
-		httpServer("admin", h.cfg.AdminAddress, operators),
+		httpServer("admin", h.cfg.AdminAddress, operators, func() {}),
 	}
 }
 
@@ -189,7 +190,7 @@
 		MaxHeaderBytes: h.callers.MaxHeaderBytes, ConnContext: withCaller,
 		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelWarn),
 	}
-	result := httpServer("call", h.cfg.CallAddress, s)
+	result := httpServer("call", h.cfg.CallAddress, s, func() { h.cutOff.Store(h.openCalls.Load()) })
 	result.serve = func(l net.Listener) error {
 		callers := &callerListener{Listener: l, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
 		track := s.ConnState
@@ -206,14 +207,17 @@
 	return result
 }
 
-func httpServer(name string, address netip.AddrPort, inner *http.Server) server {
+func httpServer(name string, address netip.AddrPort, inner *http.Server, cutOff func()) server {
 	s := drain.New(inner)
-	return server{name: name, address: address, serve: s.Serve, stop: stopHTTP(s)}
+	return server{name: name, address: address, serve: s.Serve, stop: stopHTTP(s, cutOff)}
 }
 
-func stopHTTP(s *drain.Server) func(context.Context) {
+// stopHTTP returns a function that lets the requests in progress end until its
+// context does. Those left then are cut off, after a call of cutOff.
+func stopHTTP(s *drain.Server, cutOff func()) func(context.Context) {
 	return func(ctx context.Context) {
 		if err := s.Shutdown(ctx); err != nil {
+			cutOff()
 			s.Close()
 		}
 	}
