--- a/io/admin/view.go
+++ b/io/admin/view.go
@@ -44,7 +44,10 @@
 		Ready bool `json:"ready"`
 		// Services lists the documents in force.
 		Services []ServiceView `json:"services"`
-		// Targets lists all known targets.
+		// Known is the number of known targets, of all services.
+		Known int `json:"known"`
+		// Targets lists the known targets of the service asked for, or of
+		// all.
 		Targets []TargetView `json:"targets"`
 	}
 
@@ -79,6 +82,17 @@
 	}
 )
 
+// Condition returns the target's state with the marks that it bears.
+func (t *TargetView) Condition() string {
+	switch {
+	case t.Suspect:
+		return t.State + ", suspect"
+	case t.Lapsed:
+		return t.State + ", lease lapsed"
+	}
+	return t.State
+}
+
 // Pasts returns the history of a service, newest first.
 func Pasts(store Store, name string) []Past {
 	values := store.History(name)
