Have control hosts say that they are ready only when a majority confirms them

Cause: /ready of a control host always answered 204, also while the host recovered or was cut off, so that an upgrade could go on too early. Change: 204 only when the host votes and is current, else 503 with its status. Seen red: TestReadyTellsWhetherTheHostVotesAndIsCurrent (204 for a host that is not current).

--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -115,7 +115,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", c.authorised(c.api()))
 	mux.Handle("GET /debug/vars", metrics)
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /ready", c.ready)
 	if c.pages != nil {
 		mux.Handle("/", c.pages)
 	}
@@ -223,6 +223,17 @@
 	reply(w, http.StatusOK, Checked{Document: spec.Canonical(doc)})
 }
 
+// ready answers 204 when the host votes and a majority has lately confirmed
+// that it is up to date, and 503 with its status otherwise.
+func (c *control) ready(w http.ResponseWriter, _ *http.Request) {
+	s := c.store.Status()
+	if s.Voting && s.Current {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	reply(w, http.StatusServiceUnavailable, s)
+}
+
 func (c *control) status(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, c.store.Status())
 }
