Plan systems on loopback in one place

Reading JSON from a host stood three times too. Change: io/layout plans a system, io/fetch reads a document.

--- a/io/exper/exper.go
+++ b/io/exper/exper.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/spec"
+	"cardamomspool/io/fetch"
 	"cardamomspool/io/load"
 	"cardamomspool/io/stub"
 )
@@ -132,7 +133,7 @@
 			Targets  int `json:"targets"`
 			Services int `json:"services"`
 		}
-		if err := getJSON(ctx, "http://"+e.AdminAddress.String()+"/debug/vars", &vars); err != nil {
+		if err := fetch.JSON(ctx, "http://"+e.AdminAddress.String()+"/debug/vars", &vars); err != nil {
 			return false
 		}
 		if vars.Targets < targets || vars.Services < 1 {
@@ -243,7 +244,7 @@
 			Retries  float64 `json:"retries"`
 			Probes   float64 `json:"probes"`
 		}
-		if err := getJSON(ctx, "http://"+e.AdminAddress.String()+"/debug/vars", &vars); err != nil {
+		if err := fetch.JSON(ctx, "http://"+e.AdminAddress.String()+"/debug/vars", &vars); err != nil {
 			continue
 		}
 		sum.attempts += vars.Attempts
@@ -252,19 +253,3 @@
 	}
 	return sum
 }
-
-func getJSON(ctx context.Context, url string, v any) error {
-	var (
-		req  *http.Request
-		resp *http.Response
-		err  error
-	)
-	if req, err = http.NewRequestWithContext(ctx, http.MethodGet, url, nil); err != nil {
-		return err
-	}
-	if resp, err = http.DefaultClient.Do(req); err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(v)
-}
--- a/io/exper/fleet.go
+++ b/io/exper/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -16,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"cardamomspool/core/strict"
+	"cardamomspool/io/layout"
 	"cardamomspool/io/setup"
 )
 
@@ -52,48 +51,15 @@
 	if f.folder, err = os.MkdirTemp("", "spoollab-"); err != nil {
 		return nil, errors.Wrap(err, "exper")
 	}
-	var ports []netip.AddrPort
-	if ports, err = freePorts(2*cfg.Controls + 4*cfg.Entries + cfg.Targets); err != nil {
+	var plan layout.Plan
+	if plan, err = layout.New(f.folder, layout.Size{Controls: cfg.Controls, Entries: cfg.Entries, Targets: cfg.Targets},
+		layout.WithEntries(func(e *setup.Entry) { e.DecisionLogOneIn = cfg.LogOneIn })); err != nil {
 		return nil, err
 	}
-	next := func() netip.AddrPort {
-		a := ports[0]
-		ports = ports[1:]
-		return a
-	}
-	controls, entries := peers("control", cfg.Controls, next), peers("entry", cfg.Entries, next)
-	for _, p := range controls {
-		f.controls = append(f.controls, setup.Control{
-			Common: common(p, next(), controls), DataFolder: filepath.Join(f.folder, p.Host),
-			StopGrace: strict.Duration(time.Second),
-		})
-	}
-	for _, p := range entries {
-		f.entries = append(f.entries, setup.Entry{
-			Common: common(p, next(), controls), CallAddress: next(), AnnounceAddress: next(), Entries: entries,
-			Tick: strict.Duration(10 * time.Millisecond), AnnounceInterval: strict.Duration(500 * time.Millisecond),
-			DecisionLogOneIn: cfg.LogOneIn, StopGrace: strict.Duration(time.Second),
-		})
-	}
-	f.targets = ports
+	f.controls, f.entries, f.targets = plan.Controls, plan.Entries, plan.Targets
 	return f, nil
 }
 
-func peers(kind string, n int, next func() netip.AddrPort) []setup.Peer {
-	list := make([]setup.Peer, n)
-	for i := range list {
-		list[i] = setup.Peer{Host: fmt.Sprintf("%s-%d", kind, i+1), DataCentre: "lab", PeerAddress: next()}
-	}
-	return list
-}
-
-func common(p setup.Peer, adminAddress netip.AddrPort, controls []setup.Peer) setup.Common {
-	return setup.Common{
-		Host: p.Host, DataCentre: p.DataCentre, LogLevel: "info", AdminAddress: adminAddress,
-		PeerAddress: p.PeerAddress, Controls: controls,
-	}
-}
-
 // startHosts starts all control and entry hosts.
 func (f *fleet) startHosts() error {
 	for _, c := range f.controls {
@@ -239,17 +205,3 @@
 		return true
 	}
 }
-
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "exper: free port")
-		}
-		defer l.Close()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return list, nil
-}
--- /dev/null
+++ b/io/fetch/doc.go
@@ -0,0 +1,2 @@
+// Package fetch reads JSON documents over HTTP, such as the metrics of a host.
+package fetch
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +19,9 @@
 	"cardamomspool/core/strict"
 	"cardamomspool/io/ctrl"
 	"cardamomspool/io/entry"
+	"cardamomspool/io/fetch"
+	"cardamomspool/io/layout"
 	"cardamomspool/io/load"
-	"cardamomspool/io/ports"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/stub"
 	"cardamomspool/io/telem"
@@ -54,6 +54,8 @@
 	startLimit   = 20 * time.Second
 	startPoll    = 20 * time.Millisecond
 	serviceTime  = 4 * time.Millisecond
+	controlGrace = 2 * time.Second
+	entryGrace   = 5 * time.Second
 )
 
 // ErrCheck reports that calls got wrong answers, ran twice or were lost.
@@ -137,39 +139,17 @@
 
 // plan chooses free loopback ports and writes down the settings of all hosts.
 func (s *System) plan() error {
-	free, err := ports.Free(2*controlHosts + 4*entryHosts + targetCount)
+	size := layout.Size{Controls: controlHosts, Entries: entryHosts, Targets: targetCount}
+	plan, err := layout.New(s.folder, size,
+		layout.WithControls(func(cfg *setup.Control) { cfg.StopGrace = strict.Duration(controlGrace) }),
+		layout.WithEntries(func(cfg *setup.Entry) { cfg.StopGrace = strict.Duration(entryGrace) }))
 	if err != nil {
 		return err
 	}
-	next := func() netip.AddrPort {
-		a := free[0]
-		free = free[1:]
-		return a
-	}
-	var controls, entries []setup.Peer
-	for i := range controlHosts {
-		controls = append(controls, setup.Peer{Host: fmt.Sprintf("control-%d", i+1), DataCentre: "local", PeerAddress: next()})
-	}
-	for i := range entryHosts {
-		entries = append(entries, setup.Peer{Host: fmt.Sprintf("entry-%d", i+1), DataCentre: "local", PeerAddress: next()})
-	}
-	for _, p := range controls {
-		s.controls = append(s.controls, setup.Control{
-			Common:     common(p, next(), controls),
-			DataFolder: filepath.Join(s.folder, p.Host), StopGrace: strict.Duration(2 * time.Second),
-		})
-	}
-	for _, p := range entries {
-		s.entries = append(s.entries, setup.Entry{
-			Common: common(p, next(), controls), CallAddress: next(), AnnounceAddress: next(), Entries: entries,
-			Tick: strict.Duration(10 * time.Millisecond), AnnounceInterval: strict.Duration(500 * time.Millisecond),
-			DecisionLogOneIn: 1, StopGrace: strict.Duration(5 * time.Second),
-		})
-	}
+	s.controls, s.entries, s.targets = plan.Controls, plan.Entries, plan.Targets
 	for i := range s.controls {
 		s.controls[i].Entries = s.watched()
 	}
-	s.targets = free
 	return nil
 }
 
@@ -182,13 +162,6 @@
 	return list
 }
 
-func common(p setup.Peer, adminAddress netip.AddrPort, controls []setup.Peer) setup.Common {
-	return setup.Common{
-		Host: p.Host, DataCentre: p.DataCentre, LogLevel: "info",
-		AdminAddress: adminAddress, PeerAddress: p.PeerAddress, Controls: controls,
-	}
-}
-
 func (s *System) startHosts(ctx context.Context, group *errgroup.Group) error {
 	for _, cfg := range s.controls {
 		h, err := ctrl.New(cfg, ctrl.WithLogger(s.logger(cfg.Host)))
@@ -272,7 +245,7 @@
 			Targets  int `json:"targets"`
 			Services int `json:"services"`
 		}
-		if err := getJSON(ctx, fmt.Sprintf("http://%s/debug/vars", cfg.AdminAddress), &vars); err != nil {
+		if err := fetch.JSON(ctx, fmt.Sprintf("http://%s/debug/vars", cfg.AdminAddress), &vars); err != nil {
 			return false
 		}
 		if vars.Targets < targetCount || vars.Services < 1 {
@@ -282,22 +255,6 @@
 	return true
 }
 
-func getJSON(ctx context.Context, url string, v any) error {
-	var (
-		req  *http.Request
-		resp *http.Response
-		err  error
-	)
-	if req, err = http.NewRequestWithContext(ctx, http.MethodGet, url, nil); err != nil {
-		return err
-	}
-	if resp, err = http.DefaultClient.Do(req); err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(v)
-}
-
 func (s *System) printAddresses() {
 	for _, e := range s.entries {
 		fmt.Fprintf(s.out, "%s takes calls at http://%s/ and shows metrics at http://%s/debug/vars\n", e.Host, e.CallAddress, e.AdminAddress)
--- a/io/slope/fault_test.go
+++ b/io/slope/fault_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cardamomspool/io/fetch"
 	"cardamomspool/io/setup"
 )
 
@@ -39,7 +40,7 @@
 
 func (f *fleet) state(i int) entryState {
 	var s entryState
-	if err := getJSON(context.Background(), fmt.Sprintf("http://%s/debug/vars", f.entries[i].admin), &s); err != nil {
+	if err := fetch.JSON(context.Background(), fmt.Sprintf("http://%s/debug/vars", f.entries[i].admin), &s); err != nil {
 		s.Documents.State = err.Error()
 	}
 	return s
--- a/io/slope/fleet.go
+++ b/io/slope/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -15,7 +14,7 @@
 
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
-	"cardamomspool/io/ports"
+	"cardamomspool/io/layout"
 	"cardamomspool/io/setup"
 )
 
@@ -56,63 +55,47 @@
 }
 
 func (f *fleet) start(binary string, entries int, interval time.Duration) error {
-	free, err := ports.Free(2*controlHosts + 4*entries)
-	if err != nil {
-		return err
-	}
-	next := func() netip.AddrPort {
-		a := free[0]
-		free = free[1:]
-		return a
+	opts := []layout.Option{
+		layout.WithLogLevel("warn"),
+		layout.WithEntries(func(cfg *setup.Entry) { cfg.AnnounceInterval = strict.Duration(interval) }),
 	}
-	var controlPeers, entryPeers []setup.Peer
-	for i := range controlHosts {
-		controlPeers = append(controlPeers, setup.Peer{Host: fmt.Sprintf("control-%d", i+1), DataCentre: "lab", PeerAddress: next()})
+	for _, change := range f.adjust {
+		opts = append(opts, layout.WithEntries(change))
 	}
-	for i := range entries {
-		entryPeers = append(entryPeers, setup.Peer{Host: fmt.Sprintf("entry-%d", i+1), DataCentre: "lab", PeerAddress: next()})
+	plan, err := layout.New(f.folder, layout.Size{Controls: controlHosts, Entries: entries}, opts...)
+	if err != nil {
+		return err
 	}
-	for _, p := range controlPeers {
-		cfg := setup.Control{
-			Common:     setup.Common{Host: p.Host, DataCentre: p.DataCentre, LogLevel: "warn", AdminAddress: next(), PeerAddress: p.PeerAddress, Controls: controlPeers},
-			DataFolder: filepath.Join(f.folder, p.Host), StopGrace: strict.Duration(time.Second),
-		}
-		process, err := f.launch(binary, "control", cfg.Host, cfg, cfg.AdminAddress)
-		if err != nil {
+	f.settings = plan.Entries
+	for _, cfg := range plan.Controls {
+		if err = f.launch(binary, "control", cfg.Common, cfg, &f.controls); err != nil {
 			return err
 		}
-		f.controls = append(f.controls, process)
-	}
-	for _, p := range entryPeers {
-		cfg := setup.Entry{
-			Common:      setup.Common{Host: p.Host, DataCentre: p.DataCentre, LogLevel: "warn", AdminAddress: next(), PeerAddress: p.PeerAddress, Controls: controlPeers},
-			CallAddress: next(), AnnounceAddress: next(), Entries: entryPeers,
-			Tick: strict.Duration(10 * time.Millisecond), AnnounceInterval: strict.Duration(interval),
-			DecisionLogOneIn: 1, StopGrace: strict.Duration(time.Second),
-		}
-		for _, change := range f.adjust {
-			change(&cfg)
-		}
-		process, err := f.launch(binary, "entry", cfg.Host, cfg, cfg.AdminAddress)
-		if err != nil {
+	}
+	for _, cfg := range plan.Entries {
+		if err = f.launch(binary, "entry", cfg.Common, cfg, &f.entries); err != nil {
 			return err
 		}
-		f.entries = append(f.entries, process)
-		f.settings = append(f.settings, cfg)
 	}
 	return nil
 }
 
-func (f *fleet) launch(binary, subcommand, host string, cfg any, admin netip.AddrPort) (*process, error) {
+// launch starts one host and adds its process to list.
+func (f *fleet) launch(binary, subcommand string, host setup.Common, cfg any, list *[]*process) error {
 	data, err := json.Marshal(cfg)
 	if err != nil {
-		return nil, errors.Wrap(err, "slope")
+		return errors.Wrap(err, "slope")
 	}
-	path := filepath.Join(f.folder, host+".json")
+	path := filepath.Join(f.folder, host.Host+".json")
 	if err = os.WriteFile(path, data, fileMode); err != nil {
-		return nil, errors.Wrap(err, "slope")
+		return errors.Wrap(err, "slope")
 	}
-	return start(binary, subcommand, path, admin)
+	p, err := start(binary, subcommand, path, host.AdminAddress)
+	if err != nil {
+		return err
+	}
+	*list = append(*list, p)
+	return nil
 }
 
 // stop ends all processes and removes their files.
--- a/io/slope/force.go
+++ b/io/slope/force.go
@@ -16,6 +16,7 @@
 
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/fetch"
 	"cardamomspool/io/load"
 )
 
@@ -134,7 +135,7 @@
 					Revisions int `json:"revisions"`
 				} `json:"documents"`
 			}
-			err := getJSON(ctx, fmt.Sprintf("http://%s/debug/vars", p.admin), &state)
+			err := fetch.JSON(ctx, fmt.Sprintf("http://%s/debug/vars", p.admin), &state)
 			if err == nil && state.Documents.Revisions >= sum {
 				break
 			}
@@ -237,7 +238,7 @@
 	for i, p := range f.entries {
 		for i != but {
 			var seen sighting
-			err := getJSON(ctx, fmt.Sprintf("http://%s/v1/targets", p.admin), &seen)
+			err := fetch.JSON(ctx, fmt.Sprintf("http://%s/v1/targets", p.admin), &seen)
 			if err == nil && seen.has(target, state) {
 				break
 			}
--- a/io/slope/process.go
+++ b/io/slope/process.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -16,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cardamomspool/io/fetch"
 )
 
 type (
@@ -38,14 +38,13 @@
 )
 
 const (
-	stopLimit    = 10 * time.Second
-	readyPoll    = 20 * time.Millisecond
-	vmResident   = "VmRSS:"
-	bytesPerKiB  = 1024
-	suffixIn     = "_bytes_in"
-	suffixOut    = "_bytes_out"
-	httpDeadline = 5 * time.Second
-	logEndBytes  = 500
+	stopLimit   = 10 * time.Second
+	readyPoll   = 20 * time.Millisecond
+	vmResident  = "VmRSS:"
+	bytesPerKiB = 1024
+	suffixIn    = "_bytes_in"
+	suffixOut   = "_bytes_out"
+	logEndBytes = 500
 )
 
 // socketKinds are the kinds of control traffic that are counted at the socket.
@@ -149,7 +148,7 @@
 // vars reads the metrics of the process.
 func (p *process) vars(ctx context.Context) (map[string]any, error) {
 	var vars map[string]any
-	err := getJSON(ctx, fmt.Sprintf("http://%s/debug/vars", p.admin), &vars)
+	err := fetch.JSON(ctx, fmt.Sprintf("http://%s/debug/vars", p.admin), &vars)
 	return vars, err
 }
 
@@ -189,21 +188,3 @@
 	}
 	return 0, errors.Errorf("slope: no resident size of process %d", pid)
 }
-
-func getJSON(ctx context.Context, url string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, httpDeadline)
-	defer cancel()
-	var (
-		req  *http.Request
-		resp *http.Response
-		err  error
-	)
-	if req, err = http.NewRequestWithContext(ctx, http.MethodGet, url, nil); err != nil {
-		return errors.Wrap(err, "slope")
-	}
-	if resp, err = http.DefaultClient.Do(req); err != nil {
-		return errors.Wrap(err, "slope")
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(v)
-}
