Count a suspect target as hot

Cause: core/member marks targets whose announcements have stopped as suspect, but the choice passed over the mark, so such a target got calls like any other. Ruled out: leaving it out; a target cut off for control reasons alone still answers, and only calls show that. Change: hot_cold counts one more call in flight for it.

--- a/core/route/hot_cold.go
+++ b/core/route/hot_cold.go
@@ -8,9 +8,10 @@
 type (
 	// HotCold picks the target with the fewest calls in flight from this entry
 	// host, counting one more for a target that is hot; ties fall by lot. A
-	// target is hot for a time after its report said that it was full, while
-	// it ends no call although it has some, and by lot while it has less than
-	// its full share. Failing targets are used when no others are left.
+	// target is hot while its membership is suspect, for a time after its
+	// report said that it was full, while it ends no call although it has
+	// some, and by lot while it has less than its full share. Failing targets
+	// are used when no others are left.
 	//
 	// Reports are taken as hot or cold and not as numbers, because entry
 	// hosts that rank targets by the same stale numbers all send to the same
@@ -79,7 +80,7 @@
 	switch {
 	case s.failedUntil > at:
 		return failing
-	case s.fullUntil > at || t.stalled(s, at):
+	case s.suspect || s.fullUntil > at || t.stalled(s, at):
 		return hot
 	}
 	if share := t.share(s, at); share < 1 && rng.Float64() >= share {
--- a/core/route/hot_cold_test.go
+++ b/core/route/hot_cold_test.go
@@ -158,3 +158,21 @@
 func BenchmarkHotCold(b *testing.B) {
 	benchmarkChoose(b, route.HotCold{})
 }
+
+func TestHotColdPassesOverASuspectTargetWhileOthersAreIdle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := records(2)
+	list[0].Suspect = true
+	var table route.Table
+	table.Update(list, 0, start)
+	g.Expect(draws(&table, route.HotCold{}, 100, start)).To(gomega.HaveKeyWithValue("t1", 100))
+	warm(&table, "t0", "t1")
+	table.Begin("t1", start)
+	table.Begin("t1", start)
+	g.Expect(draws(&table, route.HotCold{}, 100, start)).To(gomega.HaveKeyWithValue("t0", 100))
+	list[0].Suspect = false
+	table.Update(list, 0, start)
+	table.End("t1", route.Feedback{Ending: route.Served}, 0, start)
+	table.End("t1", route.Feedback{Ending: route.Served}, 0, start)
+	g.Expect(draws(&table, route.HotCold{}, 300, start)).To(gomega.HaveLen(2))
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -64,6 +64,8 @@
 		rampEnd  time.Duration
 		// drains says that an answer announced that the target drains.
 		drains bool
+		// suspect says that the target's announcements have stopped.
+		suspect bool
 	}
 )
 
@@ -119,6 +121,7 @@
 	t.incarnation = append(t.incarnation, r.Incarnation)
 	t.remote = append(t.remote, t.dataCentre != "" && r.DataCentre != t.dataCentre)
 	t.slots = append(t.slots, r.Slots)
+	s.suspect = r.Suspect
 	t.state = append(t.state, s)
 	if r.State == member.Cold {
 		t.cold++
