--- a/core/engine/run_test.go
+++ b/core/engine/run_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -18,6 +16,7 @@
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
+	"cardamomspool/internal/golden"
 )
 
 const (
@@ -151,17 +150,10 @@
 	})
 }
 
-// check compares the session with its golden file; UPDATE_GOLDEN=1 writes it.
+// check compares the session with its golden file.
 func (s *session) check(t *testing.T) {
-	g := gomega.NewWithT(t)
-	path := filepath.Join("testdata", strings.TrimPrefix(t.Name(), "TestRun")+".golden")
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		g.Expect(os.WriteFile(path, []byte(s.text.String()), 0o600)).To(gomega.Succeed())
-	}
-	want, err := os.ReadFile(path)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(s.text.String()).To(gomega.Equal(string(want)))
-	g.Expect(s.engine.Open()).To(gomega.BeZero())
+	golden.Compare(t, strings.TrimPrefix(t.Name(), "TestRun"), s.text.String())
+	gomega.NewWithT(t).Expect(s.engine.Open()).To(gomega.BeZero())
 }
 
 // A surge from idle: two calls in a quiet 100 ms, then four times as many as
--- a/core/member/node_test.go
+++ b/core/member/node_test.go
@@ -1,12 +1,9 @@
 package member_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -14,10 +11,9 @@
 	"pgregory.net/rapid"
 
 	"cardamomspool/core/member"
+	"cardamomspool/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 func target(name string, incarnation uint64, state member.State) member.Record {
 	return member.Record{
 		Key:     member.Key{Service: "bookings", Target: name},
@@ -25,19 +21,6 @@
 	}
 }
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	g := gomega.NewWithT(t)
-	path := filepath.Join("testdata", name+".golden")
-	if *update {
-		g.Expect(os.MkdirAll("testdata", 0o755)).To(gomega.Succeed())
-		g.Expect(os.WriteFile(path, []byte(got), 0o600)).To(gomega.Succeed())
-	}
-	want, err := os.ReadFile(path)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(got).To(gomega.Equal(string(want)))
-}
-
 // leavingLimit is the time within which every entry host knows that a target
 // is leaving.
 const leavingLimit = 3 * time.Second
@@ -80,7 +63,7 @@
 	n.start("e04")
 	n.run(3 * time.Second)
 	g.Expect(n.agree()).To(gomega.BeTrue())
-	golden(t, "session", n.log.String())
+	golden.Compare(t, "session", n.log.String())
 }
 
 func TestCutSession(t *testing.T) {
@@ -114,7 +97,7 @@
 		n.run(time.Second)
 	}
 	g.Expect(n.agree()).To(gomega.BeTrue())
-	golden(t, "cut", n.log.String())
+	golden.Compare(t, "cut", n.log.String())
 }
 
 // TestLeavingIsKnownThoughTheHostThatHeardItDies kills the host that heard
--- a/core/quorum/session_test.go
+++ b/core/quorum/session_test.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -13,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/quorum"
+	"cardamomspool/internal/golden"
 )
 
 // session is one scripted run whose trace is kept in a golden file.
@@ -25,8 +23,6 @@
 	results map[string]map[uint64]quorum.Result
 }
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 const settle = 3 * time.Second
 
 func newSession(t *testing.T, hosts int) *session {
@@ -63,13 +59,7 @@
 func (s *session) golden(t *testing.T) {
 	t.Helper()
 	s.g.Expect(s.fault).NotTo(gomega.HaveOccurred())
-	file := filepath.Join("testdata", t.Name()+".golden")
-	if *update {
-		s.g.Expect(os.WriteFile(file, s.output.Bytes(), 0o600)).To(gomega.Succeed())
-	}
-	want, err := os.ReadFile(file)
-	s.g.Expect(err).NotTo(gomega.HaveOccurred())
-	s.g.Expect(s.output.String()).To(gomega.Equal(string(want)))
+	golden.Compare(t, t.Name(), s.output.String())
 }
 
 // found starts all hosts and waits until they vote.
--- a/io/consol/fake_test.go
+++ b/io/consol/fake_test.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
-	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -21,6 +19,7 @@
 
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
+	"cardamomspool/internal/golden"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/consol"
 	"cardamomspool/io/telem"
@@ -232,16 +231,7 @@
 	fmt.Fprintf(&tr.text, "# %s\n", text)
 }
 
-// check compares the transcript with its golden file; UPDATE_GOLDEN=1 writes
-// it anew.
+// check compares the transcript with its golden file.
 func (tr *transcript) check(name string) {
-	g := gomega.NewWithT(tr.t)
-	path := filepath.Join("testdata", name+".golden")
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		g.Expect(os.MkdirAll("testdata", 0o755)).To(gomega.Succeed())
-		g.Expect(os.WriteFile(path, []byte(tr.text.String()), 0o644)).To(gomega.Succeed())
-	}
-	want, err := os.ReadFile(path)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(tr.text.String()).To(gomega.Equal(string(want)))
+	golden.Compare(tr.t, name, tr.text.String())
 }
--- a/io/entry/outcome_test.go
+++ b/io/entry/outcome_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -18,6 +17,7 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
+	"cardamomspool/internal/golden"
 	"cardamomspool/io/setup"
 )
 
@@ -195,7 +195,7 @@
 			})
 		}
 	})
-	compareGolden(t, "testdata/sessions.golden", strings.Join(sessions, "\n"))
+	golden.Compare(t, "sessions", strings.Join(sessions, "\n"))
 }
 
 func runOutcome(t *testing.T, row outcomeRow) string {
@@ -239,22 +239,6 @@
 	return sb.String()
 }
 
-// compareGolden compares got with a golden file, which it writes when
-// UPDATE_GOLDEN is set.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(name, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	gomega.NewWithT(t).Expect(got).To(gomega.Equal(string(want)))
-}
-
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, shortDeadline, freeAddress(t))
