End a call at once when its caller stalls in an upload

Cause: when a connection to a target ends, the HTTP library waits for the loop that writes the request before it reports that; this loop was reading the caller's body. A caller that stopped sending in the middle got no answer at its deadline, nor when the target reset the connection, and one whose target refused was told that its body came too late. Ruled out: the read deadline of the body, which is lifted once the start has arrived, so that long uploads may take their time. Change: the loss of the connection interrupts the read. A body that this host stopped reading has not failed, and its caller has not gone.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -15,6 +15,8 @@
 	// so that an attempt that was not run can be followed by another.
 	body struct {
 		control *http.ResponseController
+		// interrupted says that this host broke off a read of source.
+		interrupted atomic.Bool
 
 		mu     sync.Mutex // Held while source is read.
 		source io.Reader
@@ -37,7 +39,8 @@
 var (
 	_ io.ReadCloser = (*bodyView)(nil)
 
-	errViewClosed = errors.New("entry: the attempt has ended")
+	errViewClosed  = errors.New("entry: the attempt has ended")
+	errInterrupted = errors.New("entry: the body was not read to its end")
 )
 
 // newBody returns the body of r, or one that is empty and whole.
@@ -74,6 +77,9 @@
 	}
 	b.total += int64(n)
 	b.err = err
+	if err != nil && b.interrupted.Load() {
+		b.err = errInterrupted
+	}
 	return n
 }
 
@@ -85,10 +91,14 @@
 	return b.err
 }
 
-// failed returns why the caller's body ended early, or nil.
+// failed returns why the caller's body ended early, or nil. A body that this
+// host stopped reading has not failed.
 func (b *body) failed() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if errors.Is(b.err, errInterrupted) {
+		return nil
+	}
 	return b.fault()
 }
 
@@ -144,17 +154,24 @@
 	return nil
 }
 
-// release ends the view and returns once no read is under way. A read that
-// waits for the caller is broken off, and with it the body.
-func (v *bodyView) release() {
+// breakOff ends the view without waiting. A read that waits for the caller is
+// interrupted, and with it the body. The library waits for such a read before
+// it reports that the connection to the target has ended.
+func (v *bodyView) breakOff() {
 	v.closed.Store(true)
 	if v.body.mu.TryLock() {
 		v.body.mu.Unlock()
 		return
 	}
+	v.body.interrupted.Store(true)
 	if err := v.body.control.SetReadDeadline(time.Now()); err != nil {
 		return // The caller's connection has gone, which ends the read.
 	}
+}
+
+// release ends the view and returns once no read is under way.
+func (v *bodyView) release() {
+	v.breakOff()
 	v.body.mu.Lock()
 	defer v.body.mu.Unlock()
 }
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -180,7 +180,7 @@
 			h.turnDown(w, r, bodyProblem(err), !c.maybeRun)
 			return true
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !c.stoppedEarly() {
 			h.giveUp(w, r, c)
 			return true
 		}
@@ -197,14 +197,29 @@
 		h.metrics.Count("calls_cut_short").Add(1)
 		abort(r)
 	}
+	if !result.Final() && c.stoppedEarly() {
+		return h.carryOut(ctx, w, r, c, <-c.waiter) // The call can not be sent again, so this is its end.
+	}
 	return false
 }
 
+// stoppedEarly reports whether this host stopped reading the caller's body
+// before the deadline, because the attempt had ended. The library then takes
+// the caller for gone and cancels its context.
+func (c *call) stoppedEarly() bool {
+	return c.body.interrupted.Load() && time.Now().Before(c.deadline)
+}
+
+// callerGone reports whether the caller has left.
+func (c *call) callerGone(r *http.Request) bool {
+	return r.Context().Err() != nil && !c.body.interrupted.Load()
+}
+
 // giveUp ends a call whose deadline has passed or whose caller has gone.
 func (h *Host) giveUp(w answerWriter, r *http.Request, c *call) {
-	h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id, Overdue: r.Context().Err() == nil})
+	h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id, Overdue: !c.callerGone(r)})
 	reason := reasonDeadline
-	if r.Context().Err() != nil {
+	if c.callerGone(r) {
 		reason = "caller_gone"
 		h.metrics.Count("calls_caller_gone").Add(1)
 	} else {
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -80,6 +80,7 @@
 	x.pool.trim(s.Address, c.connections)
 	view := c.body.view()
 	defer view.release()
+	l.carry(view.breakOff)
 	out := newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view)
 	stop := x.watchSilence(l, c, s)
 	defer stop()
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -23,6 +23,7 @@
 		onClean func(*link)
 		onStray func(*link)
 		onClose func(*link)
+		onLost  func() // Called when the link closes during a request.
 		closing sync.Once
 
 		writing sync.Mutex // Held during a write to the socket.
@@ -64,7 +65,7 @@
 // shows that nothing came after the answer.
 func (l *link) end() {
 	l.mu.Lock()
-	l.busy, l.fresh = false, false
+	l.busy, l.fresh, l.onLost = false, false, nil
 	l.ended = !l.sealed
 	clean := l.takeClean()
 	l.mu.Unlock()
@@ -143,11 +144,24 @@
 	return 0, errStray
 }
 
+// carry sets what is called when the link closes before the present request
+// has ended.
+func (l *link) carry(onLost func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onLost = onLost
+}
+
 // Close closes the socket.
 func (l *link) Close() error {
 	l.mu.Lock()
 	l.sealed = true
+	onLost := l.onLost
+	l.onLost = nil
 	l.mu.Unlock()
+	if onLost != nil {
+		onLost()
+	}
 	l.closing.Do(func() { l.onClose(l) })
 	return l.Conn.Close()
 }
--- /dev/null
+++ b/io/entry/stall_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/wire"
+)
+
+// stalledPost is an upload whose caller stops in the middle and waits.
+var stalledPost = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", 100000)
+
+// TestStalledUploadIsAnsweredAtOnce has a caller that stops sending while its
+// target waits for the rest, ends the connection, answers or refuses.
+func TestStalledUploadIsAnsweredAtOnce(t *testing.T) {
+	rows := []struct {
+		name            string
+		script          func(*rawConn)
+		limit           time.Duration
+		status          int
+		outcome, reason string
+	}{
+		{"target waits", func(c *rawConn) { c.request() }, 2 * time.Second, 504, "unknown", "deadline"},
+		{"target resets", func(c *rawConn) { c.header(); time.Sleep(50 * time.Millisecond); c.reset() }, deadline, 502, "unknown", "target_failed"},
+		{"target answers", func(c *rawConn) {
+			c.header()
+			c.say("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+			c.untilClosed()
+		}, deadline, 413, "", ""},
+		{"target refuses", func(c *rawConn) {
+			c.header()
+			c.say("HTTP/1.1 503 Full\r\nSpool-Outcome: not_run\r\nContent-Length: 0\r\n\r\n")
+			c.untilClosed()
+		}, deadline, 503, "not_run", "targets_refuse"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			b := newBench(t, shortDeadline, newRawTarget(t, row.script).address)
+			begin := time.Now()
+			raw, broken := b.session(t, stalledPost)
+			g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", row.limit))
+			g.Expect(broken).To(gomega.BeFalse())
+			answer := firstAnswer(raw)
+			g.Expect(answer).NotTo(gomega.BeNil(), raw)
+			g.Expect(answer.StatusCode).To(gomega.Equal(row.status))
+			g.Expect(answer.Header.Get(wire.HeaderOutcome)).To(gomega.Equal(row.outcome))
+			g.Expect(answer.Header.Get(wire.HeaderReason)).To(gomega.Equal(row.reason))
+		})
+	}
+}
