Let the cache of go test see changes of the processes under test

The storm and the tests of faults build the binary themselves, so that go test kept an old result after a change of the hosts (seen: a cached pass of io/storm after a change of io/entry). Both now import what the processes are built from.

--- a/io/slope/fault_test.go
+++ b/io/slope/fault_test.go
@@ -14,6 +14,11 @@
 
 	"cardamomspool/io/fetch"
 	"cardamomspool/io/setup"
+
+	// The processes under test are built from these; the imports let go test
+	// see when they have changed.
+	_ "cardamomspool/io/ctrl"
+	_ "cardamomspool/io/entry"
 )
 
 // entryState is what an entry process shows of its documents.
--- a/io/storm/storm_test.go
+++ b/io/storm/storm_test.go
@@ -12,6 +12,11 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	// The processes under test are built from these; the imports let go test
+	// see when they have changed.
+	_ "cardamomspool/io/ctrl"
+	_ "cardamomspool/io/entry"
 )
 
 const testLimit = 3 * time.Minute
