--- a/cmd/spoollab/slopes.go
+++ b/cmd/spoollab/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -14,6 +15,7 @@
 	binary string
 	folder string
 	window time.Duration
+	sweeps string
 }
 
 func slopesCommand() *command {
@@ -23,12 +25,17 @@
 	sub.String(&o.binary, "b", "binary", "path of the cardamomspool binary")
 	sub.String(&o.folder, "f", "folder", "folder for slopes.json and the plots")
 	sub.Duration(&o.window, "w", "window", "time over which each size is observed")
+	sub.String(&o.sweeps, "s", "sweeps", "targets, services, entries, changes, calls, separated by commas (default: all)")
 	flaggy.AttachSubcommand(sub, 1)
 	return &command{parser: sub, run: func(ctx context.Context) error { return runSlopes(ctx, o) }}
 }
 
 func runSlopes(ctx context.Context, o *slopesOptions) error {
-	report, err := slope.New(o.binary, slope.WithWindow(o.window)).Run(ctx)
+	opts := []slope.Option{slope.WithWindow(o.window)}
+	if o.sweeps != "" {
+		opts = append(opts, slope.WithSweeps(strings.Split(o.sweeps, ",")...))
+	}
+	report, err := slope.New(o.binary, opts...).Run(ctx)
 	if err != nil {
 		return err
 	}
--- a/io/slope/run.go
+++ b/io/slope/run.go
@@ -33,6 +33,7 @@
 	Runner struct {
 		binary   string
 		window   time.Duration
+		sweeps   []string
 		progress io.Writer
 		report   Report
 	}
@@ -41,7 +42,10 @@
 	Option func(*Runner)
 
 	// measurement is one sweep over sizes.
-	measurement func(ctx context.Context) error
+	measurement struct {
+		name string
+		run  func(ctx context.Context) error
+	}
 )
 
 const (
@@ -68,6 +72,12 @@
 	return func(r *Runner) { r.window = d }
 }
 
+// WithSweeps restricts the measurements to the named ones: targets, services,
+// entries, changes and calls.
+func WithSweeps(names ...string) Option {
+	return func(r *Runner) { r.sweeps = names }
+}
+
 // WithProgress sets where progress is shown; the default is standard error.
 func WithProgress(w io.Writer) Option {
 	return func(r *Runner) { r.progress = w }
@@ -86,9 +96,18 @@
 // Run takes all measurements, one after the other, and fits the lines. It
 // fails when a process does not start or a change is not accepted.
 func (r *Runner) Run(ctx context.Context) (Report, error) {
-	sweeps := []measurement{r.targets, r.services, r.entries, r.changes, r.calls}
+	sweeps := []measurement{
+		{"targets", r.targets},
+		{"services", r.services},
+		{"entries", r.entries},
+		{"changes", r.changes},
+		{"calls", r.calls},
+	}
 	for _, sweep := range sweeps {
-		if err := sweep(ctx); err != nil {
+		if len(r.sweeps) > 0 && !slices.Contains(r.sweeps, sweep.name) {
+			continue
+		}
+		if err := sweep.run(ctx); err != nil {
 			return r.report, err
 		}
 	}
