--- /dev/null
+++ b/internal/golden/doc.go
@@ -0,0 +1,2 @@
+// Package golden compares the record of a whole run with a file.
+package golden
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -1,4 +1,3 @@
-// Package golden compares the record of a whole run with a file.
 package golden
 
 import (
--- a/internal/seeded/seeded.go
+++ b/internal/seeded/seeded.go
@@ -1,4 +1,3 @@
-// Package seeded gives random test runs the same seed each time.
 package seeded
 
 import (
