Ask for pending revisions only until a stream's first batch is complete

Cause: each stream of documents took the node's step lock, which is held over writes to disk, and scanned all registers at every change and heartbeat, though the list is sent once. Change: the list is taken only until the first batch is complete; what is sent is the same.

--- a/io/ctrl/serve.go
+++ b/io/ctrl/serve.go
@@ -93,9 +93,11 @@
 	beat := time.NewTicker(heartbeatPeriod)
 	defer beat.Stop()
 	for {
-		// Taken before the learnt documents, so that one learnt in between is
-		// in one list or the other.
-		w.pending = c.host.pending()
+		if !w.complete {
+			// Taken before the learnt documents, so that one learnt in between
+			// is in one list or the other.
+			w.pending = c.host.pending()
+		}
 		values, current, changed := c.host.chosen()
 		if current {
 			if err := w.send(values); err != nil {
