Add plans, the roster of targets, the fastest policy and a windowed retry budget

Groundwork for a system whose hosts find each other from seeds: one versioned configuration, targets heard by control hosts, one broker per service that sees all calls. Header fields become a dialect, so that a deployment can have its own.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,19 +17,20 @@
 		Weight int
 		// Until is when the call is given up.
 		Until time.Time
-		// Patient says that prompt calls leave first.
+		// Rank orders calls; 0 leaves first.
+		Rank int
+		// Patient says that prompt calls of the same rank leave first.
 		Patient bool
 	}
 
-	// Queue holds calls in order. The zero value holds none; set Length
-	// before use.
+	// Queue holds calls in the order of their ranks, prompt before patient,
+	// and then of arrival. The zero value holds none; set Length before use.
 	Queue struct {
 		// Length is the greatest total weight held.
 		Length int
 
-		prompt  []Held
-		patient []Held
-		weight  int
+		list   []Held
+		weight int
 	}
 )
 
@@ -40,67 +43,84 @@
 	if q.weight+h.Weight > q.Length {
 		return ErrFull
 	}
-	q.weight += h.Weight
-	if h.Patient {
-		q.patient = append(q.patient, h)
-		return nil
-	}
-	q.prompt = append(q.prompt, h)
+	q.insert(q.position(h, 0), h)
 	return nil
 }
 
 // Return holds a call again that was popped before, ahead of all others of its
 // kind. It is held even when the queue is full.
 func (q *Queue) Return(h Held) {
-	q.weight += h.Weight
-	if h.Patient {
-		q.patient = append([]Held{h}, q.patient...)
-		return
+	q.insert(q.position(h, -1), h)
+}
+
+// compare orders calls of different kinds.
+func (h *Held) compare(o *Held) int {
+	switch {
+	case h.Rank != o.Rank:
+		return cmp.Compare(h.Rank, o.Rank)
+	case h.Patient == o.Patient:
+		return 0
+	case h.Patient:
+		return 1
 	}
-	q.prompt = append([]Held{h}, q.prompt...)
+	return -1
+}
+
+// position returns where a call goes: behind those before which compare puts
+// it with at most the given result.
+func (q *Queue) position(h Held, behind int) int {
+	i, _ := slices.BinarySearchFunc(q.list, h, func(o, h Held) int {
+		if o.compare(&h) <= behind {
+			return -1
+		}
+		return 1
+	})
+	return i
+}
+
+func (q *Queue) insert(i int, h Held) {
+	q.weight += h.Weight
+	q.list = slices.Insert(q.list, i, h)
 }
 
 // Next returns the call that Pop would return, and leaves it in the queue.
 func (q *Queue) Next() (Held, bool) {
-	switch {
-	case len(q.prompt) > 0:
-		return q.prompt[0], true
-	case len(q.patient) > 0:
-		return q.patient[0], true
+	if len(q.list) == 0 {
+		return Held{}, false
 	}
-	return Held{}, false
+	return q.list[0], true
 }
 
-// Ahead returns the number of calls that would leave before a new one.
-func (q *Queue) Ahead(patient bool) int {
-	if patient {
-		return len(q.prompt) + len(q.patient)
+// Ahead returns the number of calls that would leave before h.
+func (q *Queue) Ahead(h Held) int {
+	return q.position(h, 0)
+}
+
+// Last returns the call that would leave last, and false when none waits.
+func (q *Queue) Last() (Held, bool) {
+	if len(q.list) == 0 {
+		return Held{}, false
 	}
-	return len(q.prompt)
+	return q.list[len(q.list)-1], true
 }
 
 // Pop returns the next call to be served, and false when none waits.
 func (q *Queue) Pop() (Held, bool) {
-	if len(q.prompt) > 0 {
-		return q.take(&q.prompt, 0), true
+	if len(q.list) == 0 {
+		return Held{}, false
 	}
-	if len(q.patient) > 0 {
-		return q.take(&q.patient, 0), true
-	}
-	return Held{}, false
+	return q.take(0), true
 }
 
 // Expire removes the calls whose time is up at now, appends them to dst and
 // returns it.
 func (q *Queue) Expire(dst []Held, now time.Time) []Held {
-	for _, list := range []*[]Held{&q.prompt, &q.patient} {
-		for i := 0; i < len(*list); {
-			if (*list)[i].Until.After(now) {
-				i++
-				continue
-			}
-			dst = append(dst, q.take(list, i))
+	for i := 0; i < len(q.list); {
+		if q.list[i].Until.After(now) {
+			i++
+			continue
 		}
+		dst = append(dst, q.take(i))
 	}
 	return dst
 }
@@ -108,20 +128,16 @@
 // Remove takes out the call with the given identity and reports whether it
 // was held.
 func (q *Queue) Remove(call uint64) bool {
-	for _, list := range []*[]Held{&q.prompt, &q.patient} {
-		for i := range *list {
-			if (*list)[i].Call == call {
-				q.take(list, i)
-				return true
-			}
-		}
+	i := slices.IndexFunc(q.list, func(h Held) bool { return h.Call == call })
+	if i >= 0 {
+		q.take(i)
 	}
-	return false
+	return i >= 0
 }
 
 // Len returns the number of calls held.
 func (q *Queue) Len() int {
-	return len(q.prompt) + len(q.patient)
+	return len(q.list)
 }
 
 // Weight returns the total weight held.
@@ -129,9 +145,9 @@
 	return q.weight
 }
 
-func (q *Queue) take(list *[]Held, i int) Held {
-	h := (*list)[i]
-	*list = append((*list)[:i], (*list)[i+1:]...)
+func (q *Queue) take(i int) Held {
+	h := q.list[i]
+	q.list = slices.Delete(q.list, i, i+1)
 	q.weight -= h.Weight
 	return h
 }
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -27,6 +27,8 @@
 		Class spec.Class
 		// Deadline is when the call must have ended.
 		Deadline time.Time
+		// DataCentre is where the call is; may be empty.
+		DataCentre string
 	}
 
 	// Finish reports the end of an attempt. When Result is NotRun, or when
@@ -63,6 +65,14 @@
 		Document spec.Service
 	}
 
+	// Report brings what a probe showed of a target.
+	Report struct {
+		// Target is the name of the target.
+		Target string
+		// Probe is what the probe showed.
+		Probe route.Probe
+	}
+
 	// Tick lets time pass: held calls that have waited too long are refused.
 	Tick struct{}
 
@@ -92,6 +102,12 @@
 		Held time.Duration
 	}
 
+	// Hold tells the entry that a call waits for a target.
+	Hold struct {
+		// Call identifies the call.
+		Call uint64
+	}
+
 	// Refuse tells the entry to give the caller its final answer.
 	Refuse struct {
 		// Call identifies the call.
@@ -135,8 +151,10 @@
 	_ Event  = Cancel{}
 	_ Event  = Retarget{}
 	_ Event  = Configure{}
+	_ Event  = Report{}
 	_ Event  = Tick{}
 	_ Action = Send{}
+	_ Action = Hold{}
 	_ Action = Refuse{}
 )
 
@@ -151,6 +169,8 @@
 func (Cancel) isEvent()    {}
 func (Retarget) isEvent()  {}
 func (Configure) isEvent() {}
+func (Report) isEvent()    {}
 func (Tick) isEvent()      {}
 func (Send) isAction()     {}
+func (Hold) isAction()     {}
 func (Refuse) isAction()   {}
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -20,10 +20,13 @@
 		queue   admit.Queue
 		calls   map[uint64]*call
 		credit  float64
+		budget  admit.Budget
 		rng     *rand.Rand
-		records []member.Record
-		expired []admit.Held
-		passed  []admit.Held
+		// reportHolds has held calls told of by a Hold.
+		reportHolds bool
+		records     []member.Record
+		expired     []admit.Held
+		passed      []admit.Held
 	}
 
 	// Option sets one property of a Service.
@@ -31,6 +34,7 @@
 
 	call struct {
 		class    spec.Class
+		from     string
 		arrived  time.Time
 		deadline time.Time
 		target   string
@@ -60,6 +64,11 @@
 	return func(s *Service) { s.targets.SetDataCentre(name) }
 }
 
+// WithHolds has the Service tell of every call that it holds by a Hold.
+func WithHolds() Option {
+	return func(s *Service) { s.reportHolds = true }
+}
+
 // NewService returns a Service that follows doc, which must be valid, and
 // draws randomness from rng.
 func NewService(doc spec.Service, rng *rand.Rand, opts ...Option) *Service {
@@ -87,6 +96,9 @@
 	case Configure:
 		s.configure(e.Document)
 		return s.retarget(dst, now)
+	case Report:
+		s.targets.Report(e.Target, e.Probe, now)
+		return s.serveHeld(dst, now)
 	case Tick:
 		return s.tick(dst, now)
 	}
@@ -107,14 +119,18 @@
 	s.doc = doc
 	s.policy = route.PolicyFor(doc.Route)
 	s.queue.Length = doc.Hold.Length
+	s.budget.Window = doc.Retry.Window.Std()
+	s.budget.Ratio = float64(doc.Retry.BudgetPercent) / 100
+	s.budget.Slack = float64(doc.Retry.Slack)
 }
 
 func (s *Service) arrive(dst []Action, e Arrive, now time.Time) []Action {
 	if len(s.calls) >= s.doc.Refuse.OpenCalls {
 		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter()})
 	}
-	c := &call{class: e.Class, arrived: now, deadline: e.Deadline}
+	c := &call{class: e.Class, from: e.DataCentre, arrived: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
+	s.budget.Call(now)
 	s.credit = min(s.credit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
 	if s.queue.Len() > 0 {
 		return s.serveHeld(s.hold(dst, e.Call, c, now), now)
@@ -141,7 +157,6 @@
 	case shed && s.mayMove(c, e, now):
 		dst = s.sendOrReturn(dst, e.Call, c, now)
 	case s.mayRetry(c, e, now):
-		s.credit--
 		dst = s.sendOrReturn(dst, e.Call, c, now)
 	default:
 		dst = s.refuse(dst, e.Call, c, failReason(e.Result))
@@ -160,12 +175,32 @@
 // shed costs the targets next to nothing, so it draws on no budget; a document
 // that allows one attempt allows no move either.
 func (s *Service) mayMove(c *call, e Finish, now time.Time) bool {
-	return s.mayRepeat(c, e, now) && c.sheds < maxSheds
+	return s.doc.Retry.Window == 0 && s.mayRepeat(c, e, now) && c.sheds < maxSheds
 }
 
+// mayRetry reports whether a call may be sent once more, and draws on the
+// budget if so.
 func (s *Service) mayRetry(c *call, e Finish, now time.Time) bool {
 	safe := e.Result == NotRun || c.class.Idempotent
-	return safe && s.mayRepeat(c, e, now) && c.attempts-c.sheds < s.doc.Retry.Attempts && s.credit >= 1
+	if !safe || !s.mayRepeat(c, e, now) {
+		return false
+	}
+	if s.doc.Retry.Window > 0 {
+		return c.attempts < s.attempts(c) && s.budget.Repeat(now)
+	}
+	if c.attempts-c.sheds >= s.attempts(c) || s.credit < 1 {
+		return false
+	}
+	s.credit--
+	return true
+}
+
+// attempts returns the most attempts of a call.
+func (s *Service) attempts(c *call) int {
+	if c.class.Attempts > 0 {
+		return min(c.class.Attempts, s.doc.Retry.Attempts)
+	}
+	return s.doc.Retry.Attempts
 }
 
 // mayRepeat reports whether a call may be sent once more at all.
@@ -198,7 +233,7 @@
 
 // sendOrHold sends a new call or holds it.
 func (s *Service) sendOrHold(dst []Action, id uint64, c *call, now time.Time) []Action {
-	if pick, ok := s.choose(s.avoid(c), now); ok {
+	if pick, ok := s.choose(c, now); ok {
 		return s.send(dst, id, c, pick, now)
 	}
 	return s.hold(dst, id, c, now)
@@ -207,7 +242,7 @@
 // sendOrReturn sends a call again, to a target that it has not been to, or
 // puts it at the head of the queue.
 func (s *Service) sendOrReturn(dst []Action, id uint64, c *call, now time.Time) []Action {
-	if pick, ok := s.choose(s.avoid(c), now); ok {
+	if pick, ok := s.choose(c, now); ok {
 		return s.send(dst, id, c, pick, now)
 	}
 	if s.targets.Ready()+s.targets.Cold() == 0 {
@@ -217,8 +252,9 @@
 	return dst
 }
 
-func (s *Service) choose(tried []string, now time.Time) (route.Pick, bool) {
-	return s.targets.Choose(s.policy, route.Query{Slots: s.doc.Targets.Slots, Exclude: tried, Now: now}, s.rng)
+func (s *Service) choose(c *call, now time.Time) (route.Pick, bool) {
+	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: s.avoid(c), Now: now, DataCentre: c.from}
+	return s.targets.Choose(s.policy, q, s.rng)
 }
 
 func (s *Service) send(dst []Action, id uint64, c *call, pick route.Pick, now time.Time) []Action {
@@ -239,12 +275,15 @@
 		return s.refuse(dst, id, c, NoTarget)
 	}
 	h := s.held(id, c)
-	if now.Add(s.wait(s.queue.Ahead(c.class.Patient))).After(h.Until) {
+	if now.Add(s.wait(s.queue.Ahead(h))).After(h.Until) {
 		return s.refuse(dst, id, c, NoProspect)
 	}
 	if err := s.queue.Push(h); err != nil {
 		return s.refuse(dst, id, c, QueueFull)
 	}
+	if s.reportHolds {
+		dst = append(dst, Hold{Call: id})
+	}
 	return dst
 }
 
@@ -255,7 +294,7 @@
 	if last := c.deadline.Add(-s.targets.Mean()); last.Before(until) {
 		until = last
 	}
-	return admit.Held{Call: id, Weight: c.class.Weight, Until: until, Patient: c.class.Patient}
+	return admit.Held{Call: id, Weight: c.class.Weight, Until: until, Rank: c.class.Rank, Patient: c.class.Patient}
 }
 
 // wait estimates the time until ahead calls and one more have left the queue.
@@ -269,7 +308,7 @@
 	s.passed = s.passed[:0]
 	for h, ok := s.queue.Next(); ok; h, ok = s.queue.Next() {
 		c := s.calls[h.Call]
-		pick, found := s.choose(s.avoid(c), now)
+		pick, found := s.choose(c, now)
 		if !found && len(c.tried) == 0 {
 			break
 		}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -49,6 +49,9 @@
 		// its voucher is silent. It is this entry host's own view and is
 		// never sent; a suspect target stays usable while it answers calls.
 		Suspect bool
+		// WarmAt is when a target that has just started reaches its usual
+		// speed; zero when it has. It is never sent between entry hosts.
+		WarmAt time.Time
 	}
 )
 
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,133 @@
+package plan
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"cardamomspool/core/strict"
+)
+
+type (
+	// Plan is one version of the whole configuration.
+	Plan struct {
+		// Version orders plans; the highest one is in force.
+		Version uint64 `json:"version"`
+		// Routes select services by host name and path.
+		Routes []Route `json:"routes"`
+		// Services are the services that routes may name.
+		Services []Service `json:"services"`
+		// Limits bounds what callers may send.
+		Limits Limits `json:"limits"`
+	}
+
+	// Route says where calls of one host name and path prefix go, and how
+	// they are treated.
+	Route struct {
+		// Name identifies the route.
+		Name string `json:"name"`
+		// Host is a host name without port, compared without case.
+		Host string `json:"host"`
+		// PathPrefix begins the paths of the route.
+		PathPrefix string `json:"path_prefix"`
+		// Idempotent says that calls may run more than once.
+		Idempotent bool `json:"idempotent"`
+		// Timeout is the longest time from arrival to end.
+		Timeout strict.Duration `json:"timeout"`
+		// Aim is the time within which an answer has its full worth.
+		Aim strict.Duration `json:"aim"`
+		// Rank orders calls that wait; 0 goes first.
+		Rank int `json:"rank"`
+		// Attempts is the most targets that one call may be sent to.
+		Attempts int `json:"attempts"`
+		// Parts are the services that share the calls.
+		Parts []Part `json:"parts"`
+	}
+
+	// Part is one service's share of a route.
+	Part struct {
+		// Service is the name of the service.
+		Service string `json:"service"`
+		// Weight is the share relative to the other parts.
+		Weight float64 `json:"weight"`
+	}
+
+	// Service is a named group of targets.
+	Service struct {
+		// Name identifies the service.
+		Name string `json:"name"`
+		// HealthPath is asked for the health and load of a target.
+		HealthPath string `json:"health_path"`
+		// Connections is the most connections to a target over all hosts.
+		Connections int `json:"connections"`
+	}
+
+	// Limits bounds what callers may send; 0 leaves the host's own setting.
+	Limits struct {
+		// HeaderBytes bounds a request's header.
+		HeaderBytes int `json:"header_bytes"`
+		// BodyBytes bounds a request's body.
+		BodyBytes int `json:"body_bytes"`
+		// HeaderTimeout bounds the time that a header may take.
+		HeaderTimeout strict.Duration `json:"header_timeout"`
+		// IdleTimeout is how long a connection may stay unused.
+		IdleTimeout strict.Duration `json:"idle_timeout"`
+	}
+
+	// Document is a plan as it is kept: with the text that the operators sent,
+	// which they read back unchanged.
+	Document struct {
+		Plan Plan `json:"plan"`
+		// Source is the operators' text in a format of their own.
+		Source json.RawMessage `json:"source"`
+	}
+)
+
+// MaxTimeout bounds a route's timeout.
+const MaxTimeout = 10 * time.Minute
+
+// Validate returns every fault of the plan's values.
+func (p *Plan) Validate() strict.Faults {
+	var f strict.Faults
+	if p.Version == 0 {
+		f.Add("version", "must be 1 or more")
+	}
+	known := make(map[string]bool, len(p.Services))
+	for _, s := range p.Services {
+		if s.Name == "" {
+			f.Add("services", "one has no name")
+		}
+		known[s.Name] = true
+	}
+	for i := range p.Routes {
+		p.Routes[i].validate(&f, known)
+	}
+	return f
+}
+
+func (r *Route) validate(f *strict.Faults, services map[string]bool) {
+	at := "routes[" + r.Name + "]"
+	if r.Host == "" {
+		f.Add(at+".host", "must be set")
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		f.Add(at+".path_prefix", "is %q, must start with a slash", r.PathPrefix)
+	}
+	if d := r.Timeout.Std(); d <= 0 || d > MaxTimeout {
+		f.Add(at+".timeout", "is %s, must be above 0 and at most %s", d, MaxTimeout)
+	}
+	if r.Attempts < 1 {
+		f.Add(at+".attempts", "is %d, must be 1 or more", r.Attempts)
+	}
+	if len(r.Parts) == 0 {
+		f.Add(at+".parts", "must name a service")
+	}
+	for _, part := range r.Parts {
+		if !services[part.Service] {
+			f.Add(at+".parts", "names the unknown service %q", part.Service)
+		}
+		if part.Weight < 0 {
+			f.Add(at+".parts", "has the weight %v, must be 0 or more", part.Weight)
+		}
+	}
+}
--- a/core/quorum/acceptor.go
+++ b/core/quorum/acceptor.go
@@ -79,6 +79,9 @@
 	}
 	l := a.known(v.Name)
 	l.Chosen = v
+	if v.Version > 0 || len(v.Next) > 0 {
+		return true, *l // The operators number these documents themselves and keep their past.
+	}
 	past := v
 	past.Requests = nil
 	l.History = append(slices.Clone(l.History), past)
--- a/core/quorum/ballot.go
+++ b/core/quorum/ballot.go
@@ -55,6 +55,12 @@
 		At time.Time `json:"at,omitzero"`
 		// Requests are the latest accepted requests, oldest first.
 		Requests []Request `json:"requests,omitempty"`
+		// Version is the operators' own number of a document that is replaced
+		// by version; 0 for one that is replaced by revision.
+		Version uint64 `json:"version,omitempty"`
+		// Next lists the control hosts of the view that follows. A value with
+		// it is the last one of its view.
+		Next []string `json:"next,omitempty"`
 	}
 )
 
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,20 @@
 		Deleted bool
 		// Body is the new document, already validated.
 		Body json.RawMessage
+		// Version, when not 0, replaces the document if it is at a lower
+		// version, and leaves it as it is otherwise. Base, Request and Deleted
+		// are then not used.
+		Version uint64
+		// Next, when not empty, ends the view: the document takes no further
+		// change, and the hosts listed go on from it. All other fields but
+		// Name are then not used.
+		Next []string
+	}
+
+	// SealedError reports a document whose view has ended.
+	SealedError struct {
+		// Last is the last value of the view.
+		Last Value
 	}
 
 	// ConflictError reports that the document has moved on since the
@@ -77,6 +92,11 @@
 	return fmt.Sprintf("quorum: request identity %q was used before for another change, accepted as revision %d", e.First.ID, e.First.Revision)
 }
 
+// Error describes the end of the view.
+func (e *SealedError) Error() string {
+	return fmt.Sprintf("quorum: the view of document %q has ended at revision %d", e.Last.Name, e.Last.Revision)
+}
+
 // Digest returns a digest of what the change asks for: deletion and body. The
 // base revision, the operator and the time are left out, as a resend may
 // differ in them.
@@ -102,9 +122,21 @@
 // Apply returns the value that follows from change c on v. A resend of an
 // accepted request returns v unchanged with the first answer. It returns a
 // *ReusedError when the request's identity belongs to another change, and a
-// *ConflictError when c is based on another revision than v's.
+// *ConflictError when c is based on another revision than v's, and a
+// *SealedError when the view of v has ended. A change by version that is not
+// above v's returns v unchanged.
 func Apply(v Value, c Change) (Value, Request, error) {
 	v.Name = c.Name
+	switch {
+	case len(v.Next) > 0:
+		return v, Request{}, &SealedError{Last: v}
+	case len(c.Next) > 0:
+		v.Revision++
+		v.Next = slices.Clone(c.Next)
+		return v, Request{Revision: v.Revision}, nil
+	case c.Version > 0:
+		return applyVersion(v, c)
+	}
 	digest := c.Digest()
 	for _, r := range v.Requests {
 		if r.ID != c.Request {
@@ -130,3 +162,15 @@
 	}
 	return next, done, nil
 }
+
+// applyVersion returns the value that follows when the highest version wins.
+func applyVersion(v Value, c Change) (Value, Request, error) {
+	if c.Version <= v.Version {
+		return v, Request{Revision: v.Revision}, nil
+	}
+	next := Value{
+		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: bytes.Clone(c.Body)},
+		Operator:  c.Operator, At: c.At, Version: c.Version,
+	}
+	return next, Request{Revision: next.Revision}, nil
+}
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -21,6 +21,8 @@
 		Reported bool
 		// Drains says that the answer announced that the target drains.
 		Drains bool
+		// Gone says that another target answered at the address.
+		Gone bool
 	}
 )
 
@@ -107,6 +109,7 @@
 	if f.Reported {
 		t.report(s, f.Load, at)
 	}
+	s.gone = s.gone || f.Gone
 	if f.Drains && !s.drains {
 		s.drains = true
 		t.leave(i)
@@ -146,6 +149,7 @@
 
 func (t *Table) report(s *state, l wire.Load, at time.Duration) {
 	s.load, s.reported, s.reportAt = l, true, at
+	s.others, s.othersAt = l.Running+l.Queued-s.inFlight, at
 	if l.Free() > 0 {
 		s.fullUntil = 0
 		return
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -21,6 +21,8 @@
 		Exclude []string
 		// Now is the present time.
 		Now time.Time
+		// DataCentre is where the call is; Fastest prefers targets there.
+		DataCentre string
 	}
 
 	// Why says what decided a choice.
@@ -53,6 +55,8 @@
 	WhyCold       Why = "cold"
 	WhyAllHot     Why = "all_hot"
 	WhyAllFailing Why = "all_failing"
+	WhyFastest    Why = "fastest"
+	WhyCrowded    Why = "crowded"
 )
 
 // noReport is the ReportAge of a target that has sent no report.
@@ -64,6 +68,8 @@
 	switch r.Policy {
 	case spec.PolicyTwoChoices:
 		return TwoChoices{}
+	case spec.PolicyFastest:
+		return Fastest{}
 	case spec.PolicyLeastOutstanding:
 		return LeastOutstanding{}
 	default:
@@ -82,6 +88,8 @@
 		return t.leastOutstanding(q, at, rng)
 	case HotCold:
 		return t.hotCold(p, q, at, rng)
+	case Fastest:
+		return t.fastest(q, at, rng)
 	}
 	return Pick{}, false
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -26,6 +26,8 @@
 		incarnation []uint64
 		remote      []bool
 		slots       []int
+		dataCentres []string
+		warmAt      []time.Duration
 
 		state []state
 
@@ -33,6 +35,8 @@
 
 		// ties are the rows that are equally good in one choice.
 		ties []int
+		// costs are the expected times of ties, in one choice of Fastest.
+		costs []float64
 	}
 
 	// state is what attempts have shown of one target.
@@ -66,6 +70,14 @@
 		drains bool
 		// suspect says that the target's announcements have stopped.
 		suspect bool
+		// others are the calls at the target beyond inFlight, by the report of
+		// othersAt.
+		others   int
+		othersAt time.Duration
+		// ill says that the target's health check fails.
+		ill bool
+		// gone says that another target has its address.
+		gone bool
 	}
 )
 
@@ -108,6 +120,8 @@
 	t.incarnation = make([]uint64, 0, n)
 	t.remote = make([]bool, 0, n)
 	t.slots = make([]int, 0, n)
+	t.dataCentres = make([]string, 0, n)
+	t.warmAt = make([]time.Duration, 0, n)
 	t.state = make([]state, 0, n)
 	t.readyRows = make([]int, 0, n)
 	t.cold = 0
@@ -121,6 +135,12 @@
 	t.incarnation = append(t.incarnation, r.Incarnation)
 	t.remote = append(t.remote, t.dataCentre != "" && r.DataCentre != t.dataCentre)
 	t.slots = append(t.slots, r.Slots)
+	t.dataCentres = append(t.dataCentres, r.DataCentre)
+	warm := time.Duration(0)
+	if !r.WarmAt.IsZero() {
+		warm = r.WarmAt.Sub(t.epoch)
+	}
+	t.warmAt = append(t.warmAt, warm)
 	s.suspect = r.Suspect
 	t.state = append(t.state, s)
 	if r.State == member.Cold {
--- a/core/spec/fields.go
+++ b/core/spec/fields.go
@@ -98,6 +98,14 @@
 		Path: "retry.attempts", Label: "Attempts", Unit: "attempts per call", Low: 1, High: MaxAttempts,
 		Help: "Most attempts of one call, the first included.",
 	},
+	{
+		Path: "retry.window", Label: "Retry window", Low: 0, High: int64(MaxRamp),
+		Help: "When not 0, the retry budget bounds the repeats in any such time, and what targets shed costs budget too.",
+	},
+	{
+		Path: "retry.slack", Label: "Retry slack", Unit: "repeats per window", Low: 0, High: MaxOpenCalls,
+		Help: "Repeats in a window that need no calls; without a window it has no effect.",
+	},
 	{
 		Path: "targets.slots", Label: "Slots", Unit: "calls per target", Low: 1, High: MaxSlots,
 		Help: "Calls that a target runs at once.",
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -106,6 +106,12 @@
 		BudgetPercent int `json:"budget_percent"`
 		// Attempts is the most attempts of one call.
 		Attempts int `json:"attempts"`
+		// Window, when not 0, replaces the budget that grows with each call
+		// by a bound on the repeats in any such time: BudgetPercent of the
+		// calls in it and Slack more. Targets that shed then cost budget too.
+		Window strict.Duration `json:"window"`
+		// Slack is the number of repeats in a window that need no calls.
+		Slack int `json:"slack"`
 	}
 
 	// Targets gives the limits of each target.
@@ -130,6 +136,13 @@
 		Idempotent bool
 		// Patient says that prompt calls go before this one.
 		Patient bool
+		// Rank orders calls that wait, before Patient; 0 goes first.
+		Rank int
+		// Aim is the time within which an answer has its full worth; 0 when
+		// it does not matter.
+		Aim time.Duration
+		// Attempts is the most attempts of the call; 0 leaves it to Retry.
+		Attempts int
 	}
 
 	// Versioned is a service document with its place in the order of changes.
@@ -150,6 +163,7 @@
 	PolicyLeastOutstanding = "least_outstanding"
 	PolicyTwoChoices       = "two_choices"
 	PolicyHotCold          = "hot_cold"
+	PolicyFastest          = "fastest"
 )
 
 // Bounds of the fields of a document.
@@ -173,7 +187,7 @@
 
 var (
 	// Policies lists the routing policies that a document may name.
-	Policies = []string{PolicyHotCold, PolicyLeastOutstanding, PolicyTwoChoices}
+	Policies = []string{PolicyHotCold, PolicyLeastOutstanding, PolicyTwoChoices, PolicyFastest}
 
 	methods = []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
@@ -235,6 +249,8 @@
 	f.Range("measure.probes_per_second", s.Measure.ProbesPerSecond, 0, MaxProbes)
 	f.Range("retry.budget_percent", s.Retry.BudgetPercent, 0, MaxPercent)
 	f.Range("retry.attempts", s.Retry.Attempts, 1, MaxAttempts)
+	f.Span("retry.window", s.Retry.Window, 0, MaxRamp)
+	f.Range("retry.slack", s.Retry.Slack, 0, MaxOpenCalls)
 	f.Range("targets.slots", s.Targets.Slots, 1, MaxSlots)
 	f.Range("targets.connections", s.Targets.Connections, 1, MaxConnections)
 	s.Targets.validateDrain(&f)
--- a/core/wire/load.go
+++ b/core/wire/load.go
@@ -16,12 +16,16 @@
 	Queued int
 	// Slots is the number of calls that the target runs at once.
 	Slots int
+	// Pace is how long work takes there at this moment, in percent of the
+	// usual time; 0 when the target does not say.
+	Pace int
 }
 
 const (
 	loadRunning = "running="
 	loadQueued  = " queued="
 	loadSlots   = " slots="
+	loadPace    = " pace="
 	maxDigits   = 5
 )
 
@@ -30,7 +34,11 @@
 
 // String returns the report as the Spool-Load header carries it.
 func (l Load) String() string {
-	return loadRunning + strconv.Itoa(l.Running) + loadQueued + strconv.Itoa(l.Queued) + loadSlots + strconv.Itoa(l.Slots)
+	s := loadRunning + strconv.Itoa(l.Running) + loadQueued + strconv.Itoa(l.Queued) + loadSlots + strconv.Itoa(l.Slots)
+	if l.Pace > 0 {
+		s += loadPace + strconv.Itoa(l.Pace)
+	}
+	return s
 }
 
 // Free returns the number of slots that no call holds or waits for; it is
@@ -40,8 +48,8 @@
 }
 
 // ParseLoad reads a Spool-Load header. It takes exactly the form that String
-// writes, with numbers of at most five digits and at least one slot, and
-// returns ErrLoad otherwise.
+// writes, with numbers of at most five digits, at least one slot and a pace of
+// at least 1 if there is one, and returns ErrLoad otherwise.
 func ParseLoad(s string) (Load, error) {
 	var (
 		l  Load
@@ -50,6 +58,12 @@
 	l.Running, s, ok[0] = cutNumber(s, loadRunning)
 	l.Queued, s, ok[1] = cutNumber(s, loadQueued)
 	l.Slots, s, ok[2] = cutNumber(s, loadSlots)
+	if s != "" {
+		var paced bool
+		if l.Pace, s, paced = cutNumber(s, loadPace); !paced || l.Pace < 1 {
+			return Load{}, ErrLoad
+		}
+	}
 	if ok != [3]bool{true, true, true} || s != "" || l.Slots < 1 {
 		return Load{}, ErrLoad
 	}
--- a/core/wire/load_test.go
+++ b/core/wire/load_test.go
@@ -15,6 +15,7 @@
 			Running: rapid.IntRange(0, 99_999).Draw(t, "running"),
 			Queued:  rapid.IntRange(0, 99_999).Draw(t, "queued"),
 			Slots:   rapid.IntRange(1, 99_999).Draw(t, "slots"),
+			Pace:    rapid.IntRange(0, 99_999).Draw(t, "pace"),
 		}
 		got, err := wire.ParseLoad(l.String())
 		if err != nil || got != l {
@@ -28,7 +29,7 @@
 	for _, s := range []string{
 		"", "running=1", "running=1 queued=0", "running=1 queued=0 slots=0", "running=1 queued=0 slots=3 ",
 		"running=-1 queued=0 slots=3", "running=+1 queued=0 slots=3", "running=1  queued=0 slots=3",
-		"queued=0 running=1 slots=3", "running=1 queued=0 slots=100000", "running=01 queued=0 slots=3", "running=1,queued=0,slots=3",
+		"queued=0 running=1 slots=3", "running=1 queued=0 slots=100000", "running=01 queued=0 slots=3", "running=1 queued=0 slots=3 pace=0", "running=1 queued=0 slots=3 pace=", "running=1,queued=0,slots=3",
 	} {
 		_, err := wire.ParseLoad(s)
 		g.Expect(err).To(gomega.MatchError(wire.ErrLoad), s)
--- a/io/entry/announce_test.go
+++ b/io/entry/announce_test.go
@@ -12,6 +12,7 @@
 
 	"cardamomspool/core/member"
 	"cardamomspool/core/strict"
+	"cardamomspool/core/wire"
 	"cardamomspool/io/setup"
 )
 
@@ -70,11 +71,11 @@
 		Key: k, Address: netip.MustParseAddrPort("127.0.0.1:9000"), State: member.Ready, Incarnation: 5,
 	}})
 	state := func() member.State { return h.members.all()[0].State }
-	h.members.evidence.answered("a", "t", http.Header{"Spool-State": {"draining"}})
+	h.members.evidence.answered("a", "t", wire.Spool().Hear(http.StatusOK, http.Header{"Spool-State": {"draining"}}, ""))
 	g.Expect(state()).To(gomega.Equal(member.Ready))
-	h.members.evidence.answered("a", "t", http.Header{"Spool-State": {"draining"}, "Spool-Incarnation": {"4"}})
+	h.members.evidence.answered("a", "t", wire.Spool().Hear(http.StatusOK, http.Header{"Spool-State": {"draining"}, "Spool-Incarnation": {"4"}}, ""))
 	g.Expect(state()).To(gomega.Equal(member.Ready))
-	h.members.evidence.answered("a", "t", http.Header{"Spool-State": {"draining"}, "Spool-Incarnation": {"5"}})
+	h.members.evidence.answered("a", "t", wire.Spool().Hear(http.StatusOK, http.Header{"Spool-State": {"draining"}, "Spool-Incarnation": {"5"}}, ""))
 	g.Expect(state()).To(gomega.Equal(member.Draining))
 	g.Expect(h.members.evidence.of(k).Answered).NotTo(gomega.BeZero())
 }
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -11,6 +11,7 @@
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/broker"
 )
 
 // call is one caller's request on its way through this host.
@@ -59,7 +60,7 @@
 	if s == nil {
 		h.metrics.Count("calls_without_service").Add(1)
 		leaveBody(w, r, r.ContentLength == 0)
-		refuse(w, http.StatusNotFound, reasonNoService, true, 0)
+		h.refuse(w, http.StatusNotFound, reasonNoService, true, 0)
 		return
 	}
 	c := h.newCall(w, r, s)
@@ -72,9 +73,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	h.system.Root.Send(s.pid, &arrival{
-		event:  engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline},
-		waiter: c.waiter,
+	h.system.Root.Send(s.pid, &broker.Arrival{
+		Event:   engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline, DataCentre: h.cfg.DataCentre},
+		Deliver: func(action engine.Action) { c.waiter <- action },
 	})
 	h.carry(ctx, w, r, c)
 }
@@ -164,7 +165,7 @@
 		if !notRun {
 			status = http.StatusBadGateway
 		}
-		refuse(w, status, string(action.Reason), notRun, action.RetryAfter)
+		h.refuse(w, status, string(action.Reason), notRun, action.RetryAfter)
 		return true
 	}
 	return false
@@ -229,7 +230,7 @@
 		h.log.Info("given up", "call", c.name, "service", c.service.doc.Name, "reason", reason,
 			"not_run", !c.maybeRun, "after", time.Since(c.arrived).String())
 	}
-	refuse(w, http.StatusGatewayTimeout, reason, !c.maybeRun, c.service.doc.Refuse.RetryAfter.Std())
+	h.refuse(w, http.StatusGatewayTimeout, reason, !c.maybeRun, c.service.doc.Refuse.RetryAfter.Std())
 }
 
 // turnDown refuses a request that is not fit to be carried.
@@ -238,7 +239,7 @@
 	h.log.Warn("request refused", "remote", r.RemoteAddr, "method", r.Method, "host", r.Host, "path", r.URL.EscapedPath(),
 		"status", p.status, "reason", p.reason, "detail", p.detail, "not_run", notRun)
 	w.Header().Set("Connection", "close")
-	refuse(w, p.status, p.reason, notRun, 0)
+	h.refuse(w, p.status, p.reason, notRun, 0)
 }
 
 // abort ends a caller's answer so that it can not be taken for whole.
@@ -250,16 +251,8 @@
 }
 
 // refuse gives a caller its final answer without an answer of a target.
-func refuse(w http.ResponseWriter, status int, reason string, notRun bool, retryAfter time.Duration) {
-	outcome := wire.OutcomeUnknown
-	if notRun {
-		outcome = wire.OutcomeNotRun
-	}
-	w.Header().Set(wire.HeaderOutcome, outcome)
-	w.Header().Set(wire.HeaderReason, reason)
-	if retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(wire.RetryAfterSeconds(retryAfter)))
-	}
+func (h *Host) refuse(w http.ResponseWriter, status int, reason string, notRun bool, retryAfter time.Duration) {
+	h.exchange.dialect.Refuse(w.Header(), wire.Refusal{NotRun: notRun, Reason: reason, RetryAfter: retryAfter})
 	http.Error(w, reason, status)
 }
 
--- a/io/entry/evidence.go
+++ b/io/entry/evidence.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,17 +35,16 @@
 }
 
 // answered notes an answer of a target and the state that it wrote there.
-func (e *evidence) answered(service, target string, header http.Header) {
+func (e *evidence) answered(service, target string, heard wire.Heard) {
 	k := member.Key{Service: service, Target: target}
 	row := e.row(k)
 	row.answered.Store(time.Now().UnixNano())
-	state, incarnation, ok := wire.ParseMark(header)
-	if !ok {
+	if heard.Incarnation == 0 {
 		return
 	}
-	mark := incarnation*uint64(member.Leaving+1) + uint64(state)
-	if row.mark.Swap(mark) != mark && state > member.Ready {
-		e.mark(member.Observe{Key: k, Incarnation: incarnation, State: state})
+	mark := heard.Incarnation*uint64(member.Leaving+1) + uint64(heard.State)
+	if row.mark.Swap(mark) != mark && heard.State > member.Ready {
+		e.mark(member.Observe{Key: k, Incarnation: heard.Incarnation, State: heard.State})
 	}
 }
 
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +21,7 @@
 	// exchange sends calls to targets and streams their answers back.
 	exchange struct {
 		pool     *pool
+		dialect  wire.Dialect
 		evidence *evidence
 		log      *slog.Logger
 		metrics  *telem.Set
@@ -59,8 +59,8 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-func newExchange(log *slog.Logger, metrics *telem.Set) *exchange {
-	return &exchange{pool: newPool(metrics), log: log, metrics: metrics}
+func newExchange(dialect wire.Dialect, log *slog.Logger, metrics *telem.Set) *exchange {
+	return &exchange{pool: newPool(metrics), dialect: dialect, log: log, metrics: metrics}
 }
 
 // attempt sends the call to one target and, when the target answers, streams
@@ -81,12 +81,16 @@
 	view := c.body.view()
 	defer view.release()
 	l.carry(view.breakOff)
-	out := newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view)
+	out := x.newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view)
 	stop := x.watchSilence(l, c, s)
 	defer stop()
-	var answer *http.Response
+	var (
+		answer *http.Response
+		heard  wire.Heard
+	)
 	if answer, err = l.client.RoundTrip(out); err == nil {
-		err = checkAnswer(answer, c)
+		heard = x.dialect.Hear(answer.StatusCode, answer.Header, c.name)
+		err = checkAnswer(answer, heard)
 	}
 	if err != nil {
 		x.evidence.failed(c.service.doc.Name, s.Target)
@@ -94,14 +98,13 @@
 		c.feedback = noAnswer(r.Context(), result)
 		return result
 	}
-	x.evidence.answered(c.service.doc.Name, s.Target, answer.Header)
-	if saysNotRun(answer) {
-		c.feedback = readFeedback(answer, engine.NotRun, x.metrics)
+	x.evidence.answered(c.service.doc.Name, s.Target, heard)
+	c.feedback = readFeedback(answer.StatusCode, heard, x.metrics)
+	if heard.NotRun {
 		x.drop(l, answer)
 		return engine.NotRun
 	}
-	c.feedback = readFeedback(answer, engine.Answered, x.metrics)
-	if err = giveAnswer(w, answer); err != nil {
+	if err = x.giveAnswer(w, answer); err != nil {
 		x.pool.discard(l)
 		x.log.Warn("answer cut short", "call", c.name, "target", s.Target, "error", err)
 		return engine.Broken
@@ -162,23 +165,18 @@
 }
 
 // checkAnswer returns why an answer can not be the final answer to the call.
-func checkAnswer(answer *http.Response, c *call) error {
+func checkAnswer(answer *http.Response, heard wire.Heard) error {
 	if answer.StatusCode < http.StatusOK {
 		return errBadStatus
 	}
-	if name := answer.Header.Get(wire.HeaderCall); name != "" && name != c.name {
+	if heard.Foreign {
 		return errForeignAnswer
 	}
 	return nil
 }
 
-func saysNotRun(answer *http.Response) bool {
-	return answer.StatusCode == http.StatusServiceUnavailable &&
-		answer.Header.Get(wire.HeaderOutcome) == wire.OutcomeNotRun
-}
-
 // newRequest builds the request to a target.
-func newRequest(ctx context.Context, r *http.Request, c *call, s engine.Send, view *bodyView) *http.Request {
+func (x *exchange) newRequest(ctx context.Context, r *http.Request, c *call, s engine.Send, view *bodyView) *http.Request {
 	out := r.Clone(ctx)
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
@@ -193,15 +191,13 @@
 		out.Body = view
 	}
 	stripHeader(out.Header)
-	stripSystem(out.Header)
-	setForwarded(out.Header, r, c.trusted)
+	if !x.dialect.Plain {
+		setForwarded(out.Header, r, c.trusted)
+	}
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
-	out.Header.Set(wire.HeaderCall, c.name)
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
-	}
+	x.dialect.Ask(out.Header, wire.Asked{Call: c.name, Target: s.Target, Left: time.Until(c.deadline)})
 	return out
 }
 
@@ -227,10 +223,10 @@
 
 // giveAnswer streams an answer to the caller. It returns an error when the
 // answer was cut short, by the target or because the caller has gone.
-func giveAnswer(w answerWriter, answer *http.Response) error {
+func (x *exchange) giveAnswer(w answerWriter, answer *http.Response) error {
 	defer answer.Body.Close()
 	stripHeader(answer.Header)
-	stripSystem(answer.Header)
+	x.dialect.Answer(answer.Header)
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = append(header[name], values...)
@@ -245,7 +241,7 @@
 	if err := copyAnswer(w, answer); err != nil {
 		return err
 	}
-	stripSystem(answer.Trailer)
+	x.dialect.Answer(answer.Trailer)
 	for name, values := range answer.Trailer {
 		header[http.TrailerPrefix+name] = values
 	}
@@ -286,13 +282,3 @@
 	}
 	return min(length+1, copyBufferBytes)
 }
-
-// stripSystem removes the header fields of the system, also those written with
-// underscores, which some targets take for hyphens.
-func stripSystem(header http.Header) {
-	for name := range header {
-		if strings.HasPrefix(textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-")), wire.Prefix) {
-			delete(header, name)
-		}
-	}
-}
--- a/io/entry/feedback.go
+++ b/io/entry/feedback.go
@@ -24,28 +24,19 @@
 	}
 }
 
-// readFeedback returns what an answer shows of its target. A load report in
-// another form than wire.Load's is left out and counted.
-func readFeedback(answer *http.Response, result engine.Result, metrics *telem.Set) route.Feedback {
-	f := route.Feedback{Ending: route.Served}
+// readFeedback returns what an answer shows of its target. A load report that
+// could not be read is left out and counted.
+func readFeedback(status int, heard wire.Heard, metrics *telem.Set) route.Feedback {
+	f := route.Feedback{Ending: route.Served, Drains: heard.State >= member.Draining, Gone: heard.Gone}
 	switch {
-	case result == engine.NotRun:
+	case heard.NotRun:
 		f.Ending = route.Shed
-	case answer.StatusCode >= http.StatusInternalServerError:
+	case status >= http.StatusInternalServerError:
 		f.Ending = route.Failed
 	}
-	if state, ok := member.ParseState(answer.Header.Get(wire.HeaderState)); ok {
-		f.Drains = state >= member.Draining
-	}
-	report := answer.Header.Get(wire.HeaderLoad)
-	if report == "" {
-		return f
-	}
-	var err error
-	if f.Load, err = wire.ParseLoad(report); err != nil {
+	if heard.LoadErr != nil {
 		metrics.Count("load_reports_refused").Add(1)
-		return f
 	}
-	f.Reported = true
+	f.Load, f.Reported = heard.Load, heard.Reported()
 	return f
 }
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -14,6 +14,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/pkg/errors"
 
+	"cardamomspool/core/wire"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/drain"
 	"cardamomspool/io/peer"
@@ -30,6 +31,7 @@
 		metrics  *telem.Set
 		system   *actor.ActorSystem
 		exchange *exchange
+		dialect  wire.Dialect
 		members  *membership
 		config   *configuration
 		draining atomic.Bool
@@ -66,15 +68,21 @@
 	return func(h *Host) { h.metrics = s }
 }
 
+// WithDialect sets the header fields spoken with callers and targets; the
+// default is wire.Spool.
+func WithDialect(d wire.Dialect) Option {
+	return func(h *Host) { h.dialect = d }
+}
+
 // New returns a host that follows cfg, which must be valid.
 func New(cfg setup.Entry, opts ...Option) *Host {
-	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet()}
+	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(), dialect: wire.Spool()}
 	for _, opt := range opts {
 		opt(h)
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.exchange = newExchange(h.log, h.metrics)
+	h.exchange = newExchange(h.dialect, h.log, h.metrics)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps names of calls apart over restarts.
 	h.namePrefix = cfg.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -5,14 +5,13 @@
 	"math/rand/v2"
 	"net"
 	"slices"
-	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/spec"
-	"cardamomspool/io/telem"
+	"cardamomspool/io/broker"
 )
 
 type (
@@ -28,112 +27,8 @@
 		revision uint64
 		pid      *actor.PID
 	}
-
-	// arrival is the message of a new call. The actor sends every decision
-	// about the call to waiter, which must have room for one.
-	arrival struct {
-		event  engine.Arrive
-		waiter chan engine.Action
-	}
-
-	// serviceActor owns the engine of one service. It lets time pass in the
-	// engine only while calls are held, so that an idle service costs nothing.
-	serviceActor struct {
-		engine  *engine.Service
-		waiters map[uint64]chan engine.Action
-		actions []engine.Action
-		metrics *telem.Set
-		tick    time.Duration
-		wake    *time.Timer
-		due     time.Time // When the next Tick comes; zero for never.
-	}
 )
 
-var _ actor.Actor = (*serviceActor)(nil)
-
-// Receive handles one message of the actor's mailbox.
-func (a *serviceActor) Receive(ctx actor.Context) {
-	now := time.Now()
-	switch m := ctx.Message().(type) {
-	case *arrival:
-		a.waiters[m.event.Call] = m.waiter
-		a.handle(m.event, now)
-	case engine.Finish:
-		a.handle(m, now)
-		if m.Result.Final() {
-			delete(a.waiters, m.Call)
-		}
-	case engine.Cancel:
-		delete(a.waiters, m.Call)
-		a.handle(m, now)
-	case engine.Tick:
-		a.due = time.Time{}
-		a.handle(m, now)
-	case engine.Event:
-		a.handle(m, now)
-	case *actor.Stopping:
-		a.stopWake()
-		return
-	}
-	a.setWake(ctx, now)
-}
-
-// setWake has the engine ticked while calls are held: after one tick's time,
-// or sooner when a held call may be sent before that.
-func (a *serviceActor) setWake(ctx actor.Context, now time.Time) {
-	if a.engine.Held() == 0 {
-		a.stopWake()
-		return
-	}
-	at := now.Add(a.tick)
-	if sooner, ok := a.engine.Wake(now); ok && sooner.Before(at) {
-		at = sooner
-	}
-	if !a.due.IsZero() && !at.Before(a.due) {
-		return
-	}
-	a.stopWake()
-	self, root := ctx.Self(), ctx.ActorSystem().Root
-	a.due = at
-	a.wake = time.AfterFunc(at.Sub(now), func() { root.Send(self, engine.Tick{}) })
-}
-
-func (a *serviceActor) stopWake() {
-	a.due = time.Time{}
-	if a.wake != nil {
-		a.wake.Stop()
-	}
-}
-
-func (a *serviceActor) handle(e engine.Event, now time.Time) {
-	a.actions = a.engine.Handle(a.actions[:0], e, now)
-	for _, action := range a.actions {
-		a.deliver(action)
-	}
-}
-
-func (a *serviceActor) deliver(action engine.Action) {
-	switch action := action.(type) {
-	case engine.Send:
-		a.count(action)
-		if waiter, ok := a.waiters[action.Call]; ok {
-			waiter <- action
-		}
-	case engine.Refuse:
-		if waiter, ok := a.waiters[action.Call]; ok {
-			waiter <- action
-			delete(a.waiters, action.Call)
-		}
-	}
-}
-
-func (a *serviceActor) count(s engine.Send) {
-	a.metrics.Count("attempts").Add(1)
-	if s.Attempt > 1 {
-		a.metrics.Count("retries").Add(1)
-	}
-}
-
 // find returns the service that takes a call, the one with the longest
 // matching path prefix first, or nil.
 func (m *serviceMap) find(hostPort, path string) *service {
@@ -175,14 +70,8 @@
 
 func (h *Host) spawn(doc spec.Service) *actor.PID {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	a := &serviceActor{
-		engine:  engine.NewService(doc, rng, engine.WithDataCentre(h.cfg.DataCentre)),
-		waiters: make(map[uint64]chan engine.Action),
-		metrics: h.metrics,
-		tick:    h.cfg.Tick.Std(),
-	}
-	pid := h.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
-	return pid
+	service := engine.NewService(doc, rng, engine.WithDataCentre(h.cfg.DataCentre))
+	return broker.Spawn(h.system, service, h.cfg.Tick.Std(), h.metrics)
 }
 
 // retarget tells the actor of a service about its targets.
--- a/io/peer/agree.go
+++ b/io/peer/agree.go
@@ -179,7 +179,7 @@
 }
 
 func fromValue(v quorum.Value) *peerpb.Value {
-	m := &peerpb.Value{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body, Operator: v.Operator}
+	m := &peerpb.Value{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body, Operator: v.Operator, Version: v.Version, Next: v.Next}
 	if !v.At.IsZero() {
 		m.At = v.At.UnixNano()
 	}
@@ -192,7 +192,7 @@
 func toValue(m *peerpb.Value) quorum.Value {
 	v := quorum.Value{Versioned: spec.Versioned{
 		Name: m.GetName(), Revision: m.GetRevision(), Deleted: m.GetDeleted(), Body: m.GetBody(),
-	}, Operator: m.GetOperator()}
+	}, Operator: m.GetOperator(), Version: m.GetVersion(), Next: m.GetNext()}
 	if m.GetAt() != 0 {
 		v.At = time.Unix(0, m.GetAt()).UTC()
 	}
