--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"sync"
@@ -18,6 +19,7 @@
 	"cardamomspool/io/local"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
+	"cardamomspool/platform"
 )
 
 type (
@@ -117,15 +119,35 @@
 	if cfg, err = setup.LoadEntry(settingsPath(o)); err != nil || o.check {
 		return err
 	}
-	out := telem.NewAsync(os.Stderr, logLines)
+	log, metrics, stop := logging(ctx, cfg.Common)
+	defer stop()
+	opts := []entry.Option{entry.WithLogger(log), entry.WithMetrics(metrics)}
+	if cfg.Fleet.Enabled() {
+		opts = append(opts, entry.WithDialect(platform.Dialect()), entry.WithFront(func(h *entry.Host) http.Handler {
+			return platform.ReadyHandler(h.Ready)
+		}))
+	}
+	host := entry.New(cfg, opts...)
+	go followSettings(ctx, log, settingsPath(o), cfg.Fleet, func() (setup.Fleet, error) {
+		next, err := setup.LoadEntry(settingsPath(o))
+		return next.Fleet, err
+	}, host.SetSeeds)
+	return host.Run(ctx)
+}
+
+// logging returns the process's logger, which never waits for whoever reads
+// standard output, its metrics, and a function that writes out what is left.
+func logging(ctx context.Context, cfg setup.Common) (*slog.Logger, *telem.Set, func()) {
+	out := telem.NewAsync(os.Stdout, logLines)
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
 	group.Go(func() { out.Run(logCtx) })
-	defer group.Wait()
-	defer stopLog()
 	metrics := telem.NewSet()
 	metrics.Func("log_lines_dropped", func() any { return out.Dropped() })
-	return entry.New(cfg, entry.WithLogger(logger(cfg.Common, out)), entry.WithMetrics(metrics)).Run(ctx)
+	return logger(cfg, out), metrics, func() {
+		stopLog()
+		group.Wait()
+	}
 }
 
 func runControl(ctx context.Context, o *options) error {
@@ -137,9 +159,21 @@
 	if cfg, err = setup.LoadControl(settingsPath(o)); err != nil || o.check {
 		return err
 	}
-	if host, err = ctrl.New(cfg, ctrl.WithLogger(logger(cfg.Common, os.Stderr))); err != nil {
+	log, metrics, stop := logging(ctx, cfg.Common)
+	defer stop()
+	opts := []ctrl.Option{ctrl.WithLogger(log), ctrl.WithMetrics(metrics)}
+	if cfg.Fleet.Enabled() {
+		opts = append(opts, ctrl.WithDialect(platform.Dialect()), ctrl.WithFront(func(h *ctrl.Host) http.Handler {
+			return platform.ControlHandler(h, log)
+		}))
+	}
+	if host, err = ctrl.New(cfg, opts...); err != nil {
 		return err
 	}
+	go followSettings(ctx, log, settingsPath(o), cfg.Fleet, func() (setup.Fleet, error) {
+		next, err := setup.LoadControl(settingsPath(o))
+		return next.Fleet, err
+	}, host.SetSeeds)
 	return host.Run(ctx)
 }
 
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -249,7 +249,7 @@
 		return s.refuse(dst, id, c, NoTarget)
 	}
 	s.queue.Return(s.held(id, c))
-	return dst
+	return s.tellHold(dst, id)
 }
 
 func (s *Service) choose(c *call, now time.Time) (route.Pick, bool) {
@@ -281,6 +281,10 @@
 	if err := s.queue.Push(h); err != nil {
 		return s.refuse(dst, id, c, QueueFull)
 	}
+	return s.tellHold(dst, id)
+}
+
+func (s *Service) tellHold(dst []Action, id uint64) []Action {
 	if s.reportHolds {
 		dst = append(dst, Hold{Call: id})
 	}
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -78,6 +78,9 @@
 		Recoveries  int64
 	}
 
+	// Option sets one property of a Node.
+	Option func(*Node)
+
 	// Node is one control host's part in the agreement, as a state machine.
 	// Use NewNode. It is not safe for concurrent use.
 	Node struct {
@@ -126,7 +129,10 @@
 	// firstFetchPeriod holds until a majority has confirmed this host.
 	firstFetchPeriod = 200 * time.Millisecond
 	finishAfter      = time.Second
-	recoverPeriod    = 250 * time.Millisecond
+	// epochMix spreads epochs over the digest of the hosts; it is odd, so that
+	// no two epochs collide.
+	epochMix      = 0x9e3779b97f4a7c15
+	recoverPeriod = 250 * time.Millisecond
 )
 
 // ErrHosts reports a list of control hosts that does not hold the own host or
@@ -150,9 +156,19 @@
 	return "unknown"
 }
 
+// WithEpoch tells views of the same hosts apart, so that they do not hear each
+// other; 0 is the default.
+func WithEpoch(epoch uint64) Option {
+	return func(n *Node) {
+		if epoch > 0 {
+			n.cluster ^= epoch * epochMix
+		}
+	}
+}
+
 // NewNode returns the node of host among hosts. The randomness of rng is used
 // for incarnations and back-off; it must differ between lives of a host.
-func NewNode(host string, hosts []string, rng *rand.Rand) (*Node, error) {
+func NewNode(host string, hosts []string, rng *rand.Rand, opts ...Option) (*Node, error) {
 	sorted := slices.Sorted(slices.Values(hosts))
 	if !slices.Contains(sorted, host) || len(slices.Compact(slices.Clone(sorted))) != len(sorted) {
 		return nil, ErrHosts
@@ -161,7 +177,7 @@
 	for _, h := range sorted {
 		digest.Write([]byte(h + "\n"))
 	}
-	return &Node{
+	n := &Node{
 		host: host, cluster: digest.Sum64(), rng: rng,
 		others:   slices.DeleteFunc(sorted, func(h string) bool { return h == host }),
 		names:    make(map[string]bool),
@@ -169,7 +185,11 @@
 		heard:    make(map[string]time.Time),
 		synced:   make(map[string]time.Time),
 		unlearnt: make(map[string]time.Time),
-	}, nil
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	return n, nil
 }
 
 // Start takes in what the disk holds. It must be the first call.
--- a/core/quorum/recover.go
+++ b/core/quorum/recover.go
@@ -183,3 +183,18 @@
 	n.newIncarnation(stage, n.identity.Known[n.host].Number+1)
 	n.recover(now)
 }
+
+// Inherit returns what the disk of a host holds that begins to vote in a view
+// whose first value is v, agreed as the last one of the view before. All hosts
+// of the view begin with the same value. incarnation must be the same at each
+// start that uses it, until the disk holds votes of its own.
+func Inherit(v Value, incarnation Incarnation) Saved {
+	v.Next = nil
+	return Saved{
+		Identity: &Identity{Incarnation: incarnation, Stage: StageVoting, Known: Roster{}, Registers: []string{v.Name}},
+		Registers: []Register{{
+			Name: v.Name, Promised: Ballot{Round: 1}, Accepted: Ballot{Round: 1}, Value: v,
+		}},
+		Learnt: []Learnt{{Chosen: v}},
+	}
+}
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -20,10 +20,15 @@
 		Ask func(header http.Header, a Asked)
 		// Hear reads the header of a target's answer to a call.
 		Hear func(status int, header http.Header, call string) Heard
+		// Health reads the header of a target's answer to a health check.
+		Health func(status int, header http.Header, target string) Health
 		// Answer turns a target's header, or trailer, into the caller's.
 		Answer func(header http.Header)
 		// Refuse writes the header of an answer that has no target.
 		Refuse func(header http.Header, r Refusal)
+		// Promises reports whether a status alone tells callers that the call
+		// has not run and never will.
+		Promises func(status int) bool
 		// Plain says that targets are told nothing about callers beyond the
 		// callers' own header fields.
 		Plain bool
@@ -68,6 +73,18 @@
 		LoadErr error
 	}
 
+	// Health is what a target says when it is probed.
+	Health struct {
+		// Well says that the target is healthy.
+		Well bool
+		// Gone says that another target has the address.
+		Gone bool
+		// Load is the target's report; it counts when Reported is true.
+		Load Load
+		// Reported says that the answer carried a valid report.
+		Reported bool
+	}
+
 	// Refusal is what a caller is told when there is no answer of a target.
 	Refusal struct {
 		// NotRun says that the call has reached no target and never will.
@@ -81,7 +98,7 @@
 
 // Spool returns the dialect of the fields that this package names.
 func Spool() Dialect {
-	return Dialect{Receive: receive, Ask: ask, Hear: hear, Answer: strip, Refuse: refuse}
+	return Dialect{Receive: receive, Ask: ask, Hear: hear, Health: health, Answer: strip, Refuse: refuse, Promises: promises}
 }
 
 // Reported reports whether the answer carried a load report that was read.
@@ -93,6 +110,11 @@
 	return Told{}
 }
 
+// promises reports false for each status: HeaderOutcome tells.
+func promises(int) bool {
+	return false
+}
+
 func ask(header http.Header, a Asked) {
 	strip(header)
 	header.Set(HeaderCall, a.Call)
@@ -116,6 +138,15 @@
 	return h
 }
 
+func health(status int, header http.Header, _ string) Health {
+	h := Health{Well: status == http.StatusOK}
+	var err error
+	if h.Load, err = ParseLoad(header.Get(HeaderLoad)); err == nil {
+		h.Reported = true
+	}
+	return h
+}
+
 // strip removes the header fields of the system, also those written with
 // underscores, which some targets take for hyphens.
 func strip(header http.Header) {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"cardamomspool/core/quorum"
+	"cardamomspool/core/wire"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/disk"
 	"cardamomspool/io/drain"
@@ -29,7 +30,14 @@
 		log     *slog.Logger
 		metrics *telem.Set
 		folder  *disk.Folder
+		// votes keeps the records of node; it is folder, or in a fleet one for
+		// each view.
+		votes   *disk.Folder
+		fleet   *fleet
+		front   func(*Host) http.Handler
+		dialect wire.Dialect
 		token   string
+		peersMu sync.Mutex
 		peers   map[string]*remote
 		// sends counts the messages on their way.
 		sends sync.WaitGroup
@@ -76,7 +84,7 @@
 // must be valid.
 func New(cfg setup.Control, opts ...Option) (*Host, error) {
 	h := &Host{
-		cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(),
+		cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(), dialect: wire.Spool(),
 		peers: make(map[string]*remote), waiting: make(map[uint64]chan quorum.Result), failed: make(chan error, 1),
 		learnt: make(map[string]quorum.Learnt), changed: make(chan struct{}),
 	}
@@ -90,7 +98,9 @@
 	for _, p := range cfg.Controls {
 		hosts = append(hosts, p.Host)
 	}
-	if h.node, err = quorum.NewNode(cfg.Host, hosts, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))); err != nil {
+	if cfg.Fleet.Enabled() {
+		h.fleet = newFleet(h)
+	} else if h.node, err = quorum.NewNode(cfg.Host, hosts, random()); err != nil {
 		return nil, err
 	}
 	if h.token, err = setup.Token(cfg.OperatorTokenFile); err != nil {
@@ -99,10 +109,26 @@
 	if h.folder, err = disk.Open(cfg.DataFolder); err != nil {
 		return nil, err
 	}
+	h.votes = h.folder
 	h.publishMetrics()
 	return h, nil
 }
 
+func random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// WithFront sets what serves the operators and targets of a fleet.
+func WithFront(front func(*Host) http.Handler) Option {
+	return func(h *Host) { h.front = front }
+}
+
+// WithDialect sets the header fields spoken with targets; the default is
+// wire.Spool.
+func WithDialect(d wire.Dialect) Option {
+	return func(h *Host) { h.dialect = d }
+}
+
 // Run serves until ctx ends, then stops gracefully within the settings'
 // grace. It returns an error when the data folder can no longer be written, as
 // the host must then give no more votes. The data folder is closed on return.
@@ -113,7 +139,11 @@
 		peerListener, adminListener net.Listener
 		err                         error
 	)
-	if saved, err = h.restore(); err != nil {
+	if h.fleet != nil {
+		if err = h.fleet.open(); err != nil {
+			return err
+		}
+	} else if saved, err = h.restore(); err != nil {
 		return err
 	}
 	if peerListener, err = net.Listen("tcp", h.cfg.PeerAddress.String()); err != nil {
@@ -136,6 +166,13 @@
 	peerpb.RegisterAgreementServer(peers, &agreement{host: h})
 	peerpb.RegisterConfigurationServer(peers, &configuration{host: h, stop: ctx})
 	api := drain.New(&http.Server{Handler: h.operators(), ReadHeaderTimeout: admin.HeaderTimeout})
+	if h.fleet != nil {
+		if err = h.fleet.start(ctx, work, peers); err != nil {
+			peerListener.Close()
+			adminListener.Close()
+			return err
+		}
+	}
 	h.do(func(now time.Time) quorum.Output { return h.node.Start(now, saved) })
 	go func() { h.fail(peers.Serve(peer.CountListener(peerListener, h.peerTraffic()))) }()
 	go func() { h.fail(api.Serve(adminListener)) }()
--- a/io/ctrl/pending.go
+++ b/io/ctrl/pending.go
@@ -8,6 +8,9 @@
 	h.step.Lock()
 	defer h.step.Unlock()
 	var list []*peerpb.Held
+	if h.node == nil {
+		return nil
+	}
 	for _, v := range h.node.Pending(nil) {
 		list = append(list, &peerpb.Held{Name: v.Name, Revision: v.Revision})
 	}
--- a/io/ctrl/remote.go
+++ b/io/ctrl/remote.go
@@ -14,6 +14,7 @@
 	"cardamomspool/core/quorum"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
+	"cardamomspool/io/setup"
 )
 
 // remote is another control host.
@@ -41,24 +42,43 @@
 )
 
 func (h *Host) dialPeers(ctx context.Context) error {
-	options := []grpc.DialOption{
-		peer.WithTraffic(h.peerTraffic()), grpc.WithStatsHandler(newTraffic(h.metrics)),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
-	}
 	for _, p := range h.cfg.Controls {
 		if p.Host == h.cfg.Host {
 			continue
 		}
-		r := &remote{host: p.Host, address: p.PeerAddress, ctx: ctx, slots: make(chan struct{}, maxExchanges), options: options}
-		if err := r.dial(); err != nil {
-			return errors.Wrapf(err, "control: peer %s", p.Host)
+		if err := h.dialPeer(ctx, p); err != nil {
+			return err
 		}
-		h.peers[p.Host] = r
 	}
 	return nil
 }
 
+// dialPeer makes a control host one that messages can be sent to.
+func (h *Host) dialPeer(ctx context.Context, p setup.Peer) error {
+	options := []grpc.DialOption{
+		peer.WithTraffic(h.peerTraffic()), grpc.WithStatsHandler(newTraffic(h.metrics)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	}
+	r := &remote{host: p.Host, address: p.PeerAddress, ctx: ctx, slots: make(chan struct{}, maxExchanges), options: options}
+	if err := r.dial(); err != nil {
+		return errors.Wrapf(err, "control: peer %s", p.Host)
+	}
+	h.peersMu.Lock()
+	defer h.peersMu.Unlock()
+	h.peers[p.Host] = r
+	return nil
+}
+
+// peer returns the remote of a control host, or nil.
+func (h *Host) peer(host string) *remote {
+	h.peersMu.Lock()
+	defer h.peersMu.Unlock()
+	return h.peers[host]
+}
+
 func (h *Host) closePeers() {
+	h.peersMu.Lock()
+	defer h.peersMu.Unlock()
 	for _, p := range h.peers {
 		p.mu.Lock()
 		p.conn.Close()
@@ -69,7 +89,11 @@
 // send hands a message to another host without waiting, and the answer to the
 // node. Lost messages are the node's to repeat.
 func (h *Host) send(e quorum.Envelope) {
-	r := h.peers[e.To]
+	r := h.peer(e.To)
+	if r == nil {
+		h.metrics.Count("agreement_dropped").Add(1)
+		return
+	}
 	select {
 	case r.slots <- struct{}{}:
 	default:
--- a/io/ctrl/restore.go
+++ b/io/ctrl/restore.go
@@ -37,7 +37,7 @@
 		names []string
 		err   error
 	)
-	if names, err = h.folder.Names(); err != nil {
+	if names, err = h.votes.Names(); err != nil {
 		return saved, err
 	}
 	for _, name := range names {
@@ -46,7 +46,7 @@
 			saved.Damaged = saved.Damaged || !strings.HasPrefix(name, learntPrefix)
 			h.log.Error("corrupt file counts as lost and is set aside", "file", name, "error", err)
 			h.metrics.Count("corrupt_files").Add(1)
-			err = h.folder.SetAside(name)
+			err = h.votes.SetAside(name)
 		}
 		if err != nil {
 			return saved, err
@@ -56,7 +56,7 @@
 		// Marks the loss, should this process end before it has recovered.
 		lost := *saved.Identity
 		lost.Stage = quorum.StageDamaged
-		if err = h.folder.Save(identityFile, lost); err != nil {
+		if err = h.votes.Save(identityFile, lost); err != nil {
 			return saved, err
 		}
 	}
@@ -68,13 +68,13 @@
 	switch {
 	case name == identityFile:
 		var id quorum.Identity
-		if err := h.folder.Load(name, &id); err != nil {
+		if err := h.votes.Load(name, &id); err != nil {
 			return err
 		}
 		saved.Identity = &id
 	case strings.HasPrefix(name, votePrefix):
 		var r quorum.Register
-		if err := h.folder.Load(name, &r); err != nil {
+		if err := h.votes.Load(name, &r); err != nil {
 			return err
 		}
 		if fileName(r) != name {
@@ -83,7 +83,7 @@
 		saved.Registers = append(saved.Registers, r)
 	case strings.HasPrefix(name, learntPrefix):
 		var l quorum.Learnt
-		if err := h.folder.Load(name, &l); err != nil {
+		if err := h.votes.Load(name, &l); err != nil {
 			return err
 		}
 		if fileName(l) != name {
--- a/io/ctrl/step.go
+++ b/io/ctrl/step.go
@@ -16,8 +16,9 @@
 	folderPeriod   = time.Second
 )
 
-// errStopped reports a host that no longer takes part in the agreement.
-var errStopped = errors.New("control: host has stopped")
+// errNoVote reports a host that takes no part in the agreement: it has stopped
+// or is not in the view.
+var errNoVote = errors.New("control: host takes no part in the agreement")
 
 // do runs one step of the node: it syncs what the step asks for, and only then
 // lets anything of it be seen. After a failed write the host takes no further
@@ -26,12 +27,12 @@
 func (h *Host) do(step func(now time.Time) quorum.Output) []quorum.Envelope {
 	h.step.Lock()
 	defer h.step.Unlock()
-	if h.stopped {
+	if h.stopped || h.node == nil {
 		return nil
 	}
 	out := step(time.Now())
 	for _, r := range out.Saves {
-		if err := h.folder.Save(fileName(r), r); err != nil {
+		if err := h.votes.Save(fileName(r), r); err != nil {
 			h.stopped = true
 			h.abandon(quorum.ErrNoMajority)
 			h.fail(errors.Wrap(err, "control: write to the data folder"))
@@ -78,7 +79,7 @@
 	defer ticker.Stop()
 	checked := time.Now()
 	for {
-		h.run(h.node.Tick)
+		h.run(func(now time.Time) quorum.Output { return h.node.Tick(now) })
 		h.publishStatus()
 		if time.Since(checked) >= folderPeriod {
 			checked = time.Now()
@@ -107,7 +108,7 @@
 		return out
 	})
 	if !taken {
-		return quorum.Result{Err: errStopped}
+		return quorum.Result{Err: errNoVote}
 	}
 	select {
 	case r := <-result:
@@ -130,14 +131,23 @@
 	}
 	close(h.changed)
 	h.changed = make(chan struct{})
+	if h.fleet != nil {
+		h.fleet.learn(values)
+	}
 }
 
 // publishStatus shows readers how the host stands; it wakes watchers when the
 // host has become current or no longer is.
 func (h *Host) publishStatus() {
 	h.step.Lock()
-	s := h.node.Status(time.Now())
+	s := quorum.Status{Host: h.cfg.Host}
+	if h.node != nil {
+		s = h.node.Status(time.Now())
+	}
 	h.step.Unlock()
+	if h.fleet != nil {
+		h.fleet.board.SetCurrent(s.Current)
+	}
 	s.DiskSyncs, s.DiskFailures = h.folder.Syncs(), h.folder.Failures()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -159,7 +169,7 @@
 		}
 		switch e.Kind {
 		case quorum.EventStranger:
-			if p := h.peers[e.Host]; p != nil && p.isStrange(time.Now()) {
+			if p := h.peer(e.Host); p != nil && p.isStrange(time.Now()) {
 				h.log.Warn(string(e.Kind), attrs...)
 			}
 		case quorum.EventMajorityLost, quorum.EventSuperseded, quorum.EventRecovering:
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -62,6 +62,19 @@
 	return &Folder{path: path, lock: lock}, nil
 }
 
+// Sub opens the folder called name within f, which it makes when it is missing.
+func (f *Folder) Sub(name string) (*Folder, error) {
+	sub, err := Open(filepath.Join(f.path, name))
+	if err != nil {
+		return nil, err
+	}
+	if err = f.syncFolder(); err != nil {
+		sub.Close()
+		return nil, errors.Wrap(err, "disk")
+	}
+	return sub, nil
+}
+
 // Check returns ErrGone when the folder at the path is no longer the one that
 // was opened.
 func (f *Folder) Check() error {
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -55,8 +55,16 @@
 	return v
 }
 
+// Ready reports whether the platform's balancer may send calls here.
+func (h *Host) Ready() bool {
+	return h.isReady()
+}
+
 // isReady reports whether the platform's balancer may send calls here.
 func (h *Host) isReady() bool {
+	if h.fleet != nil {
+		return h.fleet.ready() && !h.draining.Load()
+	}
 	return h.config.ready() && !h.draining.Load()
 }
 
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/broker"
+	"cardamomspool/io/place"
 )
 
 // call is one caller's request on its way through this host.
@@ -24,10 +25,14 @@
 	deadline    time.Time
 	body        *body
 	waiter      chan engine.Action
-	maybeRun    bool           // An attempt may have run the call.
-	connections int            // The most connections to one target.
-	trusted     []netip.Prefix // Networks whose forwarding fields are kept.
-	feedback    route.Feedback // What the last attempt showed of its target.
+	link        *place.Link      // The control host that decides; nil for this host.
+	lost        <-chan struct{}  // Closed when link ends.
+	overdue     <-chan time.Time // Fires when link has not decided in time.
+	attempted   bool             // The call was sent to a target.
+	maybeRun    bool             // An attempt may have run the call.
+	connections int              // The most connections to one target.
+	trusted     []netip.Prefix   // Networks whose forwarding fields are kept.
+	feedback    route.Feedback   // What the last attempt showed of its target.
 }
 
 const (
@@ -56,14 +61,20 @@
 		h.turnDown(w, r, p, true)
 		return
 	}
-	s := h.services.Load().find(r.Host, r.URL.Path)
-	if s == nil {
+	told := h.dialect.Receive(r.Header)
+	s, class, p := h.find(r, told)
+	if p != nil {
 		h.metrics.Count("calls_without_service").Add(1)
 		leaveBody(w, r, r.ContentLength == 0)
-		h.refuse(w, http.StatusNotFound, reasonNoService, true, 0)
+		h.log.Warn("no service", "call", told.Call, "host", r.Host, "path", r.URL.EscapedPath(), "status", p.status, "detail", p.detail)
+		retry := time.Duration(0)
+		if p.status == http.StatusServiceUnavailable {
+			retry = planRetry
+		}
+		h.refuse(w, p.status, p.reason, true, retry)
 		return
 	}
-	c := h.newCall(w, r, s)
+	c := h.newCall(w, r, s, class, told)
 	w.body = c.body
 	defer func() { leaveBody(w, r, c.body.whole()) }()
 	h.metrics.Count("calls").Add(1)
@@ -73,20 +84,65 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	h.system.Root.Send(s.pid, &broker.Arrival{
+	if h.fleet == nil || !h.fleet.guide(c, time.Now()) {
+		h.decide(c)
+	}
+	h.carry(ctx, w, r, c)
+}
+
+// find returns the service that takes a call and how the call is treated, or
+// the answer when there is none.
+func (h *Host) find(r *http.Request, told wire.Told) (*service, spec.Class, *problem) {
+	if h.fleet != nil {
+		return h.fleet.find(r, told)
+	}
+	s := h.services.Load().find(r.Host, r.URL.Path)
+	if s == nil {
+		return nil, spec.Class{}, &problem{http.StatusNotFound, reasonNoService, "no service"}
+	}
+	return s, s.doc.Receive.Classify(r.Method, r.URL.Path), nil
+}
+
+// decide has this host's own engine decide for a call.
+func (h *Host) decide(c *call) {
+	waiter := make(chan engine.Action, 1)
+	c.link, c.waiter, c.lost, c.overdue = nil, waiter, nil, nil
+	h.system.Root.Send(c.service.pid, &broker.Arrival{
 		Event:   engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline, DataCentre: h.cfg.DataCentre},
-		Deliver: func(action engine.Action) { c.waiter <- action },
+		Deliver: func(action engine.Action) { waiter <- action },
 	})
-	h.carry(ctx, w, r, c)
 }
 
-func (h *Host) newCall(w answerWriter, r *http.Request, s *service) *call {
+// cancel tells who decides that a call has ended early.
+func (h *Host) cancel(c *call, overdue bool) {
+	e := engine.Cancel{Call: c.id, Overdue: overdue}
+	if c.link != nil {
+		c.link.Cancel(e)
+		return
+	}
+	h.system.Root.Send(c.service.pid, e)
+}
+
+// report tells who decides how an attempt ended, and reports false when no
+// decision can follow.
+func (h *Host) report(c *call, e engine.Finish) bool {
+	if c.link == nil {
+		h.system.Root.Send(c.service.pid, e)
+		return true
+	}
+	c.expect()
+	return c.link.Finish(e)
+}
+
+func (h *Host) newCall(w answerWriter, r *http.Request, s *service, class spec.Class, told wire.Told) *call {
 	c := &call{
-		id: h.nextCall.Add(1), service: s, class: s.doc.Receive.Classify(r.Method, r.URL.Path),
-		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), waiter: make(chan engine.Action, 1),
+		id: h.nextCall.Add(1), service: s, class: class,
+		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), name: told.Call,
 		connections: s.doc.Targets.Connections / max(len(h.cfg.Entries), 1), trusted: h.callers.TrustedProxies,
 	}
-	c.name = h.namePrefix + strconv.FormatUint(c.id, 36)
+	if c.name == "" {
+		c.name = h.namePrefix + strconv.FormatUint(c.id, 36)
+	}
 	c.deadline = c.arrived.Add(c.class.Deadline)
 	return c
 }
@@ -140,13 +196,41 @@
 			h.giveUp(w, r, c)
 			return
 		case action := <-c.waiter:
+			c.overdue = nil
 			if h.carryOut(ctx, w, r, c, action) {
 				return
 			}
+		case <-c.lost:
+			if h.leaveGuide(ctx, w, r, c, "stream_lost") {
+				return
+			}
+		case <-c.overdue:
+			c.link.Miss(time.Now())
+			c.link.Cancel(engine.Cancel{Call: c.id})
+			if h.leaveGuide(ctx, w, r, c, "no_decision") {
+				return
+			}
 		}
 	}
 }
 
+// leaveGuide has another host decide for a call whose control host has gone,
+// and reports whether the call has ended instead, since it was already sent to
+// a target.
+func (h *Host) leaveGuide(ctx context.Context, w answerWriter, r *http.Request, c *call, why string) bool {
+	h.metrics.Count("decisions_lost").Add(1)
+	h.log.Warn("control host does not decide", "call", c.name, "service", c.service.doc.Name,
+		"control", c.link.Address().String(), "reason", why, "attempted", c.attempted)
+	if c.attempted {
+		c.lost, c.overdue = nil, nil
+		return h.carryOut(ctx, w, r, c, engine.Refuse{Call: c.id, Reason: reasonNoGuide, NotRun: true, RetryAfter: aloneBackoff})
+	}
+	if why != "stream_lost" || !h.fleet.guide(c, time.Now()) {
+		h.decide(c)
+	}
+	return false
+}
+
 // carryOut carries out one decision and reports whether the call has ended.
 func (h *Host) carryOut(ctx context.Context, w answerWriter, r *http.Request, c *call, action engine.Action) bool {
 	switch action := action.(type) {
@@ -156,6 +240,7 @@
 			return true
 		}
 		h.logSend(c, action)
+		c.attempted = true
 		return h.finish(ctx, w, r, c, h.exchange.attempt(ctx, w, r, c, action))
 	case engine.Refuse:
 		h.logRefuse(c, action)
@@ -177,7 +262,7 @@
 	c.maybeRun = c.maybeRun || result == engine.Unknown
 	if !result.Final() {
 		if err := c.body.failed(); err != nil {
-			h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id})
+			h.cancel(c, false)
 			h.turnDown(w, r, bodyProblem(err), !c.maybeRun)
 			return true
 		}
@@ -187,9 +272,7 @@
 		}
 	}
 	replayable := !result.Final() && c.body.replayable()
-	h.system.Root.Send(c.service.pid, engine.Finish{
-		Call: c.id, Result: result, Replayable: replayable, Feedback: c.feedback,
-	})
+	followed := h.report(c, engine.Finish{Call: c.id, Result: result, Replayable: replayable, Feedback: c.feedback})
 	switch result {
 	case engine.Answered:
 		h.metrics.Count("calls_answered").Add(1)
@@ -198,12 +281,32 @@
 		h.metrics.Count("calls_cut_short").Add(1)
 		abort(r)
 	}
+	if !followed {
+		return h.leaveGuide(ctx, w, r, c, "stream_lost")
+	}
 	if !result.Final() && c.stoppedEarly() {
-		return h.carryOut(ctx, w, r, c, <-c.waiter) // The call can not be sent again, so this is its end.
+		return h.end(ctx, w, r, c)
 	}
 	return false
 }
 
+// end carries out the last decision about a call that can not be sent again.
+// The context of the call has ended with its body.
+func (h *Host) end(ctx context.Context, w answerWriter, r *http.Request, c *call) bool {
+	for {
+		select {
+		case action := <-c.waiter:
+			if h.carryOut(ctx, w, r, c, action) {
+				return true
+			}
+		case <-c.lost:
+			return h.leaveGuide(ctx, w, r, c, "stream_lost")
+		case <-c.overdue:
+			return h.leaveGuide(ctx, w, r, c, "no_decision")
+		}
+	}
+}
+
 // stoppedEarly reports whether this host stopped reading the caller's body
 // before the deadline, because the attempt had ended. The library then takes
 // the caller for gone and cancels its context.
@@ -218,7 +321,7 @@
 
 // giveUp ends a call whose deadline has passed or whose caller has gone.
 func (h *Host) giveUp(w answerWriter, r *http.Request, c *call) {
-	h.system.Root.Send(c.service.pid, engine.Cancel{Call: c.id, Overdue: !c.callerGone(r)})
+	h.cancel(c, !c.callerGone(r))
 	reason := reasonDeadline
 	if c.callerGone(r) {
 		reason = "caller_gone"
@@ -239,7 +342,11 @@
 	h.log.Warn("request refused", "remote", r.RemoteAddr, "method", r.Method, "host", r.Host, "path", r.URL.EscapedPath(),
 		"status", p.status, "reason", p.reason, "detail", p.detail, "not_run", notRun)
 	w.Header().Set("Connection", "close")
-	h.refuse(w, p.status, p.reason, notRun, 0)
+	status := p.status
+	if !notRun && h.dialect.Promises(status) {
+		status = http.StatusGatewayTimeout
+	}
+	h.refuse(w, status, p.reason, notRun, 0)
 }
 
 // abort ends a caller's answer so that it can not be taken for whole.
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -34,6 +34,8 @@
 		dialect  wire.Dialect
 		members  *membership
 		config   *configuration
+		fleet    *fleet
+		front    func(*Host) http.Handler
 		draining atomic.Bool
 		nextCall atomic.Uint64
 		services atomic.Pointer[serviceMap]
@@ -74,6 +76,11 @@
 	return func(h *Host) { h.dialect = d }
 }
 
+// WithFront sets what serves at the front address of a fleet.
+func WithFront(front func(*Host) http.Handler) Option {
+	return func(h *Host) { h.front = front }
+}
+
 // New returns a host that follows cfg, which must be valid.
 func New(cfg setup.Entry, opts ...Option) *Host {
 	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewSet(), dialect: wire.Spool()}
@@ -91,6 +98,9 @@
 	h.members.retarget = h.retarget
 	h.exchange.evidence = &h.members.evidence
 	h.config = newConfiguration(h)
+	if cfg.Fleet.Enabled() {
+		h.fleet = newFleet(h)
+	}
 	h.metrics.Func("targets", func() any { return h.members.usable() })
 	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
@@ -103,10 +113,12 @@
 // calls in progress end, and after the settings' grace the rest is cut off.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.system.Shutdown()
-	if err := h.config.open(); err != nil {
-		return err
+	if h.fleet == nil {
+		if err := h.config.open(); err != nil {
+			return err
+		}
+		defer h.config.close()
 	}
-	defer h.config.close()
 	if h.callers.TLS.Enabled() {
 		var err error
 		if h.keys, err = loadKeyPair(h.callers.TLS); err != nil {
@@ -130,8 +142,12 @@
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer stopWork()
-	background.Go(func() { h.config.run(work) })
-	background.Go(func() { h.members.run(work) })
+	if h.fleet != nil {
+		background.Go(func() { h.fleet.run(work) })
+	} else {
+		background.Go(func() { h.config.run(work) })
+		background.Go(func() { h.members.run(work) })
+	}
 	go h.exchange.pool.reap(work)
 	if h.keys != nil {
 		go h.keys.follow(work, keyPairCheck, h.log)
@@ -174,6 +190,14 @@
 	operators := &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: admin.HeaderTimeout}
 	peers := peer.NewServer()
 	peerpb.RegisterMembershipServer(peers, h.members)
+	if h.fleet != nil {
+		list := []server{h.callServer(), httpServer("admin", h.cfg.AdminAddress, operators, func() {})}
+		if h.front != nil {
+			front := &http.Server{Handler: h.front(h), ReadHeaderTimeout: admin.HeaderTimeout}
+			list = append(list, httpServer("front", h.cfg.Fleet.FrontAddress, front, func() {}))
+		}
+		return list
+	}
 	peerTraffic, announceTraffic := trafficOf(h.metrics, "peer"), trafficOf(h.metrics, "announce")
 	return []server{
 		h.callServer(),
--- /dev/null
+++ b/io/feed/convert.go
@@ -0,0 +1,77 @@
+package feed
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/roster"
+	"cardamomspool/io/peer"
+	"cardamomspool/io/peer/peerpb"
+)
+
+// errTarget reports a target without a name, a service or a valid state.
+var errTarget = errors.New("feed: target lacks a name, a service or a valid state")
+
+func fromTarget(t roster.Target, now time.Time) *peerpb.TargetState {
+	m := &peerpb.TargetState{
+		Id: t.ID, Service: t.Service, DataCentre: t.DataCentre, Slots: uint32(max(t.Slots, 0)), State: uint32(t.State),
+		Sequence: t.Sequence, AgeMs: uint32(max(now.Sub(t.Heard), 0).Milliseconds()),
+	}
+	if t.Address.IsValid() {
+		m.Address = t.Address.String()
+	}
+	if !t.Born.IsZero() {
+		m.Born = uint64(max(t.Born.UnixMilli(), 0))
+	}
+	if t.WarmAt.After(now) {
+		m.WarmLeftMs = uint32(t.WarmAt.Sub(now).Milliseconds())
+	}
+	return m
+}
+
+func toTarget(m *peerpb.TargetState, now time.Time) (roster.Target, error) {
+	t := roster.Target{
+		ID: m.GetId(), Service: m.GetService(), DataCentre: m.GetDataCentre(), Slots: int(m.GetSlots()),
+		State: member.State(min(m.GetState(), uint32(member.Leaving))), Sequence: m.GetSequence(),
+		Heard: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+	}
+	if t.ID == "" || t.State < member.Cold || t.Service == "" && t.State < member.Leaving {
+		return t, errTarget
+	}
+	if m.GetAddress() != "" {
+		var err error
+		if t.Address, err = netip.ParseAddrPort(m.GetAddress()); err != nil {
+			return t, errors.Wrap(err, "feed: target address")
+		}
+	}
+	if m.GetBorn() > 0 {
+		t.Born = time.UnixMilli(int64(m.GetBorn()))
+	}
+	if left := m.GetWarmLeftMs(); left > 0 {
+		t.WarmAt = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	return t, nil
+}
+
+func fromView(v View) *peerpb.View {
+	m := &peerpb.View{Epoch: v.Epoch, Members: v.Names()}
+	if v.Initial.Revision > 0 {
+		m.Initial = peer.FromValue(v.Initial)
+	}
+	return m
+}
+
+func toView(m *peerpb.View) (View, error) {
+	v := View{Epoch: m.GetEpoch(), Initial: peer.ToValue(m.GetInitial())}
+	for _, name := range m.GetMembers() {
+		member, err := ParseMember(name)
+		if err != nil {
+			return v, err
+		}
+		v.Members = append(v.Members, member)
+	}
+	return v, nil
+}
--- a/io/peer/agree.go
+++ b/io/peer/agree.go
@@ -31,10 +31,10 @@
 	case *quorum.Promise:
 		m.Message = &peerpb.Envelope_Promise{Promise: &peerpb.Promise{
 			Name: c.Name, Ballot: fromBallot(c.Ballot), Ok: c.OK, Promised: fromBallot(c.Promised),
-			Accepted: fromBallot(c.Accepted), Value: fromValue(c.Value),
+			Accepted: fromBallot(c.Accepted), Value: FromValue(c.Value),
 		}}
 	case *quorum.Accept:
-		m.Message = &peerpb.Envelope_Accept{Accept: &peerpb.Accept{Ballot: fromBallot(c.Ballot), Value: fromValue(c.Value)}}
+		m.Message = &peerpb.Envelope_Accept{Accept: &peerpb.Accept{Ballot: fromBallot(c.Ballot), Value: FromValue(c.Value)}}
 	case *quorum.Accepted:
 		m.Message = &peerpb.Envelope_Accepted{Accepted: &peerpb.Accepted{
 			Name: c.Name, Ballot: fromBallot(c.Ballot), Ok: c.OK, Promised: fromBallot(c.Promised),
@@ -43,10 +43,10 @@
 		m.Message = &peerpb.Envelope_Query{Query: &peerpb.Query{Name: c.Name, Ticket: c.Ticket}}
 	case *quorum.Answer:
 		m.Message = &peerpb.Envelope_Answer{Answer: &peerpb.Answer{
-			Name: c.Name, Ticket: c.Ticket, Accepted: fromBallot(c.Accepted), Value: fromValue(c.Value),
+			Name: c.Name, Ticket: c.Ticket, Accepted: fromBallot(c.Accepted), Value: FromValue(c.Value),
 		}}
 	case *quorum.Learn:
-		m.Message = &peerpb.Envelope_Learn{Learn: &peerpb.Learn{Value: fromValue(c.Value)}}
+		m.Message = &peerpb.Envelope_Learn{Learn: &peerpb.Learn{Value: FromValue(c.Value)}}
 	case *quorum.Fetch:
 		m.Message = &peerpb.Envelope_Fetch{Fetch: fromFetch(c)}
 	case *quorum.Values:
@@ -74,10 +74,10 @@
 		p := c.Promise
 		e.Message = &quorum.Promise{
 			Name: p.GetName(), Ballot: toBallot(p.GetBallot()), OK: p.GetOk(), Promised: toBallot(p.GetPromised()),
-			Accepted: toBallot(p.GetAccepted()), Value: toValue(p.GetValue()),
+			Accepted: toBallot(p.GetAccepted()), Value: ToValue(p.GetValue()),
 		}
 	case *peerpb.Envelope_Accept:
-		e.Message = &quorum.Accept{Ballot: toBallot(c.Accept.GetBallot()), Value: toValue(c.Accept.GetValue())}
+		e.Message = &quorum.Accept{Ballot: toBallot(c.Accept.GetBallot()), Value: ToValue(c.Accept.GetValue())}
 	case *peerpb.Envelope_Accepted:
 		a := c.Accepted
 		e.Message = &quorum.Accepted{Name: a.GetName(), Ballot: toBallot(a.GetBallot()), OK: a.GetOk(), Promised: toBallot(a.GetPromised())}
@@ -85,9 +85,9 @@
 		e.Message = &quorum.Query{Name: c.Query.GetName(), Ticket: c.Query.GetTicket()}
 	case *peerpb.Envelope_Answer:
 		a := c.Answer
-		e.Message = &quorum.Answer{Name: a.GetName(), Ticket: a.GetTicket(), Accepted: toBallot(a.GetAccepted()), Value: toValue(a.GetValue())}
+		e.Message = &quorum.Answer{Name: a.GetName(), Ticket: a.GetTicket(), Accepted: toBallot(a.GetAccepted()), Value: ToValue(a.GetValue())}
 	case *peerpb.Envelope_Learn:
-		e.Message = &quorum.Learn{Value: toValue(c.Learn.GetValue())}
+		e.Message = &quorum.Learn{Value: ToValue(c.Learn.GetValue())}
 	case *peerpb.Envelope_Fetch:
 		e.Message = toFetch(c.Fetch)
 	case *peerpb.Envelope_Values:
@@ -178,7 +178,8 @@
 	return quorum.Ballot{Round: m.GetRound(), Host: m.GetHost(), Incarnation: toIncarnation(m.GetIncarnation())}
 }
 
-func fromValue(v quorum.Value) *peerpb.Value {
+// FromValue converts a value to its message.
+func FromValue(v quorum.Value) *peerpb.Value {
 	m := &peerpb.Value{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body, Operator: v.Operator, Version: v.Version, Next: v.Next}
 	if !v.At.IsZero() {
 		m.At = v.At.UnixNano()
@@ -189,7 +190,8 @@
 	return m
 }
 
-func toValue(m *peerpb.Value) quorum.Value {
+// ToValue converts a message to a value.
+func ToValue(m *peerpb.Value) quorum.Value {
 	v := quorum.Value{Versioned: spec.Versioned{
 		Name: m.GetName(), Revision: m.GetRevision(), Deleted: m.GetDeleted(), Body: m.GetBody(),
 	}, Operator: m.GetOperator(), Version: m.GetVersion(), Next: m.GetNext()}
@@ -205,7 +207,7 @@
 func fromValues(values []quorum.Value) []*peerpb.Value {
 	var list []*peerpb.Value
 	for _, v := range values {
-		list = append(list, fromValue(v))
+		list = append(list, FromValue(v))
 	}
 	return list
 }
@@ -213,7 +215,7 @@
 func toValues(list []*peerpb.Value) []quorum.Value {
 	var values []quorum.Value
 	for _, m := range list {
-		values = append(values, toValue(m))
+		values = append(values, ToValue(m))
 	}
 	return values
 }
@@ -241,7 +243,7 @@
 	}
 	for _, r := range s.Registers {
 		m.Registers = append(m.Registers, &peerpb.Register{
-			Name: r.Name, Promised: fromBallot(r.Promised), Accepted: fromBallot(r.Accepted), Value: fromValue(r.Value),
+			Name: r.Name, Promised: fromBallot(r.Promised), Accepted: fromBallot(r.Accepted), Value: FromValue(r.Value),
 		})
 	}
 	return m
@@ -254,7 +256,7 @@
 	}
 	for _, r := range m.GetRegisters() {
 		s.Registers = append(s.Registers, quorum.Register{
-			Name: r.GetName(), Promised: toBallot(r.GetPromised()), Accepted: toBallot(r.GetAccepted()), Value: toValue(r.GetValue()),
+			Name: r.GetName(), Promised: toBallot(r.GetPromised()), Accepted: toBallot(r.GetAccepted()), Value: ToValue(r.GetValue()),
 		})
 	}
 	return s
--- /dev/null
+++ b/io/place/convert.go
@@ -0,0 +1,101 @@
+package place
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/route"
+	"cardamomspool/core/spec"
+	"cardamomspool/core/wire"
+	"cardamomspool/io/peer/peerpb"
+)
+
+// errDecision reports a decision of an unknown kind.
+var errDecision = errors.New("place: decision of an unknown kind")
+
+func fromArrive(service string, e engine.Arrive, now time.Time) *peerpb.CallEvent {
+	return &peerpb.CallEvent{Call: e.Call, Service: service, Event: &peerpb.CallEvent_Arrive{Arrive: &peerpb.CallArrive{
+		LeftMs: uint32(max(e.Deadline.Sub(now), 0).Milliseconds()), AimMs: uint32(e.Class.Aim.Milliseconds()),
+		Rank: uint32(max(e.Class.Rank, 0)), Attempts: uint32(max(e.Class.Attempts, 0)), Idempotent: e.Class.Idempotent,
+		Weight: uint32(max(e.Class.Weight, 0)), DataCentre: e.DataCentre,
+	}}}
+}
+
+func toArrive(call uint64, m *peerpb.CallArrive, now time.Time) engine.Arrive {
+	left := time.Duration(m.GetLeftMs()) * time.Millisecond
+	return engine.Arrive{
+		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(),
+		Class: spec.Class{
+			Weight: int(m.GetWeight()), Deadline: left, Idempotent: m.GetIdempotent(), Rank: int(m.GetRank()),
+			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()),
+		},
+	}
+}
+
+func fromFinish(e engine.Finish) *peerpb.CallEvent {
+	m := &peerpb.CallFinish{
+		Result: uint32(e.Result), Replayable: e.Replayable, Ending: uint32(e.Feedback.Ending),
+		Drains: e.Feedback.Drains, Gone: e.Feedback.Gone,
+	}
+	if e.Feedback.Reported {
+		l := e.Feedback.Load
+		m.Report = &peerpb.LoadReport{Running: uint32(l.Running), Queued: uint32(l.Queued), Slots: uint32(l.Slots), Speed: uint32(l.Pace)}
+	}
+	return &peerpb.CallEvent{Call: e.Call, Event: &peerpb.CallEvent_Finish{Finish: m}}
+}
+
+func toFinish(call uint64, m *peerpb.CallFinish) engine.Finish {
+	f := route.Feedback{Ending: route.Ending(m.GetEnding()), Drains: m.GetDrains(), Gone: m.GetGone()}
+	if l := m.GetReport(); l != nil {
+		f.Reported = true
+		f.Load = wire.Load{Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()), Pace: int(l.GetSpeed())}
+	}
+	return engine.Finish{Call: call, Result: engine.Result(m.GetResult()), Replayable: m.GetReplayable(), Feedback: f}
+}
+
+// fromAction returns the message of a decision about the call that the entry
+// host knows as call.
+func fromAction(call uint64, a engine.Action) *peerpb.CallDecision {
+	m := &peerpb.CallDecision{Call: call}
+	switch a := a.(type) {
+	case engine.Send:
+		m.Decision = &peerpb.CallDecision_Send{Send: &peerpb.CallSend{
+			Target: a.Target, Address: a.Address.String(), Attempt: uint32(a.Attempt), Candidates: uint32(a.Candidates),
+			Why: string(a.Why), InFlight: uint32(a.InFlight), ReportAgeUs: a.ReportAge.Microseconds(), HeldUs: a.Held.Microseconds(),
+		}}
+	case engine.Refuse:
+		m.Decision = &peerpb.CallDecision_Refuse{Refuse: &peerpb.CallRefuse{
+			Reason: string(a.Reason), NotRun: a.NotRun, RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
+		}}
+	case engine.Hold:
+		m.Decision = &peerpb.CallDecision_Hold{Hold: &peerpb.CallHold{}}
+	}
+	return m
+}
+
+func toAction(m *peerpb.CallDecision) (engine.Action, error) {
+	switch d := m.GetDecision().(type) {
+	case *peerpb.CallDecision_Send:
+		address, err := netip.ParseAddrPort(d.Send.GetAddress())
+		if err != nil {
+			return nil, errors.Wrap(err, "place: target address")
+		}
+		return engine.Send{
+			Call: m.GetCall(), Target: d.Send.GetTarget(), Address: address, Attempt: int(d.Send.GetAttempt()),
+			Candidates: int(d.Send.GetCandidates()), Why: route.Why(d.Send.GetWhy()), InFlight: int(d.Send.GetInFlight()),
+			ReportAge: time.Duration(d.Send.GetReportAgeUs()) * time.Microsecond,
+			Held:      time.Duration(d.Send.GetHeldUs()) * time.Microsecond,
+		}, nil
+	case *peerpb.CallDecision_Refuse:
+		return engine.Refuse{
+			Call: m.GetCall(), Reason: engine.Reason(d.Refuse.GetReason()), NotRun: d.Refuse.GetNotRun(),
+			RetryAfter: time.Duration(d.Refuse.GetRetryAfterMs()) * time.Millisecond,
+		}, nil
+	case *peerpb.CallDecision_Hold:
+		return engine.Hold{Call: m.GetCall()}, nil
+	}
+	return nil, errDecision
+}
--- /dev/null
+++ b/io/probe/http.go
@@ -0,0 +1,57 @@
+package probe
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/route"
+	"cardamomspool/core/wire"
+)
+
+const (
+	idleTimeout = 30 * time.Second
+	// maxBody bounds what is read of the body of a health check.
+	maxBody = 4 << 10
+)
+
+// HTTP returns an Ask that sends a GET request over a kept connection to each
+// target and reads the answer in the given dialect.
+func HTTP(dialect wire.Dialect) Ask {
+	dialer := &net.Dialer{Timeout: timeout}
+	client := &http.Client{
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return func(ctx context.Context, target member.Record, path string) route.Probe {
+		var (
+			r      *http.Request
+			answer *http.Response
+			err    error
+		)
+		if r, err = http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address.String()+path, nil); err != nil {
+			return route.Probe{Result: route.ProbeLost}
+		}
+		if answer, err = client.Do(r); err != nil {
+			return route.Probe{Result: route.ProbeLost}
+		}
+		defer answer.Body.Close()
+		if _, err = io.CopyN(io.Discard, answer.Body, maxBody); err != nil && err != io.EOF {
+			return route.Probe{Result: route.ProbeLost}
+		}
+		h := dialect.Health(answer.StatusCode, answer.Header, target.Target)
+		result := route.Probe{Result: route.ProbeIll, Load: h.Load, Reported: h.Reported}
+		switch {
+		case h.Gone:
+			result = route.Probe{Result: route.ProbeGone}
+		case h.Well:
+			result.Result = route.ProbeWell
+		}
+		return result
+	}
+}
--- /dev/null
+++ b/io/probe/probe.go
@@ -0,0 +1,108 @@
+package probe
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/member"
+	"cardamomspool/core/route"
+	"cardamomspool/io/telem"
+)
+
+type (
+	// Ask probes one target once, within the time of ctx.
+	Ask func(ctx context.Context, target member.Record, path string) route.Probe
+
+	// Prober probes the targets of one service. Use New.
+	Prober struct {
+		ctx      context.Context
+		cancel   context.CancelFunc
+		ask      Ask
+		path     string
+		interval time.Duration
+		report   func(engine.Report)
+		metrics  *telem.Set
+
+		mu     sync.Mutex
+		active map[member.Key]probed
+	}
+
+	// probed is a target that is being probed.
+	probed struct {
+		incarnation uint64
+		stop        context.CancelFunc
+	}
+)
+
+// timeout bounds a probe; a target's health check answers at once unless
+// something is wrong.
+const timeout = 250 * time.Millisecond
+
+// New returns a prober that asks for path every interval until ctx ends.
+func New(ctx context.Context, ask Ask, path string, interval time.Duration, report func(engine.Report), metrics *telem.Set) *Prober {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Prober{
+		ctx: ctx, cancel: cancel, ask: ask, path: path, interval: interval, report: report, metrics: metrics,
+		active: make(map[member.Key]probed),
+	}
+}
+
+// SetTargets replaces the targets. Those that leave are probed no longer.
+func (p *Prober) SetTargets(records []member.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := make(map[member.Key]uint64, len(records))
+	for _, r := range records {
+		if r.State <= member.Ready {
+			keep[r.Key] = r.Incarnation
+		}
+	}
+	for key, v := range p.active {
+		if incarnation, ok := keep[key]; !ok || incarnation != v.incarnation {
+			v.stop()
+			delete(p.active, key)
+		}
+	}
+	for _, r := range records {
+		if _, ok := p.active[r.Key]; ok || r.State > member.Ready {
+			continue
+		}
+		ctx, stop := context.WithCancel(p.ctx)
+		p.active[r.Key] = probed{incarnation: r.Incarnation, stop: stop}
+		go p.run(ctx, r)
+	}
+}
+
+// Stop ends all probes.
+func (p *Prober) Stop() {
+	p.cancel()
+}
+
+// run probes one target until ctx ends.
+func (p *Prober) run(ctx context.Context, target member.Record) {
+	timer := time.NewTimer(rand.N(p.interval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		begin := time.Now()
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		result := p.ask(limited, target, p.path)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		p.metrics.Count("probes").Add(1)
+		if result.Result == route.ProbeLost {
+			p.metrics.Count("probes_lost").Add(1)
+		}
+		p.report(engine.Report{Target: target.Target, Probe: result})
+		timer.Reset(max(p.interval-time.Since(begin), p.interval/4))
+	}
+}
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -30,6 +30,8 @@
 		PeerAddress netip.AddrPort `json:"peer_address"`
 		// Controls lists all control hosts.
 		Controls []Peer `json:"controls"`
+		// Fleet replaces the lists of other hosts by seeds.
+		Fleet Fleet `json:"fleet"`
 	}
 
 	// Peer is another host of the system.
@@ -160,7 +162,9 @@
 	var f strict.Faults
 	s.validate(&f)
 	checkAddress(&f, "call_address", s.CallAddress)
-	checkAddress(&f, "announce_address", s.AnnounceAddress)
+	if !s.Fleet.Enabled() {
+		checkAddress(&f, "announce_address", s.AnnounceAddress)
+	}
 	checkPeers(&f, "entries", s.Entries)
 	f.Span("tick", s.Tick, MinTick, MaxTick)
 	f.Span("announce_interval", s.AnnounceInterval, MinInterval, MaxInterval)
@@ -181,7 +185,7 @@
 	if s.OperatorTokenFile == "" && s.AdminAddress.IsValid() && !s.AdminAddress.Addr().IsLoopback() {
 		f.Add("operator_token_file", "must be set unless admin_address is a loopback address")
 	}
-	found := false
+	found := s.Fleet.Enabled()
 	for _, p := range s.Controls {
 		found = found || p.Host == s.Host
 	}
@@ -203,6 +207,10 @@
 	}
 	checkAddress(f, "admin_address", c.AdminAddress)
 	checkAddress(f, "peer_address", c.PeerAddress)
+	c.Fleet.validate(f)
+	if c.Fleet.Enabled() {
+		return
+	}
 	f.Range("controls (number of entries)", len(c.Controls), 1, MaxControls)
 	checkPeers(f, "controls", c.Controls)
 }
