Keep views apart: a chosen value belongs to the view it was chosen in

Cause: a host that learnt the last value of a view counted the next epoch from the board, which may already show it, and went one view too far; members of the first view had no disk in the next and recovered instead of inheriting; the votes of a view were started twice, the second time as blank.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -45,6 +45,9 @@
 		front    *drain.Server
 		// moves takes the views to change to, newest last.
 		moves chan feed.View
+		// present is the view of the host's node; it is guarded by the host's
+		// step mutex.
+		present feed.View
 
 		mu    sync.Mutex
 		seeds []netip.AddrPort
@@ -231,7 +234,8 @@
 	h.fleet.seeds = seeds
 }
 
-// learn takes in newly chosen values. It is called within a step.
+// learn takes in newly chosen values of the present view. The caller holds the
+// host's step mutex.
 func (f *fleet) learn(values []quorum.Value) {
 	for _, v := range values {
 		if v.Name != planName {
@@ -241,7 +245,7 @@
 		if len(v.Next) == 0 {
 			continue
 		}
-		if next, err := nextView(f.board.View(), v); err != nil {
+		if next, err := nextView(f.present, v); err != nil {
 			f.host.log.Error("next view not understood", "error", err)
 		} else {
 			f.moves <- next
@@ -285,7 +289,7 @@
 	}
 	if !view.Has(f.self()) {
 		h.log.Info("control host does not vote in this view", "epoch", view.Epoch)
-		h.setNode(nil, nil)
+		f.setNode(nil, nil, view)
 		return nil
 	}
 	var (
@@ -311,19 +315,17 @@
 	if node, err = quorum.NewNode(f.self().String(), names, random(), quorum.WithEpoch(view.Epoch)); err != nil {
 		return err
 	}
-	h.step.Lock()
-	h.votes = folder
-	saved, err = h.restore()
-	h.step.Unlock()
-	if err != nil {
+	if saved, err = h.restore(folder); err != nil {
 		return err
 	}
 	if saved, err = f.inherit(folder, view, saved); err != nil {
 		return err
 	}
-	h.setNode(node, folder)
+	f.setNode(node, folder, view)
 	h.log.Info("control host enters view", "epoch", view.Epoch, "members", view.Names(), "registers", len(saved.Registers))
 	h.run(func(now time.Time) quorum.Output { return node.Start(now, saved) })
+	h.step.Lock()
+	defer h.step.Unlock()
 	for _, l := range saved.Learnt {
 		f.learn([]quorum.Value{l.Chosen})
 	}
@@ -354,11 +356,33 @@
 
 // setNode replaces the node that votes; nil votes no longer. Whoever waits for
 // the former one is told that the outcome is not known.
-func (h *Host) setNode(node *quorum.Node, folder *disk.Folder) {
+func (f *fleet) setNode(node *quorum.Node, folder *disk.Folder, view feed.View) {
+	h := f.host
 	h.step.Lock()
 	defer h.step.Unlock()
 	h.abandon(quorum.ErrNoMajority)
-	h.node, h.votes = node, folder
+	f.closeVotes()
+	h.node, h.votes, f.present = node, folder, view
+}
+
+// close releases the folder of the present view.
+func (f *fleet) close() {
+	f.host.step.Lock()
+	defer f.host.step.Unlock()
+	f.closeVotes()
+}
+
+// closeVotes closes the folder of the present view. The caller holds the host's
+// step mutex.
+func (f *fleet) closeVotes() {
+	h := f.host
+	if h.votes == nil || h.votes == h.folder {
+		return
+	}
+	if err := h.votes.Close(); err != nil {
+		h.log.Error("folder of the view closed badly", "epoch", f.present.Epoch, "error", err)
+	}
+	h.votes = nil
 }
 
 // PutPlan puts a plan in force and returns once a majority holds it on disk,
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -134,6 +134,9 @@
 // the host must then give no more votes. The data folder is closed on return.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.folder.Close()
+	if h.fleet != nil {
+		defer h.fleet.close()
+	}
 	var (
 		saved                       quorum.Saved
 		peerListener, adminListener net.Listener
@@ -143,7 +146,7 @@
 		if err = h.fleet.open(); err != nil {
 			return err
 		}
-	} else if saved, err = h.restore(); err != nil {
+	} else if saved, err = h.restore(h.folder); err != nil {
 		return err
 	}
 	if peerListener, err = net.Listen("tcp", h.cfg.PeerAddress.String()); err != nil {
@@ -172,8 +175,9 @@
 			adminListener.Close()
 			return err
 		}
+	} else {
+		h.do(func(now time.Time) quorum.Output { return h.node.Start(now, saved) })
 	}
-	h.do(func(now time.Time) quorum.Output { return h.node.Start(now, saved) })
 	go func() { h.fail(peers.Serve(peer.CountListener(peerListener, h.peerTraffic()))) }()
 	go func() { h.fail(api.Serve(adminListener)) }()
 	go h.tick(work)
--- a/io/ctrl/restore.go
+++ b/io/ctrl/restore.go
@@ -28,25 +28,25 @@
 	}
 }
 
-// restore reads the data folder. Corrupt files are set aside: a corrupt vote
+// restore reads a folder of votes. Corrupt files are set aside: a corrupt vote
 // makes the host recover, a corrupt learnt value is fetched again. Other
 // errors of the disk are returned.
-func (h *Host) restore() (quorum.Saved, error) {
+func (h *Host) restore(folder *disk.Folder) (quorum.Saved, error) {
 	var (
 		saved quorum.Saved
 		names []string
 		err   error
 	)
-	if names, err = h.votes.Names(); err != nil {
+	if names, err = folder.Names(); err != nil {
 		return saved, err
 	}
 	for _, name := range names {
-		err = h.restoreFile(name, &saved)
+		err = h.restoreFile(folder, name, &saved)
 		if errors.Is(err, disk.ErrCorrupt) {
 			saved.Damaged = saved.Damaged || !strings.HasPrefix(name, learntPrefix)
 			h.log.Error("corrupt file counts as lost and is set aside", "file", name, "error", err)
 			h.metrics.Count("corrupt_files").Add(1)
-			err = h.votes.SetAside(name)
+			err = folder.SetAside(name)
 		}
 		if err != nil {
 			return saved, err
@@ -56,7 +56,7 @@
 		// Marks the loss, should this process end before it has recovered.
 		lost := *saved.Identity
 		lost.Stage = quorum.StageDamaged
-		if err = h.votes.Save(identityFile, lost); err != nil {
+		if err = folder.Save(identityFile, lost); err != nil {
 			return saved, err
 		}
 	}
@@ -64,17 +64,17 @@
 	return saved, nil
 }
 
-func (h *Host) restoreFile(name string, saved *quorum.Saved) error {
+func (h *Host) restoreFile(folder *disk.Folder, name string, saved *quorum.Saved) error {
 	switch {
 	case name == identityFile:
 		var id quorum.Identity
-		if err := h.votes.Load(name, &id); err != nil {
+		if err := folder.Load(name, &id); err != nil {
 			return err
 		}
 		saved.Identity = &id
 	case strings.HasPrefix(name, votePrefix):
 		var r quorum.Register
-		if err := h.votes.Load(name, &r); err != nil {
+		if err := folder.Load(name, &r); err != nil {
 			return err
 		}
 		if fileName(r) != name {
@@ -83,14 +83,16 @@
 		saved.Registers = append(saved.Registers, r)
 	case strings.HasPrefix(name, learntPrefix):
 		var l quorum.Learnt
-		if err := h.votes.Load(name, &l); err != nil {
+		if err := folder.Load(name, &l); err != nil {
 			return err
 		}
 		if fileName(l) != name {
 			return errors.Wrap(disk.ErrCorrupt, name)
 		}
 		saved.Learnt = append(saved.Learnt, l)
+		h.mu.Lock()
 		h.learnt[l.Chosen.Name] = l
+		h.mu.Unlock()
 	}
 	return nil
 }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -80,8 +80,8 @@
 			return // That host proposes.
 		}
 	}
-	next := nextMembers(view, lost, f.candidates(view, now))
-	if next == nil {
+	next := nextMembers(f.withDisks(view), lost, f.candidates(view, now))
+	if next == nil || slices.ContainsFunc(next, func(m feed.Member) bool { return m.Disk == 0 }) {
 		return
 	}
 	names := (&feed.View{Members: next}).Names()
@@ -95,6 +95,23 @@
 	}
 }
 
+// withDisks returns the view with the present disks of its members, as far as
+// they are known. The first view names none, and a member that has recovered
+// has another one.
+func (f *fleet) withDisks(view feed.View) feed.View {
+	view.Members = slices.Clone(view.Members)
+	for i, m := range view.Members {
+		id := f.disk
+		if m.Host != f.self() {
+			id = f.board.Control(netip.AddrPortFrom(m.Host, f.host.cfg.PeerAddress.Port())).Disk
+		}
+		if id != 0 {
+			view.Members[i].Disk = id
+		}
+	}
+	return view
+}
+
 // candidates returns the control hosts that could vote and do not, those seen
 // the longest first.
 func (f *fleet) candidates(view feed.View, now time.Time) []feed.Member {
