--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -8,11 +8,13 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/telem"
 )
@@ -25,6 +27,7 @@
 		evidence *evidence
 		log      *slog.Logger
 		metrics  *telem.Set
+		stopping atomic.Bool // The host stops, so that calls should end as they are.
 	}
 
 	// answerWriter gives the caller its answer.
@@ -38,8 +41,10 @@
 const (
 	copyBufferBytes = 32 << 10
 	// silenceLimit is how long a connection may stay without any byte of an
-	// answer until the idle connections beside it are no longer trusted.
+	// answer until the idle connections beside it are no longer trusted. Calls
+	// that aim at a later answer wait silenceAims times as long as they aim.
 	silenceLimit = 300 * time.Millisecond
+	silenceAims  = 2
 	// maxRefusalBytes bounds the body of a target's refusal that is read so
 	// that its connection can be used again.
 	maxRefusalBytes = 4 << 10
@@ -144,26 +149,34 @@
 		return func() {}
 	}
 	doubtful := l.heardBefore(l.begun.Add(-trustAge))
+	limit := silenceOf(c.class)
 	var timer *time.Timer
-	timer = time.AfterFunc(silenceLimit, func() {
+	timer = time.AfterFunc(limit, func() {
 		since, silent := l.silentSince()
 		if !silent {
 			return
 		}
-		if wait := silenceLimit - time.Since(since); wait > 0 {
+		if wait := limit - time.Since(since); wait > 0 {
 			timer.Reset(wait)
 			return
 		}
+		abandon := doubtful && c.class.Idempotent && !x.stopping.Load()
 		n := x.pool.retire(s.Address, since)
 		x.metrics.Count("connections_silent").Add(1)
-		x.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", doubtful && c.class.Idempotent)
-		if doubtful && c.class.Idempotent {
+		x.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", abandon)
+		if abandon {
 			l.seal()
 		}
 	})
 	return func() { timer.Stop() }
 }
 
+// silenceOf returns how long a call waits for the first byte of an answer
+// until it takes the connection for silent.
+func silenceOf(class spec.Class) time.Duration {
+	return max(silenceLimit, silenceAims*class.Aim)
+}
+
 // checkAnswer returns why an answer can not be the final answer to the call.
 func checkAnswer(answer *http.Response, heard wire.Heard) error {
 	if answer.StatusCode < http.StatusOK {
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -175,6 +175,7 @@
 // caller to leave its connection.
 func (h *Host) drain(failed <-chan error) error {
 	h.draining.Store(true)
+	h.exchange.stopping.Store(true)
 	h.log.Info("entry host drains", "delay", h.cfg.DrainDelay.Std().String(), "calls_open", h.openCalls.Load())
 	select {
 	case <-time.After(h.cfg.DrainDelay.Std()):
--- a/io/entry/link_test.go
+++ b/io/entry/link_test.go
@@ -473,3 +473,36 @@
 		})
 	}
 }
+
+// TestSlowTargetIsNotLeftWhileTheHostStops has an idempotent call wait, on a
+// connection that was idle for long, for a target that is slower than the
+// silence limit, while the host stops: the call is answered, by one attempt.
+func TestSlowTargetIsNotLeftWhileTheHostStops(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var requests atomic.Int64
+	target := newRawTarget(t, func(c *rawConn) {
+		for c.request() != nil {
+			if requests.Add(1) > 1 {
+				time.Sleep(3 * silenceLimit)
+			}
+			c.say(ok)
+		}
+	})
+	b := newBench(t, manyRetries, target.address)
+	c := b.dial(t)
+	answer, _ := c.call(t, keptGet)
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+	time.Sleep(trustAge + 100*time.Millisecond)
+	time.AfterFunc(silenceLimit/2, b.stop)
+	answer, _ = c.call(t, keptGet)
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK), b.logs.String())
+	g.Expect(requests.Load()).To(gomega.BeEquivalentTo(2))
+}
+
+// A call whose answer is only due after a while waits longer for a first byte.
+func TestSilenceLimitGrowsWithTheAim(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(silenceOf(spec.Class{})).To(gomega.Equal(silenceLimit))
+	g.Expect(silenceOf(spec.Class{Aim: 100 * time.Millisecond})).To(gomega.Equal(silenceLimit))
+	g.Expect(silenceOf(spec.Class{Aim: time.Second})).To(gomega.Equal(2 * time.Second))
+}
