Recall the targets after a restart of all control hosts

Control hosts write the targets when they change and recall them. Ruled out: start-up time of the processes (0.1 s).

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -138,6 +138,9 @@
 		}
 	}
 	f.disk = id.Disk
+	if err := f.recall(); err != nil {
+		return err
+	}
 	if err := f.load(viewFile, &view); err != nil {
 		return err
 	}
@@ -214,6 +217,7 @@
 	go f.follower.Run(work)
 	go f.places.Run(work)
 	go f.watchViews(work)
+	go f.remember(work)
 	return nil
 }
 
--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -14,8 +14,10 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
+	"cardamomspool/core/roster"
 	"cardamomspool/core/strict"
 	"cardamomspool/io/ctrl"
 	"cardamomspool/io/ports"
@@ -227,6 +229,30 @@
 		}
 	})
 
+	ginkgo.It("know the targets again at once when all were killed", func() {
+		s := newSystem(3)
+		for i := range 3 {
+			s.start(i, true)
+		}
+		s.put(1)
+		t := roster.Target{
+			ID: "t", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Slots: 3, State: member.Ready,
+			Born: time.UnixMilli(1), Sequence: 4, Heard: time.Now(),
+		}
+		gomega.Expect(s.hosts[0].host.Announce(context.Background(), t)).To(gomega.Succeed())
+		time.Sleep(time.Second) // Twice the time between two writes.
+		for i := range 3 {
+			s.halt(i)
+		}
+		for i := range 3 {
+			s.start(i, false)
+		}
+		gomega.Eventually(func() member.State {
+			known, _ := s.hosts[2].host.Target("t")
+			return known.State
+		}, time.Second, pollPeriod).Should(gomega.Equal(member.Ready))
+	})
+
 	ginkgo.It("answer nothing without a majority", func() {
 		s := newSystem(3)
 		for i := range 3 {
