Hold a call only while it can still be answered in time

A call now waits until its aim less the mean answer time; one that has come back late goes behind the others. Ruled out: a hard limit at the knee of a target.

--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -54,6 +54,13 @@
 	// refused. A shed costs no retry budget: the target did not run the call,
 	// and is left alone for a while.
 	maxSheds = 100
+	// leastWaitPart is the part of its aim that a call may wait in any case:
+	// a short wait costs its caller nothing.
+	leastWaitPart = 8
+	// lateWaitPart is the part of its aim that a late call may wait.
+	lateWaitPart = 4
+	// lateRank puts late calls behind all ranks that plans use.
+	lateRank = 1000
 	// overdueMeans is the number of mean answer times that a target must have
 	// had before a passed deadline counts against it.
 	overdueMeans = 4
@@ -293,12 +300,24 @@
 
 // held returns the queue's entry for a call. It waits until the longest wait
 // is over, or until a call sent then would not end before its deadline.
+//
+// A call with an aim waits only as long as it can still be answered within it:
+// when more calls come than the targets can answer, those that are sent are
+// then in time, and the others are told early when to come back. Calls that
+// are late already go behind those that are not, and wait for a short while.
 func (s *Service) held(id uint64, c *call) admit.Held {
-	until := c.arrived.Add(s.doc.Hold.LongestWait.Std())
+	wait, rank := s.doc.Hold.LongestWait.Std(), c.class.Rank
+	switch aim := c.class.Aim; {
+	case c.class.Late:
+		wait, rank = min(wait, aim/lateWaitPart), rank+lateRank
+	case aim > 0:
+		wait = min(wait, max(aim-s.targets.Mean(), aim/leastWaitPart))
+	}
+	until := c.arrived.Add(wait)
 	if last := c.deadline.Add(-s.targets.Mean()); last.Before(until) {
 		until = last
 	}
-	return admit.Held{Call: id, Weight: c.class.Weight, Until: until, Rank: c.class.Rank, Patient: c.class.Patient}
+	return admit.Held{Call: id, Weight: c.class.Weight, Until: until, Rank: rank, Patient: c.class.Patient}
 }
 
 // wait estimates the time until ahead calls and one more have left the queue.
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -138,9 +138,12 @@
 		Patient bool
 		// Rank orders calls that wait, before Patient; 0 goes first.
 		Rank int
-		// Aim is the time within which an answer has its full worth; 0 when
-		// it does not matter.
+		// Aim is the time from arrival within which an answer has its full
+		// worth; 0 when it does not matter.
 		Aim time.Duration
+		// Late says that the caller has come back after an earlier attempt and
+		// that no answer can have its full worth any more.
+		Late bool
 		// Attempts is the most attempts of the call; 0 leaves it to Retry.
 		Attempts int
 	}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -35,10 +35,13 @@
 		seeds []netip.AddrPort
 	}
 
-	// routes is an unchanging view of the plan in force.
+	// routes is the plan in force.
 	routes struct {
 		plan  *plan.Plan
 		table *plan.Table
+		// patience holds how long callers wait, by route: the longest time
+		// that one has named. Those who come back name less.
+		patience sync.Map // *plan.Route to time.Duration
 	}
 )
 
@@ -52,6 +55,10 @@
 	// a call: some ten times the way there and back.
 	answerLimit = 60 * time.Millisecond
 
+	// lateShare is the part of its aim that a caller may have spent before
+	// and still be answered in time; work alone takes about the rest.
+	lateShare = 2
+
 	// An entry host that decides for itself sees a small part of the calls, so
 	// it gives a target one call at a time and sends none again.
 	aloneSlots    = 1
@@ -185,10 +192,28 @@
 	}
 	if told.Patience > 0 {
 		class.Deadline = min(class.Deadline, told.Patience)
+		v.age(route, told.Patience, &class)
 	}
 	return s, class, nil
 }
 
+// age takes from the aim of a call the time that its caller has already spent
+// on earlier attempts.
+func (v *routes) age(route *plan.Route, patience time.Duration, class *spec.Class) {
+	longest, _ := v.patience.Load(route)
+	most, _ := longest.(time.Duration)
+	if patience >= most {
+		v.patience.Store(route, patience)
+		return
+	}
+	spent := most - patience
+	if spent >= class.Aim/lateShare {
+		class.Late = true
+		return
+	}
+	class.Aim -= spent
+}
+
 // guide hands a call to the control host that decides for its service, and
 // reports false when there is none.
 func (f *fleet) guide(c *call, now time.Time) bool {
