Give up connection attempts after 300 ms; keep views odd

Views grew to four members when a host that the status of the former view showed as lost was no member of the present one; red first in the table of next views.

--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -59,12 +59,8 @@
 // propose ends the view when another one suits the hosts that are alive
 // better. Only the first voting host that hears a majority does.
 func (f *fleet) propose(ctx context.Context, now time.Time) {
-	view := f.board.View()
-	if !view.Has(f.self()) {
-		return
-	}
-	status := f.host.Status()
-	if !status.Current {
+	view, status, ok := f.standing(now)
+	if !ok || !status.Current {
 		return
 	}
 	var lost []netip.Addr
@@ -95,6 +91,17 @@
 	}
 }
 
+// standing returns the view that this host votes in with the status of its
+// node, and false when it votes in none.
+func (f *fleet) standing(now time.Time) (feed.View, quorum.Status, bool) {
+	f.host.step.Lock()
+	defer f.host.step.Unlock()
+	if f.host.node == nil {
+		return feed.View{}, quorum.Status{}, false
+	}
+	return f.present, f.host.node.Status(now), true
+}
+
 // withDisks returns the view with the present disks of its members, as far as
 // they are known. The first view names none, and a member that has recovered
 // has another one.
@@ -146,6 +153,9 @@
 		if len(candidates) == 0 {
 			break
 		}
+		if !view.Has(host) {
+			continue
+		}
 		next = slices.DeleteFunc(next, func(m feed.Member) bool { return m.Host == host })
 		next = append(next, candidates[0])
 		candidates, changed = candidates[1:], true
--- /dev/null
+++ b/io/ctrl/view_test.go
@@ -0,0 +1,43 @@
+package ctrl
+
+import (
+	"net/netip"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cardamomspool/io/feed"
+)
+
+func members(numbers ...byte) []feed.Member {
+	var list []feed.Member
+	for _, n := range numbers {
+		list = append(list, feed.Member{Host: netip.AddrFrom4([4]byte{10, 0, 0, n}), Disk: uint64(n)})
+	}
+	return list
+}
+
+func hosts(numbers ...byte) []netip.Addr {
+	var list []netip.Addr
+	for _, m := range members(numbers...) {
+		list = append(list, m.Host)
+	}
+	return list
+}
+
+var _ = ginkgo.DescribeTable("The members of the next view",
+	func(present []feed.Member, lost []netip.Addr, candidates, want []feed.Member) {
+		next := nextMembers(feed.View{Epoch: 1, Members: present}, lost, candidates)
+		gomega.Expect(next).To(gomega.Equal(want))
+	},
+	ginkgo.Entry("stay when nothing has changed", members(1, 2, 3), hosts(), members(), nil),
+	ginkgo.Entry("stay odd when one host could join", members(1, 2, 3), hosts(), members(4), nil),
+	ginkgo.Entry("grow by two", members(1, 2, 3), hosts(), members(4, 5), members(1, 2, 3, 4, 5)),
+	ginkgo.Entry("grow by four", members(1, 2, 3), hosts(), members(7, 6, 5, 4), members(1, 2, 3, 4, 5, 6, 7)),
+	ginkgo.Entry("stay at the greatest number", members(1, 2, 3, 4, 5, 6, 7), hosts(), members(8, 9), nil),
+	ginkgo.Entry("begin from one", members(1), hosts(), members(2, 3), members(1, 2, 3)),
+	ginkgo.Entry("even out an even number", members(1, 2), hosts(), members(3), members(1, 2, 3)),
+	ginkgo.Entry("replace a lost host", members(1, 2, 3), hosts(3), members(4), members(1, 2, 4)),
+	ginkgo.Entry("keep a lost host that none can replace", members(1, 2, 3), hosts(3), members(), nil),
+	ginkgo.Entry("pass over a lost host that is no member", members(1, 2, 4), hosts(3), members(3), nil),
+)
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -31,7 +31,9 @@
 )
 
 const (
-	connectTimeout = time.Second
+	// connectTimeout is some ten times the way between regions and back. TCP
+	// sends a lost opening packet again only after a second.
+	connectTimeout = 300 * time.Millisecond
 	firstRetry     = 100 * time.Millisecond
 	longestRetry   = time.Second
 	retryGrowth    = 1.6
