--- /dev/null
+++ b/core/plan/plan_test.go
@@ -0,0 +1,109 @@
+package plan_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/plan"
+	"cardamomspool/core/strict"
+)
+
+func TestPlans(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Plans")
+}
+
+func route(name, host, prefix string, parts ...plan.Part) plan.Route {
+	return plan.Route{
+		Name: name, Host: host, PathPrefix: prefix, Timeout: strict.Duration(time.Second), Attempts: 2, Parts: parts,
+	}
+}
+
+func valid() plan.Plan {
+	return plan.Plan{
+		Version:  3,
+		Routes:   []plan.Route{route("r", "shop.example", "/a/", plan.Part{Service: "s", Weight: 1})},
+		Services: []plan.Service{{Name: "s"}},
+	}
+}
+
+var _ = ginkgo.DescribeTable("A plan is refused",
+	func(change func(*plan.Plan)) {
+		p := valid()
+		gomega.Expect(p.Validate()).To(gomega.BeEmpty())
+		change(&p)
+		gomega.Expect(p.Validate()).NotTo(gomega.BeEmpty())
+	},
+	ginkgo.Entry("without a version", func(p *plan.Plan) { p.Version = 0 }),
+	ginkgo.Entry("with an unknown service", func(p *plan.Plan) { p.Routes[0].Parts[0].Service = "other" }),
+	ginkgo.Entry("with a negative weight", func(p *plan.Plan) { p.Routes[0].Parts[0].Weight = -1 }),
+	ginkgo.Entry("with a timeout above ten minutes", func(p *plan.Plan) { p.Routes[0].Timeout = strict.Duration(plan.MaxTimeout + 1) }),
+	ginkgo.Entry("without a timeout", func(p *plan.Plan) { p.Routes[0].Timeout = 0 }),
+	ginkgo.Entry("without attempts", func(p *plan.Plan) { p.Routes[0].Attempts = 0 }),
+	ginkgo.Entry("without a host", func(p *plan.Plan) { p.Routes[0].Host = "" }),
+	ginkgo.Entry("without a part", func(p *plan.Plan) { p.Routes[0].Parts = nil }),
+)
+
+var _ = ginkgo.Describe("A table of routes", func() {
+	p := plan.Plan{Routes: []plan.Route{
+		route("short", "shop.example", "/a/"), route("long", "shop.example", "/a/b/"), route("other", "desk.example", "/a/b/"),
+	}}
+	table := plan.NewTable(&p)
+
+	ginkgo.It("finds the longest prefix of the host", func() {
+		gomega.Expect(table.Find("shop.example", "/a/b/c").Name).To(gomega.Equal("long"))
+		gomega.Expect(table.Find("SHOP.example", "/a/c").Name).To(gomega.Equal("short"))
+		gomega.Expect(table.Find("desk.example", "/a/b/").Name).To(gomega.Equal("other"))
+	})
+
+	ginkgo.It("finds nothing for another host or path", func() {
+		gomega.Expect(table.Find("desk.example", "/a/")).To(gomega.BeNil())
+		gomega.Expect(table.Find("none.example", "/a/b/")).To(gomega.BeNil())
+		gomega.Expect(table.Find("shop.example", "/a")).To(gomega.BeNil())
+	})
+})
+
+var _ = ginkgo.Describe("Splits", func() {
+	// The users allow a share to be off by a tenth in 300 calls.
+	ginkgo.It("keep each part's share close to its weight", func() {
+		for seed := range uint64(20) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			r := route("r", "h", "/", plan.Part{Service: "a", Weight: 90}, plan.Part{Service: "b", Weight: 7}, plan.Part{Service: "c", Weight: 0}, plan.Part{Service: "d", Weight: 3})
+			splits := plan.NewSplits(rng)
+			counts := make(map[string]int)
+			const calls = 300
+			for range calls {
+				name, ok := splits.Pick(&r)
+				gomega.Expect(ok).To(gomega.BeTrue())
+				counts[name]++
+			}
+			for _, part := range r.Parts {
+				gomega.Expect(float64(counts[part.Service])/calls).To(gomega.BeNumerically("~", part.Weight/100, 0.02), part.Service)
+			}
+		}
+	})
+
+	ginkgo.It("pick nothing when no part has a weight", func() {
+		r := route("r", "h", "/", plan.Part{Service: "a"})
+		_, ok := plan.NewSplits(rand.New(rand.NewPCG(1, 1))).Pick(&r)
+		gomega.Expect(ok).To(gomega.BeFalse())
+	})
+})
+
+func BenchmarkFind(b *testing.B) {
+	p := plan.Plan{}
+	for i := range 200 {
+		p.Routes = append(p.Routes, route("r", "shop.example", "/a/"+string(rune('a'+i%26))+"/"))
+	}
+	table := plan.NewTable(&p)
+	b.ReportAllocs()
+	for b.Loop() {
+		if table.Find("shop.example", "/a/z/x") == nil {
+			b.Fatal("no route")
+		}
+	}
+}
