Begin the scripts of ctl once their control host listens

Cause: startControl returned before its host listened; with half a second's delay put in, the scripts fail with connection refused, with the wait they pass.

--- a/cmd/cardamomspool/ctl_test.go
+++ b/cmd/cardamomspool/ctl_test.go
@@ -18,6 +18,12 @@
 	"cardamomspool/io/setup"
 )
 
+const (
+	// startLimit is far beyond the time that a control host takes to listen.
+	startLimit = 10 * time.Second
+	startPoll  = 5 * time.Millisecond
+)
+
 // TestCtlScripts runs each script against a control host of its own. CONTROL
 // is its address, DEAD one where nothing listens, LOSSY one that hands requests
 // on and loses the first answer to each change.
@@ -58,7 +64,23 @@
 	env.Setenv("CONTROL", adminAddress.String())
 	env.Setenv("DEAD", dead.String())
 	env.Setenv("LOSSY", l.Addr().String())
-	return nil
+	return awaitListener(adminAddress)
+}
+
+// awaitListener waits until something listens at address: a script must not
+// begin before its control host does.
+func awaitListener(address netip.AddrPort) error {
+	deadline := time.Now().Add(startLimit)
+	for {
+		conn, err := net.Dial("tcp", address.String())
+		if err == nil {
+			return conn.Close()
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(startPoll)
+	}
 }
 
 func freeAddress() netip.AddrPort {
