Interrupt no caller once an attempt has ended; look for unread bytes

Cause of TestStrayBytesReachNoCaller: the library may close a connection to a target, on which stray bytes follow the answer, while the attempt is being let go. The close then took the lock of the ended attempt for a read under way and set a read deadline on the caller's connection, where the next request was: it was answered 504, or the connection ended. Idle connections with unread bytes, an end or a reset are no longer used.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -31,6 +31,9 @@
 		body   *body
 		at     int64
 		closed atomic.Bool
+
+		ending   sync.Mutex // Held while the view is broken off.
+		released bool
 	}
 )
 
@@ -156,9 +159,15 @@
 
 // breakOff ends the view without waiting. A read that waits for the caller is
 // interrupted, and with it the body. The library waits for such a read before
-// it reports that the connection to the target has ended.
+// it reports that the connection to the target has ended. It does nothing once
+// the view is released: the caller may have sent its next request.
 func (v *bodyView) breakOff() {
+	v.ending.Lock()
+	defer v.ending.Unlock()
 	v.closed.Store(true)
+	if v.released {
+		return
+	}
 	if v.body.mu.TryLock() {
 		v.body.mu.Unlock()
 		return
@@ -172,6 +181,9 @@
 // release ends the view and returns once no read is under way.
 func (v *bodyView) release() {
 	v.breakOff()
+	v.ending.Lock()
+	v.released = true
+	v.ending.Unlock()
 	v.body.mu.Lock()
 	defer v.body.mu.Unlock()
 }
--- a/io/entry/dial.go
+++ b/io/entry/dial.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -36,3 +37,30 @@
 	}
 	return failed
 }
+
+// unread reports whether bytes, an end or a reset wait in the socket of a
+// connection to a target. A reader that waits for them may not have run yet.
+func unread(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	var (
+		raw syscall.RawConn
+		err error
+	)
+	if raw, err = tcp.SyscallConn(); err != nil {
+		return true
+	}
+	waiting := false
+	look := func(fd uintptr) {
+		var b [1]byte
+		_, _, failed := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		waiting = !errors.Is(failed, unix.EAGAIN)
+	}
+	// Control, unlike Read, does not wait for the reader.
+	if err = raw.Control(look); err != nil {
+		return true
+	}
+	return waiting
+}
--- a/io/entry/link_test.go
+++ b/io/entry/link_test.go
@@ -506,3 +506,33 @@
 	g.Expect(silenceOf(spec.Class{Aim: 100 * time.Millisecond})).To(gomega.Equal(silenceLimit))
 	g.Expect(silenceOf(spec.Class{Aim: time.Second})).To(gomega.Equal(2 * time.Second))
 }
+
+// TestUnreadBytesAreSeenBeforeARequest has bytes, or an end, lie in the socket
+// of an idle connection while nobody has read them yet.
+func TestUnreadBytesAreSeenBeforeARequest(t *testing.T) {
+	for name, row := range map[string]struct {
+		act  func(*net.TCPConn)
+		want bool
+	}{
+		"nothing":     {func(*net.TCPConn) {}, false},
+		"stray bytes": {func(c *net.TCPConn) { io.WriteString(c, stray) }, true},
+		"end":         {func(c *net.TCPConn) { c.CloseWrite() }, true},
+		"reset":       {func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer l.Close()
+			ours, err := net.Dial("tcp", l.Addr().String())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer ours.Close()
+			theirs, err := l.Accept()
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer theirs.Close()
+			row.act(theirs.(*net.TCPConn))
+			g.Eventually(func() bool { return unread(ours) }, time.Second).Should(gomega.Equal(row.want))
+			g.Consistently(func() bool { return unread(ours) }, 20*time.Millisecond).Should(gomega.Equal(row.want))
+		})
+	}
+}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -73,7 +73,7 @@
 func (p *pool) get(ctx context.Context, address netip.AddrPort, trusted bool) (*link, error) {
 	now := time.Now()
 	for l := p.take(address, trusted, now); l != nil; l = p.take(address, trusted, now) {
-		if l.begin(now) && l.client.Err() == nil {
+		if !unread(l.Conn) && l.begin(now) && l.client.Err() == nil {
 			p.metrics.Count("connections_reused").Add(1)
 			return l, nil
 		}
