--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -62,7 +62,9 @@
 	chosen := parse(&o)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
+	// A second interrupt ends the process at once. A second SIGTERM does not:
+	// whoever sends it also sends SIGKILL when its patience is over.
+	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
 	if chosen == nil {
 		fmt.Fprintln(os.Stderr, errUsage)
 		os.Exit(exitUsage)
--- a/cmd/cardamomspool/reload.go
+++ b/cmd/cardamomspool/reload.go
@@ -19,13 +19,12 @@
 
 // followSettings hands over new seeds when the settings file changes, on
 // SIGHUP and every settingsPeriod, until ctx ends. Other settings need a
-// restart.
+// restart. SIGHUP has no effect afterwards, as the process is then stopping.
 func followSettings(ctx context.Context, log *slog.Logger, path string, present setup.Fleet,
 	load func() (setup.Fleet, error), set func([]netip.AddrPort),
 ) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	for {
