--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -76,9 +76,11 @@
 	placeConns   = 200
 	placeWait    = 10 * time.Second
 	placeBackoff = 100 * time.Millisecond
-	// budgetShare is the share of the retry budget that one deciding host
-	// spends: another may have spent the rest within the same window.
-	budgetShare = 0.5
+	// When another host takes over a service within a window of the retry
+	// budget, both have their own calls and the whole slack: each spends half
+	// of the slack, and leaves a tenth for calls that only the other counts.
+	ratioShare = 0.9
+	slackShare = 0.5
 )
 
 var (
@@ -108,8 +110,8 @@
 	doc.Route = spec.Route{Policy: spec.PolicyFastest}
 	doc.Retry = spec.Retry{
 		Attempts: spec.MaxAttempts, Window: h.cfg.Fleet.RetryWindow,
-		BudgetPercent: int(h.cfg.Fleet.RetryRatio * 100 * budgetShare),
-		Slack:         int(float64(h.cfg.Fleet.RetrySlack) * budgetShare),
+		BudgetPercent: int(h.cfg.Fleet.RetryRatio * 100 * ratioShare),
+		Slack:         int(float64(h.cfg.Fleet.RetrySlack) * slackShare),
 	}
 	doc.Targets = spec.Targets{Slots: placeSlots, Connections: placeConns}
 	return doc
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -30,6 +30,8 @@
 		links    *place.Links
 		splits   *plan.Splits
 		routes   atomic.Pointer[routes]
+		// planned is closed once there is a plan.
+		planned chan struct{}
 
 		mu    sync.Mutex
 		seeds []netip.AddrPort
@@ -49,6 +51,9 @@
 	reasonNoPlan  = "no_plan"
 	reasonNoPart  = "no_part"
 	reasonNoGuide = "decision_lost"
+	// planWait is how long a call waits for the first plan: a few times what
+	// it takes to connect to a control host.
+	planWait = 250 * time.Millisecond
 	// planRetry is when a caller may come back to a host that has no plan.
 	planRetry = 200 * time.Millisecond
 	// answerLimit is how long a control host may take to say what becomes of
@@ -71,7 +76,7 @@
 
 func newFleet(h *Host) *fleet {
 	f := &fleet{
-		host: h, seeds: h.cfg.Fleet.Seeds,
+		host: h, seeds: h.cfg.Fleet.Seeds, planned: make(chan struct{}),
 		splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	f.board = feed.NewBoard(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
@@ -128,7 +133,9 @@
 	}
 	f.splits.Keep(p)
 	h.services.Store(next)
-	f.routes.Store(&routes{plan: p, table: plan.NewTable(p)})
+	if f.routes.Swap(&routes{plan: p, table: plan.NewTable(p)}) == nil {
+		close(f.planned)
+	}
 	for name, old := range current.byName {
 		if next.byName[name] == nil {
 			h.system.Root.Stop(old.pid)
@@ -166,7 +173,7 @@
 // the answer when there is none.
 func (f *fleet) find(r *http.Request, told wire.Told) (*service, spec.Class, *problem) {
 	var class spec.Class
-	v := f.routes.Load()
+	v := f.awaitPlan(r.Context())
 	if v == nil {
 		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "no plan is known yet"}
 	}
@@ -197,6 +204,21 @@
 	return s, class, nil
 }
 
+// awaitPlan returns the plan in force. A host that has just started has it
+// within moments, so a call waits for it for a short while.
+func (f *fleet) awaitPlan(ctx context.Context) *routes {
+	if v := f.routes.Load(); v != nil {
+		return v
+	}
+	ctx, cancel := context.WithTimeout(ctx, planWait)
+	defer cancel()
+	select {
+	case <-f.planned:
+	case <-ctx.Done():
+	}
+	return f.routes.Load()
+}
+
 // age takes from the aim of a call the time that its caller has already spent
 // on earlier attempts.
 func (v *routes) age(route *plan.Route, patience time.Duration, class *spec.Class) {
--- /dev/null
+++ b/io/entry/fleet_test.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/plan"
+	"cardamomspool/core/strict"
+	"cardamomspool/core/wire"
+	"cardamomspool/io/setup"
+)
+
+func TestFleet(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Entry host of a fleet")
+}
+
+func newTestFleet() *fleet {
+	cfg := setup.DefaultEntry()
+	cfg.Host, cfg.DataCentre = "entry-1", "xela"
+	cfg.PeerAddress = netip.MustParseAddrPort("127.0.0.1:1")
+	cfg.Fleet = setup.Fleet{Adapter: "platform", Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}}
+	return New(cfg).fleet
+}
+
+func testPlan() *plan.Plan {
+	return &plan.Plan{
+		Version: 1,
+		Routes: []plan.Route{{
+			Name: "r", Host: "shop.example", PathPrefix: "/a/", Idempotent: true, Attempts: 2, Rank: 1,
+			Timeout: strict.Duration(time.Second), Aim: strict.Duration(400 * time.Millisecond),
+			Parts: []plan.Part{{Service: "s", Weight: 1}},
+		}},
+		Services: []plan.Service{{Name: "s", Connections: 10}},
+	}
+}
+
+func request(path string) *http.Request {
+	return httptest.NewRequest(http.MethodGet, "http://shop.example:8080"+path, nil)
+}
+
+var _ = ginkgo.Describe("An entry host of a fleet", func() {
+	ginkgo.It("has a call wait for the first plan for a moment", func() {
+		f := newTestFleet()
+		time.AfterFunc(planWait/4, func() { f.board.SetPlan(testPlan()) })
+		s, class, p := f.find(request("/a/x"), wire.Told{})
+		gomega.Expect(p).To(gomega.BeNil())
+		gomega.Expect(s.doc.Name).To(gomega.Equal("s"))
+		gomega.Expect(class.Idempotent).To(gomega.BeTrue())
+		gomega.Expect(class.Attempts).To(gomega.Equal(2))
+	})
+
+	ginkgo.It("answers 503 without a plan, and 404 only when it is informed", func() {
+		f := newTestFleet()
+		_, _, p := f.find(request("/a/x"), wire.Told{})
+		gomega.Expect(p.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		f.board.SetPlan(testPlan())
+		_, _, p = f.find(request("/b/x"), wire.Told{})
+		gomega.Expect(p.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	})
+
+	ginkgo.It("takes what earlier attempts have cost from the aim", func() {
+		f := newTestFleet()
+		f.board.SetPlan(testPlan())
+		for _, row := range []struct {
+			patience, aim time.Duration
+			late          bool
+		}{
+			{2 * time.Second, 400 * time.Millisecond, false},
+			{1900 * time.Millisecond, 300 * time.Millisecond, false},
+			{1700 * time.Millisecond, 400 * time.Millisecond, true},
+			{2 * time.Second, 400 * time.Millisecond, false},
+		} {
+			_, class, p := f.find(request("/a/x"), wire.Told{Patience: row.patience})
+			gomega.Expect(p).To(gomega.BeNil())
+			gomega.Expect(class.Late).To(gomega.Equal(row.late), row.patience.String())
+			gomega.Expect(class.Aim).To(gomega.Equal(row.aim), row.patience.String())
+			gomega.Expect(class.Deadline).To(gomega.Equal(time.Second))
+		}
+	})
+})
