--- a/io/feed/board.go
+++ b/io/feed/board.go
@@ -58,10 +58,13 @@
 		onTargets func(service string, records []member.Record)
 		onPlan    func(p *plan.Plan)
 
-		mu       sync.Mutex
-		table    *roster.Table
-		order    uint64
-		marks    map[string]mark
+		mu    sync.Mutex
+		table *roster.Table
+		marks map[string]mark
+		// changes lists the targets that changed, in order, from number first
+		// on; each mark holds the number of its target's last change.
+		changes  []string
+		first    uint64
 		plan     *plan.Plan
 		planText []byte
 		view     View
@@ -87,6 +90,9 @@
 	// controlBreak is how long a control host may be unseen and still count
 	// as seen all the while: a few heartbeats of its stream.
 	controlBreak = 2 * time.Second
+	// maxChanges bounds the list of changes; a stream that is further behind
+	// gets all targets.
+	maxChanges = 8192
 )
 
 // WithLogger sets the logger; the default discards.
@@ -165,13 +171,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.table.Hear(t) {
-		m := b.marks[t.ID]
-		m.spread = m.spread || spread
-		b.marks[t.ID] = m
+		if m := b.marks[t.ID]; spread && !m.spread {
+			b.note(t.ID, true)
+		}
 		return
 	}
-	b.order++
-	b.marks[t.ID] = mark{order: b.order, spread: spread}
+	b.note(t.ID, spread)
 	b.metrics.Count("target_changes").Add(1)
 	b.log.Info("target changed", "target", t.ID, "service", t.Service, "address", t.Address.String(),
 		"state", t.State.String(), "born", t.Born.UnixMilli(), "sequence", t.Sequence, "heard_here", spread)
@@ -179,6 +184,43 @@
 	b.wake()
 }
 
+// note adds a target to the list of changes. The caller holds mu.
+func (b *Board) note(id string, spread bool) {
+	if len(b.changes) >= maxChanges {
+		b.first += uint64(len(b.changes) / 2)
+		b.changes = slices.Clone(b.changes[len(b.changes)/2:])
+	}
+	b.changes = append(b.changes, id)
+	b.marks[id] = mark{order: b.order(), spread: spread}
+}
+
+// order returns the number of the last change. The caller holds mu.
+func (b *Board) order() uint64 {
+	return b.first + uint64(len(b.changes))
+}
+
+// since calls f with each target that is spread and has changed after change
+// number order. The caller holds mu.
+func (b *Board) since(order uint64, f func(roster.Target)) {
+	if order < b.first {
+		for id := range b.marks {
+			b.visit(id, f)
+		}
+		return
+	}
+	for i, id := range b.changes[order-b.first:] {
+		if b.marks[id].order == order+uint64(i)+1 { // Its last change.
+			b.visit(id, f)
+		}
+	}
+}
+
+func (b *Board) visit(id string, f func(roster.Target)) {
+	if t, ok := b.table.Get(id); ok && b.marks[id].spread {
+		f(t)
+	}
+}
+
 // Target returns what is known of the target called id.
 func (b *Board) Target(id string) (roster.Target, bool) {
 	b.mu.Lock()
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -40,6 +40,8 @@
 	// heartbeatPeriod is the time between two updates of a stream on which
 	// nothing changes.
 	heartbeatPeriod = 500 * time.Millisecond
+	// companyWait is how long a change waits for others before it is sent.
+	companyWait = 15 * time.Millisecond
 	// refreshPeriod is the time between two lists of the targets that were
 	// heard again; it is a fraction of roster.Lease.
 	refreshPeriod = 3 * time.Second
@@ -92,6 +94,11 @@
 		beat = false
 		select {
 		case <-changed:
+			// Changes come in company; one update carries them all.
+			select {
+			case <-time.After(companyWait):
+			case <-stream.Context().Done():
+			}
 		case <-ticker.C:
 			beat = true
 		case <-stream.Context().Done():
@@ -128,18 +135,19 @@
 			s.version, news = b.plan.Version, true
 		}
 	}
-	refresh := now.Sub(s.refreshed) >= refreshPeriod
-	for _, t := range b.table.All(nil) {
-		m := b.marks[t.ID]
-		if m.spread && (m.order > s.order || refresh && t.Heard.After(s.refreshed)) {
-			u.Targets = append(u.Targets, fromTarget(t, now))
+	b.since(s.order, func(t roster.Target) { u.Targets = append(u.Targets, fromTarget(t, now)) })
+	if now.Sub(s.refreshed) >= refreshPeriod {
+		for id := range b.marks {
+			b.visit(id, func(t roster.Target) {
+				if t.Heard.After(s.refreshed) {
+					u.Targets = append(u.Targets, fromTarget(t, now))
+				}
+			})
 		}
-	}
-	if refresh {
 		s.refreshed = now
 	}
 	news = news || len(u.Targets) > 0
-	s.order, s.current, s.first = b.order, b.current, false
+	s.order, s.current, s.first = b.order(), b.current, false
 	return u, b.changed, news
 }
 
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -37,9 +37,14 @@
 	}
 )
 
-// timeout bounds a probe; a target's health check answers at once unless
-// something is wrong.
-const timeout = 250 * time.Millisecond
+const (
+	// timeout bounds a probe; a target's health check answers at once unless
+	// something is wrong.
+	timeout = 250 * time.Millisecond
+	// maxRate is the most probes a second of one service; each takes 0.15 ms
+	// of a core, of which a control host of the users has a quarter.
+	maxRate = 200
+)
 
 // New returns a prober that asks for path every interval until ctx ends.
 func New(ctx context.Context, ask Ask, path string, interval time.Duration, report func(engine.Report), metrics *telem.Set) *Prober {
@@ -81,6 +86,14 @@
 	p.cancel()
 }
 
+// pace returns the time between two probes of one target: the interval, or
+// longer where that many targets would cost more than maxRate.
+func (p *Prober) pace() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.interval, time.Duration(len(p.active))*time.Second/maxRate)
+}
+
 // run probes one target until ctx ends.
 func (p *Prober) run(ctx context.Context, target member.Record) {
 	timer := time.NewTimer(rand.N(p.interval))
@@ -103,6 +116,7 @@
 			p.metrics.Count("probes_lost").Add(1)
 		}
 		p.report(engine.Report{Target: target.Target, Probe: result})
-		timer.Reset(max(p.interval-time.Since(begin), p.interval/4))
+		interval := p.pace()
+		timer.Reset(max(interval-time.Since(begin), interval/4))
 	}
 }
