--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -37,6 +37,8 @@
 		request   string
 		revision  uint64
 		dryRun    bool
+		call      string
+		logs      string
 	}
 
 	// ctlRun carries out one subcommand of ctl.
@@ -69,6 +71,7 @@
 		ctlDrainCommand(o, "undrain", "give a drained target calls again", false),
 		ctlCommand(o, "status", "print how each control host stands", ctlStatus),
 		ctlTargetsCommand(o),
+		ctlExplainCommand(o),
 	}
 	for _, c := range commands {
 		ctl.AttachSubcommand(c.parser, 1)
--- a/core/engine/service.go
+++ b/core/engine/service.go
@@ -36,6 +36,7 @@
 		class    spec.Class
 		from     string
 		arrived  time.Time
+		waits    time.Time // Since when the call has waited for a target.
 		deadline time.Time
 		target   string
 		sent     time.Time
@@ -138,7 +139,7 @@
 	if len(s.calls) >= s.doc.Refuse.OpenCalls {
 		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter()})
 	}
-	c := &call{class: e.Class, from: e.DataCentre, arrived: now, deadline: e.Deadline}
+	c := &call{class: e.Class, from: e.DataCentre, arrived: now, waits: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
 	s.budget.Call(now)
 	s.credit = min(s.credit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
@@ -258,6 +259,11 @@
 	if s.targets.Ready()+s.targets.Cold() == 0 {
 		return s.refuse(dst, id, c, NoTarget)
 	}
+	if c.class.Aim > 0 {
+		// The attempt has used up the time for an answer within the aim; the
+		// call may still be answered late.
+		c.class.Late, c.waits = true, now
+	}
 	s.queue.Return(s.held(id, c))
 	return s.tellHold(dst, id)
 }
@@ -317,7 +323,7 @@
 	case aim > 0:
 		wait = min(wait, max(aim-s.targets.Mean(), aim/leastWaitPart))
 	}
-	until := c.arrived.Add(wait)
+	until := c.waits.Add(wait)
 	if last := c.deadline.Add(-s.targets.Mean()); last.Before(until) {
 		until = last
 	}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -368,7 +368,7 @@
 		return
 	}
 	h.log.Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
-		"candidates", s.Candidates, "policy", c.service.doc.Route.Policy, "why", string(s.Why),
+		"candidates", s.Candidates, "decided_by", c.decidedBy(), "why", string(s.Why),
 		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.Held.Microseconds())
 }
 
@@ -377,7 +377,17 @@
 		return
 	}
 	h.log.Info("refused", "call", c.name, "service", c.service.doc.Name, "reason", string(r.Reason),
-		"not_run", r.NotRun, "retry_after", r.RetryAfter.String())
+		"decided_by", c.decidedBy(), "attempted", c.attempted, "not_run", r.NotRun && !c.maybeRun,
+		"retry_after", r.RetryAfter.String(), "after", time.Since(c.arrived).String())
+}
+
+// decidedBy names who decides for the call: a control host, or the policy of
+// this host's own engine.
+func (c *call) decidedBy() string {
+	if c.link != nil {
+		return c.link.Address().String()
+	}
+	return c.service.doc.Route.Policy
 }
 
 func (h *Host) sampled() bool {
