--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -66,7 +66,7 @@
 	if p != nil {
 		h.metrics.Count("calls_without_service").Add(1)
 		leaveBody(w, r, r.ContentLength == 0)
-		h.log.Warn("no service", "call", told.Call, "host", r.Host, "path", r.URL.EscapedPath(), "status", p.status, "detail", p.detail)
+		h.log.Warn("no service", "call", told.Call, "authority", r.Host, "path", r.URL.EscapedPath(), "status", p.status, "detail", p.detail)
 		retry := time.Duration(0)
 		if p.status == http.StatusServiceUnavailable {
 			retry = planRetry
@@ -339,7 +339,7 @@
 // turnDown refuses a request that is not fit to be carried.
 func (h *Host) turnDown(w answerWriter, r *http.Request, p *problem, notRun bool) {
 	h.metrics.Count("requests_turned_down").Add(1)
-	h.log.Warn("request refused", "remote", r.RemoteAddr, "method", r.Method, "host", r.Host, "path", r.URL.EscapedPath(),
+	h.log.Warn("request refused", "remote", r.RemoteAddr, "method", r.Method, "authority", r.Host, "path", r.URL.EscapedPath(),
 		"status", p.status, "reason", p.reason, "detail", p.detail, "not_run", notRun)
 	w.Header().Set("Connection", "close")
 	status := p.status
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -76,7 +76,7 @@
 // Follow streams the board.
 func (s *Server) Follow(r *peerpb.FollowRequest, stream peerpb.Fleet_FollowServer) error {
 	control, err := netip.ParseAddrPort(r.GetControl())
-	s.board.log.Info("host follows", "host", r.GetHost(), "control", err == nil)
+	s.board.log.Info("host follows", "follower", r.GetHost(), "control", err == nil)
 	out := &sender{board: s.board, first: true, refreshed: time.Now()}
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
@@ -102,7 +102,7 @@
 		case <-ticker.C:
 			beat = true
 		case <-stream.Context().Done():
-			s.board.log.Info("host follows no longer", "host", r.GetHost())
+			s.board.log.Info("host follows no longer", "follower", r.GetHost())
 			return nil
 		case <-s.stop.Done():
 			return status.Error(codes.Unavailable, "control host stops")
