Count a voting host as lost only after a while in the present view

Silence is now counted from the entry into the view, and only what a control host sends on its own board shows it alive.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -48,6 +48,8 @@
 		// present is the view of the host's node; it is guarded by the host's
 		// step mutex.
 		present feed.View
+		// entered is when the host entered it.
+		entered time.Time
 
 		mu    sync.Mutex
 		seeds []netip.AddrPort
@@ -368,7 +370,7 @@
 	defer h.step.Unlock()
 	h.abandon(quorum.ErrNoMajority)
 	f.closeVotes()
-	h.node, h.votes, f.present = node, folder, view
+	h.node, h.votes, f.present, f.entered = node, folder, view, time.Now()
 }
 
 // close releases the folder of the present view.
@@ -516,3 +518,8 @@
 	}
 	return list
 }
+
+// View returns the view of voting hosts that this host knows.
+func (h *Host) View() feed.View {
+	return h.fleet.board.View()
+}
--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -179,6 +179,22 @@
 		s.expect(0, 3)
 	})
 
+	ginkgo.It("keep a view in which all members are alive", func() {
+		s := newSystem(3)
+		for i := range 3 {
+			s.start(i, true)
+		}
+		s.put(1)
+		s.halt(2)
+		s.start(3, false)
+		gomega.Eventually(s.voting, 10*time.Second, pollPeriod).Should(gomega.ConsistOf(0, 1, 3))
+		s.start(2, false)
+		epoch := s.hosts[0].host.View().Epoch
+		gomega.Expect(epoch).To(gomega.BeEquivalentTo(2))
+		gomega.Consistently(func() uint64 { return s.hosts[0].host.View().Epoch }, 4*time.Second, pollPeriod).Should(gomega.Equal(epoch))
+		s.put(2)
+	})
+
 	ginkgo.It("let a host come back to a view that it has missed", func() {
 		s := newSystem(3)
 		for i := range 4 {
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -59,7 +59,7 @@
 // propose ends the view when another one suits the hosts that are alive
 // better. Only the first voting host that hears a majority does.
 func (f *fleet) propose(ctx context.Context, now time.Time) {
-	view, status, ok := f.standing(now)
+	view, entered, status, ok := f.standing(now)
 	if !ok || !status.Current {
 		return
 	}
@@ -70,7 +70,7 @@
 			f.host.log.Error("peer is no IP number", "peer", p.Host, "error", err)
 			return
 		}
-		if now.Sub(p.LastContact) > lostAfter {
+		if isLost(p, entered, now) {
 			lost = append(lost, host)
 		} else if host.Less(f.self()) {
 			return // That host proposes.
@@ -91,15 +91,15 @@
 	}
 }
 
-// standing returns the view that this host votes in with the status of its
-// node, and false when it votes in none.
-func (f *fleet) standing(now time.Time) (feed.View, quorum.Status, bool) {
+// standing returns the view that this host votes in, when it entered it and the
+// status of its node, and false when it votes in none.
+func (f *fleet) standing(now time.Time) (feed.View, time.Time, quorum.Status, bool) {
 	f.host.step.Lock()
 	defer f.host.step.Unlock()
 	if f.host.node == nil {
-		return feed.View{}, quorum.Status{}, false
+		return feed.View{}, time.Time{}, quorum.Status{}, false
 	}
-	return f.present, f.host.node.Status(now), true
+	return f.present, f.entered, f.host.node.Status(now), true
 }
 
 // withDisks returns the view with the present disks of its members, as far as
@@ -178,3 +178,13 @@
 func sortMembers(list []feed.Member) {
 	slices.SortFunc(list, func(a, b feed.Member) int { return cmp.Or(a.Host.Compare(b.Host), cmp.Compare(a.Disk, b.Disk)) })
 }
+
+// isLost reports whether a voting host has been silent for lostAfter, counted
+// from when the view was entered at the earliest.
+func isLost(p quorum.PeerStatus, entered, now time.Time) bool {
+	since := p.LastContact
+	if entered.After(since) {
+		since = entered
+	}
+	return now.Sub(since) > lostAfter
+}
--- a/io/ctrl/view_test.go
+++ b/io/ctrl/view_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"cardamomspool/core/quorum"
 	"cardamomspool/io/feed"
 )
 
@@ -25,6 +27,21 @@
 	return list
 }
 
+var _ = ginkgo.DescribeTable("A voting host counts as lost",
+	func(heard, entered time.Duration, want bool) {
+		now := time.Unix(1000, 0)
+		p := quorum.PeerStatus{Host: "10.0.0.1"}
+		if heard > 0 {
+			p.LastContact = now.Add(-heard)
+		}
+		gomega.Expect(isLost(p, now.Add(-entered), now)).To(gomega.Equal(want))
+	},
+	ginkgo.Entry("after a silence", lostAfter+1, time.Minute, true),
+	ginkgo.Entry("not before", lostAfter, time.Minute, false),
+	ginkgo.Entry("not in a view that has just begun", time.Duration(0), 50*time.Millisecond, false),
+	ginkgo.Entry("when it was never heard in a view", time.Duration(0), lostAfter+1, true),
+)
+
 var _ = ginkgo.DescribeTable("The members of the next view",
 	func(present []feed.Member, lost []netip.Addr, candidates, want []feed.Member) {
 		next := nextMembers(feed.View{Epoch: 1, Members: present}, lost, candidates)
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -77,14 +77,16 @@
 func (s *Server) Follow(r *peerpb.FollowRequest, stream peerpb.Fleet_FollowServer) error {
 	control, err := netip.ParseAddrPort(r.GetControl())
 	s.board.log.Info("host follows", "follower", r.GetHost(), "control", err == nil)
+	if err == nil {
+		// Shows only that the host was alive when it connected: what it sends on
+		// its own board shows that it still is.
+		s.board.SeeControl(control, r.GetDisk(), time.Now())
+	}
 	out := &sender{board: s.board, first: true, refreshed: time.Now()}
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for beat := true; ; {
 		now := time.Now()
-		if err == nil {
-			s.board.SeeControl(control, r.GetDisk(), now)
-		}
 		update, changed, news := out.next(now)
 		if news || beat {
 			if failed := stream.Send(update); failed != nil {
