--- /dev/null
+++ b/io/feed/feed_test.go
@@ -0,0 +1,148 @@
+package feed_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/plan"
+	"cardamomspool/core/roster"
+	"cardamomspool/io/feed"
+	"cardamomspool/io/peer"
+	"cardamomspool/io/peer/peerpb"
+	"cardamomspool/io/telem"
+)
+
+func TestFeed(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Boards")
+}
+
+const limit = 5 * time.Second
+
+// source is a control host's board, served at 127.0.2.n.
+type source struct {
+	*feed.Board
+	address netip.AddrPort
+	stop    func()
+}
+
+// newSources serves n boards at one port, as control hosts do.
+func newSources(n int) []*source {
+	var list []*source
+	port := uint16(0)
+	for i := range n {
+		host := netip.AddrFrom4([4]byte{127, 0, 2, byte(i + 1)})
+		l, err := net.Listen("tcp", netip.AddrPortFrom(host, port).String())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		s := &source{Board: feed.NewBoard(), address: l.Addr().(*net.TCPAddr).AddrPort()}
+		port = s.address.Port()
+		server := peer.NewServer()
+		peerpb.RegisterFleetServer(server, feed.NewServer(context.Background(), s.Board, nil))
+		go server.Serve(l)
+		s.stop = server.Stop
+		ginkgo.DeferCleanup(server.Stop)
+		list = append(list, s)
+	}
+	return list
+}
+
+func follow(board *feed.Board, seeds ...netip.AddrPort) *feed.Follower {
+	metrics := telem.NewSet()
+	self := feed.Self{Host: "entry-1", DataCentre: "xela", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.2.99"), seeds[0].Port())}
+	f := feed.NewFollower(board, self, func() []netip.AddrPort { return seeds }, peer.Traffic{In: metrics.Count("in"), Out: metrics.Count("out")})
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	go f.Run(ctx)
+	return f
+}
+
+func target(id string, sequence uint64, state member.State) roster.Target {
+	return roster.Target{
+		ID: id, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Slots: 3, State: state,
+		Born: time.UnixMilli(1), Sequence: sequence, Heard: time.Now(),
+	}
+}
+
+func states(b *feed.Board) func() []member.State {
+	return func() []member.State {
+		var list []member.State
+		for _, r := range b.Records("s") {
+			list = append(list, r.State)
+		}
+		return list
+	}
+}
+
+var _ = ginkgo.Describe("A board that follows others", func() {
+	ginkgo.It("finds all control hosts from one seed and merges what they hold", func() {
+		s := newSources(3)
+		view := feed.View{Epoch: 1}
+		for _, v := range s {
+			view.Members = append(view.Members, feed.Member{Host: v.address.Addr()})
+		}
+		s[0].SetView(view)
+		s[1].SetPlan(&plan.Plan{Version: 4})
+		s[2].Hear(target("t", 1, member.Ready), true)
+		b := feed.NewBoard()
+		f := follow(b, s[0].address)
+		gomega.Eventually(f.Informed, limit).Should(gomega.BeTrue())
+		gomega.Eventually(func() uint64 {
+			if p := b.Plan(); p != nil {
+				return p.Version
+			}
+			return 0
+		}, limit).Should(gomega.BeEquivalentTo(4))
+		gomega.Eventually(states(b), limit).Should(gomega.Equal([]member.State{member.Ready}))
+	})
+
+	ginkgo.It("never goes back to a lower plan", func() {
+		s := newSources(2)
+		s[0].SetPlan(&plan.Plan{Version: 5})
+		s[1].SetPlan(&plan.Plan{Version: 3})
+		b := feed.NewBoard()
+		f := follow(b, s[0].address, s[1].address)
+		gomega.Eventually(f.Sources, limit).Should(gomega.Equal(2))
+		gomega.Expect(b.Plan().Version).To(gomega.BeEquivalentTo(5))
+		s[1].SetPlan(&plan.Plan{Version: 4})
+		gomega.Consistently(func() uint64 { return b.Plan().Version }, 200*time.Millisecond).Should(gomega.BeEquivalentTo(5))
+	})
+
+	ginkgo.It("hears of a departure within a fraction of the time that binds it", func() {
+		s := newSources(1)
+		s[0].Hear(target("t", 1, member.Ready), true)
+		b := feed.NewBoard()
+		follow(b, s[0].address)
+		gomega.Eventually(states(b), limit).Should(gomega.Equal([]member.State{member.Ready}))
+		s[0].Hear(target("t", 2, member.Draining), true)
+		gomega.Eventually(states(b), 500*time.Millisecond, time.Millisecond).Should(gomega.Equal([]member.State{member.Draining}))
+	})
+
+	ginkgo.It("is not told of targets that another host spreads", func() {
+		s := newSources(1)
+		s[0].Hear(target("t", 1, member.Ready), false)
+		s[0].Hear(target("u", 1, member.Ready), true)
+		b := feed.NewBoard()
+		follow(b, s[0].address)
+		gomega.Eventually(func() bool { _, ok := b.Target("u"); return ok }, limit).Should(gomega.BeTrue())
+		_, ok := b.Target("t")
+		gomega.Expect(ok).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("gets all targets when it is further behind than the list of changes", func() {
+		s := newSources(1)
+		for i := range 20_000 {
+			s[0].Hear(target("t", uint64(2*i+1), member.State(2+i%2)), true)
+		}
+		s[0].Hear(target("u", 1, member.Ready), true)
+		b := feed.NewBoard()
+		follow(b, s[0].address)
+		gomega.Eventually(func() int { return len(b.Targets()) }, limit).Should(gomega.Equal(2))
+	})
+})
