--- a/cmd/cardamomspool/signal_test.go
+++ b/cmd/cardamomspool/signal_test.go
@@ -44,7 +44,7 @@
 	cfg := setup.DefaultEntry()
 	cfg.Host, cfg.DataCentre, cfg.DrainDelay = "entry-1", "dc", strict.Duration(drain)
 	cfg.AdminAddress, cfg.PeerAddress, cfg.CallAddress = freeAddress(), freeAddress(), freeAddress()
-	cfg.Fleet = setup.Fleet{Adapter: "platform", Seeds: []netip.AddrPort{freeAddress()}, FrontAddress: freeAddress()}
+	cfg.Fleet = setup.Fleet{Adapter: setup.AdapterPlatform, Seeds: []netip.AddrPort{freeAddress()}, FrontAddress: freeAddress()}
 	data, err := json.Marshal(&cfg)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	file := filepath.Join(t.TempDir(), "entry.json")
--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -84,7 +84,7 @@
 	cfg.AdminAddress = netip.AddrPortFrom(s.address(i), s.ports[1].Port())
 	cfg.StopGrace = strict.Duration(100 * time.Millisecond)
 	cfg.Fleet = setup.Fleet{
-		Adapter: "platform", Seeds: s.seeds, FirstStart: first,
+		Adapter: setup.AdapterPlatform, Seeds: s.seeds, FirstStart: first,
 		FrontAddress: netip.AddrPortFrom(s.address(i), s.ports[2].Port()),
 	}
 	gomega.Expect(cfg.Validate()).To(gomega.BeEmpty())
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -201,13 +201,13 @@
 				return
 			}
 		case <-c.lost:
-			if h.leaveGuide(ctx, w, r, c, "stream_lost") {
+			if h.leaveGuide(ctx, w, r, c, whyStreamLost) {
 				return
 			}
 		case <-c.overdue:
 			c.link.Miss(time.Now())
 			c.link.Cancel(engine.Cancel{Call: c.id})
-			if h.leaveGuide(ctx, w, r, c, "no_decision") {
+			if h.leaveGuide(ctx, w, r, c, whyNoDecision) {
 				return
 			}
 		}
@@ -225,7 +225,7 @@
 		c.lost, c.overdue = nil, nil
 		return h.carryOut(ctx, w, r, c, engine.Refuse{Call: c.id, Reason: reasonNoGuide, NotRun: true, RetryAfter: aloneBackoff})
 	}
-	if why != "stream_lost" || !h.fleet.guide(c, time.Now()) {
+	if why != whyStreamLost || !h.fleet.guide(c, time.Now()) {
 		h.decide(c)
 	}
 	return false
@@ -282,7 +282,7 @@
 		abort(r)
 	}
 	if !followed {
-		return h.leaveGuide(ctx, w, r, c, "stream_lost")
+		return h.leaveGuide(ctx, w, r, c, whyStreamLost)
 	}
 	if !result.Final() && c.stoppedEarly() {
 		return h.end(ctx, w, r, c)
@@ -300,9 +300,9 @@
 				return true
 			}
 		case <-c.lost:
-			return h.leaveGuide(ctx, w, r, c, "stream_lost")
+			return h.leaveGuide(ctx, w, r, c, whyStreamLost)
 		case <-c.overdue:
-			return h.leaveGuide(ctx, w, r, c, "no_decision")
+			return h.leaveGuide(ctx, w, r, c, whyNoDecision)
 		}
 	}
 }
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -51,6 +51,9 @@
 	reasonNoPlan  = "no_plan"
 	reasonNoPart  = "no_part"
 	reasonNoGuide = "decision_lost"
+	// Why a call leaves the control host that decided for it.
+	whyStreamLost = "stream_lost"
+	whyNoDecision = "no_decision"
 	// planWait is how long a call waits for the first plan: a few times what
 	// it takes to connect to a control host.
 	planWait = 250 * time.Millisecond
@@ -60,6 +63,9 @@
 	// a call: some ten times the way there and back.
 	answerLimit = 60 * time.Millisecond
 
+	// guideActions is the most decisions about a call that can be on their
+	// way: a hold and what follows.
+	guideActions = 8
 	// lateShare is the part of its aim that a caller may have spent before
 	// and still be answered in time; work alone takes about the rest.
 	lateShare = 2
@@ -263,10 +269,6 @@
 	return true
 }
 
-// guideActions is the most decisions about a call that can be on their way: a
-// hold and what follows.
-const guideActions = 8
-
 // expect sets when a decision must have come.
 func (c *call) expect() {
 	c.overdue = time.After(answerLimit)
--- a/io/entry/fleet_test.go
+++ b/io/entry/fleet_test.go
@@ -25,7 +25,7 @@
 	cfg := setup.DefaultEntry()
 	cfg.Host, cfg.DataCentre = "entry-1", "xela"
 	cfg.PeerAddress = netip.MustParseAddrPort("127.0.0.1:1")
-	cfg.Fleet = setup.Fleet{Adapter: "platform", Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}}
+	cfg.Fleet = setup.Fleet{Adapter: setup.AdapterPlatform, Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}}
 	return New(cfg).fleet
 }
 
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -46,7 +46,9 @@
 		Key: member.Key{Service: "s", Target: "t"}, State: member.Ready, Slots: 1, Incarnation: 1,
 		Address: netip.MustParseAddrPort("127.0.0.1:9"),
 	}}
-	ask := func(context.Context, member.Record, string) route.Probe { return route.Probe{Result: route.ProbeWell} }
+	ask := func(context.Context, member.Record, string) (route.Probe, error) {
+		return route.Probe{Result: route.ProbeWell}, nil
+	}
 	s := place.NewServer(place.Config{Service: doc, Tick: time.Millisecond},
 		func(string) []member.Record { return records }, ask, slog.New(slog.DiscardHandler), telem.NewSet())
 	s.SetPlan(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s"}}})
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -194,7 +194,8 @@
 		}
 	}
 	s.log.Info("service decided here", "service", name, "probe_interval", s.cfg.ProbeInterval.String())
-	p := probe.New(s.ctx, s.ask, path, s.cfg.ProbeInterval, func(r engine.Report) { s.system.Root.Send(pid, r) }, s.metrics)
+	p := probe.New(s.ctx, s.ask, path, s.cfg.ProbeInterval, func(r engine.Report) { s.system.Root.Send(pid, r) },
+		s.metrics, s.log)
 	p.SetTargets(s.targets(name))
 	return p
 }
--- a/io/probe/http.go
+++ b/io/probe/http.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomspool/core/member"
 	"cardamomspool/core/route"
 	"cardamomspool/core/wire"
@@ -28,21 +30,21 @@
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return func(ctx context.Context, target member.Record, path string) route.Probe {
+	return func(ctx context.Context, target member.Record, path string) (route.Probe, error) {
 		var (
 			r      *http.Request
 			answer *http.Response
 			err    error
 		)
 		if r, err = http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address.String()+path, nil); err != nil {
-			return route.Probe{Result: route.ProbeLost}
+			return route.Probe{Result: route.ProbeLost}, errors.Wrap(err, "probe")
 		}
 		if answer, err = client.Do(r); err != nil {
-			return route.Probe{Result: route.ProbeLost}
+			return route.Probe{Result: route.ProbeLost}, errors.Wrap(err, "probe")
 		}
 		defer answer.Body.Close()
-		if _, err = io.CopyN(io.Discard, answer.Body, maxBody); err != nil && err != io.EOF {
-			return route.Probe{Result: route.ProbeLost}
+		if _, err = io.CopyN(io.Discard, answer.Body, maxBody); err != nil && !errors.Is(err, io.EOF) {
+			return route.Probe{Result: route.ProbeLost}, errors.Wrap(err, "probe")
 		}
 		h := dialect.Health(answer.StatusCode, answer.Header, target.Target)
 		result := route.Probe{Result: route.ProbeIll, Load: h.Load, Reported: h.Reported}
@@ -52,6 +54,6 @@
 		case h.Well:
 			result.Result = route.ProbeWell
 		}
-		return result
+		return result, nil
 	}
 }
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,8 +14,9 @@
 )
 
 type (
-	// Ask probes one target once, within the time of ctx.
-	Ask func(ctx context.Context, target member.Record, path string) route.Probe
+	// Ask probes one target once, within the time of ctx. A probe that is lost
+	// comes with the reason.
+	Ask func(ctx context.Context, target member.Record, path string) (route.Probe, error)
 
 	// Prober probes the targets of one service. Use New.
 	Prober struct {
@@ -25,6 +27,7 @@
 		interval time.Duration
 		report   func(engine.Report)
 		metrics  *telem.Set
+		log      *slog.Logger
 
 		mu     sync.Mutex
 		active map[member.Key]probed
@@ -47,10 +50,12 @@
 )
 
 // New returns a prober that asks for path every interval until ctx ends.
-func New(ctx context.Context, ask Ask, path string, interval time.Duration, report func(engine.Report), metrics *telem.Set) *Prober {
+func New(ctx context.Context, ask Ask, path string, interval time.Duration, report func(engine.Report),
+	metrics *telem.Set, log *slog.Logger,
+) *Prober {
 	ctx, cancel := context.WithCancel(ctx)
 	return &Prober{
-		ctx: ctx, cancel: cancel, ask: ask, path: path, interval: interval, report: report, metrics: metrics,
+		ctx: ctx, cancel: cancel, ask: ask, path: path, interval: interval, report: report, metrics: metrics, log: log,
 		active: make(map[member.Key]probed),
 	}
 }
@@ -98,7 +103,7 @@
 func (p *Prober) run(ctx context.Context, target member.Record) {
 	timer := time.NewTimer(rand.N(p.interval))
 	defer timer.Stop()
-	for {
+	for answers := true; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -106,15 +111,20 @@
 		}
 		begin := time.Now()
 		limited, cancel := context.WithTimeout(ctx, timeout)
-		result := p.ask(limited, target, p.path)
+		result, err := p.ask(limited, target, p.path)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		p.metrics.Count("probes").Add(1)
-		if result.Result == route.ProbeLost {
+		if err != nil {
 			p.metrics.Count("probes_lost").Add(1)
 		}
+		if now := err == nil; now != answers {
+			answers = now
+			p.log.Info("target answers probes or does so no longer", "service", target.Service, "target", target.Target,
+				"answers", answers, "error", err)
+		}
 		p.report(engine.Report{Target: target.Target, Probe: result})
 		interval := p.pace()
 		timer.Reset(max(interval-time.Since(begin), interval/4))
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -15,7 +15,7 @@
 		{Path: "controls[].host", Label: "Control host", Help: "Name of a control host; the list holds 1 to 7, on control hosts this host too."},
 		{Path: "controls[].data_centre", Label: "Its data centre", Help: "Where that control host runs."},
 		{Path: "controls[].peer_address", Label: "Its peer address", Unit: "IP number and port", Help: "Where that control host takes connections."},
-		{Path: "fleet.adapter", Label: "Adapter", Help: "What translates between this host and its deployment; empty for a host with fixed lists of others."},
+		{Path: "fleet.adapter", Label: "Adapter", Choices: []string{AdapterPlatform}, Help: "What translates between this host and its deployment; empty for a host with fixed lists of others."},
 		{Path: "fleet.seeds", Label: "Seeds", Unit: "IP numbers and ports", Help: "Control hosts to ask first; their peer port is this host's. Replaces controls and entries."},
 		{Path: "fleet.first_start", Label: "First start", Help: "Whether the whole system starts for the first time. Seeds then found it; at any other time an empty disk joins."},
 		{Path: "fleet.front_address", Label: "Front address", Unit: "IP number and port", Help: "Where the adapter serves: operators and targets at a control host, readiness at an entry host."},
--- a/io/setup/fleet.go
+++ b/io/setup/fleet.go
@@ -33,6 +33,9 @@
 	ProbeInterval strict.Duration `json:"probe_interval"`
 }
 
+// AdapterPlatform names the adapter to the users' platform.
+const AdapterPlatform = "platform"
+
 // Bounds of the settings of a fleet.
 const (
 	MaxSeeds         = 64
@@ -50,6 +53,9 @@
 	if !s.Enabled() {
 		return
 	}
+	if s.Adapter != AdapterPlatform {
+		f.Add("fleet.adapter", "is %q, must be empty or %q", s.Adapter, AdapterPlatform)
+	}
 	f.Range("fleet.seeds (number of entries)", len(s.Seeds), 1, MaxSeeds)
 	for _, seed := range s.Seeds {
 		checkAddress(f, "fleet.seeds", seed)
