--- /dev/null
+++ b/io/probe/probe_test.go
@@ -0,0 +1,105 @@
+package probe_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/member"
+	"cardamomspool/core/route"
+	"cardamomspool/core/wire"
+	"cardamomspool/io/probe"
+	"cardamomspool/io/telem"
+)
+
+func TestProbe(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Probes")
+}
+
+func record(name string, address netip.AddrPort) member.Record {
+	return member.Record{Key: member.Key{Service: "s", Target: name}, Address: address, State: member.Ready, Incarnation: 1}
+}
+
+// ask probes a target that answers with handler once.
+func ask(handler http.HandlerFunc) (route.Probe, error) {
+	s := httptest.NewServer(handler)
+	ginkgo.DeferCleanup(s.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	return probe.HTTP(wire.Spool())(ctx, record("t", netip.MustParseAddrPort(s.Listener.Addr().String())), "/health")
+}
+
+var _ = ginkgo.Describe("A probe", func() {
+	ginkgo.It("brings health and load", func() {
+		p, err := ask(func(w http.ResponseWriter, r *http.Request) {
+			gomega.Expect(r.URL.Path).To(gomega.Equal("/health"))
+			w.Header().Set(wire.HeaderLoad, "running=1 queued=0 slots=3 pace=400")
+		})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(p).To(gomega.Equal(route.Probe{
+			Result: route.ProbeWell, Load: wire.Load{Running: 1, Slots: 3, Pace: 400}, Reported: true,
+		}))
+	})
+
+	ginkgo.It("tells of a target that is ill", func() {
+		p, err := ask(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(p).To(gomega.Equal(route.Probe{Result: route.ProbeIll}))
+	})
+
+	ginkgo.It("is lost, with the reason, when there is no answer in time", func() {
+		p, err := ask(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		gomega.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+		gomega.Expect(p).To(gomega.Equal(route.Probe{Result: route.ProbeLost}))
+	})
+})
+
+var _ = ginkgo.Describe("A prober", func() {
+	ginkgo.It("keeps the rate of many targets bounded and leaves those that drain", func() {
+		const (
+			targets = 300
+			span    = time.Second
+			// greatest is what 600 a second allow in span, with the first probe
+			// of each target.
+			greatest = 600 + targets
+		)
+		var (
+			mu    sync.Mutex
+			asked = make(map[string]int)
+			total int
+		)
+		count := func(_ context.Context, target member.Record, _ string) (route.Probe, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			asked[target.Target]++
+			total++
+			return route.Probe{Result: route.ProbeWell}, nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		p := probe.New(ctx, count, "/", 10*time.Millisecond, func(engine.Report) {}, telem.NewSet(), slog.New(slog.DiscardHandler))
+		var records []member.Record
+		for i := range targets {
+			records = append(records, record(fmt.Sprint(i), netip.AddrPort{}))
+		}
+		records[0].State = member.Draining
+		p.SetTargets(records)
+		time.Sleep(span)
+		p.Stop()
+		mu.Lock()
+		defer mu.Unlock()
+		gomega.Expect(total).To(gomega.BeNumerically("<=", greatest))
+		gomega.Expect(asked).NotTo(gomega.HaveKey("0"))
+	})
+})
