--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -18,18 +18,15 @@
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
-	"cardamomspool/core/roster"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/disk"
 	"cardamomspool/io/drain"
 	"cardamomspool/io/feed"
-	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/place"
 	"cardamomspool/io/probe"
-	"cardamomspool/io/setup"
 )
 
 type (
@@ -62,12 +59,8 @@
 )
 
 const (
-	planName     = "plan"
-	viewFile     = "view"
-	diskFile     = "disk"
-	epochPrefix  = "epoch-"
-	departLimit  = 700 * time.Millisecond
-	proposeLimit = 3 * time.Second
+	viewFile = "view"
+	diskFile = "disk"
 	// placeTick is the time between two looks at the calls that are held.
 	placeTick = 5 * time.Millisecond
 
@@ -85,14 +78,6 @@
 	slackShare = 0.5
 )
 
-var (
-	// ErrNotMember reports a control host that does not vote; one that does
-	// must be asked.
-	ErrNotMember = errors.New("control: this host does not vote")
-	// errDeparture reports a departure that too few control hosts have taken.
-	errDeparture = errors.New("control: no majority of control hosts has taken the departure")
-)
-
 func newFleet(h *Host) *fleet {
 	f := &fleet{host: h, moves: make(chan feed.View, 16), seeds: h.cfg.Fleet.Seeds}
 	f.places = place.NewServer(place.Config{
@@ -273,253 +258,3 @@
 	}
 	f.board.SetPlan(&d.Plan)
 }
-
-// nextView returns the view that follows one whose last value is v.
-func nextView(present feed.View, v quorum.Value) (feed.View, error) {
-	next := feed.View{Epoch: present.Epoch + 1, Initial: v}
-	next.Initial.Next = nil
-	for _, name := range v.Next {
-		m, err := feed.ParseMember(name)
-		if err != nil {
-			return next, err
-		}
-		next.Members = append(next.Members, m)
-	}
-	return next, nil
-}
-
-// enter begins to vote in a view, or to follow it when this host is not a
-// member. The view must be on disk.
-func (f *fleet) enter(ctx context.Context, view feed.View) error {
-	h := f.host
-	if view.Initial.Revision > 0 {
-		f.publish(view.Initial)
-	}
-	if !view.Has(f.self()) {
-		h.log.Info("control host does not vote in this view", "epoch", view.Epoch)
-		f.setNode(nil, nil, view)
-		return nil
-	}
-	var (
-		folder *disk.Folder
-		saved  quorum.Saved
-		node   *quorum.Node
-		names  []string
-		err    error
-	)
-	if folder, err = h.folder.Sub(epochPrefix + strconv.FormatUint(view.Epoch, 10)); err != nil {
-		return err
-	}
-	for _, m := range view.Members {
-		names = append(names, m.Host.String())
-		if m.Host == f.self() || h.peer(m.Host.String()) != nil {
-			continue
-		}
-		p := setup.Peer{Host: m.Host.String(), PeerAddress: netip.AddrPortFrom(m.Host, h.cfg.PeerAddress.Port())}
-		if err = h.dialPeer(ctx, p); err != nil {
-			return err
-		}
-	}
-	if node, err = quorum.NewNode(f.self().String(), names, random(), quorum.WithEpoch(view.Epoch)); err != nil {
-		return err
-	}
-	if saved, err = h.restore(folder); err != nil {
-		return err
-	}
-	if saved, err = f.inherit(folder, view, saved); err != nil {
-		return err
-	}
-	f.setNode(node, folder, view)
-	h.log.Info("control host enters view", "epoch", view.Epoch, "members", view.Names(), "registers", len(saved.Registers))
-	h.run(func(now time.Time) quorum.Output { return node.Start(now, saved) })
-	h.step.Lock()
-	defer h.step.Unlock()
-	for _, l := range saved.Learnt {
-		f.learn([]quorum.Value{l.Chosen})
-	}
-	return nil
-}
-
-// inherit gives a member that has not begun to vote in a view the view's first
-// value. A member whose disk is not the one that the view names may have voted
-// with another disk; it recovers from the others instead.
-func (f *fleet) inherit(folder *disk.Folder, view feed.View, saved quorum.Saved) (quorum.Saved, error) {
-	if saved.Identity != nil || saved.Damaged || view.Initial.Revision == 0 {
-		return saved, nil
-	}
-	for _, m := range view.Members {
-		if m.Host != f.self() || m.Disk != f.disk {
-			continue
-		}
-		saved = quorum.Inherit(view.Initial, quorum.Incarnation{Number: 1, Nonce: f.disk})
-		records := []quorum.Record{saved.Registers[0], saved.Learnt[0], *saved.Identity} // The identity ends the set.
-		for _, r := range records {
-			if err := folder.Save(fileName(r), r); err != nil {
-				return saved, err
-			}
-		}
-	}
-	return saved, nil
-}
-
-// setNode replaces the node that votes; nil votes no longer. Whoever waits for
-// the former one is told that the outcome is not known.
-func (f *fleet) setNode(node *quorum.Node, folder *disk.Folder, view feed.View) {
-	h := f.host
-	h.step.Lock()
-	defer h.step.Unlock()
-	h.abandon(quorum.ErrNoMajority)
-	f.closeVotes()
-	h.node, h.votes, f.present, f.entered = node, folder, view, time.Now()
-}
-
-// close releases the folder of the present view.
-func (f *fleet) close() {
-	f.host.step.Lock()
-	defer f.host.step.Unlock()
-	f.closeVotes()
-}
-
-// closeVotes closes the folder of the present view. The caller holds the host's
-// step mutex.
-func (f *fleet) closeVotes() {
-	h := f.host
-	if h.votes == nil || h.votes == h.folder {
-		return
-	}
-	if err := h.votes.Close(); err != nil {
-		h.log.Error("folder of the view closed badly", "epoch", f.present.Epoch, "error", err)
-	}
-	h.votes = nil
-}
-
-// PutPlan puts a plan in force and returns once a majority holds it on disk,
-// or a higher version. It returns ErrNotMember when this host does not vote
-// and quorum.ErrNoMajority when the outcome is not known.
-func (h *Host) PutPlan(ctx context.Context, d plan.Document) error {
-	body, err := json.Marshal(d)
-	if err != nil {
-		return errors.Wrap(err, "control: plan")
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
-	defer cancel()
-	begin := time.Now()
-	c := quorum.Change{Name: planName, Version: d.Plan.Version, At: begin, Body: body}
-	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
-	h.log.Info("plan proposed", "version", d.Plan.Version, "epoch", h.fleet.board.View().Epoch,
-		"held", r.Value.Version, "took", time.Since(begin).String(), "error", errorText(r.Err))
-	return memberError(r.Err)
-}
-
-// ReadPlan returns the newest plan as a majority holds it, and false when
-// there is none. It returns ErrNotMember when this host does not vote and
-// quorum.ErrNoMajority when too few answer.
-func (h *Host) ReadPlan(ctx context.Context) (plan.Document, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
-	defer cancel()
-	var d plan.Document
-	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Read(now, planName) })
-	switch {
-	case r.Err != nil:
-		return d, false, memberError(r.Err)
-	case len(r.Value.Next) > 0:
-		return d, false, quorum.ErrNoMajority // The next view may hold a newer one.
-	case r.Value.Version == 0:
-		return d, false, nil
-	}
-	if err := json.Unmarshal(r.Value.Body, &d); err != nil {
-		return d, false, errors.Wrap(err, "control: plan")
-	}
-	return d, true, nil
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-// memberError returns the error of a proposal as the front sees it.
-func memberError(err error) error {
-	var sealed *quorum.SealedError
-	switch {
-	case errors.Is(err, errNoVote):
-		return ErrNotMember
-	case errors.As(err, &sealed):
-		return quorum.ErrNoMajority // The next view is about to begin.
-	}
-	return err
-}
-
-// Announce takes in what a target says of itself. A target that leaves is
-// acknowledged, by a nil error, only once a majority of the voting hosts knows.
-func (h *Host) Announce(ctx context.Context, t roster.Target) error {
-	h.fleet.board.Hear(t, true)
-	if t.State < member.Draining {
-		return nil
-	}
-	return h.fleet.depart(ctx, t)
-}
-
-// Target returns what is known of a target.
-func (h *Host) Target(id string) (roster.Target, bool) {
-	return h.fleet.board.Target(id)
-}
-
-// depart tells all control hosts of a target that leaves.
-func (f *fleet) depart(ctx context.Context, t roster.Target) error {
-	ctx, cancel := context.WithTimeout(ctx, departLimit)
-	defer cancel()
-	view := f.board.View()
-	request := feed.Departing(t, time.Now())
-	answers := make(chan bool, len(view.Members))
-	asked, taken := 0, 0
-	for _, m := range view.Members {
-		if m.Host == f.self() {
-			taken++
-			continue
-		}
-		asked++
-		go func() { answers <- f.tellDeparture(ctx, m.Host, request) }()
-	}
-	for ; asked > 0 && taken < quorum.Majority(len(view.Members)); asked-- {
-		if <-answers {
-			taken++
-		}
-	}
-	f.host.log.Info("departure taken", "target", t.ID, "state", t.State.String(), "hosts", taken, "epoch", view.Epoch)
-	if len(view.Members) == 0 || taken < quorum.Majority(len(view.Members)) {
-		return errDeparture
-	}
-	return nil
-}
-
-func (f *fleet) tellDeparture(ctx context.Context, host netip.Addr, request *peerpb.DepartRequest) bool {
-	conn, err := peer.Dial(netip.AddrPortFrom(host, f.host.cfg.PeerAddress.Port()), peer.WithTraffic(f.host.peerTraffic()))
-	if err == nil {
-		defer conn.Close()
-		_, err = peerpb.NewFleetClient(conn).Depart(ctx, request)
-	}
-	if err != nil {
-		f.host.log.Debug("departure not told", "peer", host.String(), "error", err)
-	}
-	return err == nil
-}
-
-// Voters returns the addresses at which the fronts of the voting hosts serve,
-// all but this one's.
-func (h *Host) Voters() []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, m := range h.fleet.board.View().Members {
-		if m.Host != h.fleet.self() {
-			list = append(list, netip.AddrPortFrom(m.Host, h.cfg.Fleet.FrontAddress.Port()))
-		}
-	}
-	return list
-}
-
-// View returns the view of voting hosts that this host knows.
-func (h *Host) View() feed.View {
-	return h.fleet.board.View()
-}
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -63,8 +62,6 @@
 	// silenceLimit is how long a stream may be without an update; three
 	// heartbeats are then missing.
 	silenceLimit = 1600 * time.Millisecond
-	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = time.Second
 	expirePeriod = time.Second
 	// settleTime is how long a host that has heard one control host waits for
 	// a majority of them before it counts as informed.
@@ -170,26 +167,18 @@
 		defer f.mu.Unlock()
 		delete(f.active, address)
 	}()
-	backoff := firstBackoff
-	for ctx.Err() == nil && slices.Contains(f.wanted(), address) {
+	wanted := func() bool { return slices.Contains(f.wanted(), address) }
+	peer.Keep(ctx, wanted, func() bool {
 		heard, err := f.follow(ctx, address)
 		f.mu.Lock()
 		delete(f.sources, address)
 		f.mu.Unlock()
-		if ctx.Err() != nil {
-			return
-		}
-		if heard {
-			backoff = firstBackoff
+		if heard && ctx.Err() == nil {
 			f.board.metrics.Count("streams_lost").Add(1)
 			f.board.log.Warn("control host lost", "address", address.String(), "error", err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff/2 + rand.N(backoff)):
-		}
-		backoff = min(2*backoff, lastBackoff)
-	}
+		return heard
+	})
 }
 
 // follow merges the updates of one stream until it ends or falls silent, and
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -35,9 +35,11 @@
 	// sends a lost opening packet again only after a second.
 	connectTimeout = 300 * time.Millisecond
 	firstRetry     = 100 * time.Millisecond
-	longestRetry   = time.Second
-	retryGrowth    = 1.6
-	retryJitter    = 0.2
+	// firstPause is the pause before a stream that has ended is opened again.
+	firstPause   = 50 * time.Millisecond
+	longestRetry = time.Second
+	retryGrowth  = 1.6
+	retryJitter  = 0.2
 	// window is set so that the library does not measure the path with pings.
 	window = 64 << 10
 )
--- a/io/place/links.go
+++ b/io/place/links.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -58,8 +57,6 @@
 
 const (
 	searchPeriod = 100 * time.Millisecond
-	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = time.Second
 	// missLimit is the number of calls without any decision in time after
 	// which a control host is left alone for avoidTime.
 	missLimit = 2
@@ -141,17 +138,8 @@
 		defer l.mu.Unlock()
 		delete(l.active, address)
 	}()
-	backoff := firstBackoff
-	for ctx.Err() == nil && slices.Contains(l.controls(), address) {
-		if l.stream(ctx, address) {
-			backoff = firstBackoff
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff/2 + rand.N(backoff)):
-		}
-		backoff = min(2*backoff, lastBackoff)
-	}
+	wanted := func() bool { return slices.Contains(l.controls(), address) }
+	peer.Keep(ctx, wanted, func() bool { return l.stream(ctx, address) })
 }
 
 // stream carries calls over one stream until it ends and reports whether it
