Enter a view that is heard before the views are watched

Cause: watchViews took the epoch to compare with when its goroutine began. A host with an empty disk that heard the view before that took it for entered, and never voted. The epoch is taken before anything is heard.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -187,7 +187,9 @@
 	f.follower = feed.NewFollower(f.board, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
 	}, f.seedList, h.peerTraffic())
-	if view := f.board.View(); view.Epoch > 0 {
+	// Taken before anything is heard of others.
+	view := f.board.View()
+	if view.Epoch > 0 {
 		if err := f.enter(work, view); err != nil {
 			return err
 		}
@@ -205,7 +207,7 @@
 	}
 	go f.follower.Run(work)
 	go f.places.Run(work)
-	go f.watchViews(work)
+	go f.watchViews(work, view.Epoch)
 	go f.remember(work)
 	return nil
 }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -23,12 +23,11 @@
 	maxVoters = 7
 )
 
-// watchViews changes to the views that were agreed, and proposes new ones,
-// until ctx ends.
-func (f *fleet) watchViews(ctx context.Context) {
+// watchViews changes to the views that were agreed after the one of epoch
+// entered, and proposes new ones, until ctx ends.
+func (f *fleet) watchViews(ctx context.Context, entered uint64) {
 	ticker := time.NewTicker(viewPeriod)
 	defer ticker.Stop()
-	entered := f.board.View().Epoch
 	for {
 		select {
 		case <-ctx.Done():
