--- a/io/exper/fleet.go
+++ b/io/exper/fleet.go
@@ -119,7 +119,7 @@
 	if p.log, err = os.OpenFile(filepath.Join(f.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return nil, errors.Wrap(err, "exper")
 	}
-	p.cmd.Stderr = p.log
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err = p.cmd.Start(); err != nil {
 		return nil, errors.Wrapf(err, "exper: start %s", name)
 	}
--- a/io/slope/process.go
+++ b/io/slope/process.go
@@ -61,7 +61,7 @@
 		return nil, errors.Wrap(err, "slope")
 	}
 	p := &process{cmd: exec.Command(binary, subcommand, "--settings", settings), admin: admin, log: log}
-	p.cmd.Stderr = log
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err = p.cmd.Start(); err != nil {
 		log.Close()
 		return nil, errors.Wrap(err, "slope: start")
@@ -97,7 +97,7 @@
 // restart starts a killed process again with its settings.
 func (p *process) restart() error {
 	next := exec.Command(p.cmd.Path, p.cmd.Args[1:]...)
-	next.Stderr = p.log
+	next.Stdout, next.Stderr = p.log, p.log
 	p.cmd = next
 	return errors.Wrap(next.Start(), "slope: restart")
 }
--- a/io/storm/process.go
+++ b/io/storm/process.go
@@ -47,7 +47,7 @@
 
 func (p *process) start() error {
 	cmd := exec.Command(p.args[0], p.args[1:]...)
-	cmd.Stderr = p.log
+	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "storm: start %s", p.name)
 	}
