Let one piece serve seeds, host names and arrivals; remove an unused method

Entry and control hosts each kept replaceable seeds, two routers stripped the port of an authority, and the event of a new call was built in two places. Queue.Last was used by nothing. No behaviour changes.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -96,14 +96,6 @@
 	return q.position(h, 0)
 }
 
-// Last returns the call that would leave last, and false when none waits.
-func (q *Queue) Last() (Held, bool) {
-	if len(q.list) == 0 {
-		return Held{}, false
-	}
-	return q.list[len(q.list)-1], true
-}
-
 // Pop returns the next call to be served, and false when none waits.
 func (q *Queue) Pop() (Held, bool) {
 	if len(q.list) == 0 {
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,9 +46,7 @@
 		present feed.View
 		// entered is when the host entered it.
 		entered time.Time
-
-		mu    sync.Mutex
-		seeds []netip.AddrPort
+		seeds   *feed.Seeds
 	}
 
 	// diskIdentity is kept in the data folder for as long as its disk lives.
@@ -79,7 +76,7 @@
 )
 
 func newFleet(h *Host) *fleet {
-	f := &fleet{host: h, moves: make(chan feed.View, 16), seeds: h.cfg.Fleet.Seeds}
+	f := &fleet{host: h, moves: make(chan feed.View, 16), seeds: feed.NewSeeds(h.cfg.Fleet.Seeds)}
 	f.places = place.NewServer(place.Config{
 		Service: h.placeDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), Tick: placeTick,
 	}, func(service string) []member.Record { return f.board.Records(service) }, probe.HTTP(h.dialect), h.log, h.metrics)
@@ -186,7 +183,7 @@
 	peerpb.RegisterFleetServer(peers, feed.NewServer(stop, f.board, f.places.Serve))
 	f.follower = feed.NewFollower(f.board, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
-	}, f.seedList, h.peerTraffic())
+	}, f.seeds.List, h.peerTraffic())
 	// Taken before anything is heard of others.
 	view := f.board.View()
 	if view.Epoch > 0 {
@@ -212,21 +209,13 @@
 	return nil
 }
 
-func (f *fleet) seedList() []netip.AddrPort {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.seeds
-}
-
 // SetSeeds replaces the addresses that the host searches from. It has no
 // effect on a host that is no part of a fleet.
 func (h *Host) SetSeeds(seeds []netip.AddrPort) {
 	if h.fleet == nil {
 		return
 	}
-	h.fleet.mu.Lock()
-	defer h.fleet.mu.Unlock()
-	h.fleet.seeds = seeds
+	h.fleet.seeds.Set(seeds)
 }
 
 // learn takes in newly chosen values of the present view. The caller holds the
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -108,11 +108,16 @@
 	waiter := make(chan engine.Action, 1)
 	c.link, c.waiter, c.lost, c.overdue = nil, waiter, nil, nil
 	h.system.Root.Send(c.service.pid, &broker.Arrival{
-		Event:   engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline, DataCentre: h.cfg.DataCentre},
+		Event:   h.arrival(c),
 		Deliver: func(action engine.Action) { waiter <- action },
 	})
 }
 
+// arrival returns the event of a new call.
+func (h *Host) arrival(c *call) engine.Arrive {
+	return engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline, DataCentre: h.cfg.DataCentre}
+}
+
 // cancel tells who decides that a call has ended early.
 func (h *Host) cancel(c *call, overdue bool) {
 	e := engine.Cancel{Call: c.id, Overdue: overdue}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -32,9 +31,7 @@
 		routes   atomic.Pointer[routes]
 		// planned is closed once there is a plan.
 		planned chan struct{}
-
-		mu    sync.Mutex
-		seeds []netip.AddrPort
+		seeds   *feed.Seeds
 	}
 
 	// routes is the plan in force.
@@ -82,14 +79,14 @@
 
 func newFleet(h *Host) *fleet {
 	f := &fleet{
-		host: h, seeds: h.cfg.Fleet.Seeds, planned: make(chan struct{}),
+		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planned: make(chan struct{}),
 		splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	f.board = feed.NewBoard(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
 		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan))
 	f.follower = feed.NewFollower(f.board, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress,
-	}, f.seedList, trafficOf(h.metrics, "feed"))
+	}, f.seeds.List, trafficOf(h.metrics, "feed"))
 	f.links = place.NewLinks(f.board.Controls, trafficOf(h.metrics, "place"), h.log, h.metrics)
 	return f
 }
@@ -101,21 +98,13 @@
 	group.Go(func() { f.links.Run(ctx) })
 }
 
-func (f *fleet) seedList() []netip.AddrPort {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.seeds
-}
-
 // SetSeeds replaces the addresses that the host searches from. It has no
 // effect on a host that is no part of a fleet.
 func (h *Host) SetSeeds(seeds []netip.AddrPort) {
 	if h.fleet == nil {
 		return
 	}
-	h.fleet.mu.Lock()
-	defer h.fleet.mu.Unlock()
-	h.fleet.seeds = seeds
+	h.fleet.seeds.Set(seeds)
 }
 
 // ready reports whether the plan and the targets are known.
@@ -183,11 +172,7 @@
 	if v == nil {
 		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "no plan is known yet"}
 	}
-	host := r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	route := v.table.Find(host, r.URL.Path)
+	route := v.table.Find(withoutPort(r.Host), r.URL.Path)
 	switch {
 	case route == nil && !f.follower.Informed():
 		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "the plan may be out of date"}
@@ -250,7 +235,6 @@
 		return false
 	}
 	waiter, lost := make(chan engine.Action, guideActions), make(chan struct{})
-	e := engine.Arrive{Call: c.id, Class: c.class, Deadline: c.deadline, DataCentre: f.host.cfg.DataCentre}
 	w := place.Waiter{
 		Decide: func(a engine.Action) {
 			select {
@@ -261,7 +245,7 @@
 		},
 		Lose: func() { close(lost) },
 	}
-	if !link.Arrive(c.service.doc.Name, e, w, now) {
+	if !link.Arrive(c.service.doc.Name, f.host.arrival(c), w, now) {
 		return false
 	}
 	c.link, c.waiter, c.lost = link, waiter, lost
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -32,10 +32,7 @@
 // find returns the service that takes a call, the one with the longest
 // matching path prefix first, or nil.
 func (m *serviceMap) find(hostPort, path string) *service {
-	host := hostPort
-	if name, _, err := net.SplitHostPort(hostPort); err == nil {
-		host = name
-	}
+	host := withoutPort(hostPort)
 	var best *service
 	longest := -1
 	for _, s := range m.list {
@@ -80,3 +77,11 @@
 		h.system.Root.Send(s.pid, engine.Retarget{Records: targets})
 	}
 }
+
+// withoutPort returns the host name of an authority.
+func withoutPort(hostPort string) string {
+	if name, _, err := net.SplitHostPort(hostPort); err == nil {
+		return name
+	}
+	return hostPort
+}
