Take bytes of a target's connection out of the socket under the link's lock

Cause of the red TestStrayBytesReachNoCaller: link.Read took stray bytes from the kernel before it locked the link. A request that began in between found the socket empty, and the bytes counted as its answer. Ruled out: the pool's look into the socket alone (it ran before begin, outside the lock), and the answer's call id (only dialects that name their calls have one). Now bytes leave the socket under the lock, and begin looks into the socket under the same lock: it finds the bytes there, or the link sealed.

--- a/io/entry/dial.go
+++ b/io/entry/dial.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"time"
 
@@ -38,20 +40,18 @@
 	return failed
 }
 
-// unread reports whether bytes, an end or a reset wait in the socket of a
-// connection to a target. A reader that waits for them may not have run yet.
-func unread(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+// socketOf returns the socket of a TCP connection.
+func socketOf(conn net.Conn) (syscall.RawConn, error) {
+	c, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
-	}
-	var (
-		raw syscall.RawConn
-		err error
-	)
-	if raw, err = tcp.SyscallConn(); err != nil {
-		return true
+		return nil, errors.Errorf("entry: connection of type %T has no socket", conn)
 	}
+	return c.SyscallConn()
+}
+
+// unread reports whether bytes, an end or a reset wait in the socket of a
+// connection to a target. A reader that waits for them may not have run yet.
+func unread(raw syscall.RawConn) bool {
 	waiting := false
 	look := func(fd uintptr) {
 		var b [1]byte
@@ -59,8 +59,25 @@
 		waiting = !errors.Is(failed, unix.EAGAIN)
 	}
 	// Control, unlike Read, does not wait for the reader.
-	if err = raw.Control(look); err != nil {
+	if err := raw.Control(look); err != nil {
 		return true
 	}
 	return waiting
 }
+
+// receive reads from a socket that does not block. It returns EAGAIN when
+// nothing waits, and io.EOF at the end.
+func receive(fd uintptr, p []byte) (int, error) {
+	for {
+		n, err := unix.Read(int(fd), p)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		case n == 0 && len(p) > 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 type (
@@ -16,6 +18,7 @@
 	// no byte through that can not belong to the present answer.
 	link struct {
 		net.Conn
+		raw     syscall.RawConn // Of the same socket.
 		client  *http.ClientConn
 		address netip.AddrPort
 		opened  time.Time
@@ -48,11 +51,12 @@
 	errStray  = errors.New("entry: the target sent bytes that belong to no request")
 )
 
-// begin starts a request. It reports false when the link can not be used.
+// begin starts a request. It reports false when the link can not be used, or
+// when bytes wait in the socket that belong to no request.
 func (l *link) begin(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sealed {
+	if l.sealed || unread(l.raw) {
 		return false
 	}
 	l.busy, l.started, l.ended = true, false, false
@@ -125,8 +129,38 @@
 	if clean {
 		l.onClean(l)
 	}
-	n, err := l.Conn.Read(p)
-	l.mu.Lock()
+	var (
+		n     int
+		stray bool
+		err   error
+	)
+	if failed := l.raw.Read(func(fd uintptr) bool {
+		// Bytes leave the socket under the lock: a request that begins finds
+		// them in the socket, or the link sealed.
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if n, err = receive(fd, p); errors.Is(err, unix.EAGAIN) {
+			return false
+		}
+		stray = l.received(n, err)
+		return true
+	}); failed != nil {
+		l.mu.Lock()
+		l.received(0, failed)
+		l.mu.Unlock()
+		return 0, failed
+	}
+	if !stray {
+		return n, err
+	}
+	l.Close()
+	l.onStray(l)
+	return 0, errStray
+}
+
+// received notes the result of a read and reports whether its bytes belong to
+// no request. The caller holds l.mu.
+func (l *link) received(n int, err error) bool {
 	l.reading = false
 	stray := n > 0 && (!l.busy || !l.started) && !l.sealed
 	if n > 0 {
@@ -135,13 +169,7 @@
 	if err != nil || stray {
 		l.sealed = true
 	}
-	l.mu.Unlock()
-	if !stray {
-		return n, err
-	}
-	l.Close()
-	l.onStray(l)
-	return 0, errStray
+	return stray
 }
 
 // carry sets what is called when the link closes before the present request
--- a/io/entry/link_test.go
+++ b/io/entry/link_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/setup"
+	"cardamomspool/io/telem"
 )
 
 const (
@@ -99,6 +101,42 @@
 	}
 }
 
+// TestBytesStayInTheSocketWhileTheLinkIsLocked holds the state of an idle link
+// that has a reader: bytes that arrive must not leave the socket, where a
+// request that begins would miss them, before the reader can judge them.
+func TestBytesStayInTheSocketWhileTheLinkIsLocked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	theirs := make(chan net.Conn, 1)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer target.Close()
+	go func() {
+		if c, err := target.Accept(); err == nil {
+			theirs <- c
+		}
+	}()
+	p := newPool(telem.NewSet())
+	l, err := p.dial(t.Context(), netip.MustParseAddrPort(target.Addr().String()))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer p.discard(l)
+	c := <-theirs
+	defer c.Close()
+	reading := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.reading
+	}
+	g.Eventually(reading, time.Second).Should(gomega.BeTrue())
+	time.Sleep(5 * time.Millisecond) // The reader reaches the system call.
+	l.mu.Lock()
+	io.WriteString(c, stray)
+	time.Sleep(20 * time.Millisecond) // The reader wakes up.
+	kept := unread(l.raw)
+	l.mu.Unlock()
+	g.Expect(kept).To(gomega.BeTrue())
+	g.Expect(l.begin(time.Now())).To(gomega.BeFalse())
+}
+
 // TestLateDuplicateOfAnAnswerReachesNoOtherCaller repeats each answer at a
 // moment when the next request may be under way. The target names its calls.
 func TestLateDuplicateOfAnAnswerReachesNoOtherCaller(t *testing.T) {
@@ -530,9 +568,11 @@
 			theirs, err := l.Accept()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			defer theirs.Close()
+			raw, err := socketOf(ours)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
 			row.act(theirs.(*net.TCPConn))
-			g.Eventually(func() bool { return unread(ours) }, time.Second).Should(gomega.Equal(row.want))
-			g.Consistently(func() bool { return unread(ours) }, 20*time.Millisecond).Should(gomega.Equal(row.want))
+			g.Eventually(func() bool { return unread(raw) }, time.Second).Should(gomega.Equal(row.want))
+			g.Consistently(func() bool { return unread(raw) }, 20*time.Millisecond).Should(gomega.Equal(row.want))
 		})
 	}
 }
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -73,7 +74,7 @@
 func (p *pool) get(ctx context.Context, address netip.AddrPort, trusted bool) (*link, error) {
 	now := time.Now()
 	for l := p.take(address, trusted, now); l != nil; l = p.take(address, trusted, now) {
-		if !unread(l.Conn) && l.begin(now) && l.client.Err() == nil {
+		if l.begin(now) && l.client.Err() == nil {
 			p.metrics.Count("connections_reused").Add(1)
 			return l, nil
 		}
@@ -106,11 +107,19 @@
 		p.metrics.Count("connections_failed").Add(1)
 		return nil, errors.Wrap(err, errDial.Error())
 	}
-	l := &link{Conn: conn, address: address, opened: time.Now(), fresh: true, onClean: p.put, onStray: p.stray, onClose: p.closed}
+	var raw syscall.RawConn
+	if raw, err = socketOf(conn); err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, errDial.Error())
+	}
+	l := &link{Conn: conn, raw: raw, address: address, opened: time.Now(), fresh: true, onClean: p.put, onStray: p.stray, onClose: p.closed}
 	p.mu.Lock()
 	p.open[address]++
 	p.mu.Unlock()
-	l.begin(l.opened)
+	if !l.begin(l.opened) {
+		l.Close()
+		return nil, errors.Wrap(errStray, errDial.Error())
+	}
 	ctx = context.WithValue(ctx, dialedKey{}, dialed{conn: l})
 	if l.client, err = p.transport.NewClientConn(ctx, "http", address.String()); err != nil {
 		l.Close()
