--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -25,6 +25,8 @@
 		flights uint64
 		// delay returns when copies of a message arrive; none is a loss.
 		delay func(e quorum.Envelope) []time.Duration
+		// create returns the node of a starting host.
+		create func(m *member) (*quorum.Node, error)
 		// on takes in what a host hands out.
 		on    func(host string, out quorum.Output)
 		trace io.Writer
@@ -82,6 +84,7 @@
 		delay: func(quorum.Envelope) []time.Duration { return []time.Duration{time.Millisecond} },
 		on:    func(string, quorum.Output) {},
 	}
+	c.create = func(m *member) (*quorum.Node, error) { return quorum.NewNode(m.name, c.names, c.lifeRNG()) }
 	for i := range n {
 		name := string(rune('a' + i))
 		c.names = append(c.names, name)
@@ -113,10 +116,15 @@
 	return m.disk.identity != nil && m.disk.identity.Stage == quorum.StageVoting && !m.disk.damaged
 }
 
+// lifeRNG returns the randomness of one life of a host.
+func (c *cluster) lifeRNG() *rand.Rand {
+	return rand.New(rand.NewPCG(c.rng.Uint64(), 2))
+}
+
 // start begins a new process of the host on its disk.
 func (c *cluster) start(name string) {
 	m := c.hosts[name]
-	node, err := quorum.NewNode(name, c.names, rand.New(rand.NewPCG(c.rng.Uint64(), 2)))
+	node, err := c.create(m)
 	if err != nil {
 		panic(err)
 	}
