Log how long a decision about a call took, and the length of its body

With the fields: decisions come within 3 ms (median) and 49 ms (99 in 100) for calls without a body, and for uploads mostly not within 60 ms: 205 of 225. 60 KB fill an entry host's link of 3.4 Mbit/s for 140 ms, and the decision waits behind them.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -22,8 +22,10 @@
 	service     *service
 	class       spec.Class
 	arrived     time.Time
+	asked       time.Time // When the present decision was asked for.
 	deadline    time.Time
 	body        *body
+	length      int64 // Of the body in bytes; -1 when it is not known.
 	waiter      chan engine.Action
 	link        *place.Link      // The control host that decides; nil for this host.
 	lost        <-chan struct{}  // Closed when link ends.
@@ -106,6 +108,7 @@
 // decide has this host's own engine decide for a call.
 func (h *Host) decide(c *call) {
 	waiter := make(chan engine.Action, 1)
+	c.asked = time.Now()
 	c.link, c.waiter, c.lost, c.overdue = nil, waiter, nil, nil
 	h.system.Root.Send(c.service.pid, &broker.Arrival{
 		Event:   h.arrival(c),
@@ -142,7 +145,7 @@
 func (h *Host) newCall(w answerWriter, r *http.Request, s *service, class spec.Class, told wire.Told) *call {
 	c := &call{
 		id: h.nextCall.Add(1), service: s, class: class,
-		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), name: told.Call,
+		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), length: r.ContentLength, name: told.Call,
 		connections: s.doc.Targets.Connections / max(len(h.cfg.Entries), 1), trusted: h.callers.TrustedProxies,
 	}
 	if c.name == "" {
@@ -374,7 +377,8 @@
 	}
 	h.log.Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
 		"candidates", s.Candidates, "decided_by", c.decidedBy(), "why", string(s.Why),
-		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.Held.Microseconds())
+		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.Held.Microseconds(),
+		"decided_after_us", time.Since(c.asked).Microseconds(), "asked_after_us", c.asked.Sub(c.arrived).Microseconds(), "body_bytes", c.length)
 }
 
 func (h *Host) logRefuse(c *call, r engine.Refuse) {
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -255,5 +255,6 @@
 
 // expect sets when a decision must have come.
 func (c *call) expect() {
+	c.asked = time.Now()
 	c.overdue = time.After(answerLimit)
 }
