Let a reported pace revert to the mean of all as the report grows old

Ruled out: waiting (held 0 ms), slow decisions, uploads (below). Now the expected pace is the mean of a process that reverts to the mean of all reports, so of targets that reported the same the latest one goes first. Red first: the spec 'believes a young report more than an old one'.

--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -20,11 +20,16 @@
 const (
 	// usualPace is the reported pace of a target that nothing slows down.
 	usualPace = 100
-	// paceMemory is the age at which a reported pace begins to fade, and
-	// paceFade the time in which it has gone: noisy neighbours last about
-	// 300 ms.
-	paceMemory = 300 * time.Millisecond
-	paceFade   = 300 * time.Millisecond
+	// paceMemory is the time in which a reported pace loses all but 1/e of what
+	// it tells: noisy neighbours last some 300 ms and come back after 900.
+	paceMemory = 225 * time.Millisecond
+	// paceStep and paceSteps lay out the table of what is left of a report; at
+	// its end, 4.5 memories old, one in a hundred is.
+	paceStep  = 4 * time.Millisecond
+	paceSteps = 256
+	// paceWeight is the weight of a report in the moving mean of all paces,
+	// which covers a second or two of reports.
+	paceWeight = 1.0 / 256
 	// foreignMemory is how long a report tells of the calls of others.
 	foreignMemory = 250 * time.Millisecond
 	// kneeShare is the share of busy slots from which targets slow down, and
@@ -49,7 +54,18 @@
 	tieShare = 0.05
 )
 
-var _ Policy = Fastest{}
+var (
+	_ Policy = Fastest{}
+
+	// paceKept is the part of a report that holds after each number of
+	// paceSteps.
+	paceKept = func() (list [paceSteps]float64) {
+		for i := range list {
+			list[i] = math.Exp(-float64(i) * float64(paceStep) / float64(paceMemory))
+		}
+		return list
+	}()
+)
 
 func (Fastest) isPolicy() {}
 
@@ -89,7 +105,7 @@
 	switch {
 	case failed:
 		why = WhyAllFailing
-	case least > kneeCost*usualPace:
+	case least > kneeCost*(usualPace+t.excess):
 		why = WhyCrowded
 	}
 	return t.pick(t.drawTie(kept[0], rng), candidates, why, at)
@@ -99,7 +115,7 @@
 // of the usual time.
 func (t *Table) cost(i int, q Query, at time.Duration) float64 {
 	s := &t.state[i]
-	cost := s.pace(at)
+	cost := t.pace(s, at)
 	slots := max(t.limit(i, q), 1)
 	busy := float64(s.inFlight+s.foreign(at)+1) / float64(slots)
 	cost *= 1 + loadCost*busy
@@ -129,14 +145,20 @@
 	return cost
 }
 
-// pace returns the target's last reported pace, which fades to the usual one.
-func (s *state) pace(at time.Duration) float64 {
+// pace returns the pace that is to be expected of a target: what it reported
+// last, which reverts to the mean of all targets as the report grows old. It is
+// the mean of an Ornstein-Uhlenbeck process, or of one with two states, given
+// its last observation. Source: S. Karlin and H. Taylor, "A Second Course in
+// Stochastic Processes", 1981, chapter 15.
+func (t *Table) pace(s *state, at time.Duration) float64 {
 	if !s.reported || s.load.Pace <= 0 {
-		return usualPace
+		return usualPace + t.excess
+	}
+	kept := 0.0
+	if step := (at - s.reportAt) / paceStep; step < paceSteps {
+		kept = paceKept[max(step, 0)]
 	}
-	age := at - s.reportAt - paceMemory
-	fresh := 1 - min(max(float64(age)/float64(paceFade), 0), 1)
-	return usualPace + (float64(s.load.Pace)-usualPace)*fresh
+	return usualPace + t.excess + (float64(s.load.Pace)-usualPace-t.excess)*kept
 }
 
 // foreign returns the calls at the target that others have sent there.
--- a/core/route/fastest_test.go
+++ b/core/route/fastest_test.go
@@ -76,6 +76,36 @@
 		gomega.Expect(seen).To(gomega.HaveLen(4))
 	})
 
+	// Noisy neighbours come and go: of targets that reported the same pace, the
+	// one that did so last has most probably kept it.
+	ginkgo.It("believes a young report more than an old one", func() {
+		for range 200 {
+			table.Report("t3", paced(400), now)
+			table.Report("t0", paced(100), now)
+		}
+		table.Report("t1", paced(100), now)
+		now = now.Add(200 * time.Millisecond)
+		table.Report("t2", paced(100), now)
+		for range 20 {
+			gomega.Expect(choose(route.Query{})).To(gomega.Equal("t2"))
+		}
+		table.Report("t2", paced(400), now)
+		gomega.Expect(choose(route.Query{})).To(gomega.BeElementOf("t0", "t1"))
+	})
+
+	ginkgo.It("takes age for nothing while all targets report the usual pace", func() {
+		for _, name := range []string{"t0", "t1", "t3"} {
+			table.Report(name, paced(100), now)
+		}
+		now = now.Add(200 * time.Millisecond)
+		table.Report("t2", paced(100), now)
+		seen := make(map[string]bool)
+		for range 100 {
+			seen[choose(route.Query{})] = true
+		}
+		gomega.Expect(seen).To(gomega.HaveLen(4))
+	})
+
 	ginkgo.It("gives no target more calls than its slots", func() {
 		for range 12 {
 			name := choose(route.Query{})
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -149,6 +149,9 @@
 
 func (t *Table) report(s *state, l wire.Load, at time.Duration) {
 	s.load, s.reported, s.reportAt = l, true, at
+	if l.Pace > 0 {
+		t.excess += (max(float64(l.Pace)-usualPace, 0) - t.excess) * paceWeight
+	}
 	s.others, s.othersAt = l.Running+l.Queued-s.inFlight, at
 	if l.Free() > 0 {
 		s.fullUntil = 0
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -32,6 +32,8 @@
 		state []state
 
 		mean float64
+		// excess is by how much the mean of reported paces exceeds usualPace.
+		excess float64
 
 		// ties are the rows that are equally good in one choice.
 		ties []int
