Wait for decisions behind the bodies that callers send

The link of an entry host, 3.4 Mbit/s, is full for 140 ms while a body of 60 KB arrives, and the decision waits behind it. Ruled out: the control host (calls without a body are decided in 3 ms at the median), the receive buffer (trial: the platform's windows do not follow it). Now an entry host that knows the rate of its link (new setting fleet.link_mbps) waits longer by what open bodies take, and such a delay does not count against the control host.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -17,6 +17,7 @@
 
 // call is one caller's request on its way through this host.
 type call struct {
+	host        *Host
 	id          uint64
 	name        string
 	service     *service
@@ -30,6 +31,7 @@
 	link        *place.Link      // The control host that decides; nil for this host.
 	lost        <-chan struct{}  // Closed when link ends.
 	overdue     <-chan time.Time // Fires when link has not decided in time.
+	crowded     bool             // A decision may wait behind the bodies of callers.
 	attempted   bool             // The call was sent to a target.
 	maybeRun    bool             // An attempt may have run the call.
 	connections int              // The most connections to one target.
@@ -78,6 +80,7 @@
 	}
 	c := h.newCall(w, r, s, class, told)
 	w.body = c.body
+	defer h.ingest.open(c.length)()
 	defer func() { leaveBody(w, r, c.body.whole()) }()
 	h.metrics.Count("calls").Add(1)
 	if err := h.receive(w, r, c); err != nil {
@@ -144,7 +147,7 @@
 
 func (h *Host) newCall(w answerWriter, r *http.Request, s *service, class spec.Class, told wire.Told) *call {
 	c := &call{
-		id: h.nextCall.Add(1), service: s, class: class,
+		host: h, id: h.nextCall.Add(1), service: s, class: class,
 		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), length: r.ContentLength, name: told.Call,
 		connections: s.doc.Targets.Connections / max(len(h.cfg.Entries), 1), trusted: h.callers.TrustedProxies,
 	}
@@ -213,7 +216,9 @@
 				return
 			}
 		case <-c.overdue:
-			c.link.Miss(time.Now())
+			if !c.crowded {
+				c.link.Miss(time.Now())
+			}
 			c.link.Cancel(engine.Cancel{Call: c.id})
 			if h.leaveGuide(ctx, w, r, c, whyNoDecision) {
 				return
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -57,7 +57,8 @@
 	// planRetry is when a caller may come back to a host that has no plan.
 	planRetry = 200 * time.Millisecond
 	// answerLimit is how long a control host may take to say what becomes of
-	// a call: some ten times the way there and back.
+	// a call, besides what the decision may wait behind bodies of callers: some
+	// ten times the way there and back.
 	answerLimit = 60 * time.Millisecond
 
 	// guideActions is the most decisions about a call that can be on their
@@ -255,6 +256,7 @@
 
 // expect sets when a decision must have come.
 func (c *call) expect() {
-	c.asked = time.Now()
-	c.overdue = time.After(answerLimit)
+	wait := c.host.ingest.wait()
+	c.asked, c.crowded = time.Now(), wait > 0
+	c.overdue = time.After(answerLimit + wait)
 }
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -31,6 +31,7 @@
 		metrics  *telem.Set
 		system   *actor.ActorSystem
 		exchange *exchange
+		ingest   *ingest
 		dialect  wire.Dialect
 		members  *membership
 		config   *configuration
@@ -90,6 +91,7 @@
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
 	h.exchange = newExchange(h.dialect, h.log, h.metrics)
+	h.ingest = newIngest(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps names of calls apart over restarts.
 	h.namePrefix = cfg.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -20,6 +20,7 @@
 		{Path: "fleet.first_start", Label: "First start", Help: "Whether the whole system starts for the first time. Seeds then found it; at any other time an empty disk joins."},
 		{Path: "fleet.front_address", Label: "Front address", Unit: "IP number and port", Help: "Where the adapter serves: operators and targets at a control host, readiness at an entry host."},
 		{Path: "fleet.retry_ratio", Label: "Retry ratio", Help: "Share of the calls of a window that may be sent again, over all entry hosts, from 0 to 1."},
+		{Path: "fleet.link_mbps", Label: "Link rate", Help: "Rate of the host's link in Mbit/s; 0 for one that the bodies of callers do not fill."},
 		{Path: "fleet.retry_window", Label: "Retry window", Low: 0, High: int64(MaxRetryWindow), Help: "Time that the retry budget holds for."},
 		{Path: "fleet.retry_slack", Label: "Retry slack", Unit: "repeats per window", Low: 0, High: MaxRetrySlack, Help: "Repeats of a window that need no calls."},
 		{Path: "fleet.probe_interval", Label: "Probe interval", Low: 0, High: int64(MaxProbeInterval), Help: "Time between two probes of a target; 0 sends none."},
--- a/io/setup/fleet.go
+++ b/io/setup/fleet.go
@@ -31,6 +31,9 @@
 	RetrySlack int `json:"retry_slack"`
 	// ProbeInterval is the time between two probes of a target; 0 sends none.
 	ProbeInterval strict.Duration `json:"probe_interval"`
+	// LinkMbps is the rate of this host's link in Mbit/s; 0 for one that the
+	// bodies of callers do not fill.
+	LinkMbps float64 `json:"link_mbps"`
 }
 
 // AdapterPlatform names the adapter to the users' platform.
@@ -67,4 +70,7 @@
 	f.Span("fleet.retry_window", s.RetryWindow, 0, MaxRetryWindow)
 	f.Range("fleet.retry_slack", s.RetrySlack, 0, MaxRetrySlack)
 	f.Span("fleet.probe_interval", s.ProbeInterval, 0, MaxProbeInterval)
+	if s.LinkMbps < 0 {
+		f.Add("fleet.link_mbps", "is %v, must not be negative", s.LinkMbps)
+	}
 }
--- a/io/setup/fleet_test.go
+++ b/io/setup/fleet_test.go
@@ -33,6 +33,7 @@
 		"fleet.retry_window":              func(f *setup.Fleet) { f.RetryWindow = -1 },
 		"fleet.retry_slack":               func(f *setup.Fleet) { f.RetrySlack = -1 },
 		"fleet.probe_interval":            func(f *setup.Fleet) { f.ProbeInterval = -1 },
+		"fleet.link_mbps":                 func(f *setup.Fleet) { f.LinkMbps = -1 },
 		"controls (number of entries)":    func(f *setup.Fleet) { f.Adapter = "" },
 	} {
 		t.Run(path, func(t *testing.T) {
