Bound the probes of a service by its calls

Now a service gets at most ten probes a call. Red first: 'probes little for a host that decides for few calls'.

--- a/io/place/server.go
+++ b/io/place/server.go
@@ -182,6 +182,9 @@
 	if v.prober == nil && s.cfg.ProbeInterval > 0 {
 		v.prober = s.probe(name, v.pid)
 	}
+	if v.prober != nil {
+		v.prober.Called(now)
+	}
 	s.nextCall++
 	return v.pid, s.nextCall, true
 }
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 
 		mu     sync.Mutex
 		active map[member.Key]probed
+		calls  float64 // The moving rate of calls a second, as of since.
+		since  time.Time
 	}
 
 	// probed is a target that is being probed.
@@ -47,6 +50,15 @@
 	// maxRate is the most probes a second of one service; each takes some
 	// 0.02 ms of a core, of which a control host of the users has a quarter.
 	maxRate = 1300
+	// probesPerCall bounds the probes of a service by its calls, so that a host
+	// that decides for a few strays only does not probe like one that decides
+	// for all. Services of long calls need the most: 14 targets probed ten times
+	// a second for 24 calls.
+	probesPerCall = 10
+	// leastRate is the least bound, in probes a second.
+	leastRate = 20
+	// callMemory is the time over which the rate of calls is taken.
+	callMemory = time.Second
 )
 
 // New returns a prober that asks for path every interval until ctx ends.
@@ -91,12 +103,27 @@
 	p.cancel()
 }
 
+// Called notes a call of the service.
+func (p *Prober) Called(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls = p.rate(now) + 1/callMemory.Seconds()
+	p.since = now
+}
+
+// rate returns the moving rate of calls a second. The caller holds mu.
+func (p *Prober) rate(now time.Time) float64 {
+	return p.calls * math.Exp(-now.Sub(p.since).Seconds()/callMemory.Seconds())
+}
+
 // pace returns the time between two probes of one target: the interval, or
-// longer where that many targets would cost more than maxRate.
-func (p *Prober) pace() time.Duration {
+// longer where that many targets would cost more than maxRate, or more than
+// the calls are worth.
+func (p *Prober) pace(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.interval, time.Duration(len(p.active))*time.Second/maxRate)
+	bound := min(max(probesPerCall*p.rate(now), leastRate), maxRate)
+	return max(p.interval, time.Duration(float64(len(p.active))/bound*float64(time.Second)))
 }
 
 // run probes one target until ctx ends.
@@ -126,7 +153,7 @@
 				"answers", answers, "error", err)
 		}
 		p.report(engine.Report{Target: target.Target, Probe: result})
-		interval := p.pace()
+		interval := p.pace(time.Now())
 		timer.Reset(max(interval-time.Since(begin), interval/4))
 	}
 }
--- a/io/probe/probe_test.go
+++ b/io/probe/probe_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +96,9 @@
 		}
 		records[0].State = member.Draining
 		p.SetTargets(records)
+		for range 1000 {
+			p.Called(time.Now())
+		}
 		time.Sleep(span)
 		p.Stop()
 		mu.Lock()
@@ -102,4 +106,32 @@
 		gomega.Expect(total).To(gomega.BeNumerically("<=", greatest))
 		gomega.Expect(asked).NotTo(gomega.HaveKey("0"))
 	})
+
+	// After a fault several hosts may get calls of one service.
+	ginkgo.It("probes little for a host that decides for few calls", func() {
+		const (
+			targets = 100
+			span    = time.Second
+			// greatest is what 5 calls a second allow, with the first probe of
+			// each target.
+			greatest = 5*10 + targets
+		)
+		var total atomic.Int64
+		count := func(context.Context, member.Record, string) (route.Probe, error) {
+			total.Add(1)
+			return route.Probe{Result: route.ProbeWell}, nil
+		}
+		p := probe.New(context.Background(), count, "/", 10*time.Millisecond, func(engine.Report) {}, telem.NewSet(), slog.New(slog.DiscardHandler))
+		defer p.Stop()
+		var records []member.Record
+		for i := range targets {
+			records = append(records, record(fmt.Sprint(i), netip.AddrPort{}))
+		}
+		p.SetTargets(records)
+		for range 5 {
+			p.Called(time.Now())
+			time.Sleep(span / 5)
+		}
+		gomega.Expect(total.Load()).To(gomega.BeNumerically("<=", greatest))
+	})
 })
