Send a follower only what it does not hold

Cause: after a loss of power every control host holds all targets again, so each of 7 sent all 358 to each of 120 entry hosts, whose links of 3.4 Mbit/s then took most of a second. Now a follower says what it holds (digests, the plan's version, the view's epoch), and hears one control host out before it turns to the others. Tests: 'is sent nothing that it holds already' (red with the digests unused), 'hears one control host out before it turns to the others'.

--- a/io/feed/board.go
+++ b/io/feed/board.go
@@ -232,6 +232,20 @@
 	}
 }
 
+// known returns digests of all targets, and the plan's version and the view's
+// epoch.
+func (b *Board) known() (digests []uint64, version, epoch uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.table.All(nil) {
+		digests = append(digests, digest(t))
+	}
+	if b.plan != nil {
+		version = b.plan.Version
+	}
+	return digests, version, b.view.Epoch
+}
+
 // Target returns what is known of the target called id.
 func (b *Board) Target(id string) (roster.Target, bool) {
 	b.mu.Lock()
--- a/io/feed/convert.go
+++ b/io/feed/convert.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"time"
 
@@ -32,6 +34,14 @@
 	return m
 }
 
+// digest returns what tells the states of targets apart. How long ago a target
+// was heard and how warm it is are left out.
+func digest(t roster.Target) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %s %s %s %d %d %d", t.ID, t.Service, t.DataCentre, t.Address, t.Slots, t.State, t.Born.UnixMilli())
+	return h.Sum64()
+}
+
 func toTarget(m *peerpb.TargetState, now time.Time) (roster.Target, error) {
 	t := roster.Target{
 		ID: m.GetId(), Service: m.GetService(), DataCentre: m.GetDataCentre(), Slots: int(m.GetSlots()),
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -135,6 +136,54 @@
 		gomega.Expect(ok).To(gomega.BeFalse())
 	})
 
+	ginkgo.It("is sent nothing that it holds already", func() {
+		s := newSources(2)
+		at := func(i int, sequence uint64, state member.State) roster.Target {
+			t := target(fmt.Sprint(i), sequence, state)
+			t.Address = netip.AddrPortFrom(t.Address.Addr(), uint16(1000+i))
+			return t
+		}
+		for i := range 100 {
+			for _, v := range s {
+				v.Hear(at(i, 1, member.Ready), true)
+			}
+		}
+		s[1].Hear(at(7, 2, member.Draining), true)
+		for _, v := range s {
+			v.SetPlan(&plan.Plan{Version: 1, Routes: make([]plan.Route, 500)})
+		}
+		metrics := telem.NewSet()
+		traffic := peer.Traffic{In: metrics.Count("in"), Out: metrics.Count("out")}
+		b := feed.NewBoard()
+		read := func(address netip.AddrPort) int64 {
+			before := traffic.In.Value()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			self := feed.Self{Host: "entry-1", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.2.99"), address.Port())}
+			f := feed.NewFollower(b, self, func() []netip.AddrPort { return []netip.AddrPort{address} }, traffic)
+			go f.Run(ctx)
+			gomega.Eventually(f.Sources, limit).Should(gomega.Equal(1))
+			return traffic.In.Value() - before
+		}
+		first := read(s[0].address)
+		gomega.Expect(b.Records("s")).To(gomega.HaveLen(100))
+		second := read(s[1].address)
+		gomega.Expect(second).To(gomega.BeNumerically("<", first/10))
+		t, _ := b.Target("7")
+		gomega.Expect(t.State).To(gomega.Equal(member.Draining))
+	})
+
+	ginkgo.It("hears one control host out before it turns to the others", func() {
+		s := newSources(3)
+		l, err := net.Listen("tcp", netip.AddrPortFrom(netip.MustParseAddr("127.0.2.4"), s[0].address.Port()).String())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(l.Close) // Accepts, but never answers.
+		silent := l.Addr().(*net.TCPAddr).AddrPort()
+		b := feed.NewBoard()
+		f := follow(b, silent, s[0].address, s[1].address, s[2].address)
+		gomega.Eventually(f.Sources, limit).Should(gomega.Equal(3))
+	})
+
 	ginkgo.It("gets all targets when it is further behind than the list of changes", func() {
 		s := newSources(1)
 		for i := range 20_000 {
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -24,7 +25,7 @@
 		board *Board
 		// Seeds returns the addresses to begin with.
 		seeds   func() []netip.AddrPort
-		request *peerpb.FollowRequest
+		host    Self
 		self    netip.AddrPort
 		port    uint16
 		traffic peer.Traffic
@@ -33,6 +34,7 @@
 		active  map[netip.AddrPort]bool
 		sources map[netip.AddrPort]source
 		started time.Time
+		spread  uint64
 	}
 
 	// source is the state of the stream from one control host.
@@ -74,16 +76,23 @@
 // NewFollower returns a follower for board that begins with seeds.
 func NewFollower(board *Board, self Self, seeds func() []netip.AddrPort, traffic peer.Traffic) *Follower {
 	f := &Follower{
-		board: board, seeds: seeds, self: self.Peer, port: self.Peer.Port(), traffic: traffic,
-		request: &peerpb.FollowRequest{Host: self.Host, DataCentre: self.DataCentre},
-		active:  make(map[netip.AddrPort]bool), sources: make(map[netip.AddrPort]source), started: time.Now(),
-	}
-	if self.Control {
-		f.request.Control, f.request.Disk = self.Peer.String(), self.Disk
+		board: board, seeds: seeds, host: self, self: self.Peer, port: self.Peer.Port(), traffic: traffic,
+		active: make(map[netip.AddrPort]bool), sources: make(map[netip.AddrPort]source), started: time.Now(),
+		spread: rand.Uint64(),
 	}
 	return f
 }
 
+// request returns what opens a stream.
+func (f *Follower) request() *peerpb.FollowRequest {
+	r := &peerpb.FollowRequest{Host: f.host.Host, DataCentre: f.host.DataCentre}
+	if f.host.Control {
+		r.Control, r.Disk = f.self.String(), f.host.Disk
+	}
+	r.Known, r.PlanVersion, r.Epoch = f.board.known()
+	return r
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -92,10 +101,8 @@
 	defer search.Stop()
 	expired := time.Now()
 	for {
-		for _, address := range f.wanted() {
-			if f.claim(address) {
-				group.Go(func() { f.keep(ctx, address) })
-			}
+		for _, address := range f.next() {
+			group.Go(func() { f.keep(ctx, address) })
 		}
 		if now := time.Now(); now.Sub(expired) >= expirePeriod {
 			expired = now
@@ -109,6 +116,37 @@
 	}
 }
 
+// next returns the control hosts to follow from now on: all that are known, but
+// one more at a time while none has told all that it knows. The others then
+// tell only what is new.
+func (f *Follower) next() []netip.AddrPort {
+	list := f.wanted()
+	if len(list) == 0 {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	told := false
+	for _, s := range f.sources {
+		told = told || s.complete
+	}
+	// Hosts begin with different ones.
+	first := int(f.spread % uint64(len(list)))
+	list = append(list[first:], list[:first]...)
+	var claimed []netip.AddrPort
+	for _, address := range list {
+		if f.active[address] {
+			continue
+		}
+		f.active[address] = true
+		claimed = append(claimed, address)
+		if !told {
+			break
+		}
+	}
+	return claimed
+}
+
 // Informed reports whether enough control hosts have told all that they know:
 // a majority of the voting ones, or after a while one that a majority
 // confirms.
@@ -150,16 +188,6 @@
 	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == f.self })
 }
 
-func (f *Follower) claim(address netip.AddrPort) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.active[address] {
-		return false
-	}
-	f.active[address] = true
-	return true
-}
-
 // keep follows one control host for as long as it is wanted.
 func (f *Follower) keep(ctx context.Context, address netip.AddrPort) {
 	defer func() {
@@ -198,7 +226,7 @@
 	defer cancel(nil)
 	silence := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
 	defer silence.Stop()
-	if stream, err = peerpb.NewFleetClient(conn).Follow(ctx, f.request); err != nil {
+	if stream, err = peerpb.NewFleetClient(conn).Follow(ctx, f.request()); err != nil {
 		return false, errors.Wrap(err, "feed: follow")
 	}
 	for heard := false; ; heard = true {
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -31,6 +31,7 @@
 		controls []netip.AddrPort
 		current  bool
 		first    bool
+		known    map[uint64]bool // Digests of what the follower began with.
 		// refreshed is when the targets heard since were last sent.
 		refreshed time.Time
 	}
@@ -82,7 +83,7 @@
 		// its own board shows that it still is.
 		s.board.SeeControl(control, r.GetDisk(), time.Now())
 	}
-	out := &sender{board: s.board, first: true, refreshed: time.Now()}
+	out := newSender(s.board, r, time.Now())
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for beat := true; ; {
@@ -112,6 +113,19 @@
 	}
 }
 
+// newSender returns the stream of a board to the host that sent r. What r says
+// that the host holds is left out of it.
+func newSender(b *Board, r *peerpb.FollowRequest, now time.Time) *sender {
+	s := &sender{board: b, first: true, refreshed: now, version: r.GetPlanVersion(), epoch: r.GetEpoch()}
+	if len(r.GetKnown()) > 0 {
+		s.known = make(map[uint64]bool, len(r.GetKnown()))
+		for _, d := range r.GetKnown() {
+			s.known[d] = true
+		}
+	}
+	return s
+}
+
 // next returns the update that brings the stream up to date, the channel that
 // the board's next change closes, and whether the update says anything new.
 func (s *sender) next(now time.Time) (*peerpb.FleetUpdate, <-chan struct{}, bool) {
@@ -137,7 +151,12 @@
 			s.version, news = b.plan.Version, true
 		}
 	}
-	b.since(s.order, func(t roster.Target) { u.Targets = append(u.Targets, fromTarget(t, now)) })
+	b.since(s.order, func(t roster.Target) {
+		if s.known == nil || !s.known[digest(t)] {
+			u.Targets = append(u.Targets, fromTarget(t, now))
+		}
+	})
+	s.known = nil
 	if now.Sub(s.refreshed) >= refreshPeriod {
 		for id := range b.marks {
 			b.visit(id, func(t roster.Target) {
