--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -143,14 +143,15 @@
 			t.Address = netip.AddrPortFrom(t.Address.Addr(), uint16(1000+i))
 			return t
 		}
-		for i := range 100 {
+		const targets = 400
+		for i := range targets {
 			for _, v := range s {
 				v.Hear(at(i, 1, member.Ready), true)
 			}
 		}
 		s[1].Hear(at(7, 2, member.Draining), true)
 		for _, v := range s {
-			v.SetPlan(&plan.Plan{Version: 1, Routes: make([]plan.Route, 500)})
+			v.SetPlan(&plan.Plan{Version: 1, Routes: make([]plan.Route, 100)})
 		}
 		metrics := telem.NewSet()
 		traffic := peer.Traffic{In: metrics.Count("in"), Out: metrics.Count("out")}
@@ -166,7 +167,7 @@
 			return traffic.In.Value() - before
 		}
 		first := read(s[0].address)
-		gomega.Expect(b.Records("s")).To(gomega.HaveLen(100))
+		gomega.Expect(b.Records("s")).To(gomega.HaveLen(targets))
 		second := read(s[1].address)
 		gomega.Expect(second).To(gomega.BeNumerically("<", first/10))
 		t, _ := b.Target("7")
