Grow the storm into a soak: relays between all parties, overlapping faults, an operator

spoollab soak (io/soak) puts a relay between every two parties, which delays, resets or blocks one direction or both; adds the loss of a control host's disk; has faults overlap; keeps one of four callers on its connection; changes the configuration and reads it back through other control hosts; prints a timeline, and looks for fewer faults that fail as well.

--- /dev/null
+++ b/cmd/spoollab/soak.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"cardamomspool/io/soak"
+)
+
+type (
+	// soakOptions are the flags of the soak subcommand.
+	soakOptions struct {
+		binary   string
+		folder   string
+		calls    int
+		seed     int
+		gentle   bool
+		controls int
+		entries  int
+		targets  int
+		timeline bool
+		shrink   bool
+	}
+
+	// soakTargetOptions are the flags of the soak-target subcommand.
+	soakTargetOptions struct {
+		name     string
+		address  string
+		public   string
+		announce string
+		record   string
+	}
+)
+
+func soakCommand() *command {
+	o := &soakOptions{binary: "./cardamomspool", calls: 2000, seed: 1, controls: 3, entries: 3, targets: 6}
+	sub := flaggy.NewSubcommand("soak")
+	sub.Description = "kill, freeze, stop and restart real processes under load and check every call"
+	sub.String(&o.binary, "b", "binary", "path of the cardamomspool binary")
+	sub.String(&o.folder, "f", "folder", "folder for settings, logs and records; a temporary one by default")
+	sub.Int(&o.calls, "n", "calls", "number of calls")
+	sub.Int(&o.seed, "d", "seed", "seed of the calls and of what is done to the processes")
+	sub.Bool(&o.gentle, "g", "gentle", "only faults that may cut no call off: graceful stops, and anything between hosts of the system")
+	sub.Int(&o.controls, "k", "controls", "number of control hosts")
+	sub.Int(&o.entries, "e", "entries", "number of entry hosts")
+	sub.Int(&o.targets, "t", "targets", "number of targets")
+	sub.Bool(&o.timeline, "l", "timeline", "print what was done and found before the report")
+	sub.Bool(&o.shrink, "r", "shrink", "after a failure, look for fewer faults that fail as well")
+	flaggy.AttachSubcommand(sub, 1)
+	return &command{parser: sub, run: func(ctx context.Context) error { return runSoak(ctx, o) }}
+}
+
+func soakTargetCommand() *command {
+	o := &soakTargetOptions{}
+	sub := flaggy.NewSubcommand("soak-target")
+	sub.Description = "run a target of a soak"
+	sub.String(&o.name, "n", "name", "name of the target")
+	sub.String(&o.address, "a", "address", "IP number and port to listen on")
+	sub.String(&o.public, "p", "public", "IP number and port that entry hosts find it at")
+	sub.String(&o.announce, "e", "announce", "announce addresses of all entry hosts, separated by commas")
+	sub.String(&o.record, "r", "record", "file that every call is written to")
+	flaggy.AttachSubcommand(sub, 1)
+	return &command{parser: sub, run: func(ctx context.Context) error { return runSoakTarget(ctx, o) }}
+}
+
+func runSoak(ctx context.Context, o *soakOptions) error {
+	var (
+		self   string
+		report soak.Report
+		err    error
+	)
+	if self, err = os.Executable(); err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	if o.folder == "" {
+		if o.folder, err = os.MkdirTemp("", "cardamomspool-soak-"); err != nil {
+			return errors.Wrap(err, "soak")
+		}
+	}
+	opts := []soak.Option{
+		soak.WithSeed(uint64(o.seed)), soak.WithCalls(o.calls), soak.WithSize(o.controls, o.entries, o.targets),
+		soak.WithProgress(os.Stderr),
+	}
+	if o.gentle {
+		opts = append(opts, soak.WithGentle())
+	}
+	lab := []string{self, "soak-target"}
+	report, err = soak.New(o.binary, lab, o.folder, opts...).Run(ctx)
+	if errors.Is(err, soak.ErrFaults) && o.shrink {
+		report = soak.Shrink(ctx, report, func(ctx context.Context, events []soak.Event) (soak.Report, error) {
+			folder, failed := os.MkdirTemp(o.folder, "shrink-")
+			if failed != nil {
+				return soak.Report{}, failed
+			}
+			return soak.New(o.binary, lab, folder, append(opts, soak.WithEvents(events))...).Run(ctx)
+		})
+	}
+	if o.timeline {
+		for _, line := range report.Timeline {
+			fmt.Println(line)
+		}
+	}
+	if line, failed := json.Marshal(report); failed == nil {
+		fmt.Println(string(line))
+	}
+	return err
+}
+
+func runSoakTarget(ctx context.Context, o *soakTargetOptions) error {
+	var (
+		address  netip.AddrPort
+		public   netip.AddrPort
+		announce []netip.AddrPort
+		target   *soak.Target
+		err      error
+	)
+	if address, err = netip.ParseAddrPort(o.address); err != nil {
+		return errors.Wrap(err, "--address")
+	}
+	if public, err = netip.ParseAddrPort(o.public); err != nil {
+		return errors.Wrap(err, "--public")
+	}
+	for text := range strings.SplitSeq(o.announce, ",") {
+		var to netip.AddrPort
+		if to, err = netip.ParseAddrPort(text); err != nil {
+			return errors.Wrap(err, "--announce")
+		}
+		announce = append(announce, to)
+	}
+	if target, err = soak.NewTarget(o.name, address, public, announce, o.record); err != nil {
+		return err
+	}
+	return target.Run(ctx)
+}
--- a/io/storm/check.go
+++ b/io/soak/check.go
@@ -1,4 +1,4 @@
-package storm
+package soak
 
 import (
 	"bufio"
@@ -24,14 +24,15 @@
 		err     error
 	}
 
-	// Report counts how the calls of a storm ended and what was wrong.
+	// Report counts how the calls of a soak ended and what was wrong.
 	Report struct {
-		Calls    int `json:"calls"`
-		Answered int `json:"answered"`
-		NotRun   int `json:"not_run"`
-		Unknown  int `json:"unknown"`
-		Broken   int `json:"broken"`
-		Events   int `json:"events"`
+		Seed     uint64 `json:"seed"`
+		Calls    int    `json:"calls"`
+		Answered int    `json:"answered"`
+		NotRun   int    `json:"not_run"`
+		Unknown  int    `json:"unknown"`
+		Broken   int    `json:"broken"`
+		Events   int    `json:"events"`
 		// ForeignAnswers counts answers that were not the call's own whole one.
 		ForeignAnswers int `json:"foreign_answers"`
 		// FalseNotRun counts calls told not run that a target ran.
@@ -43,13 +44,23 @@
 		// CutOff counts calls broken or unknown that no killed or frozen
 		// process explains.
 		CutOff int `json:"cut_off"`
+		// Changes and Reads count the operator's calls that were answered.
+		Changes int `json:"changes"`
+		Reads   int `json:"reads"`
+		// LostChanges counts reads that contradict an accepted change.
+		LostChanges int `json:"lost_changes"`
+		// ByKind counts the faults that were inflicted.
+		ByKind map[string]int `json:"by_kind,omitempty"`
 		// Faults names the wrong calls.
 		Faults []string `json:"faults,omitempty"`
+		// Timeline tells what was done and what was found.
+		Timeline []string `json:"-"`
+		events   []Event
 	}
 )
 
-// ErrFaults reports that a storm found something wrong.
-var ErrFaults = errors.New("storm: calls did not end as they must")
+// ErrFaults reports that a soak found something wrong.
+var ErrFaults = errors.New("soak: calls did not end as they must")
 
 // Err returns ErrFaults when the report holds faults.
 func (r *Report) Err() error {
@@ -68,7 +79,7 @@
 			err  error
 		)
 		if file, err = os.Open(name); err != nil {
-			return nil, errors.Wrap(err, "storm: target record")
+			return nil, errors.Wrap(err, "soak: target record")
 		}
 		lines := bufio.NewScanner(file)
 		for lines.Scan() {
@@ -76,7 +87,7 @@
 		}
 		file.Close()
 		if err = lines.Err(); err != nil {
-			return nil, errors.Wrap(err, "storm: target record")
+			return nil, errors.Wrap(err, "soak: target record")
 		}
 	}
 	return runs, nil
@@ -92,6 +103,15 @@
 	return report
 }
 
+// count adds an event that happened.
+func (r *Report) count(e Event) {
+	if r.ByKind == nil {
+		r.ByKind = make(map[string]int)
+	}
+	r.ByKind[kindOf(e.Fault)]++
+	r.events = append(r.events, e)
+}
+
 func (r *Report) add(c *record, runs int, hurt func(*record) bool) {
 	r.Calls++
 	cut := false
--- /dev/null
+++ b/io/soak/fault_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/spec"
+)
+
+// planned returns a soak whose processes and relays are there and not started.
+func planned(t *testing.T, opts ...Option) *Soak {
+	t.Helper()
+	s := New("system", []string{"lab"}, t.TempDir(), opts...)
+	if err := s.plan(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, r := range s.relays {
+			r.listener.Close()
+		}
+	})
+	return s
+}
+
+func TestEventsFollowFromTheSeed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first := planned(t, WithSeed(5)).draw(time.Minute)
+	g.Expect(planned(t, WithSeed(5)).draw(time.Minute)).To(gomega.Equal(first))
+	g.Expect(planned(t, WithSeed(6)).draw(time.Minute)).NotTo(gomega.Equal(first))
+	kinds := make(map[string]int)
+	for _, e := range first {
+		kinds[kindOf(e.Fault)]++
+	}
+	g.Expect(kinds).To(gomega.HaveLen(7))
+	g.Expect(kinds).NotTo(gomega.HaveKey("unknown"))
+}
+
+// Gentle faults never touch what carries calls, but for stops.
+func TestGentleEventsCutNoCallOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, e := range planned(t, WithSeed(5), WithGentle()).draw(5 * time.Minute) {
+		g.Expect(e.Victim).NotTo(gomega.HavePrefix("calls>"))
+		if strings.HasPrefix(e.Victim, "control-") || strings.Contains(e.Victim, ">") {
+			continue
+		}
+		g.Expect(e.Fault).To(gomega.Equal(Stop{}), e.Victim)
+	}
+}
+
+func TestShrinkFindsTheEventsThatFail(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var events []Event
+	for i := range 40 {
+		events = append(events, Event{At: time.Duration(i), Victim: "p", Fault: Stop{}})
+	}
+	run := func(_ context.Context, list []Event) (Report, error) {
+		found := 0
+		for _, e := range list {
+			if e.At == 7 || e.At == 23 {
+				found++
+			}
+		}
+		r := Report{events: list}
+		if found == 2 {
+			r.Faults = []string{"broken"}
+		}
+		return r, r.Err()
+	}
+	report := Shrink(t.Context(), Report{events: events, Faults: []string{"broken"}}, run)
+	g.Expect(report.events).To(gomega.ContainElements(events[7], events[23]))
+	g.Expect(len(report.events)).To(gomega.BeNumerically("<=", 5))
+}
+
+// liar is a control host that accepts changes and answers reads as told.
+func liar(t *testing.T, read func(revision uint64) (uint64, int)) *Soak {
+	t.Helper()
+	revision := uint64(0)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := reply{Confirmed: true}
+		if r.Method == http.MethodPut {
+			revision++
+			answer.Revision = revision
+		} else {
+			var doc spec.Service
+			answer.Revision, doc.Hold.Length = read(revision)
+			answer.Body, _ = json.Marshal(doc)
+		}
+		json.NewEncoder(w).Encode(answer)
+	}))
+	t.Cleanup(server.Close)
+	s := New("", nil, "")
+	p := &process{kind: KindControl, name: "control-1"}
+	s.controls = []*process{p}
+	s.adminAddress[p] = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return s
+}
+
+func TestOperatorFindsLostChanges(t *testing.T) {
+	for name, row := range map[string]struct {
+		read func(uint64) (uint64, int)
+		want int
+	}{
+		"none":              {func(r uint64) (uint64, int) { return r, leastHold + int(r) - 1 }, 0},
+		"an older revision": {func(r uint64) (uint64, int) { return r - 1, leastHold + int(r) - 2 }, 1},
+		"another document":  {func(r uint64) (uint64, int) { return r, 7 }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := liar(t, row.read)
+			g.Expect(s.operator.begin(t.Context())).To(gomega.Succeed())
+			rng := rand.New(rand.NewPCG(1, 1))
+			s.operator.makeChange(t.Context(), rng, 1)
+			g.Expect(s.operator.read(t.Context(), s.controls[0])).To(gomega.BeTrue())
+			var report Report
+			s.operator.report(&report)
+			g.Expect(report.Changes).To(gomega.Equal(2))
+			g.Expect(report.LostChanges).To(gomega.Equal(row.want), "%v", report.Faults)
+		})
+	}
+}
--- a/io/storm/process.go
+++ b/io/soak/process.go
@@ -1,4 +1,4 @@
-package storm
+package soak
 
 import (
 	"os"
@@ -20,6 +20,7 @@
 		name string
 		args []string
 		log  *os.File
+		turn sync.Mutex // Held while something is done to the process.
 
 		mu     sync.Mutex
 		cmd    *exec.Cmd
@@ -43,13 +44,13 @@
 const gracefulLimit = 20 * time.Second
 
 // ErrStop reports a process that did not end a graceful stop in time.
-var ErrStop = errors.New("storm: a process did not stop in time")
+var ErrStop = errors.New("soak: a process did not stop in time")
 
 func (p *process) start() error {
 	cmd := exec.Command(p.args[0], p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
-		return errors.Wrapf(err, "storm: start %s", p.name)
+		return errors.Wrapf(err, "soak: start %s", p.name)
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
@@ -91,6 +92,17 @@
 	return p.wait()
 }
 
+// covers reports whether one of spans touches the time from begin to end, or
+// ended shortly before.
+func covers(spans []span, begin, end time.Time) bool {
+	for _, s := range spans {
+		if s.begin.Before(end) && (s.end.IsZero() || s.end.Add(aftermath).After(begin)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *process) open(list *[]span) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,10 +120,5 @@
 func (p *process) wasHurt(begin, end time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.hurt {
-		if s.begin.Before(end) && (s.end.IsZero() || s.end.Add(aftermath).After(begin)) {
-			return true
-		}
-	}
-	return false
+	return covers(p.hurt, begin, end)
 }
--- a/io/storm/storm_test.go
+++ b/io/soak/soak_test.go
@@ -1,4 +1,4 @@
-package storm
+package soak
 
 import (
 	"bytes"
@@ -33,8 +33,8 @@
 	return filepath.Join(folder, "cardamomspool"), filepath.Join(folder, "spoollab")
 }
 
-// TestStorm runs short storms with fixed seeds over real processes.
-func TestStorm(t *testing.T) {
+// TestSoak runs short soaks with fixed seeds over real processes.
+func TestSoak(t *testing.T) {
 	system, lab := programs(t)
 	for name, opts := range map[string][]Option{
 		"kills, freezes and stops": {WithSeed(2), WithCalls(2500)},
@@ -44,7 +44,7 @@
 			g := gomega.NewWithT(t)
 			ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 			defer cancel()
-			report, err := New(system, []string{lab, "storm-target"}, t.TempDir(), opts...).Run(ctx)
+			report, err := New(system, []string{lab, "soak-target"}, t.TempDir(), opts...).Run(ctx)
 			g.Expect(err).NotTo(gomega.HaveOccurred(), "%+v", report)
 			g.Expect(report.Calls).To(gomega.Equal(2500))
 			g.Expect(report.Events).To(gomega.BeNumerically(">", 0))
--- a/io/storm/target.go
+++ b/io/soak/target.go
@@ -1,4 +1,4 @@
-package storm
+package soak
 
 import (
 	"bytes"
@@ -26,6 +26,7 @@
 type Target struct {
 	name     string
 	address  netip.AddrPort
+	public   netip.AddrPort // Where entry hosts find it.
 	announce []netip.AddrPort
 	record   *os.File
 	slots    int64
@@ -36,7 +37,7 @@
 
 const (
 	headerCall      = "Lab-Call"
-	serviceName     = "storm"
+	serviceName     = "soak"
 	targetSlots     = 3
 	announceEvery   = 100 * time.Millisecond
 	announceTimeout = time.Second
@@ -45,18 +46,18 @@
 	longestService  = 20 // Milliseconds.
 )
 
-// NewTarget returns a target that listens on address, announces itself to all
-// entry hosts in turn and appends its record to the file called record.
-func NewTarget(name string, address netip.AddrPort, announce []netip.AddrPort, record string) (*Target, error) {
+// NewTarget returns a target that listens on address, announces itself as found
+// at public to all entry hosts in turn and appends its record to the file called record.
+func NewTarget(name string, address, public netip.AddrPort, announce []netip.AddrPort, record string) (*Target, error) {
 	var (
 		file *os.File
 		err  error
 	)
 	if file, err = os.OpenFile(record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644); err != nil {
-		return nil, errors.Wrap(err, "storm: target record")
+		return nil, errors.Wrap(err, "soak: target record")
 	}
 	return &Target{
-		name: name, address: address, announce: announce, record: file, slots: targetSlots,
+		name: name, address: address, public: public, announce: announce, record: file, slots: targetSlots,
 		born: uint64(time.Now().UnixNano()),
 	}, nil
 }
@@ -70,7 +71,7 @@
 		err error
 	)
 	if l, err = net.Listen("tcp", t.address.String()); err != nil {
-		return errors.Wrap(err, "storm: target")
+		return errors.Wrap(err, "soak: target")
 	}
 	s := &http.Server{Handler: t, ReadHeaderTimeout: announceTimeout}
 	failed := make(chan error, 1)
@@ -110,7 +111,7 @@
 		err  error
 	)
 	if data, err = json.Marshal(wire.Announcement{
-		Service: serviceName, Target: t.name, Address: t.address, DataCentre: "lab",
+		Service: serviceName, Target: t.name, Address: t.public, DataCentre: "lab",
 		State: state.String(), Incarnation: t.born, Slots: int(t.slots),
 	}); err != nil {
 		return
