--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -158,6 +158,21 @@
 	_ Action = Refuse{}
 )
 
+// String names the result.
+func (r Result) String() string {
+	switch r {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not_run"
+	case Unknown:
+		return "unknown"
+	case Broken:
+		return "broken"
+	}
+	return "none"
+}
+
 // Final reports whether the caller has had all that it will get, so that the
 // call ends without another action.
 func (r Result) Final() bool {
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -22,6 +22,7 @@
 	// calls are held, so that an idle service costs nothing.
 	Broker struct {
 		engine  *engine.Service
+		name    string // Of the service.
 		waiters map[uint64]func(engine.Action)
 		actions []engine.Action
 		metrics *telem.Set
@@ -33,10 +34,10 @@
 
 var _ actor.Actor = (*Broker)(nil)
 
-// Spawn starts the broker of a service in system. While calls are held, time
+// Spawn starts the broker of the service called name in system. While calls are held, time
 // passes in the engine every tick.
-func Spawn(system *actor.ActorSystem, service *engine.Service, tick time.Duration, metrics *telem.Set) *actor.PID {
-	b := &Broker{engine: service, waiters: make(map[uint64]func(engine.Action)), metrics: metrics, tick: tick}
+func Spawn(system *actor.ActorSystem, name string, service *engine.Service, tick time.Duration, metrics *telem.Set) *actor.PID {
+	b := &Broker{engine: service, name: name, waiters: make(map[uint64]func(engine.Action)), metrics: metrics, tick: tick}
 	return system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return b }))
 }
 
@@ -127,4 +128,8 @@
 	if s.Attempt > 1 {
 		b.metrics.Count("retries").Add(1)
 	}
+	b.metrics.Histogram("queue_time", b.name).Observe(s.Held)
+	if s.ReportAge >= 0 {
+		b.metrics.Histogram("report_age", b.name).Observe(s.ReportAge)
+	}
 }
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -81,6 +81,7 @@
 	c := h.newCall(w, r, s, class, told)
 	w.body = c.body
 	defer h.ingest.open(c.length)()
+	defer func() { h.metrics.Histogram("call_latency", s.doc.Name).Observe(time.Since(c.arrived)) }()
 	defer func() { leaveBody(w, r, c.body.whole()) }()
 	h.metrics.Count("calls").Add(1)
 	if err := h.receive(w, r, c); err != nil {
@@ -254,7 +255,11 @@
 		}
 		h.logSend(c, action)
 		c.attempted = true
-		return h.finish(ctx, w, r, c, h.exchange.attempt(ctx, w, r, c, action))
+		begin := time.Now()
+		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(begin.Sub(c.asked))
+		result := h.exchange.attempt(ctx, w, r, c, action)
+		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(begin))
+		return h.finish(ctx, w, r, c, result)
 	case engine.Refuse:
 		h.logRefuse(c, action)
 		h.metrics.Count("calls_refused").Add(1)
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -68,7 +68,7 @@
 func (h *Host) spawn(doc spec.Service) *actor.PID {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	service := engine.NewService(doc, rng, engine.WithDataCentre(h.cfg.DataCentre))
-	return broker.Spawn(h.system, service, h.cfg.Tick.Std(), h.metrics)
+	return broker.Spawn(h.system, doc.Name, service, h.cfg.Tick.Std(), h.metrics)
 }
 
 // retarget tells the actor of a service about its targets.
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -174,7 +174,7 @@
 			return nil, 0, false
 		}
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		v = &service{pid: broker.Spawn(s.system, engine.NewService(doc, rng, engine.WithHolds()), s.cfg.Tick, s.metrics)}
+		v = &service{pid: broker.Spawn(s.system, name, engine.NewService(doc, rng, engine.WithHolds()), s.cfg.Tick, s.metrics)}
 		s.services[name] = v
 		s.system.Root.Send(v.pid, engine.Retarget{Records: s.targets(name)})
 	}
--- a/io/telem/telem.go
+++ b/io/telem/telem.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 )
 
 // Set is a group of metrics served as one JSON object. Use NewSet.
 type Set struct {
 	vars *expvar.Map
+	mu   sync.Mutex // Held while a histogram is made.
 }
 
 // NewSet returns a Set that holds the memory statistics of the process.
@@ -31,6 +33,29 @@
 	return s.vars.Get(name).(*expvar.Int)
 }
 
+// Histogram returns the histogram of durations called name for one label, making
+// it on first use. A name's labels must be few.
+func (s *Set) Histogram(name, label string) *Histogram {
+	if family, ok := s.vars.Get(name).(*expvar.Map); ok {
+		if h, ok := family.Get(label).(*Histogram); ok {
+			return h
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	family, ok := s.vars.Get(name).(*expvar.Map)
+	if !ok {
+		family = new(expvar.Map).Init()
+		s.vars.Set(name, family)
+	}
+	h, ok := family.Get(label).(*Histogram)
+	if !ok {
+		h = new(Histogram)
+		family.Set(label, h)
+	}
+	return h
+}
+
 // Func publishes the value that f returns under name.
 func (s *Set) Func(name string, f func() any) {
 	s.vars.Set(name, expvar.Func(f))
