Outlive the reader of the log, and stop although nobody reads it

A process whose standard output lost its reader was ended by SIGPIPE at its next line. One whose output was full never ended: its stop waited for the last lines to be read. Now SIGPIPE is ignored, lines that can't be written are dropped and counted, and a stop waits 0.5 s for them.

--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
@@ -51,6 +51,9 @@
 	defaultSettings = "settings.json"
 	// logLines is the number of log lines that an entry host buffers.
 	logLines = 4096
+	// flushLimit is how long a process that stops waits for its last log lines to
+	// be read: a fraction of the time that its host gives it to end.
+	flushLimit = 500 * time.Millisecond
 )
 
 // errUsage reports a command line that can not be carried out.
@@ -138,17 +141,26 @@
 }
 
 // logging returns the process's logger, which never waits for whoever reads
-// standard output, its metrics, and a function that writes out what is left.
+// standard output, its metrics, and a function that writes out what is left,
+// within flushLimit. Once nobody reads, lines are dropped and counted.
 func logging(ctx context.Context, cfg setup.Common) (*slog.Logger, *telem.Set, func()) {
 	out := telem.NewAsync(os.Stdout, logLines)
+	// Otherwise a write to standard output without a reader ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
-	var group sync.WaitGroup
-	group.Go(func() { out.Run(logCtx) })
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		out.Run(logCtx)
+	}()
 	metrics := telem.NewSet()
 	metrics.Func("log_lines_dropped", func() any { return out.Dropped() })
 	return logger(cfg, out), metrics, func() {
 		stopLog()
-		group.Wait()
+		select {
+		case <-written:
+		case <-time.After(flushLimit):
+		}
 	}
 }
 
--- /dev/null
+++ b/cmd/cardamomspool/output_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
+)
+
+// TestProcessOutlivesTheReaderOfItsLog ends whoever reads the log: the process
+// serves on and stops as usual.
+func TestProcessOutlivesTheReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	reader, writer, err := os.Pipe()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(reader.Close()).To(gomega.Succeed())
+	cmd, call := startFleetEntry(t, 100*time.Millisecond, writer)
+	writer.Close()
+	g.Eventually(func() error { return awaitListener(call) }, startLimit).Should(gomega.Succeed())
+	g.Consistently(func() error { return awaitListener(call) }, time.Second, 50*time.Millisecond).Should(gomega.Succeed())
+	g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
+	g.Expect(cmd.Wait()).To(gomega.Succeed())
+}
+
+// TestProcessStopsWhileItsLogIsNotRead fills the pipe that the log goes to: the
+// process serves, and its stop waits no longer than flushLimit for a reader.
+func TestProcessStopsWhileItsLogIsNotRead(t *testing.T) {
+	t.Parallel()
+	const drain = 100 * time.Millisecond
+	g := gomega.NewWithT(t)
+	reader, writer, err := os.Pipe()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer reader.Close()
+	size, err := unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = writer.Write(make([]byte, size))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	cmd, call := startFleetEntry(t, drain, writer)
+	writer.Close()
+	g.Eventually(func() error { return awaitListener(call) }, startLimit).Should(gomega.Succeed())
+	g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	g.Eventually(ended, drain+flushLimit+5*time.Second).Should(gomega.Receive(gomega.Succeed()))
+}
--- a/cmd/cardamomspool/signal_test.go
+++ b/cmd/cardamomspool/signal_test.go
@@ -24,7 +24,7 @@
 			t.Parallel()
 			g := gomega.NewWithT(t)
 			const drain = 1500 * time.Millisecond
-			cmd, call := startFleetEntry(t, drain)
+			cmd, call := startFleetEntry(t, drain, nil)
 			g.Eventually(func() error { return awaitListener(call) }, startLimit).Should(gomega.Succeed())
 			begin := time.Now()
 			g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
@@ -36,9 +36,10 @@
 	}
 }
 
-// startFleetEntry starts an entry host whose seeds do not answer and returns
-// its process and the address at which it takes calls.
-func startFleetEntry(t *testing.T, drain time.Duration) (*exec.Cmd, netip.AddrPort) {
+// startFleetEntry starts an entry host whose seeds do not answer, with its
+// output to stdout unless that is nil, and returns its process and the address
+// at which it takes calls.
+func startFleetEntry(t *testing.T, drain time.Duration, stdout *os.File) (*exec.Cmd, netip.AddrPort) {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	cfg := setup.DefaultEntry()
@@ -50,6 +51,9 @@
 	file := filepath.Join(t.TempDir(), "entry.json")
 	g.Expect(os.WriteFile(file, data, 0o600)).To(gomega.Succeed())
 	cmd := exec.Command("cardamomspool", "entry", "--settings", file)
+	if stdout != nil {
+		cmd.Stdout = stdout
+	}
 	g.Expect(cmd.Start()).To(gomega.Succeed())
 	t.Cleanup(func() {
 		if cmd.ProcessState == nil {
