--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -16,7 +17,7 @@
 
 type (
 	// Fault is one thing that is done to the system: Stop, Kill, Freeze,
-	// Empty, Reset, Delay or Block.
+	// Empty, Isolate, Reset, Delay or Block.
 	Fault interface {
 		// String describes the fault without its victim.
 		String() string
@@ -35,6 +36,10 @@
 	// Empty kills a control host and starts it with an empty disk.
 	Empty struct{}
 
+	// Isolate lets nothing pass between a host and all other hosts of the system
+	// for a while, and then loses what was held up.
+	Isolate struct{ For time.Duration }
+
 	// Reset breaks all connections between two parties.
 	Reset struct{}
 
@@ -80,15 +85,18 @@
 	longestFault = 1500 * time.Millisecond
 	longestDelay = 60 * time.Millisecond
 	longestDown  = 500 * time.Millisecond
+	// longestCut is longer than the silence after which hosts leave each other.
+	longestCut = 8 * time.Second
 )
 
-func (Stop) fault()   {}
-func (Kill) fault()   {}
-func (Freeze) fault() {}
-func (Empty) fault()  {}
-func (Reset) fault()  {}
-func (Delay) fault()  {}
-func (Block) fault()  {}
+func (Stop) fault()    {}
+func (Kill) fault()    {}
+func (Freeze) fault()  {}
+func (Empty) fault()   {}
+func (Isolate) fault() {}
+func (Reset) fault()   {}
+func (Delay) fault()   {}
+func (Block) fault()   {}
 
 // String names the fault.
 func (Stop) String() string { return "stop" }
@@ -102,6 +110,9 @@
 // String names the fault.
 func (Empty) String() string { return "empty disk" }
 
+// String names the fault and its time.
+func (f Isolate) String() string { return fmt.Sprintf("isolate for %s", f.For) }
+
 // String names the fault.
 func (Reset) String() string { return "reset" }
 
@@ -135,6 +146,8 @@
 		return "freeze"
 	case Empty:
 		return "empty"
+	case Isolate:
+		return "isolate"
 	case Reset:
 		return "reset"
 	case Delay:
@@ -181,7 +194,9 @@
 	all := s.processes()
 	p := all[rng.IntN(len(all))]
 	calm := s.gentle && p.kind != KindControl
-	switch n := rng.IntN(4); {
+	switch n := rng.IntN(5); {
+	case n == 4 && p.kind != KindTarget:
+		return p.name, Isolate{For: time.Duration(rng.Int64N(int64(longestCut)))}
 	case calm || n == 0:
 		return p.name, Stop{}
 	case n == 1:
@@ -251,6 +266,11 @@
 		return errors.Errorf("soak: there is no %q", e.Victim)
 	}
 	p := s.processes()[i]
+	if f, ok := e.Fault.(Isolate); ok {
+		s.timeline.happened(e)
+		s.isolate(ctx, p, f.For)
+		return nil
+	}
 	if !p.turn.TryLock() {
 		return nil // It is being disturbed already.
 	}
@@ -298,6 +318,18 @@
 	return nil
 }
 
+// isolate blocks all relays between a host and the other hosts of the system.
+func (s *Soak) isolate(ctx context.Context, p *process, d time.Duration) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, r := range s.relays {
+		from, to, _ := strings.Cut(r.name, ">")
+		if from == p.name || to == p.name && !s.announces(r) {
+			group.Go(func() { r.suffer(ctx, Block{Forth: true, Back: true, For: d, Reset: true}) })
+		}
+	}
+}
+
 func (r *relay) suffer(ctx context.Context, f Fault) {
 	r.mu.Lock()
 	r.hurt = append(r.hurt, span{begin: time.Now()})
--- a/io/soak/fault_test.go
+++ b/io/soak/fault_test.go
@@ -40,7 +40,7 @@
 	for _, e := range first {
 		kinds[kindOf(e.Fault)]++
 	}
-	g.Expect(kinds).To(gomega.HaveLen(7))
+	g.Expect(kinds).To(gomega.HaveLen(8))
 	g.Expect(kinds).NotTo(gomega.HaveKey("unknown"))
 }
 
@@ -52,7 +52,7 @@
 		if strings.HasPrefix(e.Victim, "control-") || strings.Contains(e.Victim, ">") {
 			continue
 		}
-		g.Expect(e.Fault).To(gomega.Equal(Stop{}), e.Victim)
+		g.Expect(kindOf(e.Fault)).To(gomega.BeElementOf("stop", "isolate"), e.Victim)
 	}
 }
 
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -226,6 +227,12 @@
 	return slices.Contains(s.callRelays, r)
 }
 
+// announces reports whether a relay lies between a target and the entry host
+// that it announces itself to.
+func (s *Soak) announces(r *relay) bool {
+	return strings.HasPrefix(r.name, string(KindTarget)+"-")
+}
+
 // hurt reports whether a fault may have cut a call off: a kill or freeze of its
 // entry host or of a target, or one between the two.
 func (s *Soak) hurt(c *record) bool {
