Soak: read from every control host while the operator changes

Cause: reads that skip the majority, planted, were not found: the one operator waited for its change while a host was isolated, so nothing was there to miss. Now reads of every control host go on beside the changes, and one control host at a time is isolated, so that changes go on too.

--- a/cmd/spoollab/soak.go
+++ b/cmd/spoollab/soak.go
@@ -80,9 +80,12 @@
 		return errors.Wrap(err, "soak")
 	}
 	if o.folder == "" {
-		if o.folder, err = os.MkdirTemp("", "cardamomspool-soak-"); err != nil {
-			return errors.Wrap(err, "soak")
-		}
+		o.folder, err = os.MkdirTemp("", "cardamomspool-soak-")
+	} else {
+		err = os.MkdirAll(o.folder, 0o700)
+	}
+	if err != nil {
+		return errors.Wrap(err, "soak")
 	}
 	opts := []soak.Option{
 		soak.WithSeed(uint64(o.seed)), soak.WithCalls(o.calls), soak.WithSize(o.controls, o.entries, o.targets),
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -267,6 +267,12 @@
 	}
 	p := s.processes()[i]
 	if f, ok := e.Fault.(Isolate); ok {
+		if p.kind == KindControl {
+			if !s.cut.TryLock() {
+				return nil // A second one would leave no majority.
+			}
+			defer s.cut.Unlock()
+		}
 		s.timeline.happened(e)
 		s.isolate(ctx, p, f.For)
 		return nil
--- a/io/soak/operator.go
+++ b/io/soak/operator.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,9 @@
 	// operator changes the service's document again and again, reads it back
 	// from other control hosts and notes what contradicts an accepted change.
 	operator struct {
-		soak     *Soak
+		soak *Soak
+
+		mu       sync.Mutex
 		changes  int
 		reads    int
 		accepted uint64         // The highest revision known to be agreed.
@@ -74,16 +77,31 @@
 	return nil
 }
 
-// run changes and reads until ctx ends.
+// run changes the document until ctx ends, and meanwhile reads it from every
+// control host.
 func (o *operator) run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, p := range o.soak.controls {
+		group.Go(func() {
+			for pause(ctx) {
+				o.read(ctx, p)
+			}
+		})
+	}
 	rng := rand.New(rand.NewPCG(o.soak.seed, 3))
-	for number := 1; ctx.Err() == nil; number++ {
+	for number := 1; pause(ctx); number++ {
 		o.makeChange(ctx, rng, number)
-		o.read(ctx, o.any(rng))
-		select {
-		case <-ctx.Done():
-		case <-time.After(operatorPause):
-		}
+	}
+}
+
+// pause waits and reports whether ctx goes on.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(operatorPause):
+		return true
 	}
 }
 
@@ -94,7 +112,7 @@
 // makeChange sends one change until its outcome is known, each time to another
 // control host.
 func (o *operator) makeChange(ctx context.Context, rng *rand.Rand, number int) {
-	base := o.accepted
+	base := o.floor()
 	for ctx.Err() == nil {
 		status, r, err := o.change(ctx, o.any(rng), base, number)
 		switch {
@@ -114,28 +132,41 @@
 	}
 }
 
+// floor returns the highest revision known to be agreed.
+func (o *operator) floor() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.accepted
+}
+
 func (o *operator) took(revision uint64, number int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.changes++
 	if revision != o.accepted+1 {
-		o.fail("change %d to revision %d was accepted as revision %d", number, o.accepted, revision)
+		o.wrong = append(o.wrong, fmt.Sprintf("change %d to revision %d was accepted as revision %d", number, o.accepted, revision))
 	}
 	o.accepted = max(o.accepted, revision)
 	o.sent[revision] = leastHold + number%holds
 }
 
 func (o *operator) fail(format string, args ...any) {
-	text := fmt.Sprintf(format, args...)
-	o.wrong = append(o.wrong, text)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.wrong = append(o.wrong, fmt.Sprintf(format, args...))
 }
 
 // read reads the document from a majority and reports whether it came.
 func (o *operator) read(ctx context.Context, from *process) bool {
-	floor := o.accepted
+	floor := o.floor()
 	status, r, err := o.ask(ctx, from, http.MethodGet, nil, nil)
 	if err != nil || status != http.StatusOK || !r.Confirmed {
 		return false
 	}
+	o.mu.Lock()
 	o.reads++
+	want, known := o.sent[r.Revision]
+	o.mu.Unlock()
 	if r.Revision < floor {
 		o.fail("%s read revision %d after %d had been accepted", from.name, r.Revision, floor)
 	}
@@ -144,7 +175,7 @@
 		o.fail("%s read revision %d, which is no document: %v", from.name, r.Revision, err)
 		return true
 	}
-	if want, ok := o.sent[r.Revision]; ok && want != doc.Hold.Length {
+	if known && want != doc.Hold.Length {
 		o.fail("%s read a queue of %d in revision %d, which set %d", from.name, doc.Hold.Length, r.Revision, want)
 	}
 	return true
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -37,6 +37,7 @@
 		progress io.Writer
 		timeline timeline
 		disks    sync.Mutex // Held while a control host recovers from the loss of its disk.
+		cut      sync.Mutex // Held while a control host is isolated.
 		operator *operator
 
 		controls, entries, targets []*process
