--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -38,6 +38,8 @@
 		revision  uint64
 		dryRun    bool
 		call      string
+		subject   string
+		value     string
 		logs      string
 	}
 
@@ -72,6 +74,7 @@
 		ctlCommand(o, "status", "print how each control host stands", ctlStatus),
 		ctlTargetsCommand(o),
 		ctlExplainCommand(o),
+		ctlTimelineCommand(o),
 	}
 	for _, c := range commands {
 		ctl.AttachSubcommand(c.parser, 1)
--- a/cmd/cardamomspool/explain.go
+++ b/cmd/cardamomspool/explain.go
@@ -21,18 +21,45 @@
 	return &command{parser: sub, run: func(context.Context, *options) error { return explain(o) }}
 }
 
+// ctlTimelineCommand reads logs too.
+func ctlTimelineCommand(o *ctlOptions) *command {
+	sub := flaggy.NewSubcommand("timeline")
+	sub.Description = "tell from the logs of all processes what became of a configuration or a target"
+	sub.AddPositionalValue(&o.subject, "subject", 1, true, "plan or target")
+	sub.AddPositionalValue(&o.value, "value", 2, true, "version of the plan, or identity of the target")
+	sub.String(&o.logs, "l", "logs", "log files, with commas between them; standard input without it")
+	return &command{parser: sub, run: func(context.Context, *options) error { return timeline(o) }}
+}
+
 func explain(o *ctlOptions) error {
-	if o.logs == "" {
-		return logs.Explain(os.Stdout, o.call, os.Stdin)
+	return readLogs(o.logs, func(readers ...io.Reader) error { return logs.Explain(os.Stdout, o.call, readers...) })
+}
+
+func timeline(o *ctlOptions) error {
+	subject := logs.Subject{Key: o.subject, Value: o.value}
+	switch o.subject {
+	case "plan":
+		subject.Key = "version"
+	case "target":
+	default:
+		return errors.Errorf("subject is %q, must be plan or target", o.subject)
+	}
+	return readLogs(o.logs, func(readers ...io.Reader) error { return logs.Timeline(os.Stdout, subject, readers...) })
+}
+
+// readLogs hands the files of a list, or else standard input, to f.
+func readLogs(list string, f func(readers ...io.Reader) error) error {
+	if list == "" {
+		return f(os.Stdin)
 	}
 	var readers []io.Reader
-	for name := range strings.SplitSeq(o.logs, ",") {
-		f, err := os.Open(name)
+	for name := range strings.SplitSeq(list, ",") {
+		file, err := os.Open(name)
 		if err != nil {
-			return errors.Wrap(err, "explain")
+			return errors.Wrap(err, "log")
 		}
-		defer f.Close()
-		readers = append(readers, f)
+		defer file.Close()
+		readers = append(readers, file)
 	}
-	return logs.Explain(os.Stdout, o.call, readers...)
+	return f(readers...)
 }
--- a/io/logs/explain.go
+++ b/io/logs/explain.go
@@ -100,7 +100,9 @@
 			continue
 		}
 		fields := make(map[string]any)
-		if json.Unmarshal([]byte(text[begin:]), &fields) != nil {
+		d := json.NewDecoder(strings.NewReader(text[begin:]))
+		d.UseNumber() // Prints times and sequence numbers as they were written.
+		if d.Decode(&fields) != nil || d.More() {
 			continue // Output of something else.
 		}
 		var l Line
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -58,3 +58,26 @@
 		_ = logs.Explain(&out, id, strings.NewReader(text)) // Must not panic.
 	})
 }
+
+func TestTimelineTellsOfAConfigurationsWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	control := `{"time":"2026-01-01T00:00:00Z","host":"control-1","msg":"plan proposed","version":69,"held":68}
+{"time":"2026-01-01T00:00:00.02Z","host":"control-1","msg":"configuration acknowledged","version":69}
+{"time":"2026-01-01T00:00:05Z","host":"control-1","msg":"plan proposed","version":70}
+`
+	entries := `{"time":"2026-01-01T00:00:00.03Z","host":"entry-2","msg":"plan in force","version":69}
+{"time":"2026-01-01T00:00:00.4Z","host":"entry-1","msg":"plan in force","version":69}
+{"time":"2026-01-01T00:00:00.05Z","host":"entry-1","msg":"target changed","target":"69"}
+`
+	var out bytes.Buffer
+	g.Expect(logs.Timeline(&out, logs.Subject{Key: "version", Value: "69"}, strings.NewReader(entries), strings.NewReader(control))).To(gomega.Succeed())
+	g.Expect(out.String()).To(gomega.Equal("version 69, first line at 2026-01-01T00:00:00Z\n" +
+		"     +0.000s control-1: plan proposed held=68 version=69\n" +
+		"     +0.020s control-1: configuration acknowledged version=69\n" +
+		"     +0.030s entry-2: plan in force version=69\n" +
+		"               2 lines of 2 hosts, the last at +0.400s by entry-1\n"))
+	out.Reset()
+	g.Expect(logs.Timeline(&out, logs.Subject{Key: "target", Value: "69"}, strings.NewReader(entries))).To(gomega.Succeed())
+	g.Expect(out.String()).To(gomega.ContainSubstring("+0.000s entry-1: target changed target=69\n"))
+	g.Expect(logs.Timeline(&out, logs.Subject{Key: "target", Value: "x"}, strings.NewReader(entries))).To(gomega.MatchError(logs.ErrNoSubject))
+}
