Probe sooner as soon as calls come after a quiet time

Cause: the bound by calls left targets of a quiet service waiting for seconds, up to 6.5 s at 130 targets, and a surge from idle found reports as old.

--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -30,10 +30,12 @@
 		metrics  *telem.Set
 		log      *slog.Logger
 
-		mu     sync.Mutex
-		active map[member.Key]probed
-		calls  float64 // The moving rate of calls a second, as of since.
-		since  time.Time
+		mu      sync.Mutex
+		active  map[member.Key]probed
+		calls   float64 // The moving rate of calls a second, as of since.
+		since   time.Time
+		longest time.Duration // The greatest result of pace since sooner was made.
+		sooner  chan struct{} // Closed when pace has become much shorter.
 	}
 
 	// probed is a target that is being probed.
@@ -59,6 +61,9 @@
 	leastRate = 20
 	// callMemory is the time over which the rate of calls is taken.
 	callMemory = time.Second
+	// paceStep is by how much the time between probes must shrink for waiting
+	// targets to be due sooner.
+	paceStep = 2
 )
 
 // New returns a prober that asks for path every interval until ctx ends.
@@ -68,7 +73,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	return &Prober{
 		ctx: ctx, cancel: cancel, ask: ask, path: path, interval: interval, report: report, metrics: metrics, log: log,
-		active: make(map[member.Key]probed),
+		active: make(map[member.Key]probed), sooner: make(chan struct{}),
 	}
 }
 
@@ -103,12 +108,18 @@
 	p.cancel()
 }
 
-// Called notes a call of the service.
+// Called notes a call of the service. When calls come much faster than before,
+// targets that wait for their next probe wait less.
 func (p *Prober) Called(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls = p.rate(now) + 1/callMemory.Seconds()
 	p.since = now
+	if next := p.spacing(now); next < p.longest/paceStep {
+		p.longest = next
+		close(p.sooner)
+		p.sooner = make(chan struct{})
+	}
 }
 
 // rate returns the moving rate of calls a second. The caller holds mu.
@@ -116,26 +127,29 @@
 	return p.calls * math.Exp(-now.Sub(p.since).Seconds()/callMemory.Seconds())
 }
 
-// pace returns the time between two probes of one target: the interval, or
-// longer where that many targets would cost more than maxRate, or more than
-// the calls are worth.
-func (p *Prober) pace(now time.Time) time.Duration {
+// pace returns the time between two probes of one target, and a channel that is
+// closed when that has become much shorter.
+func (p *Prober) pace(now time.Time) (time.Duration, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	next := p.spacing(now)
+	p.longest = max(p.longest, next)
+	return next, p.sooner
+}
+
+// spacing returns the time between two probes of one target: the interval, or
+// longer where that many targets would cost more than maxRate, or more than
+// the calls are worth. The caller holds mu.
+func (p *Prober) spacing(now time.Time) time.Duration {
 	bound := min(max(probesPerCall*p.rate(now), leastRate), maxRate)
 	return max(p.interval, time.Duration(float64(len(p.active))/bound*float64(time.Second)))
 }
 
 // run probes one target until ctx ends.
 func (p *Prober) run(ctx context.Context, target member.Record) {
-	timer := time.NewTimer(rand.N(p.interval))
-	defer timer.Stop()
-	for answers := true; ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	wait := rand.N(p.interval)
+	_, sooner := p.pace(time.Now())
+	for answers := true; p.await(ctx, wait, sooner); {
 		begin := time.Now()
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		result, err := p.ask(limited, target, p.path)
@@ -153,7 +167,28 @@
 				"answers", answers, "error", err)
 		}
 		p.report(engine.Report{Target: target.Target, Probe: result})
-		interval := p.pace(time.Now())
-		timer.Reset(max(interval-time.Since(begin), interval/4))
+		var interval time.Duration
+		interval, sooner = p.pace(time.Now())
+		wait = max(interval-time.Since(begin), interval/4)
+	}
+}
+
+// await waits until a target is due, less when sooner is closed, and reports
+// false when ctx ends first.
+func (p *Prober) await(ctx context.Context, wait time.Duration, sooner <-chan struct{}) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case <-sooner:
+			var next time.Duration
+			next, sooner = p.pace(time.Now())
+			wait = min(wait, rand.N(next)) // Spreads the targets.
+			timer.Reset(wait)
+		}
 	}
 }
--- a/io/probe/probe_test.go
+++ b/io/probe/probe_test.go
@@ -107,6 +107,30 @@
 		gomega.Expect(asked).NotTo(gomega.HaveKey("0"))
 	})
 
+	ginkgo.It("probes again at once when calls come after a quiet time", func() {
+		const targets = 100
+		var total atomic.Int64
+		count := func(context.Context, member.Record, string) (route.Probe, error) {
+			total.Add(1)
+			return route.Probe{Result: route.ProbeWell}, nil
+		}
+		p := probe.New(context.Background(), count, "/", 50*time.Millisecond, func(engine.Report) {}, telem.NewSet(), slog.New(slog.DiscardHandler))
+		defer p.Stop()
+		var records []member.Record
+		for i := range targets {
+			records = append(records, record(fmt.Sprint(i), netip.AddrPort{}))
+		}
+		p.SetTargets(records)
+		time.Sleep(300 * time.Millisecond) // Each target was probed once, and is not due for seconds.
+		before := total.Load()
+		gomega.Expect(before).To(gomega.BeNumerically("<", 2*targets))
+		for range 1000 {
+			p.Called(time.Now())
+		}
+		gomega.Eventually(func() int64 { return total.Load() - before }, 300*time.Millisecond, time.Millisecond).
+			Should(gomega.BeNumerically(">=", targets))
+	})
+
 	// After a fault several hosts may get calls of one service.
 	ginkgo.It("probes little for a host that decides for few calls", func() {
 		const (
