--- a/core/route/fastest_test.go
+++ b/core/route/fastest_test.go
@@ -148,6 +148,38 @@
 		gomega.Expect(choose(route.Query{DataCentre: "near", Relaxed: true})).To(gomega.BeElementOf("t0", "t2"))
 	})
 
+	// A health check may be false either way.
+	ginkgo.It("prefers targets whose health check passes, and uses the others when those are full", func() {
+		ill := route.Probe{Result: route.ProbeIll, Load: wire.Load{Slots: 3, Pace: 100}, Reported: true}
+		for i := range 3 {
+			table.Report(fmt.Sprintf("t%d", i), ill, now)
+		}
+		table.Report("t3", paced(100), now)
+		for range 3 {
+			gomega.Expect(choose(route.Query{})).To(gomega.Equal("t3"))
+			table.Begin("t3", now)
+		}
+		gomega.Expect(choose(route.Query{})).To(gomega.BeElementOf("t0", "t1", "t2"))
+		table.Report("t1", paced(100), now)
+		for range 20 {
+			gomega.Expect(choose(route.Query{})).To(gomega.Equal("t1"))
+		}
+	})
+
+	ginkgo.It("leaves a target that says it is healthy and fails its calls", func() {
+		for i := range 4 {
+			table.Report(fmt.Sprintf("t%d", i), paced(100), now)
+		}
+		for range 3 {
+			table.Begin("t0", now)
+			table.End("t0", route.Feedback{Ending: route.Failed}, 5*time.Millisecond, now)
+			table.Report("t0", paced(100), now)
+		}
+		for range 20 {
+			gomega.Expect(choose(route.Query{})).NotTo(gomega.Equal("t0"))
+		}
+	})
+
 	ginkgo.It("never uses an address that another target has", func() {
 		for i := range 4 {
 			table.Report(fmt.Sprintf("t%d", i), route.Probe{Result: route.ProbeGone}, now)
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -34,8 +34,8 @@
 
 var _ actor.Actor = (*Broker)(nil)
 
-// Spawn starts the broker of the service called name in system. While calls are held, time
-// passes in the engine every tick.
+// Spawn starts the broker of the service called name in system. While calls are
+// held, time passes in the engine every tick.
 func Spawn(system *actor.ActorSystem, name string, service *engine.Service, tick time.Duration, metrics *telem.Set) *actor.PID {
 	b := &Broker{engine: service, name: name, waiters: make(map[uint64]func(engine.Action)), metrics: metrics, tick: tick}
 	return system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return b }))
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -204,6 +204,22 @@
 		gomega.Expect(calls.Load()).To(gomega.BeEquivalentTo(1))
 	})
 
+	ginkgo.It("searches from seeds that replace the former ones", func() {
+		s := newSources(2)
+		s[1].SetPlan(&plan.Plan{Version: 2})
+		seeds := feed.NewSeeds([]netip.AddrPort{netip.AddrPortFrom(netip.MustParseAddr("127.0.2.77"), s[0].address.Port())})
+		metrics := telem.NewSet()
+		self := feed.Self{Host: "entry-1", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.2.99"), s[0].address.Port())}
+		b := feed.NewBoard()
+		f := feed.NewFollower(b, self, seeds.List, peer.Traffic{In: metrics.Count("in"), Out: metrics.Count("out")})
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		go f.Run(ctx)
+		gomega.Consistently(f.Sources, 200*time.Millisecond).Should(gomega.BeZero())
+		seeds.Set([]netip.AddrPort{s[1].address})
+		gomega.Eventually(b.Plan, limit).Should(gomega.HaveField("Version", gomega.BeEquivalentTo(2)))
+	})
+
 	ginkgo.It("gets all targets when it is further behind than the list of changes", func() {
 		s := newSources(1)
 		for i := range 20_000 {
