--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -54,9 +54,9 @@
 	maxRate = 1300
 	// probesPerCall bounds the probes of a service by its calls, so that a host
 	// that decides for a few strays only does not probe like one that decides
-	// for all. One that decides for a tenth of 500 calls a second must still see
-	// what the other places on 130 targets.
-	probesPerCall = 50
+	// for all. Services of long calls need the most: 14 targets probed ten times
+	// a second for 24 calls.
+	probesPerCall = 10
 	// leastRate is the least bound, in probes a second.
 	leastRate = 20
 	// callMemory is the time over which the rate of calls is taken.
