Renew leases when a host follows again

A control host that had been frozen for 7.5 s followed again, let most targets expire, and was never told of them again; it decided with what was left. Ruled out so: the bound of probes, lists once an update, small buffers, histograms. Red first: 'keeps what it holds when it follows again after a long silence'.

--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -154,17 +154,18 @@
 		}
 	}
 	b.since(s.order, func(t roster.Target) {
-		if s.known == nil || !s.known[digest(t)] {
-			u.Targets = append(u.Targets, fromTarget(t, now))
+		if s.known != nil && s.known[digest(t)] {
+			u.Heard = append(u.Heard, heardAgain(t, now)) // Or its lease would end.
+			return
 		}
+		u.Targets = append(u.Targets, fromTarget(t, now))
 	})
 	s.known = nil
 	if now.Sub(s.refreshed) >= refreshPeriod {
 		for id := range b.marks {
 			b.visit(id, func(t roster.Target) {
 				if t.Heard.After(s.refreshed) {
-					age := uint32(max(now.Sub(t.Heard), 0).Milliseconds())
-					u.Heard = append(u.Heard, &peerpb.TargetHeard{Id: t.ID, Sequence: t.Sequence, AgeMs: age})
+					u.Heard = append(u.Heard, heardAgain(t, now))
 				}
 			})
 		}
@@ -175,6 +176,12 @@
 	return u, b.changed, news
 }
 
+// heardAgain returns the message that renews the lease of a target.
+func heardAgain(t roster.Target, now time.Time) *peerpb.TargetHeard {
+	age := uint32(max(now.Sub(t.Heard), 0).Milliseconds())
+	return &peerpb.TargetHeard{Id: t.ID, Sequence: t.Sequence, AgeMs: age}
+}
+
 // Departing returns the message that tells of a target that leaves.
 func Departing(t roster.Target, now time.Time) *peerpb.DepartRequest {
 	return &peerpb.DepartRequest{Targets: []*peerpb.TargetState{fromTarget(t, now)}}
