One wait in the soak, no copies of the follower's own address

Five loops of the soak waited for a time or the end of a context, each in its own words; settle returned an error that was always nil; a follower kept its address and port beside the Self that holds them. Behaviour is as it was.

--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -27,8 +27,6 @@
 		// Seeds returns the addresses to begin with.
 		seeds   func() []netip.AddrPort
 		host    Self
-		self    netip.AddrPort
-		port    uint16
 		traffic peer.Traffic
 
 		mu      sync.Mutex
@@ -76,19 +74,18 @@
 
 // NewFollower returns a follower for board that begins with seeds.
 func NewFollower(board *Board, self Self, seeds func() []netip.AddrPort, traffic peer.Traffic) *Follower {
-	f := &Follower{
-		board: board, seeds: seeds, host: self, self: self.Peer, port: self.Peer.Port(), traffic: traffic,
+	return &Follower{
+		board: board, seeds: seeds, host: self, traffic: traffic,
 		active: make(map[netip.AddrPort]bool), sources: make(map[netip.AddrPort]source), started: time.Now(),
 		spread: rand.Uint64(),
 	}
-	return f
 }
 
 // request returns what opens a stream.
 func (f *Follower) request() *peerpb.FollowRequest {
 	r := &peerpb.FollowRequest{Host: f.host.Host, DataCentre: f.host.DataCentre}
 	if f.host.Control {
-		r.Control, r.Disk = f.self.String(), f.host.Disk
+		r.Control, r.Disk = f.host.Peer.String(), f.host.Disk
 	}
 	r.Known, r.PlanVersion, r.Epoch = f.board.known()
 	return r
@@ -177,16 +174,16 @@
 
 // wanted returns the addresses of all control hosts that are known.
 func (f *Follower) wanted() []netip.AddrPort {
-	list := f.board.Controls()
+	list, port := f.board.Controls(), f.host.Peer.Port()
 	for _, m := range f.board.View().Members {
-		list = append(list, netip.AddrPortFrom(m.Host, f.port))
+		list = append(list, netip.AddrPortFrom(m.Host, port))
 	}
 	for _, s := range f.seeds() {
-		list = append(list, netip.AddrPortFrom(s.Addr(), f.port))
+		list = append(list, netip.AddrPortFrom(s.Addr(), port))
 	}
 	slices.SortFunc(list, netip.AddrPort.Compare)
 	list = slices.Compact(list)
-	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == f.self })
+	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == f.host.Peer })
 }
 
 // keep follows one control host for as long as it is wanted.
@@ -259,7 +256,7 @@
 	for _, text := range u.GetControls() {
 		if a, err := netip.ParseAddrPort(text); err != nil {
 			f.board.log.Error("control host refused", "address", text, "error", err)
-		} else if a != f.self && !f.knows(a) {
+		} else if a != f.host.Peer && !f.knows(a) {
 			f.board.SeeControl(a, 0, now)
 		}
 	}
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -234,10 +234,8 @@
 	defer group.Wait()
 	begin := time.Now()
 	for _, e := range events {
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, time.Until(begin.Add(e.At))) {
 			return ctx.Err()
-		case <-time.After(time.Until(begin.Add(e.At))):
 		}
 		group.Go(func() {
 			if err := s.happen(ctx, e); err != nil {
@@ -315,10 +313,8 @@
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for !s.isReady(ctx, p) {
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, pollInterval) {
 			return nil // The run has ended, or the check after it finds the host.
-		case <-time.After(pollInterval):
 		}
 	}
 	return nil
@@ -346,22 +342,16 @@
 		defer r.mu.Unlock()
 		r.hurt[i].end = time.Now()
 	}()
-	wait := func(d time.Duration) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(d):
-		}
-	}
 	switch f := f.(type) {
 	case Reset:
 		r.reset()
 	case Delay:
 		release := r.disturb(f.By, [2]bool{})
-		wait(f.For)
+		sleep(ctx, f.For)
 		release()
 	case Block:
 		release := r.disturb(0, [2]bool{forth: f.Forth, back: f.Back})
-		wait(f.For)
+		sleep(ctx, f.For)
 		if f.Reset {
 			r.reset()
 		}
@@ -369,6 +359,16 @@
 	}
 }
 
+// sleep waits for d and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 func (s *Soak) stopAndStart(p *process) error {
 	p.open(&p.stops)
 	defer p.close(&p.stops)
--- a/io/soak/operator.go
+++ b/io/soak/operator.go
@@ -84,27 +84,17 @@
 	defer group.Wait()
 	for _, p := range o.soak.controls {
 		group.Go(func() {
-			for pause(ctx) {
+			for sleep(ctx, operatorPause) {
 				o.read(ctx, p)
 			}
 		})
 	}
 	rng := rand.New(rand.NewPCG(o.soak.seed, 3))
-	for number := 1; pause(ctx); number++ {
+	for number := 1; sleep(ctx, operatorPause); number++ {
 		o.makeChange(ctx, rng, number)
 	}
 }
 
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(operatorPause):
-		return true
-	}
-}
-
 func (o *operator) any(rng *rand.Rand) *process {
 	return o.soak.controls[rng.IntN(len(o.soak.controls))]
 }
@@ -113,7 +103,7 @@
 // control host.
 func (o *operator) makeChange(ctx context.Context, rng *rand.Rand, number int) {
 	base := o.floor()
-	for ctx.Err() == nil {
+	for more := ctx.Err() == nil; more; more = sleep(ctx, operatorPause/3) {
 		status, r, err := o.change(ctx, o.any(rng), base, number)
 		switch {
 		case err == nil && status == http.StatusOK:
@@ -125,10 +115,6 @@
 			o.fail("change %d to revision %d conflicts with revision %d", number, base, r.Current.Revision)
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(operatorPause / 3):
-		}
 	}
 }
 
@@ -183,20 +169,17 @@
 
 // settle checks, once all faults have ended, that every control host reads what
 // was accepted.
-func (o *operator) settle(ctx context.Context) error {
+func (o *operator) settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	for _, p := range o.soak.controls {
 		for !o.read(ctx, p) {
-			select {
-			case <-ctx.Done():
+			if !sleep(ctx, pollInterval) {
 				o.fail("%s can not read the service %s after all faults", p.name, settleLimit)
-				return nil
-			case <-time.After(pollInterval):
+				return
 			}
 		}
 	}
-	return nil
 }
 
 func (o *operator) report(r *Report) {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -161,9 +161,7 @@
 	if err = s.trouble(ctx, events); err != nil {
 		return report, err
 	}
-	if err = s.operator.settle(ctx); err != nil {
-		return report, err
-	}
+	s.operator.settle(ctx)
 	s.killAll()
 	if runs, err = readRuns(s.records); err != nil {
 		return report, err
@@ -268,10 +266,8 @@
 		if err = s.operator.begin(ctx); err == nil && s.allKnown(ctx) {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, pollInterval) {
 			return errors.Errorf("soak: the system was not ready within %s (last: %v)", startLimit, err)
-		case <-time.After(pollInterval):
 		}
 	}
 }
