Log the state of each decided service, and measure how long arrivals wait

The log could not say whether a control host that holds calls is short of processor time, counts calls that have ended, or sees full targets. A line a second and service now gives the calls in flight beside those that targets report, the calls past their deadline and the longest wait of an arrival for the actor that decides; event_lag is that wait as a histogram.

--- /dev/null
+++ b/core/engine/stats.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"time"
+
+	"cardamomspool/core/route"
+)
+
+// Stats describes the calls and targets of a Scheduler at one moment.
+type Stats struct {
+	// OpenCalls is the number of calls that have arrived and not ended, QueuedCalls
+	// the number of those that are queued, and OverdueCalls the number of those
+	// whose deadline has passed.
+	OpenCalls, QueuedCalls, OverdueCalls int
+	// InFlight is the number of calls at targets.
+	InFlight int
+	// ReportedCalls is the number of calls at ready targets by their recent load
+	// reports, calls sent by other schedulers included. A much larger InFlight
+	// means that the Scheduler has not learnt that calls have ended.
+	ReportedCalls int
+	// ReadyTargets is the number of targets that accept new calls, FullTargets the
+	// number of those without a free slot.
+	ReadyTargets, FullTargets int
+	// MeanLatency is the moving average latency of all targets.
+	MeanLatency time.Duration
+}
+
+// maxReportAge is the age up to which a load report counts in Stats.ReportedCalls.
+const maxReportAge = time.Second
+
+// Stats returns the state of the Scheduler at now. It takes time proportional to the
+// number of open calls and targets.
+func (s *Scheduler) Stats(now time.Time) Stats {
+	stats := Stats{
+		OpenCalls: len(s.calls), QueuedCalls: s.queue.Len(),
+		InFlight: s.targets.InFlight(), MeanLatency: s.targets.MeanLatency(),
+	}
+	for _, c := range s.calls {
+		if now.After(c.deadline) {
+			stats.OverdueCalls++
+		}
+	}
+	stats.ReadyTargets, stats.FullTargets, stats.ReportedCalls = s.targets.Occupancy(route.Query{Slots: s.doc.Targets.Slots, Now: now}, maxReportAge)
+	return stats
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -210,6 +210,23 @@
 	return n
 }
 
+// Occupancy counts the ready targets, those of them without a free slot for a call
+// with the conditions of q, and the calls at ready targets by load reports that are
+// at most maxAge old.
+func (t *Table) Occupancy(q Query, maxAge time.Duration) (ready, full, reportedCalls int) {
+	at := t.offset(q.Now)
+	for _, i := range t.readyRows {
+		s := &t.states[i]
+		if s.inFlight+s.otherInFlight(at) >= t.callLimit(i, q) {
+			full++
+		}
+		if s.reported && at-s.reportAt <= maxAge {
+			reportedCalls += s.load.Running + s.load.Queued
+		}
+	}
+	return len(t.readyRows), full, reportedCalls
+}
+
 // MeanLatency returns the moving average latency of all targets, and 0 before
 // the first answer.
 func (t *Table) MeanLatency() time.Duration {
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -15,6 +15,23 @@
 	Arrival struct {
 		Event   engine.Arrive
 		Deliver func(engine.Action)
+		// Received is when this process learnt of the call.
+		Received time.Time
+	}
+
+	// Inspect is the message that asks for the state of the broker. Deliver must
+	// not block.
+	Inspect struct {
+		Deliver func(State)
+	}
+
+	// State is the state of a broker at one moment.
+	State struct {
+		// Stats describes the calls and targets.
+		Stats engine.Stats
+		// LongestLag is the longest time, since the last Inspect, that an Arrival
+		// waited for the broker.
+		LongestLag time.Duration
 	}
 
 	// Broker owns the scheduler of one service. It receives Arrivals and
@@ -28,7 +45,8 @@
 		metrics      *telem.Registry
 		interval     time.Duration // Maximum time between two Ticks while calls are queued.
 		timer        *time.Timer
-		nextTick     time.Time // Time of the next Tick; zero when none is scheduled.
+		nextTick     time.Time     // Time of the next Tick; zero when none is scheduled.
+		longestLag   time.Duration // As in State.
 	}
 )
 
@@ -47,6 +65,9 @@
 	now := time.Now()
 	switch m := ctx.Message().(type) {
 	case *Arrival:
+		lag := now.Sub(m.Received)
+		b.longestLag = max(b.longestLag, lag)
+		b.metrics.Histogram("event_lag", b.name).Observe(lag)
 		b.deliverFuncs[m.Event.Call] = m.Deliver
 		b.handle(m.Event, now)
 	case engine.Finish:
@@ -62,6 +83,10 @@
 		b.handle(m, now)
 	case engine.Event:
 		b.handle(m, now)
+	case Inspect:
+		m.Deliver(State{Stats: b.scheduler.Stats(now), LongestLag: b.longestLag})
+		b.longestLag = 0
+		return
 	case *actor.Stopping:
 		b.cancelTick()
 		return
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -115,7 +115,7 @@
 	c.decisionRequested = time.Now()
 	c.control, c.decisions, c.controlLost, c.decisionOverdue = nil, decisions, nil, nil
 	h.system.Root.Send(c.service.pid, &broker.Arrival{
-		Event:   h.arriveEvent(c),
+		Event: h.arriveEvent(c), Received: c.decisionRequested,
 		Deliver: func(action engine.Action) { decisions <- action },
 	})
 }
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -90,7 +90,8 @@
 	}
 }
 
-// Run checks every second for idle services and stops their probing. When ctx ends
+// Run logs the states of the services every second, and stops the probing of idle
+// ones. When ctx ends
 // it shuts the actor system down and returns.
 func (s *Server) Run(ctx context.Context) {
 	s.mu.Lock()
@@ -104,11 +105,30 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			s.logStates()
 			s.stopIdleProbers(now)
 		}
 	}
 }
 
+// logStates logs the state of each service whose targets are probed, that is, for
+// which this host has had a call recently.
+func (s *Server) logStates() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, v := range s.services {
+		if v.prober == nil {
+			continue
+		}
+		s.system.Root.Send(v.pid, broker.Inspect{Deliver: func(b broker.State) {
+			s.log.Info("service state", "service", name, "open", b.Stats.OpenCalls, "queued", b.Stats.QueuedCalls,
+				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.ReportedCalls,
+				"targets", b.Stats.ReadyTargets, "full", b.Stats.FullTargets, "mean_latency", b.Stats.MeanLatency.String(),
+				"longest_lag", b.LongestLag.String())
+		}})
+	}
+}
+
 // stopIdleProbers stops the probing of services that have had no call for more than
 // probeIdleTimeout. Their actors keep running.
 func (s *Server) stopIdleProbers(now time.Time) {
@@ -293,7 +313,7 @@
 	st.callsByRemoteID[remoteID] = localCall{id: localID, pid: pid}
 	st.mu.Unlock()
 	st.server.system.Root.Send(pid, &broker.Arrival{
-		Event: toArrive(localID, m, now),
+		Event: toArrive(localID, m, now), Received: now,
 		Deliver: func(a engine.Action) {
 			if _, final := a.(engine.Refuse); final {
 				st.mu.Lock()
