Log how many targets a control host holds to be failing

The first plays with service states show full targets beside nearly idle ones at 40 percent of the slots: what skews the choice was not in the line.

--- a/core/engine/stats.go
+++ b/core/engine/stats.go
@@ -14,18 +14,15 @@
 	OpenCalls, QueuedCalls, OverdueCalls int
 	// InFlight is the number of calls at targets.
 	InFlight int
-	// ReportedCalls is the number of calls at ready targets by their recent load
-	// reports, calls sent by other schedulers included. A much larger InFlight
-	// means that the Scheduler has not learnt that calls have ended.
-	ReportedCalls int
-	// ReadyTargets is the number of targets that accept new calls, FullTargets the
-	// number of those without a free slot.
-	ReadyTargets, FullTargets int
+	// Targets describes the ready targets, with load reports of at most
+	// maxReportAge. An InFlight much larger than the reported calls means that the
+	// Scheduler has not learnt that calls have ended.
+	Targets route.Occupancy
 	// MeanLatency is the moving average latency of all targets.
 	MeanLatency time.Duration
 }
 
-// maxReportAge is the age up to which a load report counts in Stats.ReportedCalls.
+// maxReportAge is the age up to which a load report counts in Stats.Targets.
 const maxReportAge = time.Second
 
 // Stats returns the state of the Scheduler at now. It takes time proportional to the
@@ -40,6 +37,6 @@
 			stats.OverdueCalls++
 		}
 	}
-	stats.ReadyTargets, stats.FullTargets, stats.ReportedCalls = s.targets.Occupancy(route.Query{Slots: s.doc.Targets.Slots, Now: now}, maxReportAge)
+	stats.Targets = s.targets.Occupancy(route.Query{Slots: s.doc.Targets.Slots, Now: now}, maxReportAge)
 	return stats
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -48,6 +48,19 @@
 		costs []float64
 	}
 
+	// Occupancy describes the ready targets of a Table.
+	Occupancy struct {
+		// Ready is the number of targets that accept new calls.
+		Ready int
+		// Full is the number of those without a free slot.
+		Full int
+		// Failing is the number of those that are ejected or get fewer calls
+		// because attempts or probes have failed.
+		Failing int
+		// ReportedCalls is the number of calls at them by their load reports.
+		ReportedCalls int
+	}
+
 	// targetState is what attempts, probes and load reports have revealed about
 	// one target.
 	targetState struct {
@@ -210,21 +223,24 @@
 	return n
 }
 
-// Occupancy counts the ready targets, those of them without a free slot for a call
-// with the conditions of q, and the calls at ready targets by load reports that are
-// at most maxAge old.
-func (t *Table) Occupancy(q Query, maxAge time.Duration) (ready, full, reportedCalls int) {
+// Occupancy returns the occupancy of the ready targets for a call with the conditions
+// of q. Load reports older than maxAge are ignored.
+func (t *Table) Occupancy(q Query, maxAge time.Duration) Occupancy {
 	at := t.offset(q.Now)
+	o := Occupancy{Ready: len(t.readyRows)}
 	for _, i := range t.readyRows {
 		s := &t.states[i]
 		if s.inFlight+s.otherInFlight(at) >= t.callLimit(i, q) {
-			full++
+			o.Full++
+		}
+		if s.ejectedUntil > at || s.failureRate >= clearedFailureRate {
+			o.Failing++
 		}
 		if s.reported && at-s.reportAt <= maxAge {
-			reportedCalls += s.load.Running + s.load.Queued
+			o.ReportedCalls += s.load.Running + s.load.Queued
 		}
 	}
-	return len(t.readyRows), full, reportedCalls
+	return o
 }
 
 // MeanLatency returns the moving average latency of all targets, and 0 before
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -122,8 +122,8 @@
 		}
 		s.system.Root.Send(v.pid, broker.Inspect{Deliver: func(b broker.State) {
 			s.log.Info("service state", "service", name, "open", b.Stats.OpenCalls, "queued", b.Stats.QueuedCalls,
-				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.ReportedCalls,
-				"targets", b.Stats.ReadyTargets, "full", b.Stats.FullTargets, "mean_latency", b.Stats.MeanLatency.String(),
+				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.Targets.ReportedCalls,
+				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "mean_latency", b.Stats.MeanLatency.String(),
 				"longest_lag", b.LongestLag.String())
 		}})
 	}
