--- a/core/engine/load_test.go
+++ b/core/engine/load_test.go
@@ -30,9 +30,11 @@
 		rng       *rand.Rand
 		events    []timedEvent
 		calls     map[uint64]*loadCall
-		lastCall  uint64         // The identifier of the last call.
-		pace      map[string]int // The call time at each target, in percent of loadCallTime.
-		running   map[string]int // The number of calls at each target.
+		lastCall  uint64          // The identifier of the last call.
+		pace      map[string]int  // The call time at each target, in percent of loadCallTime.
+		running   map[string]int  // The number of calls at each target.
+		sent      map[string]int  // The number of calls sent to each target so far.
+		failNext  map[string]bool // The targets that fail their next call.
 		windows   []loadWindow
 	}
 
@@ -77,6 +79,7 @@
 	r := &loadRun{
 		scheduler: engine.NewScheduler(doc, rand.New(rand.NewPCG(3, 3))), now: start, rng: rand.New(rand.NewPCG(4, 4)),
 		calls: make(map[uint64]*loadCall), pace: make(map[string]int), running: make(map[string]int),
+		sent: make(map[string]int), failNext: make(map[string]bool),
 	}
 	var records []member.Record
 	for i := range loadTargets {
@@ -140,6 +143,7 @@
 		switch a := action.(type) {
 		case engine.Send:
 			r.running[a.Target]++
+			r.sent[a.Target]++
 			r.after(loadCallTime*time.Duration(r.pace[a.Target])/100, func() { r.finish(a, aim) })
 		case engine.Refuse:
 			r.handleRefusal(a, aim)
@@ -147,11 +151,17 @@
 	}
 }
 
-// finish ends the call of a with an answer and counts it in the window in which the
-// call arrived.
+// finish ends the attempt of a. If the target is to fail it, the call goes on; if not,
+// it ends with an answer and is counted in the window in which it arrived.
 func (r *loadRun) finish(a engine.Send, aim time.Duration) {
-	c := r.calls[a.Call]
 	r.running[a.Target]--
+	if r.failNext[a.Target] {
+		r.failNext[a.Target] = false
+		f := route.Feedback{Outcome: route.Failed}
+		r.apply(r.scheduler.Handle(nil, engine.Finish{Call: a.Call, Result: engine.Unknown, Replayable: true, Feedback: f}, r.now), aim)
+		return
+	}
+	c := r.calls[a.Call]
 	w := r.window(c)
 	switch took := r.now.Sub(c.arrivedAt); {
 	case took <= loadAim:
@@ -277,3 +287,36 @@
 	g.Expect(actions).To(gomega.HaveLen(1))
 	g.Expect(actions[0]).To(gomega.BeAssignableToTypeOf(engine.Send{}))
 }
+
+// Guards against calls that are kept from a target long after it has failed once:
+// another attempt there is the only evidence that it serves again.
+func TestTargetGetsCallsAgainAfterOneFailure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newLoadRun(0)
+	for _, name := range []string{"a", "b"} {
+		r.failNext[name] = true
+	}
+	r.offer(loadCapacity/3, 10*time.Second, 0)
+	r.run(6 * time.Second)
+	clear(r.sent)
+	r.run(4 * time.Second)
+	g.Expect(r.sent["a"]+r.sent["b"]).To(gomega.BeNumerically(">=", (r.sent["c"]+r.sent["d"])/2), "calls sent %v", r.sent)
+}
+
+// Guards against targets that get no calls after the host that probes them was
+// frozen: all its probes were lost, and the targets have answered since.
+func TestTargetGetsCallsAgainAfterLostProbes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newLoadRun(0)
+	r.offer(loadCapacity/3, 4*time.Second, 0)
+	r.run(time.Second)
+	for range 3 {
+		for _, name := range []string{"a", "b"} {
+			r.scheduler.Handle(nil, engine.ProbeReport{Target: name, Probe: route.Probe{Result: route.ProbeLost}}, r.now)
+		}
+	}
+	r.run(time.Second)
+	clear(r.sent)
+	r.run(2 * time.Second)
+	g.Expect(r.sent["a"]+r.sent["b"]).To(gomega.BeNumerically(">=", (r.sent["c"]+r.sent["d"])/2), "calls sent %v", r.sent)
+}
