Bring back expired targets when their leases are renewed

Cause: a follower tells a control host which targets it holds, and is then sent lease renewals for them in place of their states. A target that expired at the follower in between was unknown there when its renewal came; the renewal was ignored, as were all later ones, and the control host never sent the state again.

Change: an expired target is kept for a minute, out of use, and a renewal brings it back unless its address is taken.

Why it works: what a control host has been told that a follower holds, the follower can put back into use when it hears of it.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -40,10 +40,19 @@
 	// safe for concurrent use.
 	Table struct {
 		targets map[string]Target
+		// expired holds the targets whose leases have expired, which a renewal
+		// brings back.
+		expired map[string]expiredTarget
 		// holders maps an address to the ID of the last target that started
 		// there.
 		holders map[netip.AddrPort]string
 	}
+
+	// expiredTarget is a target whose lease expired at the given time.
+	expiredTarget struct {
+		target Target
+		at     time.Time
+	}
 )
 
 const (
@@ -54,11 +63,17 @@
 	// DepartureTime is how long a departed target is kept after its last
 	// report, so that no late heartbeat brings it back.
 	DepartureTime = 5 * time.Minute
+	// expiredTime is how long an expired target may be brought back by a renewal.
+	// It is far longer than the time from a follower's request, which lists the
+	// targets that it holds, to the renewals that answer it.
+	expiredTime = time.Minute
 )
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{targets: make(map[string]Target), holders: make(map[netip.AddrPort]string)}
+	return &Table{
+		targets: make(map[string]Target), expired: make(map[string]expiredTarget), holders: make(map[netip.AddrPort]string),
+	}
 }
 
 // Merge merges the report of a target, received directly or from another host. It
@@ -85,10 +100,37 @@
 		return false
 	}
 	t.targets[report.ID] = report
+	delete(t.expired, report.ID)
 	return !known || old.State != report.State || !old.Born.Equal(report.Born) || old.Address != report.Address ||
 		old.Service != report.Service || old.Slots != report.Slots || old.DataCentre != report.DataCentre
 }
 
+// Renew records that the heartbeat of a target with the given sequence number was
+// received at heard. It returns true if that brings back the target, whose lease had
+// expired. It does nothing if a newer report is known, if the target is leaving or
+// unknown, or if another target holds the address of an expired one.
+func (t *Table) Renew(id string, sequence uint64, heard, now time.Time) bool {
+	if old, ok := t.targets[id]; ok {
+		if old.State < member.Leaving && sequence >= old.Sequence && heard.After(old.Heard) {
+			old.Sequence, old.Heard = sequence, heard
+			t.targets[id] = old
+		}
+		return false
+	}
+	e, ok := t.expired[id]
+	if !ok || sequence < e.target.Sequence || now.Sub(heard) > Lease {
+		return false
+	}
+	if _, taken := t.holders[e.target.Address]; taken {
+		return false
+	}
+	e.target.Sequence, e.target.Heard = sequence, heard
+	t.holders[e.target.Address] = id
+	t.targets[id] = e.target
+	delete(t.expired, id)
+	return true
+}
+
 // olderThan reports whether t is older than other, which must have the same ID.
 func (t *Target) olderThan(other *Target) bool {
 	return cmp.Or(t.Born.Compare(other.Born), t.sortKey().Compare(other.sortKey())) < 0
@@ -123,8 +165,9 @@
 }
 
 // Expire removes targets without a heartbeat for longer than Lease, and departed
-// targets without a report for longer than DepartureTime. It appends the services
-// that lost targets which had not departed to dst, sorts dst and returns it.
+// targets without a report for longer than DepartureTime. For expiredTime, Renew may
+// bring back a target that had not departed. Expire appends the services that lost
+// such targets to dst, sorts dst and returns it.
 func (t *Table) Expire(dst []string, now time.Time) []string {
 	for id, target := range t.targets {
 		maxAge := Lease
@@ -138,10 +181,19 @@
 		if t.holders[target.Address] == id {
 			delete(t.holders, target.Address)
 		}
-		if target.State < member.Leaving && !slices.Contains(dst, target.Service) {
+		if target.State == member.Leaving {
+			continue
+		}
+		t.expired[id] = expiredTarget{target: target, at: now}
+		if !slices.Contains(dst, target.Service) {
 			dst = append(dst, target.Service)
 		}
 	}
+	for id, e := range t.expired {
+		if now.Sub(e.at) > expiredTime {
+			delete(t.expired, id)
+		}
+	}
 	slices.Sort(dst)
 	return dst
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -68,6 +68,44 @@
 		gomega.Expect(usable(t)).To(gomega.Equal([]string{"a ready"}))
 	})
 
+	ginkgo.It("brings back an expired target by a renewal, unless its address is taken", func() {
+		now := start.Add(roster.Lease + time.Second)
+		expired := func() *roster.Table {
+			t := roster.NewTable()
+			t.Merge(target("a", 1, 5, member.Ready))
+			gomega.Expect(t.Expire(nil, now)).To(gomega.Equal([]string{"s"}))
+			gomega.Expect(usable(t)).To(gomega.BeEmpty())
+			return t
+		}
+		t := expired()
+		gomega.Expect(t.Renew("a", 4, now, now)).To(gomega.BeFalse(), "older report")
+		gomega.Expect(t.Renew("a", 6, start, now)).To(gomega.BeFalse(), "lease over again")
+		gomega.Expect(t.Renew("a", 6, now, now)).To(gomega.BeTrue())
+		gomega.Expect(t.Renew("a", 7, now, now)).To(gomega.BeFalse(), "not expired any more")
+		gomega.Expect(usable(t)).To(gomega.Equal([]string{"a ready"}))
+		gomega.Expect(t.Merge(target("b", 2, 1, member.Ready))).To(gomega.BeTrue())
+		gomega.Expect(usable(t)).To(gomega.Equal([]string{"b ready"}))
+
+		t = expired()
+		t.Merge(target("b", 0, 1, member.Ready))
+		gomega.Expect(t.Renew("a", 6, now, now)).To(gomega.BeFalse())
+		gomega.Expect(usable(t)).To(gomega.Equal([]string{"b ready"}))
+
+		t = expired()
+		later := now.Add(5 * time.Minute)
+		t.Expire(nil, later)
+		gomega.Expect(t.Renew("a", 6, later, later)).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("does not bring back a target that departed", func() {
+		t := roster.NewTable()
+		t.Merge(target("a", 1, 5, member.Leaving))
+		later := start.Add(2 * roster.DepartureTime)
+		t.Expire(nil, later)
+		gomega.Expect(t.Renew("a", 6, later, later)).To(gomega.BeFalse())
+		gomega.Expect(usable(t)).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("assigns an address to the target that started there last", func() {
 		t := roster.NewTable()
 		t.Merge(target("old", 1, 5, member.Ready))
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -292,9 +292,7 @@
 		}
 	}
 	f.state.UpdateTargets(false, targets...)
-	for _, m := range u.GetHeard() {
-		f.state.renewLease(m.GetId(), m.GetSequence(), now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond))
-	}
+	f.state.renewLeases(u.GetHeard(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.streams[address] = streamState{complete: u.GetComplete(), current: u.GetCurrent()}
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -16,6 +16,7 @@
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/roster"
+	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/telem"
 )
 
@@ -209,15 +210,26 @@
 	return true
 }
 
-// renewLease records that the target's heartbeat with the given sequence number
-// was received at heardAt. It has no effect when the known sequence number is
-// higher, or when the target is leaving or unknown.
-func (s *State) renewLease(id string, sequence uint64, heardAt time.Time) {
+// renewLeases records that heartbeats of targets were received elsewhere, at now less
+// their ages. Targets whose leases have expired here come back; see roster.Table.Renew.
+func (s *State) renewLeases(renewals []*peerpb.TargetHeard, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t, ok := s.table.Get(id); ok && t.State < member.Leaving && sequence >= t.Sequence {
-		t.Sequence, t.Heard = sequence, heardAt
-		s.table.Merge(t)
+	returned := make(map[string]int)
+	for _, m := range renewals {
+		if !s.table.Renew(m.GetId(), m.GetSequence(), now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now) {
+			continue
+		}
+		s.recordChange(m.GetId(), false)
+		t, _ := s.table.Get(m.GetId())
+		returned[t.Service]++
+	}
+	for service, n := range returned {
+		s.log.Info("expired targets returned", "service", service, "targets", n)
+		s.onTargets(service, s.table.Records(nil, service))
+	}
+	if len(returned) > 0 {
+		s.notify()
 	}
 }
 
