Keep the targets of a host that was stalled for another lease

Callers saw calls refused for want of a target just after a control host had thawed: it dropped the targets whose heartbeats had arrived while it could not read them.

Cause: a lease counted the time in which the host itself did not run. Class: the absence of the observer is taken for that of the observed.

Change: leases are checked every second; when a check is more than a second late, no lease expires for the length of one. That is enough to hear every live target again, as renewals come every four seconds.

--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -77,6 +77,9 @@
 		controls      map[netip.AddrPort]Control
 		current       bool          // See SetCurrent.
 		changed       chan struct{} // Closed and replaced at each change; see notify.
+		// lastExpiry is the time of the last call of Expire, and keepUntil the time
+		// before which no lease expires.
+		lastExpiry, keepUntil time.Time
 	}
 
 	// changeRecord holds the number of the last change of a target, as in
@@ -100,6 +103,9 @@
 	// maxChanges is the maximum length of State.changes. A stream that lacks an
 	// older change is sent all targets.
 	maxChanges = 8192
+	// maxExpiryGap is the time between two calls of Expire above which the process
+	// must have been stalled.
+	maxExpiryGap = 2 * expirePeriod
 )
 
 // WithLogger sets the logger; the default discards.
@@ -311,13 +317,22 @@
 }
 
 // Expire removes the targets whose leases have expired at now, and the control
-// hosts that have not been seen for longer than controlExpiry.
+// hosts that have not been seen for longer than controlExpiry. It must be called every
+// expirePeriod: a longer gap means that this process was stalled and could not hear
+// the targets, so that they are kept for another lease.
 func (s *State) Expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, service := range s.table.Expire(nil, now) {
-		s.log.Info("targets expired", "service", service, "lease", roster.Lease.String())
-		s.onTargets(service, s.table.Records(nil, service))
+	if gap := now.Sub(s.lastExpiry); !s.lastExpiry.IsZero() && gap > maxExpiryGap {
+		s.keepUntil = now.Add(roster.Lease)
+		s.log.Warn("process was stalled, targets are kept", "stall", gap.String(), "lease", roster.Lease.String())
+	}
+	s.lastExpiry = now
+	if !now.Before(s.keepUntil) {
+		for _, service := range s.table.Expire(nil, now) {
+			s.log.Info("targets expired", "service", service, "lease", roster.Lease.String())
+			s.onTargets(service, s.table.Records(nil, service))
+		}
 	}
 	for id := range s.changeRecords {
 		if _, ok := s.table.Get(id); !ok {
