Put targets back into use as soon as they answer probes again

Callers saw answers late and calls refused while most targets were idle: a control host that had been frozen sent nearly all calls to a part of them.

Cause: a probe that was lost raised the failure rate of its target, and only answered calls lowered it, which the target then hardly got. A frozen or busy control host loses the probes of all its targets by its own fault; 67 to 116 of 146 targets counted as failing after the thaw, for ten seconds and more. Class: a verdict that is only revised by what it prevents.

Change: lost probes count apart from failed attempts. Two in a row put a target out of use, any answer to a probe or call puts it back, and a lost probe without a successor counts for a second.

--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -50,6 +50,8 @@
 	// unhealthyCost is the factor for a target whose health check fails. Such
 	// targets stay usable, because some checks fail although the target serves.
 	unhealthyCost = 4.0
+	// lostProbeCost is the factor for a target whose last probe was lost.
+	lostProbeCost = 4.0
 	// suspectCost is the factor for a target that is suspect or stalled.
 	suspectCost = 1.5
 	// failureCost times the failure rate is the part of the expected time that is
@@ -81,10 +83,10 @@
 
 func (Fastest) isPolicy() {}
 
-// fastest implements Fastest. Ejected targets are used only when all candidates
-// are ejected. It reports false when there is no candidate.
+// fastest implements Fastest. Targets that are out of use are used only when all
+// candidates are. It reports false when there is no candidate.
 func (t *Table) fastest(q Query, at time.Duration, rng *rand.Rand) (Pick, bool) {
-	candidates, allEjected := 0, true
+	candidates, allOutOfUse := 0, true
 	minCost := math.Inf(1)
 	t.ties, t.costs = t.ties[:0], t.costs[:0]
 	for _, i := range t.readyRows {
@@ -93,12 +95,12 @@
 			continue
 		}
 		candidates++
-		ejected := s.ejectedUntil > at
-		if ejected && !allEjected {
+		outOfUse := s.outOfUse(at)
+		if outOfUse && !allOutOfUse {
 			continue
 		}
-		if !ejected && allEjected {
-			allEjected, minCost = false, math.Inf(1)
+		if !outOfUse && allOutOfUse {
+			allOutOfUse, minCost = false, math.Inf(1)
 			t.ties, t.costs = t.ties[:0], t.costs[:0]
 		}
 		cost := t.cost(i, q, at)
@@ -117,7 +119,7 @@
 	}
 	why := WhyFastest
 	switch {
-	case allEjected:
+	case allOutOfUse:
 		why = WhyAllFailing
 	case minCost > kneeCost*(normalPace+t.excessPace):
 		why = WhyCrowded
@@ -143,6 +145,9 @@
 		cost *= max(s.meanLatency/t.meanLatency*(1-float64(at-s.lastAnswerAt)/float64(stragglerRecovery)), 1)
 	}
 	cost *= 1 + failureCost*s.failureRate
+	if s.probesLost(at) > 0 {
+		cost *= lostProbeCost
+	}
 	if s.unhealthy {
 		cost *= unhealthyCost
 	}
@@ -198,9 +203,11 @@
 	case ProbeAddressTaken:
 		s.addressTaken = true
 	case ProbeLost:
-		t.recordFailure(s, lostProbeWeight, at)
+		s.lostProbes++
+		s.probeLostAt = at
 	case ProbeUnhealthy, ProbeHealthy:
 		s.unhealthy = p.Result == ProbeUnhealthy
+		s.lostProbes = 0
 	}
 	if p.Reported {
 		t.applyLoadReport(s, p.Load, at)
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -131,6 +131,7 @@
 	s.latencySamples++
 	s.lastAnswerAt = at
 	s.failureRate -= s.failureRate * failureWeight
+	s.lostProbes = 0
 	if s.failureRate < clearedFailureRate {
 		s.ejections = 0
 	}
@@ -156,6 +157,20 @@
 	s.rampStart, s.rampEnd = s.ejectedUntil, s.ejectedUntil+ejectionRamp
 }
 
+// probesLost returns the number of probes that were lost in a row, and 0 when the last
+// of them is older than lostProbeMemory.
+func (s *targetState) probesLost(at time.Duration) int {
+	if at-s.probeLostAt > lostProbeMemory {
+		return 0
+	}
+	return s.lostProbes
+}
+
+// outOfUse reports whether a target is used only when no others are left.
+func (s *targetState) outOfUse(at time.Duration) bool {
+	return s.ejectedUntil > at || s.probesLost(at) >= maxLostProbes
+}
+
 // applyLoadReport updates the state of a target, and the mean pace, from a load
 // report that was received at the given time.
 func (t *Table) applyLoadReport(s *targetState, l wire.Load, at time.Duration) {
--- a/core/route/probe.go
+++ b/core/route/probe.go
@@ -1,6 +1,10 @@
 package route
 
-import "cardamomspool/core/wire"
+import (
+	"time"
+
+	"cardamomspool/core/wire"
+)
 
 type (
 	// ProbeResult says whether a probe was answered and as what.
@@ -30,6 +34,11 @@
 	ProbeAddressTaken
 )
 
-// lostProbeWeight is the weight of a lost probe in a target's failure rate; two
-// in a row eject the target.
-const lostProbeWeight = 0.35
+const (
+	// maxLostProbes is the number of probes lost in a row from which a target is
+	// out of use.
+	maxLostProbes = 2
+	// lostProbeMemory is the time for which a lost probe counts against a target
+	// that is not probed again, as when the service has few calls.
+	lostProbeMemory = time.Second
+)
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -80,8 +80,12 @@
 		load     wire.Load
 		reported bool
 		// failureRate is the exponentially weighted moving average of the share
-		// of attempts that failed, from 0 to 1; lost probes also raise it.
+		// of attempts that failed, from 0 to 1.
 		failureRate float64
+		// lostProbes counts the probes that were lost since the last answer to
+		// a probe or an attempt, the latest of them at probeLostAt.
+		lostProbes  int
+		probeLostAt time.Duration
 		// ejectedUntil is the end of the last ejection.
 		ejectedUntil time.Duration
 		// ejections counts the target's ejections since its failure rate was
@@ -233,7 +237,7 @@
 		if s.inFlight+s.otherInFlight(at) >= t.callLimit(i, q) {
 			o.Full++
 		}
-		if s.ejectedUntil > at || s.failureRate >= clearedFailureRate {
+		if s.outOfUse(at) || s.probesLost(at) > 0 || s.failureRate >= clearedFailureRate {
 			o.Failing++
 		}
 		if s.reported && at-s.reportAt <= maxAge {
