Let the failures of a target count less as they age

Callers saw answers late and calls refused while most targets were idle: one failed attempt took a target out of the choice for as long as others had room, and those filled up and slowed down.

Class: a verdict that is only revised by what it prevents; the paces of targets, stragglers and lost probes age or have evidence of their own.

Change: the rate that the choice expects decays by 1/e in two seconds. A success starts from the decayed rate; a failure from the rate as it was, so that a target that fails whenever it is tried is ejected for longer each time.

TestTargetThatFailsAllCallsIsTriedRarely guards the other side.

--- a/core/engine/load_test.go
+++ b/core/engine/load_test.go
@@ -30,11 +30,11 @@
 		rng       *rand.Rand
 		events    []timedEvent
 		calls     map[uint64]*loadCall
-		lastCall  uint64          // The identifier of the last call.
-		pace      map[string]int  // The call time at each target, in percent of loadCallTime.
-		running   map[string]int  // The number of calls at each target.
-		sent      map[string]int  // The number of calls sent to each target so far.
-		failNext  map[string]bool // The targets that fail their next call.
+		lastCall  uint64         // The identifier of the last call.
+		pace      map[string]int // The call time at each target, in percent of loadCallTime.
+		running   map[string]int // The number of calls at each target.
+		sent      map[string]int // The number of calls sent to each target so far.
+		failures  map[string]int // The number of calls that each target fails from now on.
 		windows   []loadWindow
 	}
 
@@ -79,7 +79,7 @@
 	r := &loadRun{
 		scheduler: engine.NewScheduler(doc, rand.New(rand.NewPCG(3, 3))), now: start, rng: rand.New(rand.NewPCG(4, 4)),
 		calls: make(map[uint64]*loadCall), pace: make(map[string]int), running: make(map[string]int),
-		sent: make(map[string]int), failNext: make(map[string]bool),
+		sent: make(map[string]int), failures: make(map[string]int),
 	}
 	var records []member.Record
 	for i := range loadTargets {
@@ -155,8 +155,8 @@
 // it ends with an answer and is counted in the window in which it arrived.
 func (r *loadRun) finish(a engine.Send, aim time.Duration) {
 	r.running[a.Target]--
-	if r.failNext[a.Target] {
-		r.failNext[a.Target] = false
+	if r.failures[a.Target] > 0 {
+		r.failures[a.Target]--
 		f := route.Feedback{Outcome: route.Failed}
 		r.apply(r.scheduler.Handle(nil, engine.Finish{Call: a.Call, Result: engine.Unknown, Replayable: true, Feedback: f}, r.now), aim)
 		return
@@ -294,7 +294,7 @@
 	g := gomega.NewWithT(t)
 	r := newLoadRun(0)
 	for _, name := range []string{"a", "b"} {
-		r.failNext[name] = true
+		r.failures[name] = 1
 	}
 	r.offer(loadCapacity/3, 10*time.Second, 0)
 	r.run(6 * time.Second)
@@ -320,3 +320,13 @@
 	r.run(2 * time.Second)
 	g.Expect(r.sent["a"]+r.sent["b"]).To(gomega.BeNumerically(">=", (r.sent["c"]+r.sent["d"])/2), "calls sent %v", r.sent)
 }
+
+// Guards against a target that gets calls again and again although it fails them all.
+func TestTargetThatFailsAllCallsIsTriedRarely(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newLoadRun(0)
+	r.failures["a"] = 1000
+	r.offer(loadCapacity/3, 30*time.Second, 0)
+	r.run(30 * time.Second)
+	g.Expect(r.sent["a"]).To(gomega.BeNumerically("<=", (r.sent["b"]+r.sent["c"]+r.sent["d"])/3/20), "calls sent %v", r.sent)
+}
--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -144,7 +144,7 @@
 	if s.latencySamples >= minStragglerSamples && s.meanLatency > stragglerRatio*t.meanLatency {
 		cost *= max(s.meanLatency/t.meanLatency*(1-float64(at-s.lastAnswerAt)/float64(stragglerRecovery)), 1)
 	}
-	cost *= 1 + failureCost*s.failureRate
+	cost *= 1 + failureCost*s.expectedFailureRate(at)
 	if s.probesLost(at) > 0 {
 		cost *= lostProbeCost
 	}
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"cardamomspool/core/wire"
@@ -56,6 +57,12 @@
 	returnFailureRate   = 0.45
 	clearedFailureRate  = 0.1
 
+	// failureMemory is the time in which the weight of past failures decays to
+	// 1/e, since the calls that a target no longer gets cannot show that it
+	// serves again. A target with a few calls a second forgets a failure as fast
+	// by its answers.
+	failureMemory = 2 * time.Second
+
 	// The first ejection of a target lasts for minEjection and each further one
 	// twice as long, up to maxEjection. The traffic share of a returning target
 	// grows over ejectionRamp.
@@ -130,8 +137,8 @@
 	s.meanLatency = movingAverage(s.meanLatency, float64(elapsed), targetLatencyWeight)
 	s.latencySamples++
 	s.lastAnswerAt = at
-	s.failureRate -= s.failureRate * failureWeight
-	s.lostProbes = 0
+	s.failureRate = s.expectedFailureRate(at) * (1 - failureWeight)
+	s.ratedAt, s.lostProbes = at, 0
 	if s.failureRate < clearedFailureRate {
 		s.ejections = 0
 	}
@@ -144,9 +151,12 @@
 }
 
 // recordFailure adds a failure of the given weight to the target's failure rate
-// and ejects the target when the rate reaches ejectionFailureRate.
+// and ejects the target when the rate reaches ejectionFailureRate. The rate before
+// counts in full, however old: a target that fails whenever it is tried again is
+// ejected for longer each time.
 func (t *Table) recordFailure(s *targetState, weight float64, at time.Duration) {
 	s.failureRate += (1 - s.failureRate) * weight
+	s.ratedAt = at
 	if s.failureRate < ejectionFailureRate || s.ejectedUntil > at {
 		return
 	}
@@ -154,9 +164,19 @@
 	s.ejections++
 	s.failureRate = returnFailureRate
 	s.ejectedUntil = at + ejection
+	s.ratedAt = s.ejectedUntil
 	s.rampStart, s.rampEnd = s.ejectedUntil, s.ejectedUntil+ejectionRamp
 }
 
+// expectedFailureRate returns the failure rate to expect of the next attempt: that of
+// the last attempts, which decays with their age.
+func (s *targetState) expectedFailureRate(at time.Duration) float64 {
+	if s.failureRate == 0 {
+		return 0
+	}
+	return s.failureRate * math.Exp(-float64(max(at-s.ratedAt, 0))/float64(failureMemory))
+}
+
 // probesLost returns the number of probes that were lost in a row, and 0 when the last
 // of them is older than lostProbeMemory.
 func (s *targetState) probesLost(at time.Duration) int {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -80,8 +80,10 @@
 		load     wire.Load
 		reported bool
 		// failureRate is the exponentially weighted moving average of the share
-		// of attempts that failed, from 0 to 1.
+		// of attempts that failed, from 0 to 1, as of ratedAt; see
+		// expectedFailureRate.
 		failureRate float64
+		ratedAt     time.Duration
 		// lostProbes counts the probes that were lost since the last answer to
 		// a probe or an attempt, the latest of them at probeLostAt.
 		lostProbes  int
@@ -237,7 +239,7 @@
 		if s.inFlight+s.otherInFlight(at) >= t.callLimit(i, q) {
 			o.Full++
 		}
-		if s.outOfUse(at) || s.probesLost(at) > 0 || s.failureRate >= clearedFailureRate {
+		if s.outOfUse(at) || s.probesLost(at) > 0 || s.expectedFailureRate(at) >= clearedFailureRate {
 			o.Failing++
 		}
 		if s.reported && at-s.reportAt <= maxAge {
