End calls whose entry host reports no result by their deadline

Found by reading, while looking for what else may keep slots taken: an entry host that loses power or is cut off closes no connection. Its control host kept its calls in flight until its own end, or for the two hours after which TCP looks, and the targets had as many slots less.

Cause: only the entry host's word or the end of its stream freed a slot. Class: a resource held for another host without a bound in time.

Change: a second after its deadline, at which targets stop work, a call at a target ends with the reason unreported; calls_unreported counts them. The placement server passes a Tick a second to every service.

The random rules now also check that a call at a target ends only by its result or after its deadline, and that none is left.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -78,7 +78,8 @@
 	}
 
 	// Tick reports that time has passed: queued calls that have waited too long
-	// are refused, and others are sent if targets have become available.
+	// are refused, calls at targets whose results are overdue are ended, and queued
+	// calls are sent if targets have become available.
 	Tick struct{}
 
 	// Action is the sealed set of outputs of a Scheduler.
@@ -161,6 +162,9 @@
 	// TargetFailed means that the last attempt may have run the call, and that
 	// the call may not be sent again.
 	TargetFailed Reason = "target_failed"
+	// Unreported means that the result of the last attempt was not reported by
+	// the call's deadline and some time after it.
+	Unreported Reason = "unreported"
 )
 
 var (
--- a/core/engine/rules_test.go
+++ b/core/engine/rules_test.go
@@ -16,6 +16,7 @@
 // ruleCall is the expected state of one call.
 type ruleCall struct {
 	class      spec.Class
+	deadline   time.Time
 	target     string // Empty when the call is not at a target.
 	mayHaveRun bool
 	failed     bool // The last attempt failed and was not shed.
@@ -37,7 +38,8 @@
 
 // TestRulesHoldOverRandomRuns checks these rules over random events: a call that may
 // have run is sent again only when it is idempotent; the NotRun of each Refuse is
-// correct; every call ends once; targets get no more calls than their slots and
+// correct; every call ends once, and at a target only by its result or after its
+// deadline; targets get no more calls than their slots and
 // none while draining; retries after failures stay within the budget.
 func TestRulesHoldOverRandomRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -51,8 +53,8 @@
 		if held := r.scheduler.QueuedCalls(); held > 0 {
 			t.Fatalf("%d calls are still queued after an hour", held)
 		}
-		if len(r.open) != r.scheduler.OpenCalls() {
-			t.Fatalf("the engine has %d open calls, want %d", r.scheduler.OpenCalls(), len(r.open))
+		if len(r.open) > 0 || r.scheduler.OpenCalls() > 0 {
+			t.Fatalf("the engine has %d open calls, and %d have not ended", r.scheduler.OpenCalls(), len(r.open))
 		}
 		r.checkSlotsFree()
 		allowed := 10 + len(r.calls)*r.doc.Retry.BudgetPercent/100
@@ -120,10 +122,10 @@
 	id := uint64(len(r.calls) + 1)
 	class := spec.Class{Weight: rapid.IntRange(1, 3).Draw(r.t, "weight"), Idempotent: rapid.Bool().Draw(r.t, "idempotent")}
 	class.Patient = rapid.Bool().Draw(r.t, "patient")
-	r.calls[id] = &ruleCall{class: class}
+	deadline := r.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(r.t, "deadline")) * time.Millisecond)
+	r.calls[id] = &ruleCall{class: class, deadline: deadline}
 	r.open = append(r.open, id)
-	deadline := time.Duration(rapid.IntRange(1, 1000).Draw(r.t, "deadline")) * time.Millisecond
-	r.handle(engine.Arrive{Call: id, Class: class, Deadline: r.now.Add(deadline)})
+	r.handle(engine.Arrive{Call: id, Class: class, Deadline: deadline})
 }
 
 // drawCall draws one of the open calls that are at a target, or of those that
@@ -202,6 +204,10 @@
 			r.checkSend(a)
 		case engine.Refuse:
 			c := r.calls[a.Call]
+			if a.Reason == engine.Unreported && c.target != "" && r.now.Sub(c.deadline) > time.Second {
+				r.freeSlot(c)
+				c.mayHaveRun = true
+			}
 			if c.ended || a.NotRun == c.mayHaveRun || c.target != "" {
 				r.t.Fatalf("call %d, %+v, was refused with %+v", a.Call, *c, a)
 			}
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -32,6 +32,8 @@
 		// expired and skipped are buffers that tick and dispatchQueued reuse.
 		expired []admit.QueuedCall
 		skipped []admit.QueuedCall
+		// nextRelease is when the overdue calls are looked for next.
+		nextRelease time.Time
 	}
 
 	// Option sets one property of a Scheduler.
@@ -79,6 +81,11 @@
 	// have been at a target before its missed deadline counts as a failure of
 	// the target.
 	overdueFactor = 4
+	// reportGrace is how long after its deadline the result of a call may arrive.
+	reportGrace = time.Second
+	// releasePeriod is the time between two looks for overdue calls, each of which
+	// passes over all open calls.
+	releasePeriod = time.Second
 )
 
 // WithDataCentre sets the data centre of the entry host.
@@ -259,15 +266,40 @@
 	return s.dispatchQueued(dst, now)
 }
 
-// tick refuses the queued calls that have waited too long and sends others.
+// tick refuses the queued calls that have waited too long, releases overdue calls and
+// sends others.
 func (s *Scheduler) tick(dst []Action, now time.Time) []Action {
 	s.expired = s.queue.Expire(s.expired[:0], now)
 	for _, h := range s.expired {
 		dst = s.refuse(dst, h.Call, s.calls[h.Call], WaitedTooLong)
 	}
+	if !now.Before(s.nextRelease) {
+		s.nextRelease = now.Add(releasePeriod)
+		dst = s.releaseOverdue(dst, now)
+	}
 	return s.dispatchQueued(dst, now)
 }
 
+// releaseOverdue ends the calls at targets whose results are overdue, in the order of
+// their identifiers, and frees their slots: the host that sent them has stopped or can
+// not be heard, and targets stop work at the deadline.
+func (s *Scheduler) releaseOverdue(dst []Action, now time.Time) []Action {
+	var overdue []uint64
+	for id, c := range s.calls {
+		if c.target != "" && now.Sub(c.deadline) > reportGrace {
+			overdue = append(overdue, id)
+		}
+	}
+	slices.Sort(overdue)
+	for _, id := range overdue {
+		c := s.calls[id]
+		s.targets.Finish(c.target, route.Feedback{}, now.Sub(c.sent), now)
+		c.mayHaveRun = true
+		dst = s.refuse(dst, id, c, Unreported)
+	}
+	return dst
+}
+
 // sendOrQueue sends a new call to a target, or else queues or refuses it.
 func (s *Scheduler) sendOrQueue(dst []Action, id uint64, c *call, now time.Time) []Action {
 	if pick, ok := s.choose(c, now); ok {
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -143,6 +143,9 @@
 		call = action.Call
 	case engine.Refuse:
 		call = action.Call
+		if action.Reason == engine.Unreported {
+			b.metrics.Counter("calls_unreported").Add(1)
+		}
 	}
 	deliver, ok := b.deliverFuncs[call]
 	if !ok {
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,9 @@
 	}
 	s := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond},
 		func(string) []member.Record { return records }, probeTarget, slog.New(slog.DiscardHandler), telem.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	go s.Run(ctx)
 	s.SetPlan(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s"}}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -75,6 +79,44 @@
 	return pool
 }
 
+// newRelay starts a relay of connections to address. After silence it passes nothing
+// on, and leaves the connections open.
+func newRelay(address netip.AddrPort) (relay netip.AddrPort, silence func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(l.Close)
+	var silent atomic.Bool
+	pass := func(to, from net.Conn) {
+		buf := make([]byte, 4<<10)
+		for {
+			n, err := from.Read(buf)
+			if silent.Load() {
+				return
+			}
+			if _, writeErr := to.Write(buf[:n]); err != nil || writeErr != nil {
+				to.Close()
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", address.String())
+			if err != nil {
+				in.Close()
+				continue
+			}
+			go pass(out, in)
+			go pass(in, out)
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort(), func() { silent.Store(true) }
+}
+
 // pick returns the client for service "s" as soon as there is one.
 func pick(pool *place.ClientPool) *place.Client {
 	var client *place.Client
@@ -126,6 +168,22 @@
 		gomega.Eventually(second, eventTimeout).Should(gomega.Receive(gomega.BeAssignableToTypeOf(engine.Send{})))
 	})
 
+	// An entry host without power closes no connection.
+	ginkgo.It("frees the slots of an entry host that has fallen silent, after the deadlines of its calls", func() {
+		host := newControlHost()
+		relay, silence := newRelay(host.address)
+		client := pick(newClientPool(relay))
+		now, sent := time.Now(), make(chan engine.Action, 8)
+		e := engine.Arrive{Call: 1, Deadline: now.Add(100 * time.Millisecond), Class: spec.Class{Weight: 1}}
+		callbacks := place.Callbacks{OnDecision: func(a engine.Action) { sent <- a }, OnStreamLost: func() {}}
+		gomega.Expect(client.StartCall("s", e, callbacks, now)).To(gomega.BeTrue())
+		gomega.Eventually(sent, eventTimeout).Should(gomega.Receive(gomega.BeAssignableToTypeOf(engine.Send{})))
+		silence()
+		second, _ := startCall(pick(newClientPool(host.address)), 2)
+		gomega.Eventually(second, eventTimeout).Should(gomega.Receive(gomega.Equal(engine.Hold{Call: 2})))
+		gomega.Eventually(second, eventTimeout).Should(gomega.Receive(gomega.BeAssignableToTypeOf(engine.Send{})))
+	})
+
 	ginkgo.It("notifies all waiting calls when its stream ends", func() {
 		host := newControlHost()
 		pool := newClientPool(host.address)
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// Run logs the states of the services every second, and stops the probing of idle
-// ones. When ctx ends
+// Run logs the states of the services every second, ends their overdue calls and stops
+// the probing of idle ones. When ctx ends
 // it shuts the actor system down and returns.
 func (s *Server) Run(ctx context.Context) {
 	s.mu.Lock()
@@ -106,11 +106,22 @@
 			return
 		case now := <-ticker.C:
 			s.logStates()
+			s.endOverdueCalls()
 			s.stopIdleProbers(now)
 		}
 	}
 }
 
+// endOverdueCalls passes a Tick to all services, since brokers have none of their own
+// while no calls are queued.
+func (s *Server) endOverdueCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		s.system.Root.Send(v.pid, engine.Tick{})
+	}
+}
+
 // logStates logs the state of each service whose targets are probed, that is, for
 // which this host has had a call recently.
 func (s *Server) logStates() {
