Name heard control hosts again to followers that have forgotten them

Found by reading, as the same cause in another place: a host that could not reach one control host for 30 s forgot it, while the others, which still heard it, had named it already and never did so again. The host then missed the targets that only that control host hears.

Cause: what is sent once is taken to be held for good. Change: a follower keeps the list of each stream and looks at it with every update. Control hosts name only those that they hear themselves, so that hosts do not keep the name of one that has gone alive among each other; an empty list is told apart from an unchanged one.

--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -208,6 +208,42 @@
 		gomega.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(3))
 	})
 
+	ginkgo.It("follows a control host again after it was cut off only from that one", func() {
+		s := newControls(2)
+		s[0].ObserveControl(s[1].address, 1, time.Now())
+		state := feed.NewState()
+		f := follow(state, s[0].address)
+		gomega.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(2))
+		s[1].stop()
+		gomega.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(1))
+		state.Expire(time.Now().Add(time.Hour))
+		l, err := net.Listen("tcp", s[1].address.String())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		server := peer.NewServer()
+		peerpb.RegisterFleetServer(server, feed.NewServer(context.Background(), s[1].State, nil))
+		go server.Serve(l)
+		ginkgo.DeferCleanup(server.Stop)
+		gomega.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(2))
+	})
+
+	ginkgo.It("forgets a control host that no one hears any more", func() {
+		s := newControls(2)
+		gone := netip.AddrPortFrom(netip.MustParseAddr("127.0.2.77"), s[0].address.Port())
+		s[0].ObserveControl(gone, 1, time.Now())
+		state := feed.NewState()
+		follow(state, s[0].address, s[1].address)
+		follow(s[1].State, s[0].address)
+		gomega.Eventually(state.Controls, waitTimeout).Should(gomega.ContainElement(gone))
+		gomega.Eventually(s[1].Controls, waitTimeout).Should(gomega.ContainElement(gone))
+		gomega.Eventually(func() []netip.AddrPort {
+			for _, v := range []*feed.State{s[0].State, s[1].State, state} {
+				v.Expire(time.Now().Add(time.Hour))
+			}
+			return append(append(s[0].Controls(), s[1].Controls()...), state.Controls()...)
+		}, waitTimeout, time.Second).ShouldNot(gomega.ContainElement(gone))
+		gomega.Consistently(state.Controls, 2*time.Second).ShouldNot(gomega.ContainElement(gone))
+	})
+
 	ginkgo.It("calls OnTargets once for each update", func() {
 		s := newControls(1)
 		const targets = 300
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -42,6 +42,8 @@
 	streamState struct {
 		complete bool // The first batch has arrived.
 		current  bool // The control host is current.
+		// controls are the control hosts that the control host names.
+		controls []netip.AddrPort
 	}
 
 	// Self describes the host that follows.
@@ -268,12 +270,9 @@
 			f.state.SetView(v)
 		}
 	}
-	for _, text := range u.GetControls() {
-		if a, err := netip.ParseAddrPort(text); err != nil {
-			f.state.log.Error("control host refused", "address", text, "error", err)
-		} else if a != f.self.Peer && !f.knowsControl(a) {
-			f.state.ObserveControl(a, 0, now)
-		}
+	controls := f.mergeControls(address, u.GetControls())
+	for _, a := range controls {
+		f.state.nameControl(a, now)
 	}
 	if len(u.GetPlan()) > 0 {
 		p := new(plan.Plan)
@@ -295,11 +294,28 @@
 	f.state.renewLeases(u.GetHeard(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.streams[address] = streamState{complete: u.GetComplete(), current: u.GetCurrent()}
+	f.streams[address] = streamState{complete: u.GetComplete(), current: u.GetCurrent(), controls: controls}
 }
 
-// knowsControl reports whether the control host at address has been seen and has
-// not expired.
-func (f *Follower) knowsControl(address netip.AddrPort) bool {
-	return slices.Contains(f.state.Controls(), address)
+// mergeControls returns the control hosts that the one at address names, without this
+// host: those of names, or the former ones if names has no entry. Entries that cannot
+// be parsed are logged and skipped.
+func (f *Follower) mergeControls(address netip.AddrPort, names []string) []netip.AddrPort {
+	if len(names) == 0 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.streams[address].controls
+	}
+	var list []netip.AddrPort
+	for _, text := range names {
+		if text == noControls {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(text); err != nil {
+			f.state.log.Error("control host refused", "address", text, "error", err)
+		} else if a != f.self.Peer {
+			list = append(list, a)
+		}
+	}
+	return list
 }
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -48,6 +48,9 @@
 	// leasePeriod is the time between two lists of lease renewals; it is a
 	// fraction of roster.Lease.
 	leasePeriod = 4 * time.Second
+	// noControls is the only entry of an empty list of control hosts; a list without
+	// an entry is an unchanged one.
+	noControls = ""
 )
 
 var _ peerpb.FleetServer = (*Server)(nil)
@@ -146,10 +149,13 @@
 		u.View = fromView(state.view)
 		s.epoch, hasChanges = state.view.Epoch, true
 	}
-	if list := state.sortedControls(); !slices.Equal(list, s.controls) {
+	if list := state.heardControls(now); !slices.Equal(list, s.controls) {
 		for _, address := range list {
 			u.Controls = append(u.Controls, address.String())
 		}
+		if len(list) == 0 {
+			u.Controls = []string{noControls}
+		}
 		s.controls, hasChanges = list, true
 	}
 	if state.plan != nil {
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -49,8 +49,11 @@
 		// FirstSeen is when it was first seen after the last time that it was
 		// not seen for longer than maxControlGap.
 		FirstSeen time.Time
-		// LastSeen is when it was last seen.
+		// LastSeen is when it was last seen or named by another control host.
 		LastSeen time.Time
+		// LastHeard is when it was last seen on a stream of its own; zero if it
+		// was only named.
+		LastHeard time.Time
 	}
 
 	// State is one host's copy of the fleet's state. Use NewState. It is safe
@@ -395,11 +398,33 @@
 	return s.view
 }
 
-// ObserveControl records that the control host at address was seen at now. diskID
-// is the identity of its disk, or 0 when unknown.
+// ObserveControl records that the control host at address was seen on a stream at now.
+// diskID is the identity of its disk, or 0 when unknown.
 func (s *State) ObserveControl(address netip.AddrPort, diskID uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.seeControl(address, diskID, now)
+	c := s.controls[address]
+	first := c.LastHeard.IsZero()
+	c.LastHeard = now
+	s.controls[address] = c
+	if first {
+		s.notify()
+	}
+}
+
+// nameControl records that another control host has named the one at address, unless
+// that is known.
+func (s *State) nameControl(address netip.AddrPort, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.controls[address]; !known {
+		s.seeControl(address, 0, now)
+	}
+}
+
+// seeControl implements ObserveControl and nameControl. The caller holds mu.
+func (s *State) seeControl(address netip.AddrPort, diskID uint64, now time.Time) {
 	c, known := s.controls[address]
 	if !known || now.Sub(c.LastSeen) > maxControlGap {
 		c.FirstSeen = now
@@ -441,6 +466,16 @@
 	return list
 }
 
+// heardControls returns the sorted addresses of the control hosts that this host has
+// heard itself and not forgotten since. Others are not passed on, so that a control
+// host that has gone is not named for ever by hosts that know it from each other. The
+// caller holds mu.
+func (s *State) heardControls(now time.Time) []netip.AddrPort {
+	return slices.DeleteFunc(s.sortedControls(), func(a netip.AddrPort) bool {
+		return now.Sub(s.controls[a].LastHeard) > controlExpiry
+	})
+}
+
 // SetCurrent records whether this control host is current, which the updates to
 // its followers say.
 func (s *State) SetCurrent(current bool) {
