Tell a body that was read whole from one that is being read

Callers saw their connection closed, announced, after an answer that left their body read whole (the fault behind TestLateDuplicateResponse...: its caller goes on after the announced close and meets the end of the stream). The connection could also be interrupted without need when one to a target ended.

Cause: whether the body is complete, and whether a read from the caller blocks, were both taken from whether its lock was held, which a view also holds while it copies buffered bytes. Change: an atomic flag that the body was read to its end.

Both new tests failed before.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -18,6 +18,8 @@
 		// interrupted is set when this host has made a read of source fail. The
 		// rest of the body can then not be read.
 		interrupted atomic.Bool
+		// whole is set once source was read to its end.
+		whole atomic.Bool
 
 		mu           sync.Mutex // Held while source is read.
 		source       io.Reader
@@ -54,6 +56,7 @@
 	b := &body{controller: w.controller}
 	if r.ContentLength == 0 {
 		b.err = io.EOF
+		b.whole.Store(true)
 		return b
 	}
 	b.source = http.MaxBytesReader(w.ResponseWriter, r.Body, int64(limit))
@@ -90,6 +93,9 @@
 	if err != nil && b.interrupted.Load() {
 		b.err = errInterrupted
 	}
+	if errors.Is(b.err, io.EOF) {
+		b.whole.Store(true)
+	}
 	return n
 }
 
@@ -114,13 +120,9 @@
 }
 
 // complete reports whether the caller's body was read to its end. It does not
-// block: during a read it returns false.
+// block.
 func (b *body) complete() bool {
-	if !b.mu.TryLock() {
-		return false
-	}
-	defer b.mu.Unlock()
-	return errors.Is(b.err, io.EOF)
+	return b.whole.Load()
 }
 
 // replayable reports whether another attempt can read the body from its start:
@@ -175,7 +177,7 @@
 	v.abortMu.Lock()
 	defer v.abortMu.Unlock()
 	v.closed.Store(true)
-	if v.released {
+	if v.released || v.body.complete() {
 		return
 	}
 	if v.body.mu.TryLock() {
--- a/io/entry/body_test.go
+++ b/io/entry/body_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -20,3 +21,28 @@
 	g.Expect(b.interrupted.Load()).To(gomega.BeFalse())
 	g.Expect(present.closed.Load()).To(gomega.BeFalse())
 }
+
+// Guards against an answer that closes the caller's connection although the body was
+// read whole, because a target's request reads the buffered body at that moment.
+func TestWholeBodyIsCompleteDuringRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := &body{source: strings.NewReader("x")}
+	g.Expect(b.prefetch(1)).To(gomega.Succeed())
+	b.mu.Lock() // As bodyView.Read does.
+	defer b.mu.Unlock()
+	g.Expect(b.complete()).To(gomega.BeTrue())
+}
+
+// Guards against the loss of a caller's connection when the connection to a target
+// ends while the request reads a body that is buffered whole.
+func TestWholeBodyIsNotInterrupted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := &body{source: strings.NewReader("x")}
+	g.Expect(b.prefetch(1)).To(gomega.Succeed())
+	view := b.newView()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	view.abort()
+	g.Expect(view.closed.Load()).To(gomega.BeTrue())
+	g.Expect(b.interrupted.Load()).To(gomega.BeFalse())
+}
