Let the targets of the refusal test announce their closes

The targets closed each connection after an answer without saying so. A call on a kept connection that meets the close may have run, so that its 502 is true; the test asks for something else, a refused call. The targets now send Connection: close; that a request which meets an unannounced close counts as may have run stays checked by TestResetSoonAfterAcceptIsReportedCorrectly.

--- a/io/entry/outcome_test.go
+++ b/io/entry/outcome_test.go
@@ -261,10 +261,12 @@
 // call must be answered by the third one, which must receive the whole body.
 func TestRefusedCallIsRetriedWithWholeBody(t *testing.T) {
 	g := gomega.NewWithT(t)
-	full := "HTTP/1.1 503 Full\r\nSpool-Outcome: not_run\r\nContent-Length: 0\r\n\r\n"
+	// Each target closes after its response and says so: a request that meets an
+	// unannounced close may have run.
+	full := "HTTP/1.1 503 Full\r\nSpool-Outcome: not_run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	first := newRawTarget(t, respondWith(full))
 	second := newRawTarget(t, respondWith(full))
-	third := newRawTarget(t, respondWith(okResponse))
+	third := newRawTarget(t, respondWith("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"))
 	b := newTestBed(t, manyRetries, first.address, second.address, third.address)
 	for range 10 {
 		raw, _ := b.session(t, post)
