Wait until the host votes in the spec on a lost majority

The spec stopped the two others before the third host had recovered; the host then says that it recovers, which is true. It now reads the plan there before it stops the others, and the expected error stays as it was.

--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -284,6 +284,11 @@
 			s.startHost(i, true)
 		}
 		s.putPlan(1)
+		// A host that still recovers gives another reason.
+		gomega.Eventually(func() error {
+			_, _, err := s.hosts[0].host.ReadPlan(context.Background())
+			return err
+		}, planTimeout, pollPeriod).Should(gomega.Succeed())
 		s.stopHost(1)
 		s.stopHost(2)
 		_, _, err := s.hosts[0].host.ReadPlan(context.Background())
