Refuse retry windows too short for the retry budget

Documents and settings now take 0 or 100 ms and more, with field and value in the message, and a bucket lasts at least a nanosecond whatever the window. Three tests failed before, one of them with the panic.

--- a/core/admit/budget.go
+++ b/core/admit/budget.go
@@ -75,7 +75,7 @@
 		b.epoch = now
 	}
 	n := int64(len(b.calls))
-	bucket := int64(now.Sub(b.epoch) / (b.Window / budgetBuckets))
+	bucket := int64(now.Sub(b.epoch) / max(b.Window/budgetBuckets, 1))
 	for k := max(b.currentBucket+1, bucket-n+1); k <= bucket; k++ {
 		b.calls[k%n], b.retries[k%n] = 0, 0
 	}
--- a/core/admit/budget_test.go
+++ b/core/admit/budget_test.go
@@ -78,3 +78,18 @@
 		budget.AllowRetry(now)
 	}
 }
+
+// Guards against a division by zero for windows shorter than a nanosecond a bucket.
+func TestBudgetWithTinyWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for window := time.Duration(1); window < 50; window++ {
+		b := admit.Budget{Window: window, Slack: 1}
+		b.CountCall(now)
+		if !b.AllowRetry(now) || b.AllowRetry(now) {
+			t.Fatalf("window %s: want one retry", window)
+		}
+		if !b.AllowRetry(now.Add(time.Second)) {
+			t.Fatalf("window %s: want a retry after the window", window)
+		}
+	}
+}
--- a/core/spec/fields.go
+++ b/core/spec/fields.go
@@ -100,7 +100,7 @@
 	},
 	{
 		Path: "retry.window", Label: "Retry window", Low: 0, High: int64(MaxRamp),
-		Help: "When not 0, the retry budget bounds the repeats in any such time, and what targets shed costs budget too.",
+		Help: "When not 0 (then at least 100ms), the retry budget bounds the repeats in any such time, and what targets shed costs budget too.",
 	},
 	{
 		Path: "retry.slack", Label: "Retry slack", Unit: "repeats per window", Low: 0, High: MaxOpenCalls,
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -206,6 +206,7 @@
 	MaxDeadline        = time.Hour
 	MaxRetryAfter      = time.Hour
 	MaxRamp            = time.Minute
+	MinRetryWindow     = 100 * time.Millisecond
 )
 
 var (
@@ -272,7 +273,7 @@
 	f.CheckRange("measure.probes_per_second", s.Measure.ProbesPerSecond, 0, MaxProbesPerSecond)
 	f.CheckRange("retry.budget_percent", s.Retry.BudgetPercent, 0, MaxPercent)
 	f.CheckRange("retry.attempts", s.Retry.Attempts, 1, MaxAttempts)
-	f.CheckDurationRange("retry.window", s.Retry.Window, 0, MaxRamp)
+	f.CheckOptionalDuration("retry.window", s.Retry.Window, MinRetryWindow, MaxRamp)
 	f.CheckRange("retry.slack", s.Retry.Slack, 0, MaxOpenCalls)
 	f.CheckRange("targets.slots", s.Targets.Slots, 1, MaxSlots)
 	f.CheckRange("targets.connections", s.Targets.Connections, 1, MaxConnections)
--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -45,6 +45,16 @@
 	g.Expect(doc.Receive.Classify("POST", "/bookings").Idempotent).To(gomega.BeFalse())
 }
 
+// Guards against a service that panics at its first call, since its retry window is
+// shorter than the parts in which the budget counts.
+func TestTooShortRetryWindowIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for window, valid := range map[string]bool{"0s": true, "1ns": false, "19ns": false, "99ms": false, "100ms": true} {
+		_, faults := spec.Parse([]byte(`{"name": "s", "receive": {"hosts": ["h"]}, "retry": {"window": "` + window + `"}}`))
+		g.Expect(len(faults) == 0).To(gomega.Equal(valid), "%s: %v", window, faults)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"name":"a","receive":{"hosts":["a.example"]}}`))
 	f.Add([]byte(`{"receive":{"routes":[{}]}}`))
--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// CheckOptionalDuration adds a fault unless d is 0 or from lo to hi.
+func (f *Faults) CheckOptionalDuration(path string, d Duration, lo, hi time.Duration) {
+	if v := d.Std(); v != 0 && (v < lo || v > hi) {
+		f.Add(path, "is %q, must be \"0s\" or from %q to %q", v, lo, hi)
+	}
+}
+
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration {
 	return time.Duration(d)
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -21,7 +21,7 @@
 		{Path: "fleet.front_address", Label: "Front address", Unit: "IP address and port", Help: "Address of the adapter. It serves operators and targets on a control host, and readiness on an entry host."},
 		{Path: "fleet.retry_ratio", Label: "Retry ratio", Help: "Highest ratio of retries to calls in a retry window, over all entry hosts, from 0 to 1."},
 		{Path: "fleet.link_mbps", Label: "Link rate", Help: "Bandwidth of the host's network link in Mbit/s; 0 if the bodies of callers cannot saturate it."},
-		{Path: "fleet.retry_window", Label: "Retry window", Low: 0, High: int64(MaxRetryWindow), Help: "Length of the window of the retry budget."},
+		{Path: "fleet.retry_window", Label: "Retry window", Low: 0, High: int64(MaxRetryWindow), Help: "Length of the window of the retry budget: 0s, or at least 100ms."},
 		{Path: "fleet.retry_slack", Label: "Retry slack", Unit: "retries per window", Low: 0, High: MaxRetrySlack, Help: "Retries allowed in a window in addition to the retry ratio."},
 		{Path: "fleet.probe_interval", Label: "Probe interval", Low: 0, High: int64(MaxProbeInterval), Help: "Time between two probes of a target; 0 disables probes."},
 		{
--- a/io/setup/fleet.go
+++ b/io/setup/fleet.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 )
 
@@ -73,7 +74,7 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		f.Add("fleet.retry_ratio", "is %v, must be from 0 to 1", s.RetryRatio)
 	}
-	f.CheckDurationRange("fleet.retry_window", s.RetryWindow, 0, MaxRetryWindow)
+	f.CheckOptionalDuration("fleet.retry_window", s.RetryWindow, spec.MinRetryWindow, MaxRetryWindow)
 	f.CheckRange("fleet.retry_slack", s.RetrySlack, 0, MaxRetrySlack)
 	f.CheckDurationRange("fleet.probe_interval", s.ProbeInterval, 0, MaxProbeInterval)
 	if s.LinkMbps < 0 {
--- a/io/setup/fleet_test.go
+++ b/io/setup/fleet_test.go
@@ -51,4 +51,8 @@
 			g.Expect(paths).To(gomega.ContainElement(path))
 		})
 	}
+	g := gomega.NewWithT(t)
+	s := valid()
+	s.Fleet.RetryWindow = 19
+	g.Expect(s.Validate()).To(gomega.ContainElement(gomega.HaveField("Path", "fleet.retry_window")))
 }
