--- a/io/drain/drain_test.go
+++ b/io/drain/drain_test.go
@@ -57,3 +57,26 @@
 	g.Expect(string(body)).To(gomega.Equal("whole"))
 	g.Eventually(stopped, maxShutdownTime).Should(gomega.Receive(gomega.BeNil()))
 }
+
+// Guards against a connection that is closed while its first request is still on the
+// way, behind the bodies of others on the host's link.
+func TestShutdownAnswersRequestThatArrivesLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s := drain.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "late") })})
+	go s.Serve(l)
+	c, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer c.Close()
+	time.Sleep(50 * time.Millisecond) // The server accepts the connection.
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	time.Sleep(600 * time.Millisecond)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	answer, err := io.ReadAll(c)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(answer)).To(gomega.HaveSuffix("late"))
+	g.Expect(<-stopped).To(gomega.Succeed())
+}
