Soak: take an entry host that refuses connections out until the next poll

Cause: the timeline has all three entry hosts stopped, killed or isolated between 3.3 and 3.9 s; a killed one refuses at once, and until the next poll of readiness, which waits half a second for each host that is silent, the workers spent hundreds of calls on it.

A refused connection now takes the entry host out of the ready ones until the next poll, as the load balancer that this stands for would. The test failed without the change (mutation).

--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -399,6 +400,9 @@
 	if closed || c.err != nil {
 		from.entry = nil
 	}
+	if isDialError(c.err) {
+		s.withdraw(c.entry)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.callRecords = append(s.callRecords, c)
@@ -415,6 +419,24 @@
 	return nil
 }
 
+// withdraw takes an entry host that accepts no connection out of readyEntries until the
+// next poll. Without it, calls that fail at once would use up the run.
+func (s *Soak) withdraw(entry *process) {
+	list := s.readyEntries.Load()
+	if list == nil {
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(*list), func(p *process) bool { return p == entry })
+	// If the poll has replaced the list meanwhile, its word is newer.
+	s.readyEntries.CompareAndSwap(list, &rest)
+}
+
+// isDialError reports whether err is that of a connection that could not be opened.
+func isDialError(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
 // exchange makes the call, fills in the fields of c that depend on the answer, and
 // reports whether the connection ends with the call.
 func (s *Soak) exchange(ctx context.Context, client *http.Client, c *callRecord, upload bool) (bool, error) {
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -130,3 +134,22 @@
 	g.Expect(p.signal(syscall.SIGINT)).To(gomega.Succeed())
 	g.Expect(p.wait()).To(gomega.Succeed())
 }
+
+// Guards against a run that spends its calls on a killed entry host, which refuses
+// thousands of connections until the next poll of readiness.
+func TestRefusingEntryIsPickedOnlyAfterNextPoll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &Soak{callAddress: make(map[*process]netip.AddrPort)}
+	dead, live := &process{}, &process{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.callAddress[dead] = l.Addr().(*net.TCPAddr).AddrPort()
+	l.Close()
+	s.readyEntries.Store(&[]*process{dead, live})
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := &caller{client: http.DefaultClient, entry: dead, sticky: true}
+	s.call(t.Context(), c, rng, 1)
+	for range 20 {
+		g.Expect(s.pick(t.Context(), rng)).To(gomega.BeIdenticalTo(live))
+	}
+}
