--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -20,12 +20,14 @@
 		Until time.Time
 		// Rank is the priority; calls of lower rank are served first.
 		Rank int
+		// Urgent puts the call ahead of the other calls of the same rank.
+		Urgent bool
 		// Patient puts the call behind prompt calls of the same rank.
 		Patient bool
 	}
 
-	// Queue is a priority queue: by rank, then prompt before patient, then by
-	// order of arrival. The zero value accepts no call of a weight above 0; set
+	// Queue is a priority queue: by rank, then urgent before others, then prompt
+	// before patient, then by order of arrival. The zero value accepts no call of a weight above 0; set
 	// MaxWeight before use.
 	Queue struct {
 		// MaxWeight limits the total weight of the calls that Push accepts.
@@ -61,6 +63,10 @@
 	switch {
 	case c.Rank != o.Rank:
 		return cmp.Compare(c.Rank, o.Rank)
+	case c.Urgent && !o.Urgent:
+		return -1
+	case o.Urgent && !c.Urgent:
+		return 1
 	case c.Patient == o.Patient:
 		return 0
 	case c.Patient:
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -68,9 +68,9 @@
 	// relaxedAimFactor is the multiple of the mean latency above which a call's
 	// aim counts as relaxed, see route.Query.
 	relaxedAimFactor = 4
-	// A call may wait for its aim divided by minWaitDivisor even when that leaves
-	// too little of the aim for a call of mean latency: a short wait costs the
-	// caller nothing.
+	// A call may wait for its aim, or the time to its deadline, divided by
+	// minWaitDivisor even when that leaves too little for a call of mean latency:
+	// a short wait costs the caller nothing, and some targets are faster.
 	minWaitDivisor = 8
 	// A late call may wait for its aim divided by lateWaitDivisor at most.
 	lateWaitDivisor = 4
@@ -379,7 +379,9 @@
 // A call with an aim waits only as long as it can still be answered within its
 // aim. Under overload, the calls that are sent are then answered in time, and the
 // rest are refused early with a time to retry. Late calls are queued behind all
-// calls that are not late, for a short time.
+// calls that are not late, for a short time. A call whose wait is limited by its
+// deadline is urgent: under overload every call that is sent has waited nearly as long
+// as it may, so that it would have no prospect behind calls that may wait longer.
 func (s *Scheduler) queuedCall(id uint64, c *call) admit.QueuedCall {
 	wait, rank := s.doc.Hold.LongestWait.Std(), c.class.Rank
 	switch aim := c.class.Aim; {
@@ -389,10 +391,15 @@
 		wait = min(wait, max(aim-s.targets.MeanLatency(), aim/minWaitDivisor))
 	}
 	until := c.waitingSince.Add(wait)
+	urgent := false
 	if last := c.deadline.Add(-s.targets.MeanLatency()); last.Before(until) {
-		until = last
+		urgent = true
+		shortest := c.waitingSince.Add(c.deadline.Sub(c.waitingSince) / minWaitDivisor)
+		if until = last; until.Before(shortest) {
+			until = shortest
+		}
 	}
-	return admit.QueuedCall{Call: id, Weight: c.class.Weight, Until: until, Rank: rank, Patient: c.class.Patient}
+	return admit.QueuedCall{Call: id, Weight: c.class.Weight, Until: until, Rank: rank, Urgent: urgent, Patient: c.class.Patient}
 }
 
 // estimateWait estimates how long a call that has ahead calls before it in the
