--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -27,8 +27,8 @@
 	}
 
 	// Queue is a priority queue: by rank, then urgent before others, then prompt
-	// before patient, then by order of arrival. The zero value accepts no call of a weight above 0; set
-	// MaxWeight before use.
+	// before patient, then by order of arrival. The zero value accepts no call of a
+	// weight above 0; set MaxWeight before use.
 	Queue struct {
 		// MaxWeight limits the total weight of the calls that Push accepts.
 		MaxWeight int
