--- a/core/engine/load_test.go
+++ b/core/engine/load_test.go
@@ -305,6 +305,14 @@
 	g.Expect(actions[0]).To(gomega.BeAssignableToTypeOf(engine.Send{}))
 }
 
+// expectShareOfCalls runs the next duration, in which targets a and b must together get
+// at least half as many calls as c and d.
+func (r *loadRun) expectShareOfCalls(g *gomega.WithT, duration time.Duration) {
+	clear(r.sent)
+	r.run(duration)
+	g.Expect(r.sent["a"]+r.sent["b"]).To(gomega.BeNumerically(">=", (r.sent["c"]+r.sent["d"])/2), "calls sent %v", r.sent)
+}
+
 // Guards against calls that are kept from a target long after it has failed once:
 // another attempt there is the only evidence that it serves again.
 func TestTargetGetsCallsAgainAfterOneFailure(t *testing.T) {
@@ -315,9 +323,7 @@
 	}
 	r.offer(loadCapacity/3, 10*time.Second, 0)
 	r.run(6 * time.Second)
-	clear(r.sent)
-	r.run(4 * time.Second)
-	g.Expect(r.sent["a"]+r.sent["b"]).To(gomega.BeNumerically(">=", (r.sent["c"]+r.sent["d"])/2), "calls sent %v", r.sent)
+	r.expectShareOfCalls(g, 4*time.Second)
 }
 
 // Guards against targets that get no calls after the host that probes them was
@@ -333,9 +339,7 @@
 		}
 	}
 	r.run(time.Second)
-	clear(r.sent)
-	r.run(2 * time.Second)
-	g.Expect(r.sent["a"]+r.sent["b"]).To(gomega.BeNumerically(">=", (r.sent["c"]+r.sent["d"])/2), "calls sent %v", r.sent)
+	r.expectShareOfCalls(g, 2*time.Second)
 }
 
 // Guards against a target that gets calls again and again although it fails them all.
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -91,8 +91,7 @@
 }
 
 // Run logs the states of the services every second, ends their overdue calls and stops
-// the probing of idle ones. When ctx ends
-// it shuts the actor system down and returns.
+// the probing of idle ones. When ctx ends it shuts the actor system down and returns.
 func (s *Server) Run(ctx context.Context) {
 	s.mu.Lock()
 	s.ctx = ctx
