--- /dev/null
+++ b/io/entry/departed_test.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/roster"
+	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/feed"
+	"cardamomspool/io/peer"
+	"cardamomspool/io/peer/peerpb"
+	"cardamomspool/io/place"
+	"cardamomspool/io/setup"
+	"cardamomspool/io/telem"
+)
+
+type (
+	// staleControl is a control host whose decisions rest on targets of its own, which
+	// differ from those of the state that it streams.
+	staleControl struct {
+		address netip.AddrPort
+		state   *feed.State
+	}
+
+	// countingTarget is a target that counts its requests.
+	countingTarget struct {
+		address  netip.AddrPort
+		requests atomic.Int64
+	}
+)
+
+// newCountingTarget starts a target that answers every request with "ok".
+func newCountingTarget(t *testing.T) *countingTarget {
+	target := &countingTarget{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		target.requests.Add(1)
+		if _, err := io.Copy(w, r.Body); err != nil {
+			t.Error(err)
+		}
+		io.WriteString(w, "ok")
+	}))
+	t.Cleanup(server.Close)
+	target.address = server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	return target
+}
+
+// rosterTarget returns the report of a target of service "s".
+func rosterTarget(id string, address netip.AddrPort, state member.State) roster.Target {
+	return roster.Target{
+		ID: id, Service: "s", Address: address, DataCentre: "lab", Slots: 4, State: state,
+		Born: time.UnixMilli(1), Sequence: uint64(state), Heard: time.Now(),
+	}
+}
+
+// newStaleControl starts a control host that decides for the plan of testPlan with the
+// given targets.
+func newStaleControl(t *testing.T, targets ...roster.Target) *staleControl {
+	g := gomega.NewWithT(t)
+	table := roster.NewTable()
+	for _, target := range targets {
+		table.Merge(target)
+	}
+	doc := spec.Default()
+	doc.Hold = spec.Hold{Length: 16, LongestWait: strict.Duration(time.Second)}
+	doc.Route = spec.Route{Policy: spec.PolicyFastest}
+	doc.Retry = spec.Retry{Attempts: 2, Window: strict.Duration(10 * time.Second)}
+	log, metrics := slog.New(slog.DiscardHandler), telem.NewRegistry()
+	decider := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond},
+		func(service string) []member.Record { return table.Records(nil, service) }, nil, log, metrics)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go decider.Run(ctx)
+	decider.SetPlan(testPlan())
+	l, err := net.Listen("tcp", freeAddress(t).String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	c := &staleControl{address: l.Addr().(*net.TCPAddr).AddrPort(), state: feed.NewState()}
+	c.state.SetPlan(testPlan())
+	server := peer.NewServer()
+	peerpb.RegisterFleetServer(server, feed.NewServer(ctx, c.state, decider.Serve))
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	return c
+}
+
+// newFleetHost starts an entry host of the fleet of a control host, and returns it with
+// the URL of the route of testPlan.
+func newFleetHost(t *testing.T, control netip.AddrPort) (*Host, string) {
+	g := gomega.NewWithT(t)
+	cfg := setup.DefaultEntry()
+	cfg.Host, cfg.DataCentre, cfg.Tick = "entry-1", "lab", strict.Duration(5*time.Millisecond)
+	cfg.CallAddress, cfg.AdminAddress, cfg.DrainDelay = freeAddress(t), freeAddress(t), 0
+	cfg.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.3.99"), control.Port())
+	cfg.Fleet = setup.Fleet{Adapter: setup.AdapterPlatform, Seeds: []netip.AddrPort{control}}
+	h := New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		g.Eventually(ended, testTimeout).Should(gomega.Receive(gomega.BeNil()))
+	})
+	g.Eventually(func() *place.Client { return h.fleet.controls.Pick("s", time.Now()) }, testTimeout, time.Millisecond).ShouldNot(gomega.BeNil())
+	g.Eventually(h.fleet.state.Plan, testTimeout, time.Millisecond).ShouldNot(gomega.BeNil())
+	return h, "http://" + cfg.CallAddress.String() + "/a/x"
+}
+
+// callRoute sends a call to the route of testPlan and returns the status of the answer.
+func callRoute(t *testing.T, method, url string, body io.Reader) int {
+	g := gomega.NewWithT(t)
+	r, err := http.NewRequest(method, url, body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Host = "shop.example"
+	resp, err := http.DefaultClient.Do(r)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return resp.StatusCode
+}
+
+// Guards against calls to a target that has left, decided by a control host that was
+// cut off or frozen as it left.
+func TestDepartedTargetGetsNoCallsFromStaleDecisions(t *testing.T) {
+	for _, state := range []member.State{member.Draining, member.Leaving} {
+		t.Run(state.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			departed, sound := newCountingTarget(t), newCountingTarget(t)
+			control := newStaleControl(t, rosterTarget("departed", departed.address, member.Ready), rosterTarget("sound", sound.address, member.Ready))
+			control.state.UpdateTargets(true, rosterTarget("departed", departed.address, state), rosterTarget("sound", sound.address, member.Ready))
+			h, url := newFleetHost(t, control.address)
+			g.Eventually(h.fleet.state.Targets, testTimeout, time.Millisecond).Should(gomega.HaveLen(2))
+			const calls = 20
+			for range calls {
+				g.Expect(callRoute(t, http.MethodPost, url, http.NoBody)).To(gomega.Equal(http.StatusOK))
+			}
+			g.Expect(departed.requests.Load()).To(gomega.BeZero())
+			g.Expect(sound.requests.Load()).To(gomega.BeEquivalentTo(calls))
+		})
+	}
+}
