Make no attempt at targets that the entry host knows to have left

Cause: the control host that decides for a service may have an older table than the entry host that carries the decision out, as when it was cut off while the target left. Class: a decision is carried out without a look at newer knowledge.

Change: a decision names the incarnation of the target; an entry host that knows it to be draining or gone answers not_sent, and the control host withdraws the incarnation and chooses again.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -34,9 +34,9 @@
 	}
 
 	// Finish reports the end of an attempt. The call has ended when Result is
-	// Answered or Broken. When Result is NotRun, or when the call is idempotent
-	// and Result is Unknown, the Scheduler may send the call again. Otherwise
-	// it refuses the call.
+	// Answered or Broken. After NotSent the Scheduler chooses another target. When
+	// Result is NotRun, or when the call is idempotent and Result is Unknown, the
+	// Scheduler may send the call again. Otherwise it refuses the call.
 	Finish struct {
 		// Call identifies the call.
 		Call uint64
@@ -93,6 +93,8 @@
 		Target string
 		// Address is the address at which the target accepts calls.
 		Address netip.AddrPort
+		// Incarnation is that of the target; 0 when unknown.
+		Incarnation uint64
 		// Attempt is the number of this attempt of the call, from 1.
 		Attempt int
 		// Candidates is the number of targets that could have been chosen.
@@ -140,6 +142,9 @@
 	// Broken means that the target's answer began but did not reach the
 	// caller completely.
 	Broken
+	// NotSent means that the attempt was not made, because the entry host knows
+	// that the chosen target is draining or has left.
+	NotSent
 )
 
 // The reasons for a refusal.
@@ -191,6 +196,8 @@
 		return "unknown"
 	case Broken:
 		return "broken"
+	case NotSent:
+		return "not_sent"
 	}
 	return "none"
 }
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -49,6 +49,7 @@
 		waitingSince time.Time
 		deadline     time.Time
 		target       string    // Where the call is in flight; empty when it is queued.
+		incarnation  uint64    // That of the target.
 		sent         time.Time // The start of the last attempt.
 		tried        []string  // The targets of the ended attempts.
 		attempts     int       // The number of attempts so far.
@@ -178,6 +179,9 @@
 	if !ok || c.target == "" {
 		return dst
 	}
+	if e.Result == NotSent {
+		return s.dispatchQueued(s.redirect(dst, e.Call, c, now), now)
+	}
 	s.targets.Finish(c.target, e.Feedback, now.Sub(c.sent), now)
 	c.tried = append(c.tried, c.target)
 	c.target = ""
@@ -199,6 +203,16 @@
 	return s.dispatchQueued(dst, now)
 }
 
+// redirect chooses another target for a call that was not sent, because its target is
+// draining or has left. This costs neither an attempt nor retry budget.
+func (s *Scheduler) redirect(dst []Action, id uint64, c *call, now time.Time) []Action {
+	s.targets.Finish(c.target, route.Feedback{}, now.Sub(c.sent), now)
+	s.targets.Withdraw(c.target, c.incarnation)
+	c.target = ""
+	c.attempts--
+	return s.sendOrRequeue(dst, id, c, now)
+}
+
 // refusalReason returns the reason for refusing a call whose last attempt ended
 // with r and that may not be sent again.
 func refusalReason(r Result) Reason {
@@ -308,21 +322,30 @@
 	return s.queueOrRefuse(dst, id, c, now)
 }
 
-// resendOrRequeue sends a call to a target that excludedTargets does not list, or
-// else queues it ahead of all calls of its priority. It refuses the call when no
-// target is ready or cold.
+// resendOrRequeue sends a call again or requeues it, as sendOrRequeue does. A call with
+// an aim that is requeued counts as late.
 func (s *Scheduler) resendOrRequeue(dst []Action, id uint64, c *call, now time.Time) []Action {
 	if pick, ok := s.choose(c, now); ok {
 		return s.send(dst, id, c, pick, now)
 	}
-	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
-		return s.refuse(dst, id, c, NoTarget)
-	}
 	if c.class.Aim > 0 {
 		// The last attempt has taken so much of the aim that the call can no
 		// longer be answered within it, but it may still be answered late.
 		c.class.Late, c.waitingSince = true, now
 	}
+	return s.sendOrRequeue(dst, id, c, now)
+}
+
+// sendOrRequeue sends a call to a target that excludedTargets does not list, or
+// else queues it ahead of all calls of its priority. It refuses the call when no
+// target is ready or cold.
+func (s *Scheduler) sendOrRequeue(dst []Action, id uint64, c *call, now time.Time) []Action {
+	if pick, ok := s.choose(c, now); ok {
+		return s.send(dst, id, c, pick, now)
+	}
+	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
+		return s.refuse(dst, id, c, NoTarget)
+	}
 	s.queue.Requeue(s.queuedCall(id, c))
 	return s.appendHold(dst, id)
 }
@@ -338,11 +361,11 @@
 // send begins an attempt of the call at the target of pick and appends a Send.
 func (s *Scheduler) send(dst []Action, id uint64, c *call, pick route.Pick, now time.Time) []Action {
 	s.targets.Begin(pick.Name, now)
-	c.target = pick.Name
+	c.target, c.incarnation = pick.Name, pick.Incarnation
 	c.sent = now
 	c.attempts++
 	return append(dst, Send{
-		Call: id, Target: pick.Name, Address: pick.Address, Attempt: c.attempts,
+		Call: id, Target: pick.Name, Address: pick.Address, Incarnation: pick.Incarnation, Attempt: c.attempts,
 		Candidates: pick.Candidates, Why: pick.Why, InFlight: pick.InFlight, ReportAge: pick.ReportAge,
 		HeldFor: now.Sub(c.arrived),
 	})
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -131,6 +131,12 @@
 	return true
 }
 
+// Incarnation returns the start of the target in milliseconds since 1970, and 0 when it
+// is unknown.
+func (t *Target) Incarnation() uint64 {
+	return uint64(max(t.Born.UnixMilli(), 0))
+}
+
 // olderThan reports whether t is older than other, which must have the same ID.
 func (t *Target) olderThan(other *Target) bool {
 	return cmp.Or(t.Born.Compare(other.Born), t.sortKey().Compare(other.sortKey())) < 0
@@ -214,8 +220,7 @@
 }
 
 // Records appends the targets of a service that have not departed to dst, as
-// routing records sorted by ID, and returns it. The incarnation of a record is the
-// start of the target in milliseconds since 1970.
+// routing records sorted by ID, and returns it.
 func (t *Table) Records(dst []member.Record, service string) []member.Record {
 	start := len(dst)
 	for _, target := range t.targets {
@@ -224,7 +229,7 @@
 		}
 		dst = append(dst, member.Record{
 			Key: member.Key{Service: target.Service, Target: target.ID}, Address: target.Address, DataCentre: target.DataCentre,
-			State: target.State, Incarnation: uint64(max(target.Born.UnixMilli(), 0)), Slots: target.Slots, WarmAt: target.WarmAt,
+			State: target.State, Incarnation: target.Incarnation(), Slots: target.Slots, WarmAt: target.WarmAt,
 		})
 	}
 	slices.SortFunc(dst[start:], func(a, b member.Record) int { return cmp.Compare(a.Target, b.Target) })
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -124,8 +124,23 @@
 		t.applyLoadReport(s, f.Load, at)
 	}
 	s.addressTaken = s.addressTaken || f.AddressTaken
-	if f.Draining && !s.draining {
-		s.draining = true
+	if f.Draining {
+		t.withdrawRow(i)
+	}
+}
+
+// Withdraw ends the use of one incarnation of the target called name for new calls: it
+// is draining or has left. It does nothing when the table no longer has it.
+func (t *Table) Withdraw(name string, incarnation uint64) {
+	if i, ok := t.index[name]; ok && t.incarnations[i] == incarnation {
+		t.withdrawRow(i)
+	}
+}
+
+// withdrawRow marks the target of row i as draining.
+func (t *Table) withdrawRow(i int) {
+	if !t.states[i].draining {
+		t.states[i].draining = true
 		t.removeReadyRow(i)
 	}
 }
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -40,6 +40,8 @@
 		Name string
 		// Address is the address at which the target accepts calls.
 		Address netip.AddrPort
+		// Incarnation is that of the target; 0 when unknown.
+		Incarnation uint64
 		// Candidates is the number of targets that could have been chosen.
 		Candidates int
 		// Why says what decided the choice.
@@ -141,7 +143,7 @@
 		age = at - t.states[i].reportAt
 	}
 	return Pick{
-		Row: i, Name: t.names[i], Address: t.addresses[i], Candidates: candidates, Why: why,
+		Row: i, Name: t.names[i], Address: t.addresses[i], Incarnation: t.incarnations[i], Candidates: candidates, Why: why,
 		InFlight: t.states[i].inFlight, ReportAge: age,
 	}, true
 }
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -265,6 +265,14 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
+		if h.fleet != nil && h.fleet.hasDeparted(action) {
+			h.metrics.Counter("decisions_outdated").Add(1)
+			if h.sampled() {
+				h.log.Info("decision outdated", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
+					"incarnation", action.Incarnation, "decided_by", c.decidedBy())
+			}
+			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
+		}
 		h.logSend(c, action)
 		c.attempted = true
 		start := time.Now()
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -238,6 +238,14 @@
 	class.Aim -= elapsed
 }
 
+// hasDeparted reports whether the target of a decision is draining or has left as far
+// as this host knows. The host that decided may not know it yet, as when it was frozen
+// or cut off.
+func (f *fleet) hasDeparted(s engine.Send) bool {
+	t, known := f.state.Target(s.Target)
+	return known && (t.Incarnation() > s.Incarnation && s.Incarnation > 0 || t.State >= member.Draining)
+}
+
 // delegate asks the control host of the call's service to decide about the call.
 // It returns false if there is no such host or its stream has just ended; the call
 // has then not been sent to it.
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -70,6 +70,7 @@
 		m.Decision = &peerpb.CallDecision_Send{Send: &peerpb.CallSend{
 			Target: a.Target, Address: a.Address.String(), Attempt: uint32(a.Attempt), Candidates: uint32(a.Candidates),
 			Why: string(a.Why), InFlight: uint32(a.InFlight), ReportAgeUs: a.ReportAge.Microseconds(), HeldUs: a.HeldFor.Microseconds(),
+			Incarnation: a.Incarnation,
 		}}
 	case engine.Refuse:
 		m.Decision = &peerpb.CallDecision_Refuse{Refuse: &peerpb.CallRefuse{
@@ -94,7 +95,7 @@
 			Call: m.GetCall(), Target: d.Send.GetTarget(), Address: address, Attempt: int(d.Send.GetAttempt()),
 			Candidates: int(d.Send.GetCandidates()), Why: route.Why(d.Send.GetWhy()), InFlight: int(d.Send.GetInFlight()),
 			ReportAge: time.Duration(d.Send.GetReportAgeUs()) * time.Microsecond,
-			HeldFor:   time.Duration(d.Send.GetHeldUs()) * time.Microsecond,
+			HeldFor:   time.Duration(d.Send.GetHeldUs()) * time.Microsecond, Incarnation: d.Send.GetIncarnation(),
 		}, nil
 	case *peerpb.CallDecision_Refuse:
 		return engine.Refuse{
