--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -87,6 +87,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	c := &staleControl{address: l.Addr().(*net.TCPAddr).AddrPort(), state: feed.NewState()}
 	c.state.SetPlan(testPlan())
+	c.state.SetView(feed.View{Epoch: 1, Members: []feed.Member{{Host: c.address.Addr()}}})
 	server := peer.NewServer()
 	peerpb.RegisterFleetServer(server, feed.NewServer(ctx, c.state, decider.Serve))
 	go server.Serve(l)
--- /dev/null
+++ b/io/feed/narrow_test.go
@@ -0,0 +1,158 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/plan"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/feed"
+	"cardamomspool/io/peer"
+	"cardamomspool/io/peer/peerpb"
+	"cardamomspool/io/telem"
+)
+
+// link is a network link of limited bandwidth that several connections share. Its
+// queue is not limited.
+type link struct {
+	bytesPerSecond float64
+
+	mu   sync.Mutex
+	free time.Time // When all bytes so far have been sent.
+}
+
+const (
+	// planApplyTimeout is the time within which a confirmed plan must be in force.
+	planApplyTimeout = 2 * time.Second
+	// narrowLink is the bandwidth of an entry host's link, in bytes a second: 2 Mbit/s.
+	narrowLink = 2e6 / 8
+	manyRoutes = 1400
+)
+
+// send waits until n bytes have been sent.
+func (l *link) send(n int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	wait := l.free.Sub(now)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// relay accepts connections at from and connects them to to. What it passes back from
+// there goes over the link.
+func (l *link) relay(t *testing.T, from, to netip.AddrPort) {
+	listener, err := net.Listen("tcp", from.String())
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { listener.Close() })
+	pass := func(dst, src net.Conn, send func(int)) {
+		defer dst.Close()
+		buf := make([]byte, 1500)
+		for {
+			n, err := src.Read(buf)
+			send(n)
+			if _, writeErr := dst.Write(buf[:n]); err != nil || writeErr != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to.String())
+			if err != nil {
+				in.Close()
+				continue
+			}
+			go pass(out, in, func(int) {})
+			go pass(in, out, l.send)
+		}
+	}()
+}
+
+// newLargePlan returns a plan with many routes that differ as those of operators do.
+func newLargePlan(version uint64) *plan.Plan {
+	p := &plan.Plan{Version: version, Services: []plan.Service{{Name: "huvo11a", HealthPath: "/health", Connections: 240}}}
+	for i := range manyRoutes {
+		mark := uint32(i+1) * 2654435761 // Spreads the digits of consecutive numbers.
+		p.Routes = append(p.Routes, plan.Route{
+			Name: fmt.Sprintf("r-%07x", mark>>4), Host: "jepu9.example", PathPrefix: fmt.Sprintf("/%08x/%d/", mark, i%97), Rank: i % 3,
+			Timeout: strict.Duration(1200 * time.Millisecond), Aim: strict.Duration(500 * time.Millisecond), Attempts: 2,
+			Parts: []plan.Part{{Service: "huvo11a", Weight: 1}},
+		})
+	}
+	return p
+}
+
+// newNarrowFollower runs a follower of n control hosts behind a narrow link. It returns
+// the follower and its state, and the states of the control hosts.
+func newNarrowFollower(t *testing.T, n int) (*feed.Follower, *feed.State, []*feed.State) {
+	g := gomega.NewWithT(t)
+	var (
+		controls []*feed.State
+		seeds    []netip.AddrPort
+		view     = feed.View{Epoch: 1}
+	)
+	narrow := &link{bytesPerSecond: narrowLink}
+	port := uint16(0)
+	for i := range n {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 4, byte(i + 1)}), port).String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		address := l.Addr().(*net.TCPAddr).AddrPort()
+		port = address.Port()
+		state := feed.NewState()
+		server := peer.NewServer()
+		peerpb.RegisterFleetServer(server, feed.NewServer(context.Background(), state, nil))
+		go server.Serve(l)
+		t.Cleanup(server.Stop)
+		seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 5, byte(i + 1)}), port)
+		narrow.relay(t, seed, address)
+		controls, seeds = append(controls, state), append(seeds, seed)
+		view.Members = append(view.Members, feed.Member{Host: seed.Addr()})
+	}
+	for _, state := range controls {
+		state.SetView(view)
+	}
+	state, metrics := feed.NewState(), telem.NewRegistry()
+	self := feed.Self{Host: "entry-1", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.5.99"), port)}
+	f := feed.NewFollower(state, self, func() []netip.AddrPort { return seeds }, peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f, state, controls
+}
+
+// Guards against plans that are late at hosts behind narrow links, because every control
+// host sends its own copy.
+func TestLargePlanIsInForceInTimeBehindNarrowLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const hosts, changes = 7, 5
+	f, state, controls := newNarrowFollower(t, hosts)
+	g.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(hosts))
+	version := func() uint64 {
+		if p := state.Plan(); p != nil {
+			return p.Version
+		}
+		return 0
+	}
+	for i := range uint64(changes) {
+		for _, c := range controls {
+			c.SetPlan(newLargePlan(i + 1))
+		}
+		g.Eventually(version, planApplyTimeout, 10*time.Millisecond).Should(gomega.Equal(i+1), "version in force after change %d", i+1)
+		g.Expect(f.Streams()).To(gomega.Equal(hosts), "streams after change %d", i+1)
+	}
+}
