Fetch a newer plan once instead of being sent it by every control host

Cause: each of six or seven control hosts sent every entry host the whole plan, 350 KB for 1,400 routes, over a link of 2 to 3.4 Mbit/s. It took over two seconds, and as nothing else arrived on a stream for 1.6 s, all streams ended and began again, with the plan. A host without streams answers 503 for paths that it does not know. Class: a message grows with the configuration, its copies with the hosts, and the time for which silence is borne does not.

Change: updates name the version; the follower fetches the plan, compressed once per version, from the host that named it first, and from another one after 0.5 s. Followers of an older version are still sent it.

Evidence: TestLargePlanIsInForceInTimeBehindNarrowLink failed before (not in force after 2 s) and passes, five changes in 0.8 s in all. A spec now waits for the plan after the streams, since it no longer comes with their first update; its bound is unchanged. While this was written, TestPlanIsFetchedFromAnotherControlHost failed 5 of 8 times: a silent host was asked twice and took both places; now each host is asked once at a time, 10 of 10.

--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// planVersion returns a function that returns the version of the plan in force, or 0.
+func planVersion(state *feed.State) func() uint64 {
+	return func() uint64 {
+		if p := state.Plan(); p != nil {
+			return p.Version
+		}
+		return 0
+	}
+}
+
 var _ = ginkgo.Describe("A follower", func() {
 	ginkgo.It("discovers all control hosts from one seed and merges their states", func() {
 		s := newControls(3)
@@ -99,12 +109,7 @@
 		state := feed.NewState()
 		f := follow(state, s[0].address)
 		gomega.Eventually(f.Synced, waitTimeout).Should(gomega.BeTrue())
-		gomega.Eventually(func() uint64 {
-			if p := state.Plan(); p != nil {
-				return p.Version
-			}
-			return 0
-		}, waitTimeout).Should(gomega.BeEquivalentTo(4))
+		gomega.Eventually(planVersion(state), waitTimeout).Should(gomega.BeEquivalentTo(4))
 		gomega.Eventually(states(state), waitTimeout).Should(gomega.Equal([]member.State{member.Ready}))
 	})
 
@@ -115,9 +120,9 @@
 		state := feed.NewState()
 		f := follow(state, s[0].address, s[1].address)
 		gomega.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(2))
-		gomega.Expect(state.Plan().Version).To(gomega.BeEquivalentTo(5))
+		gomega.Eventually(planVersion(state), waitTimeout).Should(gomega.BeEquivalentTo(5))
 		s[1].SetPlan(&plan.Plan{Version: 4})
-		gomega.Consistently(func() uint64 { return state.Plan().Version }, 200*time.Millisecond).Should(gomega.BeEquivalentTo(5))
+		gomega.Consistently(planVersion(state), 200*time.Millisecond).Should(gomega.BeEquivalentTo(5))
 	})
 
 	ginkgo.It("receives a departure within a fraction of the time limit", func() {
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -36,12 +36,19 @@
 		streams map[netip.AddrPort]streamState
 		started time.Time // When the Follower was created.
 		offset  uint64    // Selects the first control host; see claimNext.
+		// planFetches holds the control hosts from which a plan is being fetched; the
+		// last fetch began at planFetchStarted.
+		planFetches      map[netip.AddrPort]bool
+		planFetchStarted time.Time
 	}
 
 	// streamState is the state of the stream from one control host.
 	streamState struct {
-		complete bool // The first batch has arrived.
+		complete bool // The first batch has arrived, but for the plan.
 		current  bool // The control host is current.
+		// firstPlan is the version of the control host's plan at the first batch,
+		// newestPlan that at the last update.
+		firstPlan, newestPlan uint64
 		// controls are the control hosts that the control host names.
 		controls []netip.AddrPort
 	}
@@ -75,6 +82,14 @@
 	// majority of the voting hosts. After that, the state of one control host
 	// that a majority confirms is enough.
 	majorityWait = 1500 * time.Millisecond
+	// planFetchPatience is how long a fetch of a plan may take until another control
+	// host is asked as well.
+	planFetchPatience = 500 * time.Millisecond
+	// planFetchTimeout bounds a fetch of a plan.
+	planFetchTimeout = 5 * time.Second
+	// maxPlanFetches is the number of fetches that may run at the same time. Each
+	// takes a share of a narrow link from the others.
+	maxPlanFetches = 3
 )
 
 // errStreamSilent reports a stream without an update for streamTimeout.
@@ -86,14 +101,14 @@
 	return &Follower{
 		state: state, seeds: seeds, self: self, traffic: traffic,
 		active: make(map[netip.AddrPort]bool), streams: make(map[netip.AddrPort]streamState), started: time.Now(),
-		offset: rand.Uint64(),
+		offset: rand.Uint64(), planFetches: make(map[netip.AddrPort]bool),
 	}
 }
 
 // newRequest returns the request that opens a stream. It tells the control host
 // what this host already holds.
 func (f *Follower) newRequest() *peerpb.FollowRequest {
-	r := &peerpb.FollowRequest{Host: f.self.Host, DataCentre: f.self.DataCentre}
+	r := &peerpb.FollowRequest{Host: f.self.Host, DataCentre: f.self.DataCentre, FetchesPlan: true}
 	if f.self.Control {
 		r.Control, r.Disk = f.self.Peer.String(), f.self.Disk
 	}
@@ -157,19 +172,23 @@
 	return claimed
 }
 
-// Synced reports whether the first batches of enough control hosts have arrived:
-// those of a majority of the voting hosts or, after majorityWait, that of one
-// voting host and that of one current control host, which may be the same.
+// Synced reports whether the first batches of enough control hosts have arrived, with
+// their plans or newer ones: those of a majority of the voting hosts or, after
+// majorityWait, that of one voting host and that of one current control host, which may
+// be the same.
 func (f *Follower) Synced() bool {
-	view := f.state.View()
+	view, planVersion := f.state.View(), f.state.planVersion()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	complete, current := 0, false
 	for address, s := range f.streams {
-		if s.complete && view.Has(address.Addr()) {
+		if !s.complete || s.firstPlan > planVersion {
+			continue
+		}
+		if view.Has(address.Addr()) {
 			complete++
 		}
-		current = current || s.complete && s.current
+		current = current || s.current
 	}
 	if len(view.Members) == 0 || complete == 0 {
 		return false
@@ -235,11 +254,14 @@
 		return false, errors.Wrap(err, "feed: dial")
 	}
 	defer conn.Close()
+	var fetches sync.WaitGroup
+	defer fetches.Wait()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	client := peerpb.NewFleetClient(conn)
 	watchdog := time.AfterFunc(streamTimeout, func() { cancel(errStreamSilent) })
 	defer watchdog.Stop()
-	if stream, err = peerpb.NewFleetClient(conn).Follow(ctx, f.newRequest()); err != nil {
+	if stream, err = client.Follow(ctx, f.newRequest()); err != nil {
 		return false, errors.Wrap(err, "feed: follow")
 	}
 	for received := false; ; received = true {
@@ -255,7 +277,67 @@
 				"plan_version", update.GetPlanVersion(), "targets", len(update.GetTargets()))
 		}
 		f.merge(address, update)
+		if f.claimPlanFetch(address, update.GetPlanVersion(), time.Now()) {
+			fetches.Go(func() { f.fetchPlans(ctx, client, address) })
+		}
+	}
+}
+
+// claimPlanFetch reports whether the plan of the control host at address, which has
+// announced the given version, is to be fetched from it: it is newer, and no control
+// host was asked lately. If so, fetchPlans must follow.
+func (f *Follower) claimPlanFetch(address netip.AddrPort, version uint64, now time.Time) bool {
+	if version <= f.state.planVersion() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	running := len(f.planFetches)
+	if f.planFetches[address] || running >= maxPlanFetches || running > 0 && now.Sub(f.planFetchStarted) < planFetchPatience {
+		return false
+	}
+	f.planFetches[address], f.planFetchStarted = true, now
+	return true
+}
+
+// fetchPlans fetches the plan of the control host at address, which client is connected
+// to, and puts it in force, until it is as new as what the control host has announced.
+// If that fails, the next update of any control host leads to another fetch.
+func (f *Follower) fetchPlans(ctx context.Context, client peerpb.FleetClient, address netip.AddrPort) {
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.planFetches, address)
+	}()
+	for f.lacksPlanOf(address) {
+		p, err := fetchPlan(ctx, client)
+		if err != nil {
+			f.state.metrics.Counter("plan_fetches_failed").Add(1)
+			f.state.log.Warn("plan not fetched", "address", address.String(), "error", err)
+			return
+		}
+		f.state.SetPlan(p)
+	}
+}
+
+// lacksPlanOf reports whether the control host at address has announced a newer plan
+// than the one in force.
+func (f *Follower) lacksPlanOf(address netip.AddrPort) bool {
+	held := f.state.planVersion()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.streams[address].newestPlan > held
+}
+
+// fetchPlan returns the plan of the control host that client is connected to.
+func fetchPlan(ctx context.Context, client peerpb.FleetClient) (*plan.Plan, error) {
+	ctx, cancel := context.WithTimeout(ctx, planFetchTimeout)
+	defer cancel()
+	reply, err := client.Plan(ctx, &peerpb.PlanRequest{})
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: fetch plan")
 	}
+	return decodePlan(reply.GetPlan())
 }
 
 // merge applies one update of the control host at address. Parts of the update
@@ -294,7 +376,13 @@
 	f.state.renewLeases(u.GetHeard(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.streams[address] = streamState{complete: u.GetComplete(), current: u.GetCurrent(), controls: controls}
+	s, known := f.streams[address]
+	if !known {
+		s.firstPlan = u.GetPlanVersion()
+	}
+	s.newestPlan = u.GetPlanVersion()
+	s.complete, s.current, s.controls = u.GetComplete(), u.GetCurrent(), controls
+	f.streams[address] = s
 }
 
 // mergeControls returns the control hosts that the one at address names, without this
--- a/io/feed/narrow_test.go
+++ b/io/feed/narrow_test.go
@@ -142,17 +142,88 @@
 	const hosts, changes = 7, 5
 	f, state, controls := newNarrowFollower(t, hosts)
 	g.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(hosts))
-	version := func() uint64 {
-		if p := state.Plan(); p != nil {
-			return p.Version
-		}
-		return 0
-	}
 	for i := range uint64(changes) {
 		for _, c := range controls {
 			c.SetPlan(newLargePlan(i + 1))
 		}
-		g.Eventually(version, planApplyTimeout, 10*time.Millisecond).Should(gomega.Equal(i+1), "version in force after change %d", i+1)
+		g.Eventually(planVersion(state), planApplyTimeout, 10*time.Millisecond).Should(gomega.Equal(i+1), "version in force after change %d", i+1)
 		g.Expect(f.Streams()).To(gomega.Equal(hosts), "streams after change %d", i+1)
 	}
 }
+
+// unhelpfulServer is a control host whose plan cannot be fetched.
+type unhelpfulServer struct {
+	*feed.Server
+	plan func(context.Context) (*peerpb.PlanReply, error)
+}
+
+func (s *unhelpfulServer) Plan(ctx context.Context, _ *peerpb.PlanRequest) (*peerpb.PlanReply, error) {
+	return s.plan(ctx)
+}
+
+// Guards against a follower that waits for the one control host that it has asked.
+func TestPlanIsFetchedFromAnotherControlHost(t *testing.T) {
+	for name, reply := range map[string]func(context.Context) (*peerpb.PlanReply, error){
+		"silent": func(ctx context.Context) (*peerpb.PlanReply, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+		"garbled": func(context.Context) (*peerpb.PlanReply, error) { return &peerpb.PlanReply{Plan: []byte("{")}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var seeds []netip.AddrPort
+			states, port := []*feed.State{feed.NewState(), feed.NewState()}, uint16(0)
+			for i, s := range states {
+				l, err := net.Listen("tcp", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 6, byte(i + 1)}), port).String())
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				seeds = append(seeds, l.Addr().(*net.TCPAddr).AddrPort())
+				port = seeds[0].Port()
+				server := peer.NewServer()
+				var fleet peerpb.FleetServer = feed.NewServer(context.Background(), s, nil)
+				if i == 0 {
+					fleet = &unhelpfulServer{Server: feed.NewServer(context.Background(), s, nil), plan: reply}
+				}
+				peerpb.RegisterFleetServer(server, fleet)
+				go server.Serve(l)
+				t.Cleanup(server.Stop)
+			}
+			state, metrics := feed.NewState(), telem.NewRegistry()
+			self := feed.Self{Host: "entry-1", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.6.99"), port)}
+			f := feed.NewFollower(state, self, func() []netip.AddrPort { return seeds }, peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")})
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go f.Run(ctx)
+			g.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(2))
+			states[0].SetPlan(newLargePlan(2))
+			time.Sleep(50 * time.Millisecond) // The unhelpful one is asked first.
+			states[1].SetPlan(newLargePlan(2))
+			g.Eventually(state.Plan, planApplyTimeout, 10*time.Millisecond).ShouldNot(gomega.BeNil())
+		})
+	}
+}
+
+// Guards against followers of an older version, which do not fetch plans.
+func TestFollowerThatFetchesNoPlansIsSentThem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.6.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	state, server := feed.NewState(), peer.NewServer()
+	state.SetPlan(newLargePlan(3))
+	peerpb.RegisterFleetServer(server, feed.NewServer(context.Background(), state, nil))
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	conn, err := peer.Dial(l.Addr().(*net.TCPAddr).AddrPort())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { conn.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	t.Cleanup(cancel)
+	for _, fetches := range []bool{false, true} {
+		stream, err := peerpb.NewFleetClient(conn).Follow(ctx, &peerpb.FollowRequest{Host: "entry-1", FetchesPlan: fetches})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		update, err := stream.Recv()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(update.GetPlanVersion()).To(gomega.BeEquivalentTo(3))
+		g.Expect(len(update.GetPlan()) == 0).To(gomega.Equal(fetches))
+	}
+}
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -27,7 +27,8 @@
 	updateStream struct {
 		state       *State
 		lastChange  uint64 // Number of the last change of a target in State.
-		planVersion uint64 // Version of the plan.
+		planVersion uint64 // Version of the plan, or the last one that the follower was told of.
+		fetchesPlan bool   // The follower fetches plans by itself.
 		epoch       uint64 // Epoch of the view.
 		controls    []netip.AddrPort
 		current     bool
@@ -84,6 +85,20 @@
 	return &peerpb.DepartReply{}, nil
 }
 
+// Plan returns the plan in force, and fails with code NotFound when there is none.
+func (s *Server) Plan(context.Context, *peerpb.PlanRequest) (*peerpb.PlanReply, error) {
+	p := s.state.Plan()
+	if p == nil {
+		return nil, status.Error(codes.NotFound, "no plan is known")
+	}
+	data, err := s.state.encoder.gzip(p)
+	if err != nil {
+		s.state.log.Error("plan could not be encoded", "version", p.Version, "error", err)
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &peerpb.PlanReply{Plan: data}, nil
+}
+
 // Follow streams the state of the fleet until the follower or the server stops.
 func (s *Server) Follow(r *peerpb.FollowRequest, stream peerpb.Fleet_FollowServer) error {
 	control, err := netip.ParseAddrPort(r.GetControl())
@@ -127,7 +142,7 @@
 // newUpdateStream returns the stream of updates to the host that sent r. The
 // updates omit what the host already holds according to r.
 func newUpdateStream(state *State, r *peerpb.FollowRequest, now time.Time) *updateStream {
-	s := &updateStream{state: state, first: true, leasesSentAt: now, planVersion: r.GetPlanVersion(), epoch: r.GetEpoch()}
+	s := &updateStream{state: state, first: true, leasesSentAt: now, planVersion: r.GetPlanVersion(), epoch: r.GetEpoch(), fetchesPlan: r.GetFetchesPlan()}
 	if len(r.GetKnown()) > 0 {
 		s.known = make(map[uint64]bool, len(r.GetKnown()))
 		for _, d := range r.GetKnown() {
@@ -161,7 +176,9 @@
 	if state.plan != nil {
 		u.PlanVersion = state.plan.Version
 		if state.plan.Version > s.planVersion {
-			u.Plan = state.planJSON
+			if !s.fetchesPlan {
+				u.Plan = state.encodedPlan()
+			}
 			s.planVersion, hasChanges = state.plan.Version, true
 		}
 	}
@@ -188,6 +205,16 @@
 	return u, state.changed, hasChanges
 }
 
+// encodedPlan returns the plan in force in JSON, or nothing when it cannot be encoded.
+// The caller holds mu.
+func (s *State) encodedPlan() []byte {
+	text, err := s.encoder.json(s.plan)
+	if err != nil {
+		s.log.Error("plan could not be encoded", "version", s.plan.Version, "error", err)
+	}
+	return text
+}
+
 // leaseRenewal returns the message that renews the lease of a target. It holds the
 // time since the target's last heartbeat.
 func leaseRenewal(t roster.Target, now time.Time) *peerpb.TargetHeard {
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"slices"
@@ -75,7 +74,7 @@
 		changes       []string
 		changesBase   uint64
 		plan          *plan.Plan
-		planJSON      []byte
+		encoder       planEncoder // Of plan, for followers.
 		view          View
 		controls      map[netip.AddrPort]Control
 		current       bool          // See SetCurrent.
@@ -358,12 +357,7 @@
 	if s.plan != nil && p.Version <= s.plan.Version {
 		return false
 	}
-	text, err := json.Marshal(p)
-	if err != nil {
-		s.log.Error("plan could not be encoded", "version", p.Version, "error", err)
-		return false
-	}
-	s.plan, s.planJSON = p, text
+	s.plan = p
 	s.log.Info("plan in force", "version", p.Version, "routes", len(p.Routes), "services", len(p.Services))
 	s.onPlan(p)
 	s.notify()
@@ -377,6 +371,14 @@
 	return s.plan
 }
 
+// planVersion returns the version of the plan in force, or 0.
+func (s *State) planVersion() uint64 {
+	if p := s.Plan(); p != nil {
+		return p.Version
+	}
+	return 0
+}
+
 // SetView stores a view if its epoch is higher than the current view's, and
 // reports whether it did.
 func (s *State) SetView(v View) bool {
