Serve calls only by a plan that a majority has confirmed since the start

Cause: an entry host that has just started put the first plan in force that any control host sent. Class: the first answer is taken for the newest one. Entry hosts with fixed lists wait for a majority (docs/design/configuration.md); those of a fleet did not.

Change: a call waits up to 250 ms, then gets 503, until the first batches of a majority of the voting hosts have arrived with their plans (after 1.5 s, that of one that is current). A host that was once confirmed serves on without streams.

--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -32,7 +32,9 @@
 		active   atomic.Pointer[activePlan]
 		// planKnown is closed when the first plan comes into force.
 		planKnown chan struct{}
-		seeds     *feed.Seeds
+		// planConfirmed is feed.Follower.Confirmed.
+		planConfirmed <-chan struct{}
+		seeds         *feed.Seeds
 	}
 
 	// activePlan is the plan in force.
@@ -94,6 +96,7 @@
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress,
 	}, f.seeds.List, trafficOf(h.metrics, "feed"))
+	f.planConfirmed = f.follower.Confirmed()
 	f.controls = place.NewClientPool(f.state.Controls, trafficOf(h.metrics, "place"), h.log, h.metrics)
 	return f
 }
@@ -178,7 +181,7 @@
 	var class spec.Class
 	v := f.awaitPlan(r.Context())
 	if v == nil {
-		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "no plan is known yet"}
+		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "no plan is known and confirmed yet"}
 	}
 	route := v.table.Find(withoutPort(r.Host), r.URL.Path)
 	switch {
@@ -203,22 +206,35 @@
 	return s, class, nil
 }
 
-// awaitPlan returns the plan in force. Before the first plan it waits up to
-// maxPlanWait, since a starting host receives one soon, and returns nil if there
-// is still none.
+// awaitPlan returns the plan in force. Until there is one, and until it is confirmed, it
+// waits up to maxPlanWait, since a starting host receives the plan soon. It returns nil
+// after that: a control host that is out of touch may send an old plan.
 func (f *fleet) awaitPlan(ctx context.Context) *activePlan {
-	if v := f.active.Load(); v != nil {
-		return v
+	if isClosed(f.planKnown) && isClosed(f.planConfirmed) {
+		return f.active.Load()
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxPlanWait)
 	defer cancel()
-	select {
-	case <-f.planKnown:
-	case <-ctx.Done():
+	for _, event := range []<-chan struct{}{f.planKnown, f.planConfirmed} {
+		select {
+		case <-event:
+		case <-ctx.Done():
+			return nil
+		}
 	}
 	return f.active.Load()
 }
 
+// isClosed reports whether c, on which nothing is sent, is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // deductElapsed subtracts from the aim of a call the time that its caller has
 // spent on earlier attempts, or marks the call as late (see lateAimDivisor). The
 // time spent is the longest timeout that any caller has sent on the route minus
--- a/io/entry/fleet_test.go
+++ b/io/entry/fleet_test.go
@@ -21,13 +21,17 @@
 	ginkgo.RunSpecs(t, "Entry host of a fleet")
 }
 
-// newTestFleet returns the fleet of an entry host that is not run. It has no plan.
+// newTestFleet returns the fleet of an entry host that is not run. It has no plan, and
+// confirms at once the one that it gets.
 func newTestFleet() *fleet {
 	cfg := setup.DefaultEntry()
 	cfg.Host, cfg.DataCentre = "entry-1", "xela"
 	cfg.PeerAddress = netip.MustParseAddrPort("127.0.0.1:1")
 	cfg.Fleet = setup.Fleet{Adapter: setup.AdapterPlatform, Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:2")}}
-	return New(cfg).fleet
+	f, confirmed := New(cfg).fleet, make(chan struct{})
+	close(confirmed)
+	f.planConfirmed = confirmed
+	return f
 }
 
 // testPlan returns a plan with one route, for the paths /a/ of shop.example, to service
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -35,7 +35,10 @@
 		// streams holds the control hosts from which updates arrive.
 		streams map[netip.AddrPort]streamState
 		started time.Time // When the Follower was created.
-		offset  uint64    // Selects the first control host; see claimNext.
+		// confirmed is closed when there is a plan and Synced is true for the first time.
+		confirmed     chan struct{}
+		confirmedOnce sync.Once
+		offset        uint64 // Selects the first control host; see claimNext.
 		// planFetches holds the control hosts from which a plan is being fetched; the
 		// last fetch began at planFetchStarted.
 		planFetches      map[netip.AddrPort]bool
@@ -101,7 +104,7 @@
 	return &Follower{
 		state: state, seeds: seeds, self: self, traffic: traffic,
 		active: make(map[netip.AddrPort]bool), streams: make(map[netip.AddrPort]streamState), started: time.Now(),
-		offset: rand.Uint64(), planFetches: make(map[netip.AddrPort]bool),
+		offset: rand.Uint64(), confirmed: make(chan struct{}), planFetches: make(map[netip.AddrPort]bool),
 	}
 }
 
@@ -196,6 +199,20 @@
 	return complete >= quorum.Majority(len(view.Members)) || current && time.Since(f.started) > majorityWait
 }
 
+// Confirmed returns a channel that is closed when there is a plan and Synced is true for
+// the first time. From then on the plan in force is not older than those that a majority
+// of the voting hosts had when this host asked them.
+func (f *Follower) Confirmed() <-chan struct{} {
+	return f.confirmed
+}
+
+// checkConfirmed closes the channel of Confirmed if its conditions hold.
+func (f *Follower) checkConfirmed() {
+	if f.state.planVersion() > 0 && f.Synced() {
+		f.confirmedOnce.Do(func() { close(f.confirmed) })
+	}
+}
+
 // Streams returns the number of control hosts from which updates arrive.
 func (f *Follower) Streams() int {
 	f.mu.Lock()
@@ -277,6 +294,7 @@
 				"plan_version", update.GetPlanVersion(), "targets", len(update.GetTargets()))
 		}
 		f.merge(address, update)
+		f.checkConfirmed()
 		if f.claimPlanFetch(address, update.GetPlanVersion(), time.Now()) {
 			fetches.Go(func() { f.fetchPlans(ctx, client, address) })
 		}
@@ -317,6 +335,7 @@
 			return
 		}
 		f.state.SetPlan(p)
+		f.checkConfirmed()
 	}
 }
 
