Let control hosts that hear a majority decide before others

Change: a control host tells in its updates whether it receives those of a majority of the voting hosts, itself included; entry hosts pick among such hosts, and among all if there is none. A departure is acknowledged by a majority, so that a host which hears a majority learns of it.

Evidence: the specs "is picked only while it is informed" and "learns whether a control host hears a majority" are new with it; without the comparison in Pick the first one fails (both hosts are picked).

--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -97,7 +97,7 @@
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress,
 	}, f.seeds.List, trafficOf(h.metrics, "feed"))
 	f.planConfirmed = f.follower.Confirmed()
-	f.controls = place.NewClientPool(f.state.Controls, trafficOf(h.metrics, "place"), h.log, h.metrics)
+	f.controls = place.NewClientPool(f.state.Controls, f.follower.Informed, trafficOf(h.metrics, "place"), h.log, h.metrics)
 	return f
 }
 
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -293,4 +293,25 @@
 		follow(state, s[0].address)
 		gomega.Eventually(func() int { return len(state.Targets()) }, waitTimeout).Should(gomega.Equal(2))
 	})
+
+	ginkgo.It("learns whether a control host hears a majority of the voting hosts", func() {
+		s := newControls(2)
+		lost := feed.Member{Host: netip.MustParseAddr("127.0.2.3")}
+		for _, v := range s {
+			v.SetView(feed.View{Epoch: 1, Members: []feed.Member{{Host: s[0].address.Addr()}, {Host: s[1].address.Addr()}, lost}})
+		}
+		seeds := []netip.AddrPort{s[0].address, s[1].address}
+		metrics := telem.NewRegistry()
+		self := feed.Self{Host: "control-1", Peer: s[0].address, Control: true}
+		control := feed.NewFollower(s[0].State, self, func() []netip.AddrPort { return seeds }, peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")})
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		go control.Run(ctx)
+		f := follow(feed.NewState(), seeds...)
+		informed := func() bool { return f.Informed(s[0].address) }
+		gomega.Eventually(informed, waitTimeout).Should(gomega.BeTrue())
+		gomega.Expect(f.Informed(s[1].address)).To(gomega.BeFalse())
+		s[1].stop()
+		gomega.Eventually(informed, waitTimeout).Should(gomega.BeFalse())
+	})
 })
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -49,6 +49,7 @@
 	streamState struct {
 		complete bool // The first batch has arrived, but for the plan.
 		current  bool // The control host is current.
+		informed bool // The control host is informed; see Informed.
 		// firstPlan is the version of the control host's plan at the first batch,
 		// newestPlan that at the last update.
 		firstPlan, newestPlan uint64
@@ -135,6 +136,9 @@
 			lastExpiry = now
 			f.state.Expire(now)
 		}
+		if f.self.Control {
+			f.state.setInformed(f.hearsMajority())
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -213,6 +217,33 @@
 	}
 }
 
+// Informed reports whether the control host at address receives the updates of a
+// majority of the voting hosts. It then knows of every departure that was acknowledged,
+// since a majority has each of them.
+func (f *Follower) Informed(address netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.streams[address].informed
+}
+
+// hearsMajority reports whether this control host receives the updates of a majority of
+// the voting hosts, itself included.
+func (f *Follower) hearsMajority() bool {
+	view := f.state.View()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	heard := 0
+	if view.Has(f.self.Peer.Addr()) {
+		heard++
+	}
+	for address, s := range f.streams {
+		if s.complete && view.Has(address.Addr()) {
+			heard++
+		}
+	}
+	return len(view.Members) > 0 && heard >= quorum.Majority(len(view.Members))
+}
+
 // Streams returns the number of control hosts from which updates arrive.
 func (f *Follower) Streams() int {
 	f.mu.Lock()
@@ -400,7 +431,7 @@
 		s.firstPlan = u.GetPlanVersion()
 	}
 	s.newestPlan = u.GetPlanVersion()
-	s.complete, s.current, s.controls = u.GetComplete(), u.GetCurrent(), controls
+	s.complete, s.current, s.informed, s.controls = u.GetComplete(), u.GetCurrent(), u.GetInformed(), controls
 	f.streams[address] = s
 }
 
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -32,6 +32,7 @@
 		epoch       uint64 // Epoch of the view.
 		controls    []netip.AddrPort
 		current     bool
+		informed    bool
 		first       bool            // No update has been generated yet.
 		known       map[uint64]bool // Digests of the targets that the follower held at the start.
 		// leasesSentAt is when lease renewals were last sent.
@@ -158,8 +159,8 @@
 	state := s.state
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	u := &peerpb.FleetUpdate{Current: state.current, Complete: true}
-	hasChanges := s.first || s.current != state.current
+	u := &peerpb.FleetUpdate{Current: state.current, Informed: state.informed, Complete: true}
+	hasChanges := s.first || s.current != state.current || s.informed != state.informed
 	if state.view.Epoch > s.epoch {
 		u.View = fromView(state.view)
 		s.epoch, hasChanges = state.view.Epoch, true
@@ -201,7 +202,7 @@
 		s.leasesSentAt = now
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard) > 0
-	s.lastChange, s.current, s.first = state.lastChange(), state.current, false
+	s.lastChange, s.current, s.informed, s.first = state.lastChange(), state.current, state.informed, false
 	return u, state.changed, hasChanges
 }
 
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -78,6 +78,7 @@
 		view          View
 		controls      map[netip.AddrPort]Control
 		current       bool          // See SetCurrent.
+		informed      bool          // See setInformed.
 		changed       chan struct{} // Closed and replaced at each change; see notify.
 		// lastExpiry is the time of the last call of Expire, and keepUntil the time
 		// before which no lease expires.
@@ -489,6 +490,18 @@
 	}
 }
 
+// setInformed records whether this control host receives the updates of a majority of
+// the voting hosts, which the updates to its followers say.
+func (s *State) setInformed(informed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.informed != informed {
+		s.informed = informed
+		s.log.Info("updates of a majority", "received", informed)
+		s.notify()
+	}
+}
+
 // notify wakes all streams that wait for a change. The caller holds mu.
 func (s *State) notify() {
 	close(s.changed)
--- a/io/place/client.go
+++ b/io/place/client.go
@@ -23,6 +23,7 @@
 	// NewClientPool.
 	ClientPool struct {
 		controlAddresses func() []netip.AddrPort
+		informed         func(netip.AddrPort) bool
 		log              *slog.Logger
 		metrics          *telem.Registry
 		traffic          peer.Traffic
@@ -72,10 +73,11 @@
 var errUnresponsive = errors.New("place: the control host does not answer")
 
 // NewClientPool returns a pool of clients for the control hosts whose addresses
-// controlAddresses returns. It adds the bytes of their streams to traffic.
-func NewClientPool(controlAddresses func() []netip.AddrPort, traffic peer.Traffic, log *slog.Logger, metrics *telem.Registry) *ClientPool {
+// controlAddresses returns. informed reports whether a control host knows what the others
+// have acknowledged. The pool adds the bytes of the streams to traffic.
+func NewClientPool(controlAddresses func() []netip.AddrPort, informed func(netip.AddrPort) bool, traffic peer.Traffic, log *slog.Logger, metrics *telem.Registry) *ClientPool {
 	return &ClientPool{
-		controlAddresses: controlAddresses, log: log, metrics: metrics, traffic: traffic,
+		controlAddresses: controlAddresses, informed: informed, log: log, metrics: metrics, traffic: traffic,
 		running: make(map[netip.AddrPort]bool), connected: make(map[netip.AddrPort]*Client),
 	}
 }
@@ -107,22 +109,25 @@
 
 // Pick returns the client of the control host that decides for a service: of
 // those that are connected and not avoided for missed decisions, the one with
-// the highest rendezvous hash. It returns nil when there is none. Source: D.
+// the highest rendezvous hash among the informed ones or, if there are none, among
+// all. It returns nil when none is connected. Source: D.
 // Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
 // IEEE/ACM Transactions on Networking 6(1), 1998.
 func (p *ClientPool) Pick(service string, now time.Time) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var (
-		best  *Client
-		score uint64
+		best         *Client
+		bestInformed bool
+		bestScore    uint64
 	)
 	for address, client := range p.connected {
 		if client.unavailable(now) {
 			continue
 		}
-		if s := rendezvousScore(service, address); best == nil || s > score {
-			best, score = client, s
+		informed, score := p.informed(address), rendezvousScore(service, address)
+		if best == nil || informed && !bestInformed || informed == bestInformed && score > bestScore {
+			best, bestInformed, bestScore = client, informed, score
 		}
 	}
 	return best
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -72,13 +73,18 @@
 func newClientPool(controls ...netip.AddrPort) *place.ClientPool {
 	metrics := telem.NewRegistry()
 	traffic := peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")}
-	pool := place.NewClientPool(func() []netip.AddrPort { return controls }, traffic, slog.New(slog.DiscardHandler), metrics)
+	pool := place.NewClientPool(func() []netip.AddrPort { return controls }, uninformed, traffic, slog.New(slog.DiscardHandler), metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	go pool.Run(ctx)
 	return pool
 }
 
+// uninformed says of every control host that it may not know what others know.
+func uninformed(netip.AddrPort) bool {
+	return false
+}
+
 // newRelay starts a relay of connections to address. After silence it passes nothing
 // on, and leaves the connections open.
 func newRelay(address netip.AddrPort) (relay netip.AddrPort, silence func()) {
@@ -158,7 +164,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		metrics := telem.NewRegistry()
 		traffic := peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")}
-		ending := place.NewClientPool(func() []netip.AddrPort { return []netip.AddrPort{host.address} }, traffic, slog.New(slog.DiscardHandler), metrics)
+		ending := place.NewClientPool(func() []netip.AddrPort { return []netip.AddrPort{host.address} }, uninformed, traffic, slog.New(slog.DiscardHandler), metrics)
 		go ending.Run(ctx)
 		first, _ := startCall(pick(ending), 1)
 		gomega.Eventually(first, eventTimeout).Should(gomega.Receive(gomega.BeAssignableToTypeOf(engine.Send{})))
@@ -221,4 +227,38 @@
 		}
 		gomega.Eventually(same, eventTimeout).Should(gomega.BeTrue())
 	})
+
+	// A control host that is cut off from the others misses departures and new targets.
+	ginkgo.It("is picked only while it is informed, if another one is", func() {
+		a, b := newControlHost(), newControlHost()
+		metrics := telem.NewRegistry()
+		traffic := peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")}
+		var informed atomic.Pointer[netip.AddrPort]
+		informed.Store(&netip.AddrPort{})
+		pool := place.NewClientPool(func() []netip.AddrPort { return []netip.AddrPort{a.address, b.address} },
+			func(address netip.AddrPort) bool { return address == *informed.Load() }, traffic, slog.New(slog.DiscardHandler), metrics)
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		go pool.Run(ctx)
+		var services []string
+		for i := range 64 {
+			services = append(services, fmt.Sprint("service-", i))
+		}
+		picked := func() map[netip.AddrPort]int {
+			counts := map[netip.AddrPort]int{}
+			for _, service := range services {
+				if c := pool.Pick(service, time.Now()); c != nil {
+					counts[c.Address()]++
+				}
+			}
+			return counts
+		}
+		gomega.Eventually(picked, eventTimeout).Should(gomega.HaveLen(2))
+		for _, address := range []netip.AddrPort{a.address, b.address} {
+			informed.Store(&address)
+			gomega.Expect(picked()).To(gomega.Equal(map[netip.AddrPort]int{address: len(services)}))
+		}
+		informed.Store(&netip.AddrPort{})
+		gomega.Expect(picked()).To(gomega.HaveLen(2))
+	})
 })
