--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -32,6 +32,7 @@
 	staleControl struct {
 		address netip.AddrPort
 		state   *feed.State
+		stop    func() // Ends its server.
 	}
 
 	// countingTarget is a target that counts its requests.
@@ -91,6 +92,7 @@
 	server := peer.NewServer()
 	peerpb.RegisterFleetServer(server, feed.NewServer(ctx, c.state, decider.Serve))
 	go server.Serve(l)
+	c.stop = server.Stop
 	t.Cleanup(server.Stop)
 	return c
 }
