Keep the calls to a target within the limit that it names

Class: capacity that targets state on the wire and the choice does not know.

Change: dialects read the limit, feedback carries it to the host that decides, and a token bucket for each target passes over it when no call is left, under every policy, for retries and held calls too. Control hosts use 0.7 of it, as two may decide for a moment; hosts of a fixed list share that; entry hosts of a fleet that decide alone leave such targets out, and learn of limits from all their answers. When all targets have named limits, calls that can't be in time are refused on arrival. The limit ends with the answer to a later call that names none.

Stub and sample targets name limits on request.

--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -107,6 +107,7 @@
 	sub.Duration(&b.NeighbourInterval, "", "neighbour-every", "mean time between two noisy-neighbour periods")
 	sub.Float64(&b.SlowFactor, "", "slower", "factor of all service times")
 	sub.Bool(&b.FailFast, "", "fail-fast", "answer every call immediately with an error")
+	sub.Float64(&b.Limit, "", "limit", "limit named on every answer, in calls a second over all hosts; 0 names none")
 	sub.Float64(&b.ColdFactor, "", "cold-factor", "service time factor while the target is cold")
 	sub.Duration(&b.ColdDuration, "", "cold-span", "how long the target is cold after its start")
 	sub.String(&o.report, "", "report", "kind of load reports: "+strings.Join(stub.ReportModeNames, ", "))
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -7,6 +7,7 @@
 	"cardamomspool/core/member"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
+	"cardamomspool/core/wire"
 )
 
 type (
@@ -77,6 +78,17 @@
 		Probe route.Probe
 	}
 
+	// LimitReport delivers what a target said about its limit in an answer to a call
+	// that another host decided about.
+	LimitReport struct {
+		// Target is the name of the target.
+		Target string
+		// Limit is the limit that the answer named.
+		Limit wire.Limit
+		// Elapsed is the time since the call was sent to the target.
+		Elapsed time.Duration
+	}
+
 	// Tick reports that time has passed: queued calls that have waited too long
 	// are refused, calls at targets whose results are overdue are ended, and queued
 	// calls are sent if targets have become available.
@@ -179,6 +191,7 @@
 	_ Event  = SetTargets{}
 	_ Event  = Configure{}
 	_ Event  = ProbeReport{}
+	_ Event  = LimitReport{}
 	_ Event  = Tick{}
 	_ Action = Send{}
 	_ Action = Hold{}
@@ -214,6 +227,7 @@
 func (SetTargets) isEvent()  {}
 func (Configure) isEvent()   {}
 func (ProbeReport) isEvent() {}
+func (LimitReport) isEvent() {}
 func (Tick) isEvent()        {}
 func (Send) isAction()       {}
 func (Hold) isAction()       {}
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -94,6 +94,12 @@
 	return func(s *Scheduler) { s.targets.SetDataCentre(name) }
 }
 
+// WithLimitShare sets the share of the limits that targets name which this host may
+// use; the default is 1.
+func WithLimitShare(share float64) Option {
+	return func(s *Scheduler) { s.targets.SetLimitShare(share) }
+}
+
 // WithHolds makes the Scheduler return a Hold for every call that it queues.
 func WithHolds() Option {
 	return func(s *Scheduler) { s.reportHolds = true }
@@ -103,6 +109,7 @@
 // draws random numbers from rng.
 func NewScheduler(doc spec.Service, rng *rand.Rand, opts ...Option) *Scheduler {
 	s := &Scheduler{calls: make(map[uint64]*call), rng: rng, retryCredit: retryBurst}
+	s.targets.SetLimitShare(1)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -129,6 +136,9 @@
 	case ProbeReport:
 		s.targets.ApplyProbe(e.Target, e.Probe, now)
 		return s.dispatchQueued(dst, now)
+	case LimitReport:
+		s.targets.ReportLimit(e.Target, e.Limit, e.Elapsed, now)
+		return s.dispatchQueued(dst, now)
 	case Tick:
 		return s.tick(dst, now)
 	}
@@ -160,7 +170,7 @@
 // as it can; otherwise it sends the call if it can.
 func (s *Scheduler) arrive(dst []Action, e Arrive, now time.Time) []Action {
 	if len(s.calls) >= s.doc.Refuse.OpenCalls {
-		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter()})
+		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter(now)})
 	}
 	c := &call{class: e.Class, dataCentre: e.DataCentre, arrived: now, waitingSince: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
@@ -198,7 +208,7 @@
 	case s.mayRetry(c, e, now):
 		dst = s.resendOrRequeue(dst, e.Call, c, now)
 	default:
-		dst = s.refuse(dst, e.Call, c, refusalReason(e.Result))
+		dst = s.refuse(dst, e.Call, c, refusalReason(e.Result), now)
 	}
 	return s.dispatchQueued(dst, now)
 }
@@ -285,7 +295,7 @@
 func (s *Scheduler) tick(dst []Action, now time.Time) []Action {
 	s.expired = s.queue.Expire(s.expired[:0], now)
 	for _, h := range s.expired {
-		dst = s.refuse(dst, h.Call, s.calls[h.Call], WaitedTooLong)
+		dst = s.refuse(dst, h.Call, s.calls[h.Call], WaitedTooLong, now)
 	}
 	if !now.Before(s.nextRelease) {
 		s.nextRelease = now.Add(releasePeriod)
@@ -309,7 +319,7 @@
 		c := s.calls[id]
 		s.targets.Finish(c.target, route.Feedback{}, now.Sub(c.sent), now)
 		c.mayHaveRun = true
-		dst = s.refuse(dst, id, c, Unreported)
+		dst = s.refuse(dst, id, c, Unreported, now)
 	}
 	return dst
 }
@@ -344,7 +354,7 @@
 		return s.send(dst, id, c, pick, now)
 	}
 	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
-		return s.refuse(dst, id, c, NoTarget)
+		return s.refuse(dst, id, c, NoTarget, now)
 	}
 	s.queue.Requeue(s.queuedCall(id, c))
 	return s.appendHold(dst, id)
@@ -375,14 +385,14 @@
 // cold, when it would probably wait too long or when the queue is full.
 func (s *Scheduler) queueOrRefuse(dst []Action, id uint64, c *call, now time.Time) []Action {
 	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
-		return s.refuse(dst, id, c, NoTarget)
+		return s.refuse(dst, id, c, NoTarget, now)
 	}
 	h := s.queuedCall(id, c)
-	if now.Add(s.estimateWait(s.queue.Ahead(h))).After(h.Until) {
-		return s.refuse(dst, id, c, NoProspect)
+	if now.Add(s.estimateWait(s.queue.Ahead(h), now)).After(h.Until) {
+		return s.refuse(dst, id, c, NoProspect, now)
 	}
 	if err := s.queue.Push(h); err != nil {
-		return s.refuse(dst, id, c, QueueFull)
+		return s.refuse(dst, id, c, QueueFull, now)
 	}
 	return s.appendHold(dst, id)
 }
@@ -426,9 +436,9 @@
 }
 
 // estimateWait estimates how long a call that has ahead calls before it in the
-// queue waits.
-func (s *Scheduler) estimateWait(ahead int) time.Duration {
-	return admit.EstimateWait(ahead, s.targets.InFlight(), s.targets.MeanLatency())
+// queue waits, for a slot and for the limits that targets have named.
+func (s *Scheduler) estimateWait(ahead int, now time.Time) time.Duration {
+	return max(admit.EstimateWait(ahead, s.targets.InFlight(), s.targets.MeanLatency()), s.targets.LimitWait(ahead, now))
 }
 
 // dispatchQueued sends queued calls while targets have free slots. A call that has
@@ -465,15 +475,15 @@
 }
 
 // refuse ends a call that is neither queued nor at a target and appends a Refuse.
-func (s *Scheduler) refuse(dst []Action, id uint64, c *call, reason Reason) []Action {
+func (s *Scheduler) refuse(dst []Action, id uint64, c *call, reason Reason, now time.Time) []Action {
 	delete(s.calls, id)
-	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfter()})
+	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfter(now)})
 }
 
 // retryAfter returns the estimated time until the calls queued now have left
 // the queue, and at least the Refuse.RetryAfter of the document.
-func (s *Scheduler) retryAfter() time.Duration {
-	return max(s.doc.Refuse.RetryAfter.Std(), s.estimateWait(s.queue.Len()))
+func (s *Scheduler) retryAfter(now time.Time) time.Duration {
+	return max(s.doc.Refuse.RetryAfter.Std(), s.estimateWait(s.queue.Len(), now))
 }
 
 // NextDispatch returns the next time at which a Tick may send queued calls
--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -212,4 +212,7 @@
 	if p.Reported {
 		t.applyLoadReport(s, p.Load, at)
 	}
+	if p.Limit.Named {
+		s.limit.report(p.Limit, at, at)
+	}
 }
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -19,6 +19,10 @@
 		Load wire.Load
 		// Reported says that the answer carried a valid load report.
 		Reported bool
+		// Answered says that the target answered, so that Limit holds.
+		Answered bool
+		// Limit is the limit that the answer named.
+		Limit wire.Limit
 		// Draining says that the answer was marked as from a draining target.
 		Draining bool
 		// AddressTaken says that another target answered at the address.
@@ -106,6 +110,9 @@
 	at := t.offset(now)
 	s := &t.states[i]
 	s.inFlight = max(s.inFlight-1, 0)
+	if f.Answered {
+		s.limit.report(f.Limit, at-elapsed, at)
+	}
 	if f.Outcome == Inconclusive {
 		return
 	}
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -109,10 +109,11 @@
 }
 
 // usable reports whether the target of row i has a free slot as far as this entry
-// host's calls show, is not excluded and is not paused after a shed.
+// host's calls show, is not excluded, is not paused after a shed and has named no limit
+// that is reached.
 func (t *Table) usable(i int, q Query, at time.Duration) bool {
 	s := &t.states[i]
-	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at {
+	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at || t.limitReached(s, at) {
 		return false
 	}
 	for _, name := range q.Exclude {
--- a/core/route/probe.go
+++ b/core/route/probe.go
@@ -19,6 +19,9 @@
 		Load wire.Load
 		// Reported says that the answer carried a valid load report.
 		Reported bool
+		// Limit is the limit that the answer named. A probe that names none does not
+		// end a limit, as targets need not name it in answers to probes.
+		Limit wire.Limit
 	}
 )
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -16,6 +16,7 @@
 	Table struct {
 		epoch      time.Time
 		dataCentre string
+		limitShare float64 // See SetLimitShare.
 		index      map[string]int
 		readyRows  []int // The rows of the targets that accept new calls.
 		coldCount  int   // The number of targets in state member.Cold.
@@ -57,6 +58,8 @@
 		// Failing is the number of those that are ejected or get fewer calls
 		// because attempts or probes have failed.
 		Failing int
+		// Limited is the number of those that have named a limit.
+		Limited int
 		// ReportedCalls is the number of calls at them by their load reports.
 		ReportedCalls int
 	}
@@ -114,6 +117,8 @@
 		unhealthy bool
 		// addressTaken says that another target answers at the address.
 		addressTaken bool
+		// limit is the limit that the target has named.
+		limit rateLimit
 	}
 )
 
@@ -217,6 +222,7 @@
 		s.lastProgressAt = t.offset(now)
 	}
 	s.inFlight++
+	s.limit.take(t.limitShare, t.offset(now))
 }
 
 // InFlight returns the number of calls in flight from this entry host to all
@@ -242,6 +248,9 @@
 		if s.outOfUse(at) || s.probesLost(at) > 0 || s.expectedFailureRate(at) >= clearedFailureRate {
 			o.Failing++
 		}
+		if s.limit.holds(at) {
+			o.Limited++
+		}
 		if s.reported && at-s.reportAt <= maxAge {
 			o.ReportedCalls += s.load.Running + s.load.Queued
 		}
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -78,6 +78,10 @@
 		Load Load
 		// LoadErr is the error from parsing Report.
 		LoadErr error
+		// Limit is the limit that the target names; valid when LimitErr is nil.
+		Limit Limit
+		// LimitErr is the error from parsing the limit.
+		LimitErr error
 	}
 
 	// Health is the information in the status and the header of the answer to a
@@ -91,6 +95,9 @@
 		Load Load
 		// Reported says that the answer carried a valid load report.
 		Reported bool
+		// Limit is the limit that the target names; the zero value also for one that
+		// cannot be parsed.
+		Limit Limit
 	}
 
 	// Refusal is what the caller learns about a call that gets no answer from a
@@ -150,6 +157,7 @@
 	if info.Report != "" {
 		info.Load, info.LoadErr = ParseLoad(info.Report)
 	}
+	info.Limit, info.LimitErr = ParseLimit(header.Get(HeaderLimit))
 	return info
 }
 
@@ -160,6 +168,9 @@
 	if h.Load, err = ParseLoad(header.Get(HeaderLoad)); err == nil {
 		h.Reported = true
 	}
+	if h.Limit, err = ParseLimit(header.Get(HeaderLimit)); err != nil {
+		h.Limit = Limit{} // Answers to calls, which name it too, are counted as invalid.
+	}
 	return h
 }
 
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -19,6 +19,9 @@
 	HeaderDeadline = "Spool-Deadline-Ms"
 	// HeaderLoad holds the load report on a target's answer.
 	HeaderLoad = "Spool-Load"
+	// HeaderLimit holds the limit that a target names on its answer, in calls a second
+	// over all hosts.
+	HeaderLimit = "Spool-Limit"
 	// HeaderState holds the state of the target on its answer.
 	HeaderState = "Spool-State"
 	// HeaderIncarnation holds the incarnation that HeaderState belongs to. A
--- a/examples/target/main.go
+++ b/examples/target/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -30,25 +31,30 @@
 	service := flag.String("service", "bookings", "name of the service")
 	name := flag.String("name", "sample-1", "name of the target")
 	address := flag.String("address", "127.0.0.1:9000", "IP address and port that accept calls")
+	limit := flag.Float64("limit", 0, "calls a second to ask for, over all entry hosts; 0 for no limit")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	a := Announcement{Service: *service, Target: *name, Address: *address, DataCentre: "sample", State: "cold", Slots: 3}
-	if err := run(ctx, NewAnnouncer(*balancer, a), *address); err != nil {
+	if err := run(ctx, NewAnnouncer(*balancer, a), *address, *limit); err != nil {
 		slog.Error("target failed", "error", err)
 		os.Exit(1)
 	}
 }
 
 // run serves calls until ctx ends. It then announces its departure, keeps serving
-// for drainTime, and shuts down after the calls in progress have ended.
-func run(ctx context.Context, announcer *Announcer, address string) error {
+// for drainTime, and shuts down after the calls in progress have ended. Its answers name
+// limit, unless that is 0.
+func run(ctx context.Context, announcer *Announcer, address string, limit float64) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		announcer.Mark(w.Header())
+		if limit > 0 {
+			w.Header().Set("Spool-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+		}
 		fmt.Fprintf(w, "hello from %s, call %s\n", address, r.Header.Get("Spool-Call"))
 	})}
 	failed := make(chan error, 1)
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -278,6 +278,7 @@
 		start := time.Now()
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
 		result := h.forwarder.attempt(ctx, w, r, c, action)
+		h.observeLimit(c, action.Target, c.feedback, time.Since(start))
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
 		return h.finishAttempt(ctx, w, r, c, result)
 	case engine.Refuse:
--- a/io/entry/feedback.go
+++ b/io/entry/feedback.go
@@ -38,5 +38,9 @@
 		metrics.Counter("load_reports_refused").Add(1)
 	}
 	f.Load, f.Reported = targetInfo.Load, targetInfo.Reported()
+	if targetInfo.LimitErr != nil {
+		metrics.Counter("limits_refused").Add(1)
+	}
+	f.Limit, f.Answered = targetInfo.Limit, targetInfo.LimitErr == nil && !targetInfo.AddressTaken
 	return f
 }
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -32,6 +32,7 @@
 		system        *actor.ActorSystem
 		forwarder     *forwarder
 		uploads       *uploadBacklog
+		limits        limitTracker
 		dialect       wire.Dialect
 		members       *membership
 		config        *configuration
--- a/io/entry/limit_test.go
+++ b/io/entry/limit_test.go
@@ -39,7 +39,7 @@
 
 func newLimitedTarget(t *testing.T, limit float64) *limitedTarget {
 	target := &limitedTarget{limit: limit}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		target.mu.Lock()
 		target.requests = append(target.requests, time.Now())
 		target.mu.Unlock()
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -71,7 +71,7 @@
 // spawnEngine starts the actor that owns the engine of a service.
 func (h *Host) spawnEngine(doc spec.Service) *actor.PID {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	scheduler := engine.NewScheduler(doc, rng, engine.WithDataCentre(h.cfg.DataCentre))
+	scheduler := engine.NewScheduler(doc, rng, engine.WithDataCentre(h.cfg.DataCentre), engine.WithLimitShare(h.localLimitShare()))
 	return broker.Spawn(h.system, doc.Name, scheduler, h.cfg.Tick.Std(), h.metrics)
 }
 
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -48,13 +48,19 @@
 		l := e.Feedback.Load
 		m.Report = &peerpb.LoadReport{Running: uint32(l.Running), Queued: uint32(l.Queued), Slots: uint32(l.Slots), Speed: uint32(l.Pace)}
 	}
+	if m.Answered = e.Feedback.Answered; e.Feedback.Limit.Named {
+		m.Limit = &e.Feedback.Limit.Rate
+	}
 	return &peerpb.CallEvent{Call: e.Call, Event: &peerpb.CallEvent_Finish{Finish: m}}
 }
 
 // toFinish decodes the result of an attempt; call is the control host's ID of the
 // call.
 func toFinish(call uint64, m *peerpb.CallFinish) engine.Finish {
-	f := route.Feedback{Outcome: route.Outcome(m.GetEnding()), Draining: m.GetDrains(), AddressTaken: m.GetGone()}
+	f := route.Feedback{Outcome: route.Outcome(m.GetEnding()), Draining: m.GetDrains(), AddressTaken: m.GetGone(), Answered: m.GetAnswered()}
+	if m.Limit != nil {
+		f.Limit = wire.Limit{Named: true, Rate: m.GetLimit()}
+	}
 	if l := m.GetReport(); l != nil {
 		f.Reported = true
 		f.Load = wire.Load{Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()), Pace: int(l.GetSpeed())}
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -76,6 +76,11 @@
 	}
 )
 
+// LimitShare is the share of a target's named limit that all calls of a service may use
+// together. Two hosts may decide for a service for a moment, as when one replaces the
+// other; together they stay within one and a half times the limit.
+const LimitShare = 0.7
+
 // probeIdleTimeout is how long a service's targets are probed after its last
 // call.
 const probeIdleTimeout = 10 * time.Second
@@ -133,7 +138,7 @@
 		s.system.Root.Send(v.pid, broker.Inspect{Deliver: func(b broker.State) {
 			s.log.Info("service state", "service", name, "open", b.Stats.OpenCalls, "queued", b.Stats.QueuedCalls,
 				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.Targets.ReportedCalls,
-				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "mean_latency", b.Stats.MeanLatency.String(),
+				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "limited", b.Stats.Targets.Limited, "mean_latency", b.Stats.MeanLatency.String(),
 				"longest_lag", b.LongestLag.String())
 		}})
 	}
@@ -216,7 +221,7 @@
 			return nil, 0, false
 		}
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds()), s.cfg.HoldCheckInterval, s.metrics)}
+		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics)}
 		s.services[name] = v
 		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targetsOf(name)})
 	}
--- a/io/stub/behaviour.go
+++ b/io/stub/behaviour.go
@@ -31,6 +31,9 @@
 		ColdFactor float64
 		// ColdDuration is how long the target is cold after its start.
 		ColdDuration time.Duration
+		// Limit is the limit that the target names on its answers, in calls a second
+		// over all hosts; 0 names none.
+		Limit float64
 		// Report selects how the target reports its load.
 		Report ReportMode
 		// ReportLag is the least age of the reported load if Report is ReportLate.
@@ -128,6 +131,9 @@
 	if t.state >= member.Draining {
 		w.Header().Set(wire.HeaderState, t.state.String())
 	}
+	if limit := t.behaviour.Limit; limit > 0 {
+		w.Header().Set(wire.HeaderLimit, wire.Limit{Named: true, Rate: limit}.String())
+	}
 	load := wire.Load{Running: max(len(t.running)-ownSlots, 0), Queued: t.waiting, Slots: t.slots}
 	switch t.behaviour.Report {
 	case ReportNone:
