Apply a departure without a start to the reports heard before it

Cause: a departure that names no start means the present one; a table without the target stored it without a start, and any report with a start counts as newer. Class: a missing value that sorts below all others.

Change: a report that was heard before such a departure, or less than 3 s after it as heartbeats may be late, is of the start that has departed.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -63,6 +63,9 @@
 	// DepartureTime is how long a departed target is kept after its last
 	// report, so that no late heartbeat brings it back.
 	DepartureTime = 5 * time.Minute
+	// lateHeartbeat is the time after a departure in which a heartbeat may still be
+	// one that the target sent before.
+	lateHeartbeat = 3 * time.Second
 	// expiredTime is how long an expired target may be brought back by a renewal.
 	// It is far longer than the time from a follower's request, which lists the
 	// targets that it holds, to the renewals that answer it.
@@ -86,6 +89,12 @@
 	if report.State == member.Leaving && report.Born.IsZero() {
 		report.Born = old.Born // A departure without a start time applies to the current start.
 	}
+	if known && old.State == member.Leaving && old.Born.IsZero() && report.State < member.Leaving && report.Heard.Sub(old.Heard) < lateHeartbeat {
+		// The departure named no start, and this is the start that has departed.
+		report.State, report.Heard = member.Leaving, old.Heard
+		t.targets[report.ID] = report
+		return true
+	}
 	if known && !old.olderThan(&report) {
 		if old.Born.Equal(report.Born) && report.Heard.After(old.Heard) && report.State <= old.State {
 			old.Heard = report.Heard
