Write departures to disk before they are acknowledged

Cause: a departure was acknowledged when a majority had it in memory; the list of targets that is recalled at a start is written up to 0.5 s later. Class: a promise that is not on disk.

Change: control hosts acknowledge a departure, to each other and to the target, once their list is on disk; one write serves all departures that came before it. A host whose disk stalls does not count; heartbeats wait for nothing.

--- a/io/ctrl/depart.go
+++ b/io/ctrl/depart.go
@@ -15,6 +15,12 @@
 	"cardamomspool/io/peer/peerpb"
 )
 
+// fleetServer serves the fleet's state to other hosts.
+type fleetServer struct {
+	*feed.Server
+	fleet *fleet
+}
+
 // departTimeout bounds the replication of a departure, a target's change to
 // draining or leaving, to a majority. A target without an acknowledgement within
 // one second retries on another control host.
@@ -24,10 +30,20 @@
 // control hosts have acknowledged.
 var errDepartureNotConfirmed = errors.New("control: no majority of control hosts has taken the departure")
 
+// Depart applies departures as feed.Server does, and acknowledges them once they are on
+// disk, so that no loss of power brings the targets back.
+func (s *fleetServer) Depart(ctx context.Context, r *peerpb.DepartRequest) (*peerpb.DepartReply, error) {
+	reply, err := s.Server.Depart(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return reply, s.fleet.persistTargets(ctx)
+}
+
 // Announce applies a target's heartbeat to this host's copy of the fleet's
 // state. When the target is draining or leaving, Announce also sends this
 // departure to the voting hosts, and returns an error unless a majority has
-// acknowledged it within departTimeout.
+// it on disk within departTimeout.
 func (h *Host) Announce(ctx context.Context, t roster.Target) error {
 	h.fleet.state.UpdateTargets(true, t)
 	if t.State < member.Draining {
@@ -42,8 +58,8 @@
 }
 
 // replicateDeparture sends the departure of a target to all voting hosts and waits
-// until a majority, which may include this host, has acknowledged it. It returns
-// errDepartureNotConfirmed when no majority does so within departTimeout.
+// until a majority, which may include this host, has it on disk. It returns
+// errDepartureNotConfirmed when no majority has within departTimeout.
 func (f *fleet) replicateDeparture(ctx context.Context, t roster.Target) error {
 	ctx, cancel := context.WithTimeout(ctx, departTimeout)
 	defer cancel()
@@ -52,11 +68,11 @@
 	answers := make(chan bool, len(view.Members))
 	outstanding, acks := 0, 0
 	for _, m := range view.Members {
+		outstanding++
 		if m.Host == f.self() {
-			acks++
+			go func() { answers <- f.persistTargets(ctx) == nil }()
 			continue
 		}
-		outstanding++
 		go func() { answers <- f.sendDeparture(ctx, m.Host, request) }()
 	}
 	for ; outstanding > 0 && acks < quorum.Majority(len(view.Members)); outstanding-- {
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -50,6 +50,7 @@
 		// enteredAt is when the host entered view; also guarded by stepMu.
 		enteredAt time.Time
 		seeds     *feed.Seeds
+		saves     *targetSaves
 	}
 
 	// diskIdentity is a random number that is stored in the data folder. It is
@@ -91,7 +92,7 @@
 
 // newFleet returns the fleet part of h. The caller sets h.fleet to it.
 func newFleet(h *Host) *fleet {
-	f := &fleet{host: h, nextViews: make(chan feed.View, 16), seeds: feed.NewSeeds(h.cfg.Fleet.Seeds)}
+	f := &fleet{host: h, nextViews: make(chan feed.View, 16), seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), saves: newTargetSaves()}
 	f.placement = place.NewServer(place.Config{
 		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
 	}, func(service string) []member.Record { return f.state.Records(service) }, probe.HTTP(h.dialect), h.log, h.metrics)
@@ -201,7 +202,7 @@
 // available.
 func (f *fleet) start(stop, work context.Context, peers *grpc.Server) error {
 	h := f.host
-	peerpb.RegisterFleetServer(peers, feed.NewServer(stop, f.state, f.placement.Serve))
+	peerpb.RegisterFleetServer(peers, &fleetServer{Server: feed.NewServer(stop, f.state, f.placement.Serve), fleet: f})
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
 	}, f.seeds.List, h.peerTraffic())
--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -278,6 +279,32 @@
 		}, time.Second, pollPeriod).Should(gomega.Equal(member.Ready))
 	})
 
+	// Guards against departed targets that are recalled as ready after a loss of power.
+	ginkgo.It("have a departure on the disks of a majority before they acknowledge it", func() {
+		s := newTestFleet(3)
+		for i := range 3 {
+			s.startHost(i, true)
+		}
+		s.putPlan(1)
+		for n := range uint64(5) {
+			t := roster.Target{
+				ID: fmt.Sprint("t", n), Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(100+n)), Slots: 3,
+				State: member.Ready, Born: time.UnixMilli(1), Sequence: 4, Heard: time.Now(),
+			}
+			gomega.Expect(s.hosts[0].host.Announce(context.Background(), t)).To(gomega.Succeed())
+			t.State, t.Sequence = member.Draining, 5
+			gomega.Eventually(func() error { return s.hosts[0].host.Announce(context.Background(), t) }, planTimeout).Should(gomega.Succeed())
+			saved := 0
+			for i := range 3 {
+				content, err := os.ReadFile(filepath.Join(s.dataFolder(i), "targets.doc"))
+				if err == nil && strings.Contains(string(content), t.ID+`"`) && strings.Count(string(content), `"State":3`) > int(n) {
+					saved++
+				}
+			}
+			gomega.Expect(saved).To(gomega.BeNumerically(">=", 2), "target %d", n)
+		}
+	})
+
 	ginkgo.It("answer nothing without a majority", func() {
 		s := newTestFleet(3)
 		for i := range 3 {
