Soak: a target names a limit, and what it gets is checked

Change: the last target of a soak names four calls a second; over any four seconds it may get one and a half times as many and five more, and what faults excuse. The report counts over_limit.

TestTargetsBeyondTheirLimitAreFound is new; io/soak passes.

--- a/cmd/spoollab/soak.go
+++ b/cmd/spoollab/soak.go
@@ -36,6 +36,7 @@
 		public   string
 		announce string
 		record   string
+		limit    float64
 	}
 )
 
@@ -66,6 +67,7 @@
 	sub.String(&o.public, "p", "public", "IP address and port at which entry hosts reach the target")
 	sub.String(&o.announce, "e", "announce", "announce addresses of all entry hosts, separated by commas")
 	sub.String(&o.record, "r", "record", "file to record every call in")
+	sub.Float64(&o.limit, "l", "limit", "limit that the target names, in calls a second; 0 names none")
 	flaggy.AttachSubcommand(sub, 1)
 	return &command{parser: sub, run: func(ctx context.Context) error { return runSoakTarget(ctx, o) }}
 }
@@ -139,7 +141,7 @@
 		}
 		announce = append(announce, to)
 	}
-	if target, err = soak.NewTarget(o.name, address, public, announce, o.record); err != nil {
+	if target, err = soak.NewTarget(o.name, address, public, announce, o.record, o.limit); err != nil {
 		return err
 	}
 	return target.Run(ctx)
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -50,6 +50,9 @@
 		// CutOff counts calls with a broken connection or an unknown outcome that
 		// no fault explains.
 		CutOff int `json:"cut_off"`
+		// OverLimit counts targets that got more calls than the limit that they
+		// named.
+		OverLimit int `json:"over_limit"`
 		// Changes counts the operator's accepted changes, Reads its confirmed
 		// reads.
 		Changes int `json:"changes"`
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -207,6 +208,9 @@
 	s.callRelays = append(s.callRelays, calls)
 	args := append(append([]string(nil), s.targetCommand...), "--name", name, "--address", address.String(), "--public", calls.address().String(),
 		"--announce", strings.Join(to, ","), "--record", s.recordFile(name))
+	if len(s.targets) == s.targetCount-1 {
+		args = append(args, "--limit", strconv.FormatFloat(limitRate, 'f', -1, 64))
+	}
 	process, err := s.newProcess(KindTarget, name, args)
 	if err != nil {
 		return err
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -173,6 +173,9 @@
 		return report, err
 	}
 	report = check(s.callRecords, runs, s.disturbed)
+	if err = s.checkLimits(&report); err != nil {
+		return report, err
+	}
 	s.operator.addTo(&report)
 	for _, text := range report.Faults {
 		s.timeline.add("broken: %s", text)
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -94,6 +94,31 @@
 	g.Expect(p.hadOutage(begin.Add(time.Second+2*recoveryTime), begin.Add(time.Hour))).To(gomega.BeFalse())
 }
 
+func TestTargetsBeyondTheirLimitAreFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begin := time.Now()
+	var arrivals []time.Time
+	for i := range 60 {
+		arrivals = append(arrivals, begin.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	excused := 0
+	overLimit := func(from time.Time) int {
+		var report Report
+		report.checkLimit("t", arrivals, from, func(time.Time, time.Time) int { return excused })
+		return report.OverLimit
+	}
+	g.Expect(overLimit(begin)).To(gomega.Equal(1))
+	g.Expect(overLimit(begin.Add(3500*time.Millisecond))).To(gomega.BeZero(), "too few are left")
+	excused = 11
+	g.Expect(overLimit(begin)).To(gomega.BeZero())
+	file := filepath.Join(t.TempDir(), "arrivals")
+	g.Expect(os.WriteFile(file, []byte(formatArrival(begin)+formatArrival(begin.Add(time.Second))), 0o600)).To(gomega.Succeed())
+	read, err := readArrivals(file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(read).To(gomega.HaveLen(2))
+	g.Expect(read[1].Sub(read[0])).To(gomega.Equal(time.Second))
+}
+
 func TestReadRunsCountsCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
 	file := filepath.Join(t.TempDir(), "record")
--- a/io/soak/target.go
+++ b/io/soak/target.go
@@ -29,6 +29,8 @@
 	public      netip.AddrPort // The address that is announced to entry hosts.
 	announce    []netip.AddrPort
 	recordFile  *os.File
+	arrivals    *os.File // Nil for a target without a limit.
+	limit       float64  // The limit that it names, in calls a second; 0 for none.
 	slots       int64
 	running     atomic.Int64
 	draining    atomic.Bool
@@ -48,25 +50,41 @@
 
 // NewTarget returns a target that listens on address, announces the address public
 // to the announce addresses of all entry hosts in turn and appends the identities of
-// its calls to the file at the path record.
-func NewTarget(name string, address, public netip.AddrPort, announce []netip.AddrPort, record string) (*Target, error) {
+// its calls to the file at the path record. Unless limit is 0, its answers name it, and it
+// writes when its calls arrive.
+func NewTarget(name string, address, public netip.AddrPort, announce []netip.AddrPort, record string, limit float64) (*Target, error) {
 	var (
-		file *os.File
-		err  error
+		file, arrivals *os.File
+		err            error
 	)
-	if file, err = os.OpenFile(record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644); err != nil {
-		return nil, errors.Wrap(err, "soak: target record")
+	if file, err = openRecord(record); err != nil {
+		return nil, err
+	}
+	if limit > 0 {
+		if arrivals, err = openRecord(arrivalsFile(record)); err != nil {
+			return nil, err
+		}
 	}
 	return &Target{
+		limit: limit, arrivals: arrivals,
 		name: name, address: address, public: public, announce: announce, recordFile: file, slots: targetSlots,
 		incarnation: uint64(time.Now().UnixNano()),
 	}, nil
 }
 
+// openRecord opens a file to append to.
+func openRecord(name string) (*os.File, error) {
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	return file, errors.Wrap(err, "soak: target record")
+}
+
 // Run serves until ctx ends. It then announces that it is draining, still accepts
 // calls for targetDrainTime, and waits for the calls in progress.
 func (t *Target) Run(ctx context.Context) error {
 	defer t.recordFile.Close()
+	if t.arrivals != nil {
+		defer t.arrivals.Close()
+	}
 	var (
 		l   net.Listener
 		err error
@@ -133,6 +151,12 @@
 		w.Header().Set("Connection", "close")
 		w.Header().Set(wire.HeaderState, member.Draining.String())
 	}
+	if t.limit > 0 {
+		w.Header().Set(wire.HeaderLimit, wire.Limit{Named: true, Rate: t.limit}.String())
+		if _, err := t.arrivals.WriteString(formatArrival(time.Now())); err != nil {
+			panic(http.ErrAbortHandler) // An arrival that is not recorded must not be answered.
+		}
+	}
 	if t.running.Add(1) > t.slots {
 		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
 		http.Error(w, "full", http.StatusServiceUnavailable)
