--- a/io/ctrl/large_plan_test.go
+++ b/io/ctrl/large_plan_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"runtime"
 	"sync"
 	"time"
@@ -12,25 +11,17 @@
 	"github.com/onsi/gomega"
 
 	"cardamomspool/core/plan"
-	"cardamomspool/core/strict"
+	"cardamomspool/internal/sample"
 )
 
 // largeDocument returns a plan of the given version with many routes, and a source as
 // long as an operator's text for them.
 func largeDocument(version uint64) plan.Document {
 	const routes = 1400
-	p := plan.Plan{Version: version, Services: []plan.Service{{Name: "huvo11a", HealthPath: "/health", Connections: 240}}}
-	for i := range routes {
-		mark := uint32(i+1) * 2654435761 // Spreads the digits of consecutive numbers.
-		p.Routes = append(p.Routes, plan.Route{
-			Name: fmt.Sprintf("r-%07x", mark>>4), Host: "jepu9.example", PathPrefix: fmt.Sprintf("/%08x/%d/", mark, i%97), Rank: i % 3,
-			Timeout: strict.Duration(1200 * time.Millisecond), Aim: strict.Duration(500 * time.Millisecond), Attempts: 2,
-			Parts: []plan.Part{{Service: "huvo11a", Weight: 1}},
-		})
-	}
+	p := sample.Plan(version, routes)
 	source, err := json.Marshal(p)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return plan.Document{Plan: p, Source: source}
+	return plan.Document{Plan: *p, Source: source}
 }
 
 var _ = ginkgo.Describe("A fleet's control hosts with little processor time", func() {
--- a/io/feed/narrow_test.go
+++ b/io/feed/narrow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -11,8 +10,7 @@
 
 	"github.com/onsi/gomega"
 
-	"cardamomspool/core/plan"
-	"cardamomspool/core/strict"
+	"cardamomspool/internal/sample"
 	"cardamomspool/io/feed"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
@@ -83,20 +81,6 @@
 	}()
 }
 
-// newLargePlan returns a plan with many routes that differ as those of operators do.
-func newLargePlan(version uint64) *plan.Plan {
-	p := &plan.Plan{Version: version, Services: []plan.Service{{Name: "huvo11a", HealthPath: "/health", Connections: 240}}}
-	for i := range manyRoutes {
-		mark := uint32(i+1) * 2654435761 // Spreads the digits of consecutive numbers.
-		p.Routes = append(p.Routes, plan.Route{
-			Name: fmt.Sprintf("r-%07x", mark>>4), Host: "jepu9.example", PathPrefix: fmt.Sprintf("/%08x/%d/", mark, i%97), Rank: i % 3,
-			Timeout: strict.Duration(1200 * time.Millisecond), Aim: strict.Duration(500 * time.Millisecond), Attempts: 2,
-			Parts: []plan.Part{{Service: "huvo11a", Weight: 1}},
-		})
-	}
-	return p
-}
-
 // newNarrowFollower runs a follower of n control hosts behind a narrow link. It returns
 // the follower and its state, and the states of the control hosts.
 func newNarrowFollower(t *testing.T, n int) (*feed.Follower, *feed.State, []*feed.State) {
@@ -144,7 +128,7 @@
 	g.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(hosts))
 	for i := range uint64(changes) {
 		for _, c := range controls {
-			c.SetPlan(newLargePlan(i + 1))
+			c.SetPlan(sample.Plan(i+1, manyRoutes))
 		}
 		g.Eventually(planVersion(state), planApplyTimeout, 10*time.Millisecond).Should(gomega.Equal(i+1), "version in force after change %d", i+1)
 		g.Expect(f.Streams()).To(gomega.Equal(hosts), "streams after change %d", i+1)
@@ -195,9 +179,9 @@
 			t.Cleanup(cancel)
 			go f.Run(ctx)
 			g.Eventually(f.Streams, waitTimeout).Should(gomega.Equal(2))
-			states[0].SetPlan(newLargePlan(2))
+			states[0].SetPlan(sample.Plan(2, manyRoutes))
 			time.Sleep(50 * time.Millisecond) // The unhelpful one is asked first.
-			states[1].SetPlan(newLargePlan(2))
+			states[1].SetPlan(sample.Plan(2, manyRoutes))
 			g.Eventually(state.Plan, planApplyTimeout, 10*time.Millisecond).ShouldNot(gomega.BeNil())
 		})
 	}
@@ -209,7 +193,7 @@
 	l, err := net.Listen("tcp", "127.0.6.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	state, server := feed.NewState(), peer.NewServer()
-	state.SetPlan(newLargePlan(3))
+	state.SetPlan(sample.Plan(3, manyRoutes))
 	peerpb.RegisterFleetServer(server, feed.NewServer(context.Background(), state, nil))
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
