Add a failing test for requests that begin on kept connections as a server stops

What net/http does: a kept connection counts as idle until the header of its next request is whole, and Shutdown closes idle connections at once; a request that is read after Shutdown began is dropped without an answer (conn.serve returns). The test sends the first bytes of a request, stops the server and sends the rest: closed unanswered in all four cases.

--- a/io/drain/drain_test.go
+++ b/io/drain/drain_test.go
@@ -1,6 +1,7 @@
 package drain_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -80,3 +81,46 @@
 	g.Expect(string(answer)).To(gomega.HaveSuffix("late"))
 	g.Expect(<-stopped).To(gomega.Succeed())
 }
+
+// Guards against requests on kept connections that are lost as a server stops: their
+// first bytes have been read, the rest is still on the way.
+func TestShutdownAnswersRequestThatHasBegunOnKeptConnection(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, pause := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			s := drain.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whole") })})
+			go s.Serve(l)
+			c, err := net.Dial("tcp", l.Addr().String())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer c.Close()
+			g.Expect(c.SetDeadline(time.Now().Add(maxShutdownTime))).To(gomega.Succeed())
+			answers := bufio.NewReader(c)
+			call := func(parts ...string) {
+				for i, part := range parts {
+					if i > 0 {
+						time.Sleep(pause)
+					}
+					_, err := io.WriteString(c, part)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+				}
+				resp, err := http.ReadResponse(answers, nil)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				body, err := io.ReadAll(resp.Body)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(string(body)).To(gomega.Equal("whole"))
+			}
+			call(request)
+			_, err = io.WriteString(c, request[:10])
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			time.Sleep(20 * time.Millisecond) // The server reads the first bytes.
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(context.Background()) }()
+			time.Sleep(5 * time.Millisecond)
+			call(request[10:20], request[20:])
+			g.Eventually(stopped, maxShutdownTime).Should(gomega.Receive(gomega.BeNil()))
+		})
+	}
+}
