Ask a control host for its plan once per update

By reading, not seen in a run: a follower asked in a loop as long as the control host answered with an older plan than it had announced, as after it has started anew. Now it stops when the answer brings nothing newer; the next update leads to the next question. io/feed passes.

--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -365,7 +365,9 @@
 			f.state.log.Warn("plan not fetched", "address", address.String(), "error", err)
 			return
 		}
-		f.state.SetPlan(p)
+		if !f.state.SetPlan(p) {
+			return // The control host may have started anew with an older plan.
+		}
 		f.checkConfirmed()
 	}
 }
