Ignore a report without a start after a departure without one

Targets of the platform name their start.

TestReportWithoutStartChangesNothingAfterADepartureWithoutOne failed before (true in place of false) and passes.

--- a/core/roster/departure_test.go
+++ b/core/roster/departure_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+func TestReportWithoutStartChangesNothingAfterADepartureWithoutOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := roster.NewTable()
+	table.Merge(roster.Target{ID: "a", State: member.Leaving, Heard: start})
+	report := target("a", 1, 1, member.Ready)
+	report.Born = time.Time{}
+	g.Expect(table.Merge(report)).To(gomega.BeFalse())
+	g.Expect(table.Merge(report)).To(gomega.BeFalse())
+	g.Expect(usable(table)).To(gomega.BeEmpty())
+}
+
 func TestTargetThatStartsAgainIsNotTakenForTheDepartedOne(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := roster.NewTable()
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,7 +89,7 @@
 	if report.State == member.Leaving && report.Born.IsZero() {
 		report.Born = old.Born // A departure without a start time applies to the current start.
 	}
-	if known && old.State == member.Leaving && old.Born.IsZero() && report.State < member.Leaving && report.Heard.Sub(old.Heard) < lateHeartbeat {
+	if known && old.departedWithoutStart() && report.State < member.Leaving && !report.Born.IsZero() && report.Heard.Sub(old.Heard) < lateHeartbeat {
 		// The departure named no start, and this is the start that has departed.
 		report.State, report.Heard = member.Leaving, old.Heard
 		t.targets[report.ID] = report
@@ -146,6 +146,12 @@
 	return uint64(max(t.Born.UnixMilli(), 0))
 }
 
+// departedWithoutStart reports whether the target has left by a departure that named no
+// start, while none was known.
+func (t *Target) departedWithoutStart() bool {
+	return t.State == member.Leaving && t.Born.IsZero()
+}
+
 // olderThan reports whether t is older than other, which must have the same ID.
 func (t *Target) olderThan(other *Target) bool {
 	return cmp.Or(t.Born.Compare(other.Born), t.sortKey().Compare(other.sortKey())) < 0
