Give callers a short time to return when only this host may not use limited targets

Change: without an end of the wait in sight, Retry-After is the document's. TestHostWithoutAShareLeavesLimitedTargetsAlone has a check of it, which failed before (1m0s in place of at most 1s) and passes.

--- a/core/engine/limit_test.go
+++ b/core/engine/limit_test.go
@@ -156,6 +156,9 @@
 	r.run(time.Second, 10*time.Millisecond)
 	g.Expect(r.sent["b"]).To(gomega.BeEmpty())
 	g.Expect(r.refused).To(gomega.HaveLen(100))
+	for _, refusal := range r.refused {
+		g.Expect(refusal.RetryAfter).To(gomega.BeNumerically("<=", time.Second), "another host may have a share")
+	}
 	r.run(2*time.Minute, 100*time.Millisecond)
 	g.Expect(r.sent["a"]).NotTo(gomega.BeEmpty(), "after the limit has been forgotten")
 }
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -481,9 +481,14 @@
 }
 
 // retryAfter returns the estimated time until the calls queued now have left
-// the queue, and at least the Refuse.RetryAfter of the document.
+// the queue, and at least the Refuse.RetryAfter of the document. It returns the latter
+// when this host has no share of the limits of its targets, since another one may.
 func (s *Scheduler) retryAfter(now time.Time) time.Duration {
-	return max(s.doc.Refuse.RetryAfter.Std(), s.estimateWait(s.queue.Len(), now))
+	least, wait := s.doc.Refuse.RetryAfter.Std(), s.estimateWait(s.queue.Len(), now)
+	if wait >= route.MaxLimitWait {
+		return least
+	}
+	return max(least, wait)
 }
 
 // NextDispatch returns the next time at which a Tick may send queued calls
--- a/core/route/limit.go
+++ b/core/route/limit.go
@@ -29,9 +29,9 @@
 	minLimit = 0.25
 	// limitMemory is how long a limit holds after it was last named.
 	limitMemory = time.Minute
-	// maxLimitWait is the estimated wait for targets that get no calls because of
-	// their limits.
-	maxLimitWait = time.Minute
+	// MaxLimitWait is the estimated wait for targets that get no calls from this host
+	// because of their limits.
+	MaxLimitWait = time.Minute
 )
 
 // SetLimitShare sets the share of a target's named limit that this host may use, from 0
@@ -96,7 +96,7 @@
 }
 
 // LimitWait estimates how long a call waits behind ahead others for the limits of the
-// targets, and returns 0 when a ready target has named none.
+// targets, at most MaxLimitWait, and returns 0 when a ready target has named none.
 func (t *Table) LimitWait(ahead int, now time.Time) time.Duration {
 	at, rate := t.offset(now), 0.0
 	for _, i := range t.readyRows {
@@ -109,5 +109,5 @@
 	if len(t.readyRows) == 0 {
 		return 0
 	}
-	return time.Duration(math.Min(float64(ahead+1)/rate, maxLimitWait.Seconds()) * float64(time.Second))
+	return time.Duration(math.Min(float64(ahead+1)/rate, MaxLimitWait.Seconds()) * float64(time.Second))
 }
