Abandon a connection to a target only while it is silent

Cause: an idempotent call on a connection that was idle for a second is given up when nothing comes for twice its aim, here 1.2 s, and tried elsewhere. That no byte had come was checked first, then the target's other connections were closed and a line was logged, then this one was closed, whatever had arrived meanwhile. The answer came 1.2 s after the request, as the host was busy with a plan of 1,420 routes. Class: check, then act.

Change: the connection is closed only if no byte of the answer was read or waits in the socket, under the lock under which bytes are taken from it; nothing is read from a connection that is being closed.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -104,6 +104,19 @@
 	return c.sentBytes > 0
 }
 
+// sealIfSilent closes the connection as seal does, unless the target has sent a byte of
+// its response, and reports whether it did.
+func (c *targetConn) sealIfSilent() bool {
+	c.mu.Lock()
+	silent := c.inRequest && !c.sealed && !c.lastRead.After(c.requestStart) && !hasUnread(c.raw)
+	c.sealed = c.sealed || silent // Under the lock under which Read takes bytes from the socket.
+	c.mu.Unlock()
+	if silent {
+		c.seal()
+	}
+	return silent
+}
+
 // Write sends bytes of the current request. It returns errSealed on a sealed
 // connection.
 func (c *targetConn) Write(p []byte) (int, error) {
@@ -145,6 +158,10 @@
 		// sees either the bytes in the socket or a sealed connection.
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if c.sealed {
+			err = errSealed
+			return true
+		}
 		if n, err = readNonBlocking(fd, p); errors.Is(err, unix.EAGAIN) {
 			return false
 		}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -169,13 +169,10 @@
 			timer.Reset(wait)
 			return
 		}
-		abandon := stale && c.class.Idempotent && !f.stopping.Load()
 		n := f.pool.retire(s.Address, since)
+		abandoned := stale && c.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
-		f.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", abandon)
-		if abandon {
-			conn.seal()
-		}
+		f.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", abandoned)
 	})
 	return func() { timer.Stop() }
 }
