--- a/core/plan/compress.go
+++ b/core/plan/compress.go
@@ -23,9 +23,6 @@
 	minCompressedBytes = 64 << 10
 )
 
-// errTextSize reports a text that is larger than maxTextBytes.
-var errTextSize = errors.New("plan: the text is too large")
-
 // Compress returns text compressed with gzip.
 func Compress(text []byte) ([]byte, error) {
 	var buf bytes.Buffer
@@ -54,7 +51,7 @@
 		return nil, errors.Wrap(err, "plan: decompress")
 	}
 	if len(text) > maxTextBytes {
-		return nil, errTextSize
+		return nil, errors.Errorf("plan: text of %d compressed bytes is larger than %d bytes", len(data), maxTextBytes)
 	}
 	return text, nil
 }
--- a/io/ctrl/targets.go
+++ b/io/ctrl/targets.go
@@ -92,9 +92,9 @@
 	save := f.saves.request()
 	select {
 	case <-save.done:
-		return errors.Wrap(save.err, "control: targets")
+		return errors.Wrap(save.err, "control: targets not saved")
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "control: targets")
+		return errors.Wrap(ctx.Err(), "control: targets not saved in time")
 	}
 }
 
