--- a/core/route/limit.go
+++ b/core/route/limit.go
@@ -67,16 +67,16 @@
 	return r.limit.Named && at-r.namedAt <= limitMemory
 }
 
-// share returns the calls a second that a host with the given share of the limit may
+// rate returns the calls a second that a host with the given share of the limit may
 // send.
-func (r *rateLimit) share(share float64) float64 {
+func (r *rateLimit) rate(share float64) float64 {
 	return max(r.limit.Rate, minLimit) * share
 }
 
 // available returns the number of calls that a host with the given share of the limit
 // may send now.
 func (r *rateLimit) available(share float64, at time.Duration) float64 {
-	rate := r.share(share)
+	rate := r.rate(share)
 	if rate == 0 {
 		return 0
 	}
@@ -104,7 +104,7 @@
 		if !s.limit.holds(at) {
 			return 0
 		}
-		rate += s.limit.share(t.limitShare)
+		rate += s.limit.rate(t.limitShare)
 	}
 	if len(t.readyRows) == 0 {
 		return 0
