Check on disk the departure that was acknowledged, not the number of all of them

Cause: it counted the draining targets in each host's file and asked for all so far. Each departure was acknowledged by two of three hosts, not always the same two, so that a host with the last one may lack one before; that this was so in the failed run is inferred from its five lines `departure taken` with hosts 2.

--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -116,6 +116,25 @@
 	gomega.Expect(os.RemoveAll(s.dataFolder(i))).To(gomega.Succeed())
 }
 
+// savedState returns the state of a target on the disk of host i, and 0 if there is none.
+func (s *testFleet) savedState(i int, target string) member.State {
+	content, err := os.ReadFile(filepath.Join(s.dataFolder(i), "targets.doc"))
+	if err != nil {
+		return 0
+	}
+	var saved struct {
+		Targets []roster.Target `json:"targets"`
+	}
+	_, body, _ := strings.Cut(string(content), "\n")
+	gomega.Expect(json.Unmarshal([]byte(body), &saved)).To(gomega.Succeed())
+	for _, t := range saved.Targets {
+		if t.ID == target {
+			return t.State
+		}
+	}
+	return 0
+}
+
 // putPlan proposes a plan at any host, retrying as an operator does.
 func (s *testFleet) putPlan(version uint64) {
 	d := document(version)
@@ -296,8 +315,7 @@
 			gomega.Eventually(func() error { return s.hosts[0].host.Announce(context.Background(), t) }, planTimeout).Should(gomega.Succeed())
 			saved := 0
 			for i := range 3 {
-				content, err := os.ReadFile(filepath.Join(s.dataFolder(i), "targets.doc"))
-				if err == nil && strings.Contains(string(content), t.ID+`"`) && strings.Count(string(content), `"State":3`) > int(n) {
+				if s.savedState(i, t.ID) == member.Draining {
 					saved++
 				}
 			}
