Add a failing test for callers of hosts that are cut off from all targets

Stand-in links between one entry host and the targets hang, reset, or live on while new ones are refused; one, most or all hosts of a data centre lose them. The pool of connections gets a field for the function that connects, so that the test can cut it off.

--- /dev/null
+++ b/io/entry/cut_test.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/plan"
+	"cardamomspool/core/roster"
+	"cardamomspool/io/setup"
+)
+
+type (
+	// tracedTarget is a target that answers with the path of the request and counts
+	// the requests by path.
+	tracedTarget struct {
+		address netip.AddrPort
+
+		mu   sync.Mutex
+		runs map[string]int
+	}
+
+	// cutBed is a fleet of entry hosts in two data centres whose links to the targets
+	// can be cut host by host.
+	cutBed struct {
+		t       *testing.T
+		targets []*tracedTarget
+		hosts   []*Host
+		urls    []string
+		links   []*targetLinks
+	}
+
+	// servedCount counts the first tries at one host.
+	servedCount struct{ served, failed int }
+)
+
+const (
+	// cutFirstCentre and cutSecondCentre are the numbers of entry hosts in the data
+	// centres of a cutBed.
+	cutFirstCentre, cutSecondCentre = 3, 2
+	// cutContact is the time after the beginning of a cut from which callers must be
+	// served.
+	cutContact = 3 * time.Second
+	cutMeasure = 2 * time.Second
+	// cutInterval is the time between two calls of one caller.
+	cutInterval = 25 * time.Millisecond
+)
+
+func newTracedTarget(t testing.TB) *tracedTarget {
+	target := &tracedTarget{runs: make(map[string]int)}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		target.mu.Lock()
+		target.runs[r.URL.Path]++
+		target.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(w, r.URL.Path)
+	}))
+	t.Cleanup(server.Close)
+	target.address = server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	return target
+}
+
+// cutPlan returns a plan with a route for idempotent calls and one for others.
+func cutPlan() *plan.Plan {
+	p := testPlan()
+	unsafe := p.Routes[0]
+	unsafe.Name, unsafe.PathPrefix, unsafe.Idempotent = "u", "/u/", false
+	p.Routes = append(p.Routes, unsafe)
+	return p
+}
+
+func newCutBed(t *testing.T) *cutBed {
+	b := &cutBed{t: t}
+	var reports []roster.Target
+	for i := range 4 {
+		target := newTracedTarget(t)
+		b.targets = append(b.targets, target)
+		reports = append(reports, rosterTarget(fmt.Sprintf("t%d", i), target.address, member.Ready))
+	}
+	control := newPlannedControl(t, cutPlan(), reports...)
+	control.state.UpdateTargets(true, reports...)
+	for i := range cutFirstCentre + cutSecondCentre {
+		h, _ := newFleetHost(t, control.address, func(cfg *setup.Entry) {
+			cfg.Host = fmt.Sprintf("entry-%d", i)
+			if i >= cutFirstCentre {
+				cfg.DataCentre = "other"
+			}
+		})
+		links := newTargetLinks(t, h)
+		for _, target := range b.targets {
+			links.add(target.address)
+		}
+		b.hosts, b.links = append(b.hosts, h), append(b.links, links)
+		b.urls = append(b.urls, "http://"+h.cfg.CallAddress.String())
+	}
+	return b
+}
+
+// load sends calls to each host until the given time has passed, and returns what became
+// of them. Each answer must be the whole answer to its own call.
+func (b *cutBed) load(name string, duration time.Duration) []servedCount {
+	counts := make([]servedCount, len(b.hosts))
+	var callers sync.WaitGroup
+	begin := time.Now()
+	for i, url := range b.urls {
+		for _, prefix := range []string{"/a/", "/u/"} {
+			var mu sync.Mutex
+			callers.Go(func() {
+				for n := 0; time.Since(begin) < duration; n++ {
+					path := fmt.Sprintf("%s%s-%d-%d", prefix, name, i, n)
+					callers.Go(func() {
+						ok := b.call(url, path)
+						mu.Lock()
+						defer mu.Unlock()
+						if ok {
+							counts[i].served++
+						} else {
+							counts[i].failed++
+						}
+					})
+					time.Sleep(cutInterval)
+				}
+			})
+		}
+	}
+	callers.Wait()
+	return counts
+}
+
+// call reports whether a first try is served.
+func (b *cutBed) call(url, path string) bool {
+	method := http.MethodGet
+	if strings.HasPrefix(path, "/u/") {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequest(method, url+path, strings.NewReader("body"))
+	if err != nil {
+		b.t.Error(err)
+		return false
+	}
+	r.Host = "shop.example"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK || err != nil {
+		return false
+	}
+	if string(text) != path {
+		b.t.Errorf("the call of %s got %q", path, text)
+	}
+	return true
+}
+
+// checkRuns fails the test if a call that is not idempotent ran more than once.
+func (b *cutBed) checkRuns() {
+	total := make(map[string]int)
+	for _, target := range b.targets {
+		target.mu.Lock()
+		for path, n := range target.runs {
+			total[path] += n
+		}
+		target.mu.Unlock()
+	}
+	for path, n := range total {
+		if strings.HasPrefix(path, "/u/") && n > 1 {
+			b.t.Errorf("%s ran %d times", path, n)
+		}
+	}
+}
+
+// Guards against callers that are not served because their entry host has lost its links
+// to the targets.
+func TestCallersOfHostsCutOffFromTargetsAreServed(t *testing.T) {
+	for _, mode := range cutModes {
+		for cut := 1; cut <= cutFirstCentre; cut++ {
+			t.Run(fmt.Sprintf("%s, %d of %d", mode.name, cut, cutFirstCentre), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				b := newCutBed(t)
+				b.load("before", 500*time.Millisecond)
+				for _, links := range b.links[:cut] {
+					links.begin(mode)
+				}
+				b.load("noticing", cutContact)
+				counts := b.load("cut", cutMeasure)
+				for i, n := range counts {
+					g.Expect(n.failed).To(gomega.BeNumerically("<=", (n.served+n.failed)/50), "host %d served %d and failed %d", i, n.served, n.failed)
+				}
+				for _, links := range b.links[:cut] {
+					links.end()
+				}
+				b.checkRuns()
+			})
+		}
+	}
+}
--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -15,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"cardamomspool/core/member"
+	"cardamomspool/core/plan"
 	"cardamomspool/core/roster"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
@@ -68,6 +69,11 @@
 // newStaleControl starts a control host that decides for the plan of testPlan with the
 // given targets.
 func newStaleControl(t *testing.T, targets ...roster.Target) *staleControl {
+	return newPlannedControl(t, testPlan(), targets...)
+}
+
+// newPlannedControl starts a control host that decides for p with the given targets.
+func newPlannedControl(t *testing.T, p *plan.Plan, targets ...roster.Target) *staleControl {
 	g := gomega.NewWithT(t)
 	table := roster.NewTable()
 	for _, target := range targets {
@@ -83,11 +89,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go decider.Run(ctx)
-	decider.SetPlan(testPlan())
+	decider.SetPlan(p)
 	l, err := net.Listen("tcp", freeAddress(t).String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	c := &staleControl{address: l.Addr().(*net.TCPAddr).AddrPort(), state: feed.NewState()}
-	c.state.SetPlan(testPlan())
+	c.state.SetPlan(p)
 	c.state.SetView(feed.View{Epoch: 1, Members: []feed.Member{{Host: c.address.Addr()}}})
 	server := peer.NewServer()
 	peerpb.RegisterFleetServer(server, feed.NewServer(ctx, c.state, decider.Serve))
@@ -98,14 +104,17 @@
 }
 
 // newFleetHost starts an entry host of the fleet of a control host, and returns it with
-// the URL of the route of testPlan.
-func newFleetHost(t *testing.T, control netip.AddrPort) (*Host, string) {
+// the URL of the route of testPlan. configure functions may change its settings.
+func newFleetHost(t *testing.T, control netip.AddrPort, configure ...func(*setup.Entry)) (*Host, string) {
 	g := gomega.NewWithT(t)
 	cfg := setup.DefaultEntry()
 	cfg.Host, cfg.DataCentre, cfg.Tick = "entry-1", "lab", strict.Duration(5*time.Millisecond)
 	cfg.CallAddress, cfg.AdminAddress, cfg.DrainDelay = freeAddress(t), freeAddress(t), 0
-	cfg.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.3.99"), control.Port())
+	cfg.PeerAddress = netip.AddrPortFrom(cfg.CallAddress.Addr(), control.Port())
 	cfg.Fleet = setup.Fleet{Adapter: setup.AdapterPlatform, Seeds: []netip.AddrPort{control}}
+	for _, change := range configure {
+		change(&cfg)
+	}
 	h := New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -21,6 +21,8 @@
 	pool struct {
 		transport *http.Transport
 		metrics   *telem.Registry
+		// connect opens a connection to a target; tests replace it.
+		connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 		mu   sync.Mutex
 		idle map[netip.AddrPort][]*targetConn // Most recently used last.
@@ -58,7 +60,7 @@
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			ExpectContinueTimeout:  continueTimeout,
 		},
-		metrics: metrics,
+		metrics: metrics, connect: dialTarget,
 		idle:    make(map[netip.AddrPort][]*targetConn),
 		open:    make(map[netip.AddrPort]int),
 	}
@@ -113,7 +115,7 @@
 		conn net.Conn
 		err  error
 	)
-	if conn, err = dialTarget(ctx, address); err != nil {
+	if conn, err = p.connect(ctx, address); err != nil {
 		p.metrics.Counter("connections_failed").Add(1)
 		return nil, errors.Wrap(err, errDial.Error())
 	}
