--- /dev/null
+++ b/core/reach/carriers.go
@@ -0,0 +1,140 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+type (
+	// Carrier is an entry host that may carry calls for this one.
+	Carrier struct {
+		// Address is where it takes the calls of other entry hosts.
+		Address netip.AddrPort
+		// DataCentre is where it runs.
+		DataCentre string
+	}
+
+	// Carriers chooses the carriers of calls. Use NewCarriers.
+	Carriers struct {
+		dataCentre string
+		list       []Carrier
+		states     map[netip.AddrPort]*carrierState
+		best       []netip.AddrPort // A buffer for the equally good ones of one choice.
+	}
+
+	// carrierState is what calls have revealed about a carrier.
+	carrierState struct {
+		inFlight     int
+		failures     int // In a row.
+		avoidedUntil time.Time
+	}
+)
+
+const (
+	// A carrier that does not carry calls is avoided for minAvoidance, and for twice as
+	// long each further time, up to maxAvoidance.
+	minAvoidance = 250 * time.Millisecond
+	maxAvoidance = 2 * time.Second
+)
+
+// NewCarriers returns an empty set of carriers for a host in the given data centre.
+func NewCarriers(dataCentre string) *Carriers {
+	return &Carriers{dataCentre: dataCentre, states: make(map[netip.AddrPort]*carrierState)}
+}
+
+// Update replaces the carriers. What is known of those that stay is kept.
+func (c *Carriers) Update(list []Carrier) {
+	c.list = slices.Clone(list)
+	for address, s := range c.states {
+		if s.inFlight == 0 && !slices.ContainsFunc(list, func(k Carrier) bool { return k.Address == address }) {
+			delete(c.states, address)
+		}
+	}
+}
+
+// Len returns the number of carriers.
+func (c *Carriers) Len() int {
+	return len(c.list)
+}
+
+// Begin chooses a carrier that is not in tried for a call at now, and counts the call as
+// in flight there. It takes the one with the fewest calls in flight, among these one in
+// this host's data centre, and draws among equals. A carrier that is avoided is chosen
+// only when no others are left. It reports false when all are in tried.
+func (c *Carriers) Begin(tried []netip.AddrPort, now time.Time, rng *rand.Rand) (netip.AddrPort, bool) {
+	c.best = c.best[:0]
+	var lowest [3]int
+	for _, k := range c.list {
+		if slices.Contains(tried, k.Address) {
+			continue
+		}
+		rank := c.rank(k, now)
+		order := slices.Compare(rank[:], lowest[:])
+		if len(c.best) == 0 || order < 0 {
+			c.best, lowest = c.best[:0], rank
+		} else if order > 0 {
+			continue
+		}
+		c.best = append(c.best, k.Address)
+	}
+	if len(c.best) == 0 {
+		return netip.AddrPort{}, false
+	}
+	address := c.best[rng.IntN(len(c.best))]
+	c.state(address).inFlight++
+	return address, true
+}
+
+// rank returns the order of a carrier; the lowest is chosen.
+func (c *Carriers) rank(k Carrier, now time.Time) [3]int {
+	var rank [3]int
+	if s, ok := c.states[k.Address]; ok {
+		if now.Before(s.avoidedUntil) {
+			rank[0] = 1
+		}
+		rank[1] = s.inFlight
+	}
+	if k.DataCentre != c.dataCentre {
+		rank[2] = 1
+	}
+	return rank
+}
+
+// End counts a call as no longer in flight at the carrier at address. If failed is true,
+// the carrier could not be reached or is cut off itself, and is avoided for a time.
+func (c *Carriers) End(address netip.AddrPort, failed bool, now time.Time) {
+	s := c.state(address)
+	s.inFlight = max(s.inFlight-1, 0)
+	if !failed {
+		s.failures = 0
+		return
+	}
+	c.avoid(s, now)
+}
+
+// Avoid avoids the carrier at address for a time, as it is silent.
+func (c *Carriers) Avoid(address netip.AddrPort, now time.Time) {
+	c.avoid(c.state(address), now)
+}
+
+// avoid implements Avoid. Failures of calls that began before the carrier was avoided
+// count once.
+func (c *Carriers) avoid(s *carrierState, now time.Time) {
+	if now.Before(s.avoidedUntil) {
+		return
+	}
+	s.avoidedUntil = now.Add(min(minAvoidance<<min(s.failures, 8), maxAvoidance))
+	s.failures++
+}
+
+// state returns the state of the carrier at address, adding it when there is none.
+func (c *Carriers) state(address netip.AddrPort) *carrierState {
+	s, ok := c.states[address]
+	if !ok {
+		s = &carrierState{}
+		c.states[address] = s
+	}
+	return s
+}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -37,6 +37,10 @@
 	maxConnections    int                // Limit of connections to one target.
 	trustedProxies    []netip.Prefix     // Networks of proxies whose forwarding fields are kept.
 	feedback          route.Feedback     // What the last attempt says about its target.
+	carriedIn         bool               // This host is a carrier: the call comes from another entry host.
+	carrier           netip.AddrPort     // Where the attempt is sent instead of to its target; invalid for none.
+	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
+	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 }
 
 const (
@@ -368,7 +372,7 @@
 // abandonCall ends a call whose deadline has passed or whose caller has
 // disconnected.
 func (h *Host) abandonCall(w responseWriter, r *http.Request, c *call) {
-	h.cancelCall(c, !c.callerGone(r))
+	h.cancelCall(c, !c.callerGone(r) && !c.linkLost)
 	reason := reasonDeadline
 	if c.callerGone(r) {
 		reason = "caller_gone"
--- /dev/null
+++ b/io/entry/carrier.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/member"
+	"cardamomspool/core/spec"
+	"cardamomspool/core/wire"
+)
+
+// carrierHandler carries the calls of other entry hosts: it makes one attempt at the
+// target that a request names, over this host's own link, and passes on the whole answer.
+// It never passes a call on to another carrier.
+type carrierHandler struct{ host *Host }
+
+var _ http.Handler = carrierHandler{}
+
+// ServeHTTP makes one attempt.
+func (k carrierHandler) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	h := k.host
+	w := responseWriter{ResponseWriter: rw, controller: http.NewResponseController(rw)}
+	if conn := callerOf(r.Context()); conn != nil {
+		conn.reachedHandler.Store(true)
+	}
+	info, err := wire.TakeCarry(r.Header)
+	if err != nil {
+		h.log.Warn("carried call refused", "remote", r.RemoteAddr, "error", err)
+		k.refuse(w, http.StatusBadRequest, wire.CarryRefused)
+		return
+	}
+	h.metrics.Counter("calls_carried_in").Add(1)
+	send, s, ok := k.find(info)
+	if !ok {
+		h.log.Info("carried call refused", "call", info.Call, "service", info.Service, "target", info.Target)
+		abandonBody(w, r, r.ContentLength == 0)
+		k.refuse(w, http.StatusServiceUnavailable, wire.CarryRefused)
+		return
+	}
+	r.Header.Del("Expect") // It was for this host.
+	class := spec.Class{Weight: 1, Deadline: info.TimeLeft.Std(), Idempotent: info.Idempotent, Aim: info.Aim.Std()}
+	c := h.newCall(w, r, s, class, wire.CallerInfo{Call: info.Call})
+	c.carriedIn = true
+	w.body = c.body
+	defer func() { abandonBody(w, r, c.body.complete()) }()
+	if err = k.prepareConnection(w, r, c); err != nil {
+		h.log.Info("carried call refused", "call", info.Call, "error", err)
+		return // The connection is closed.
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	k.attempt(ctx, w, r, c, send)
+}
+
+// find returns the attempt that info describes and its service. It reports false when
+// this host does not know the target, or knows that it takes no calls.
+func (k carrierHandler) find(info wire.Carry) (engine.Send, *service, bool) {
+	h := k.host
+	s, target := h.services.Load().byName[info.Service], member.Record{}
+	if s == nil {
+		return engine.Send{}, nil, false
+	}
+	known := false
+	if h.fleet != nil {
+		t, ok := h.fleet.state.Target(info.Target)
+		known = ok && t.Service == info.Service
+		target.Address, target.Incarnation, target.State = t.Address, t.Incarnation(), t.State
+	} else {
+		target, known = h.members.find(member.Key{Service: info.Service, Target: info.Target})
+	}
+	send := engine.Send{Target: info.Target, Address: target.Address, Incarnation: info.Incarnation, Attempt: 1}
+	departed := target.State >= member.Draining || target.Incarnation > info.Incarnation && info.Incarnation > 0
+	return send, s, known && !departed
+}
+
+// prepareConnection lets the answer begin before the body has been read.
+func (k carrierHandler) prepareConnection(w responseWriter, r *http.Request, c *call) error {
+	if err := w.controller.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
+		return err
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	return w.controller.EnableFullDuplex()
+}
+
+// attempt makes the attempt and, without an answer of the target, tells the other host
+// what became of it.
+func (k carrierHandler) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, send engine.Send) {
+	h := k.host
+	if h.draining.Load() || h.forwarder.ways.cutOff() {
+		h.forwarder.checkLink(send.Address, time.Now())
+		k.refuse(w, http.StatusServiceUnavailable, wire.CarryUnavailable)
+		return
+	}
+	start := time.Now()
+	result := h.forwarder.attempt(ctx, w, r, c, send)
+	h.observeLimit(c, send.Target, c.feedback, time.Since(start))
+	switch result {
+	case engine.Answered:
+	case engine.Broken:
+		abortResponse(r)
+	case engine.NotRun:
+		outcome := wire.CarryUnreachable
+		if h.forwarder.ways.cutOff() {
+			outcome = wire.CarryUnavailable
+		}
+		k.refuse(w, http.StatusServiceUnavailable, outcome)
+	default:
+		k.refuse(w, http.StatusBadGateway, wire.CarryUnknown)
+	}
+}
+
+// refuse writes an answer without one of the target.
+func (k carrierHandler) refuse(w http.ResponseWriter, status int, outcome wire.CarryOutcome) {
+	w.Header().Set(wire.HeaderCarryOutcome, string(outcome))
+	http.Error(w, string(outcome), status)
+}
--- /dev/null
+++ b/io/entry/carry.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/reach"
+	"cardamomspool/core/strict"
+	"cardamomspool/core/wire"
+)
+
+const (
+	// maxCarriers is the number of carriers that an attempt is offered to.
+	maxCarriers = 3
+	// carryPatience is the time in which an attempt is offered to carriers.
+	carryPatience = 300 * time.Millisecond
+	// The list of carriers is renewed every carriersInterval, and when a link is lost,
+	// but not within minCarriersInterval of the last time.
+	carriersInterval    = 15 * time.Second
+	minCarriersInterval = time.Second
+)
+
+// carry makes an attempt through another entry host, and reports false when none has
+// taken it, in which case the target has not got the call. c.linkLost is then set unless a
+// carrier that reaches other targets does not reach this one either.
+func (f *forwarder) carry(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) (engine.Result, bool) {
+	if c.carriedIn {
+		c.linkLost = f.ways.cutOff()
+		return 0, false
+	}
+	defer func() { c.carrier = netip.AddrPort{} }()
+	var tried []netip.AddrPort
+	confirmed := false
+	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && c.body.replayable(); {
+		var ok bool
+		if c.carrier, ok = f.ways.beginCarry(tried, time.Now()); !ok {
+			break
+		}
+		tried = append(tried, c.carrier)
+		result, carried := f.attemptThroughCarrier(ctx, w, r, c, s)
+		if carried {
+			f.metrics.Counter("calls_carried_out").Add(1)
+			return result, true
+		}
+		confirmed = confirmed || c.carryOutcome == wire.CarryUnreachable || c.carryOutcome == wire.CarryRefused
+	}
+	c.linkLost = !confirmed && len(tried) > 0
+	return 0, false
+}
+
+// attemptThroughCarrier makes an attempt through c.carrier, and reports false when the
+// carrier has not sent the call to the target.
+func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) (engine.Result, bool) {
+	failed := true
+	defer func() { f.ways.endCarry(c.carrier, failed, time.Now()) }()
+	c.carryOutcome = ""
+	conn := f.pool.reuse(c.carrier, trustedSince(c.class.Idempotent, time.Now()))
+	if conn == nil {
+		dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
+		defer cancel()
+		var err error
+		if conn, err = f.pool.dial(dialCtx, c.carrier); err != nil {
+			f.log.Info("carrier not reached", "call", c.name, "target", s.Target, "carrier", c.carrier.String(), "error", err)
+			return 0, false
+		}
+	}
+	result := f.exchange(ctx, w, r, c, s, conn)
+	carried := result != engine.NotRun || c.carryOutcome == "" && c.feedback.Answered
+	failed = c.carryOutcome == wire.CarryUnavailable || c.carryOutcome == "" && !c.feedback.Answered
+	if f.log.Enabled(ctx, 0) && c.host.sampled() {
+		f.log.Info("carried", "call", c.name, "target", s.Target, "carrier", c.carrier.String(),
+			"result", result.String(), "outcome", string(c.carryOutcome))
+	}
+	return result, carried
+}
+
+// endCarried ends an attempt for which the carrier has no answer of the target, and sets
+// c.feedback.
+func (f *forwarder) endCarried(r *http.Request, conn *targetConn, resp *http.Response, c *call) engine.Result {
+	f.discardResponse(conn, resp)
+	result := engine.NotRun
+	if c.carryOutcome == wire.CarryUnknown {
+		result = engine.Unknown
+	}
+	c.feedback = c.feedbackWithoutResponse(r.Context(), result)
+	return result
+}
+
+// prepareCarry changes the request of an attempt into one to c.carrier. The body of a call
+// that could not be sent again is sent once the carrier asks for it, which it does when it
+// has reached the target.
+func prepareCarry(req *http.Request, c *call, s engine.Send) error {
+	if req.ContentLength < 0 || req.ContentLength > maxReplayBytes {
+		req.Header.Set("Expect", "100-continue")
+		req.Close = true
+	}
+	return wire.SetCarry(req.Header, wire.Carry{
+		Call: c.name, Service: c.service.doc.Name, Target: s.Target, Incarnation: s.Incarnation,
+		TimeLeft: strict.Duration(time.Until(c.deadline)), Aim: strict.Duration(c.class.Aim), Idempotent: c.class.Idempotent,
+	})
+}
+
+// carrierName returns the address of a carrier for logs, empty for none.
+func carrierName(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
+// listCarriers renews the list of carriers of a host of a fleet until ctx ends.
+func (f *fleet) listCarriers(ctx context.Context) {
+	ways := f.host.forwarder.ways
+	for {
+		interval := carriersInterval
+		if list, err := f.follower.Entries(ctx); err == nil {
+			ways.setCarriers(list)
+		} else {
+			interval = minCarriersInterval
+			f.host.log.Debug("entry hosts not listed", "error", err)
+		}
+		if !sleep(ctx, minCarriersInterval) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ways.needed:
+		case <-time.After(interval - minCarriersInterval):
+		}
+	}
+}
+
+// sleep waits for d and reports false when ctx has ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// listedCarriers returns the other entry hosts of a fixed list.
+func (h *Host) listedCarriers() []reach.Carrier {
+	var list []reach.Carrier
+	for _, p := range h.cfg.Entries {
+		if p.Host != h.cfg.Host {
+			list = append(list, reach.Carrier{Address: p.PeerAddress, DataCentre: p.DataCentre})
+		}
+	}
+	return list
+}
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -80,6 +80,23 @@
 	}
 }
 
+// unused reports whether a connection on which no request was sent is still open, and
+// its target has sent nothing.
+func (c *targetConn) unused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.sealed && !hasUnread(c.raw)
+}
+
+// endUnused ends the request of a connection on which none was sent, so that it can be
+// used. Its target was heard at now.
+func (c *targetConn) endUnused(now time.Time) {
+	c.mu.Lock()
+	c.lastRead = now
+	c.mu.Unlock()
+	c.endResponse()
+}
+
 // claimClean reports whether the connection has become clean. It returns true at most
 // once for each response, so that onClean is called once. The caller holds c.mu.
 func (c *targetConn) claimClean() bool {
--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -17,6 +17,7 @@
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/roster"
+	"cardamomspool/core/spec"
 	"cardamomspool/io/setup"
 )
 
@@ -210,3 +211,42 @@
 		}
 	}
 }
+
+// Guards against callers that are not served because a host with a fixed list of entry
+// hosts has lost its links to the targets.
+func TestCallersOfListedHostsCutOffFromTargetsAreServed(t *testing.T) {
+	for _, mode := range cutModes {
+		t.Run(mode.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			b := &cutBed{t: t}
+			var addresses []netip.AddrPort
+			for range 3 {
+				b.targets = append(b.targets, newTracedTarget(t))
+				addresses = append(addresses, b.targets[len(b.targets)-1].address)
+			}
+			var peers []setup.Peer
+			for i := range 3 {
+				peers = append(peers, setup.Peer{Host: fmt.Sprintf("entry-%d", i+1), DataCentre: "lab", PeerAddress: freeAddress(t)})
+			}
+			for _, p := range peers {
+				bed := newTestBed(t, func(_ *spec.Service, cfg *setup.Entry) {
+					cfg.Host, cfg.PeerAddress, cfg.Entries = p.Host, p.PeerAddress, peers
+				}, addresses...)
+				links := newTargetLinks(t, bed.host)
+				for _, address := range addresses {
+					links.add(address)
+				}
+				b.hosts, b.links, b.urls = append(b.hosts, bed.host), append(b.links, links), append(b.urls, "http://"+bed.address)
+			}
+			b.load("before", 500*time.Millisecond)
+			b.links[0].begin(mode)
+			b.links[1].begin(mode)
+			b.load("noticing", cutContact)
+			for i, n := range b.load("cut", cutMeasure) {
+				g.Expect(n.failed).To(gomega.BeNumerically("<=", (n.served+n.failed)/50), "host %d served %d and failed %d", i, n.served, n.failed)
+			}
+			b.checkRuns()
+		})
+	}
+}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -107,6 +107,7 @@
 	defer group.Wait()
 	group.Go(func() { f.follower.Run(ctx) })
 	group.Go(func() { f.controls.Run(ctx) })
+	group.Go(func() { f.listCarriers(ctx) })
 }
 
 // SetSeeds replaces the addresses from which the host discovers control hosts. It
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -25,9 +25,11 @@
 		pool     *pool
 		dialect  wire.Dialect
 		activity *activityTracker
+		ways     *ways
 		log      *slog.Logger
 		metrics  *telem.Registry
-		stopping atomic.Bool // The host drains or stops: silent connections are not abandoned.
+		work     context.Context // Ends the checks of links.
+		stopping atomic.Bool     // The host drains or stops: silent connections are not abandoned.
 	}
 
 	// responseWriter writes the response to the caller.
@@ -66,53 +68,67 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-func newForwarder(dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
-	return &forwarder{pool: newPool(metrics), dialect: dialect, log: log, metrics: metrics}
+// newForwarder returns a forwarder of a host in the given data centre.
+func newForwarder(dialect wire.Dialect, dataCentre string, log *slog.Logger, metrics *telem.Registry) *forwarder {
+	return &forwarder{pool: newPool(metrics), dialect: dialect, ways: newWays(dataCentre), log: log, metrics: metrics, work: context.Background()}
 }
 
-// attempt sends the call to one target, streams the target's response to the
-// caller and sets c.feedback. It returns NotRun only when no byte of the request
-// can have reached the target or when the target reports that it did not run the
-// call.
+// attempt sends the call to one target, over this host's own link or through a carrier,
+// streams the target's response to the caller and sets c.feedback. It returns NotRun only
+// when no byte of the request can have reached the target or when the target reports that
+// it did not run the call.
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) engine.Result {
-	var (
-		conn *targetConn
-		err  error
-	)
-	if conn, err = f.pool.get(ctx, s.Address, !c.class.Idempotent); err != nil {
-		f.log.Info("target not reached", "call", c.name, "target", s.Target, "error", err)
-		f.activity.recordFailure(c.service.doc.Name, s.Target)
-		c.feedback = feedbackWithoutResponse(r.Context(), engine.NotRun)
-		return engine.NotRun
+	c.linkLost = false
+	conn, err := f.connect(ctx, c, s.Address)
+	if err == nil {
+		return f.exchange(ctx, w, r, c, s, conn)
+	}
+	if result, carried := f.carry(ctx, w, r, c, s); carried {
+		return result
 	}
-	f.pool.trim(s.Address, c.maxConnections)
+	f.log.Info("target not reached", "call", c.name, "target", s.Target, "link_lost", c.linkLost, "error", err)
+	f.activity.recordFailure(c.service.doc.Name, s.Target)
+	c.feedback = c.feedbackWithoutResponse(r.Context(), engine.NotRun)
+	return engine.NotRun
+}
+
+// exchange sends the call on conn, a connection to the target or to a carrier, as attempt
+// does.
+func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send, conn *targetConn) engine.Result {
+	c.carryOutcome = ""
+	f.pool.trim(conn.address, c.maxConnections)
 	view := c.body.newView()
 	defer view.release()
 	conn.setOnLost(view.abort)
-	req := f.newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view)
-	stopWatch := f.watchSilence(conn, c, s)
-	defer stopWatch()
 	var (
+		req        *http.Request
 		resp       *http.Response
 		targetInfo wire.AnswerInfo
+		err        error
 	)
+	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view); err != nil {
+		return f.failAttempt(ctx, r, conn, c, s, err)
+	}
+	stopWatch := f.watchSilence(conn, c, s)
+	defer stopWatch()
 	if resp, err = conn.client.RoundTrip(req); err == nil {
+		f.ways.heard(conn.address, time.Now())
+		if c.carryOutcome = wire.TakeCarryOutcome(resp.Header); c.carryOutcome != "" && conn.address == c.carrier {
+			return f.endCarried(r, conn, resp, c)
+		}
 		targetInfo = f.dialect.ParseAnswer(resp.StatusCode, resp.Header, c.name)
 		err = checkFinalResponse(resp, targetInfo)
 	}
 	if err != nil {
-		f.activity.recordFailure(c.service.doc.Name, s.Target)
-		result := f.failAttempt(conn, c, s, err)
-		c.feedback = feedbackWithoutResponse(r.Context(), result)
-		return result
+		return f.failAttempt(ctx, r, conn, c, s, err)
 	}
 	f.activity.recordResponse(c.service.doc.Name, s.Target, targetInfo)
 	c.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
-	if targetInfo.NotRun {
+	if targetInfo.NotRun && !c.carriedIn {
 		f.discardResponse(conn, resp)
 		return engine.NotRun
 	}
-	if err = f.streamResponse(w, resp); err != nil {
+	if err = f.streamResponse(w, resp, c.carriedIn); err != nil {
 		f.pool.discard(conn)
 		f.log.Warn("answer cut short", "call", c.name, "target", s.Target, "error", err)
 		return engine.Broken
@@ -121,15 +137,21 @@
 	return engine.Answered
 }
 
-// failAttempt closes the connection of an attempt that got no response. It returns
-// Unknown if a byte of the request may have reached the target, else NotRun.
-func (f *forwarder) failAttempt(conn *targetConn, c *call, s engine.Send, err error) engine.Result {
+// failAttempt closes the connection of an attempt that got no response, and sets
+// c.feedback. It returns Unknown if a byte of the request may have reached the target,
+// else NotRun.
+func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *targetConn, c *call, s engine.Send, err error) engine.Result {
 	result := engine.NotRun
 	if f.pool.discard(conn) {
 		result = engine.Unknown
 	}
+	if conn.address == s.Address {
+		c.linkLost = f.linkLost(ctx, c, s.Address)
+	}
 	f.log.Info("attempt failed", "call", c.name, "target", s.Target, "fresh_connection", conn.fresh,
-		"may_have_run", result == engine.Unknown, "error", err)
+		"may_have_run", result == engine.Unknown, "carrier", carrierName(c.carrier), "link_lost", c.linkLost, "error", err)
+	f.activity.recordFailure(c.service.doc.Name, s.Target)
+	c.feedback = c.feedbackWithoutResponse(r.Context(), result)
 	return result
 }
 
@@ -150,7 +172,8 @@
 // connections to that target that have received nothing since the last progress on
 // conn, because a device on the path may have dropped them all. If the call is
 // idempotent, conn had received nothing for more than maxTrustedSilence before the
-// request, and the host is not stopping, it also abandons conn, that is, seals it.
+// request or the link to the target is lost, and the host is not stopping, it also
+// abandons conn, that is, seals it.
 // Otherwise the call keeps waiting, because its target may just be slow. The
 // returned function ends the watch.
 func (f *forwarder) watchSilence(conn *targetConn, c *call, s engine.Send) func() {
@@ -169,10 +192,12 @@
 			timer.Reset(wait)
 			return
 		}
-		n := f.pool.retire(s.Address, since)
-		abandoned := stale && c.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
+		n := f.pool.retire(conn.address, since)
+		lost := f.silentLinkLost(conn, c, s)
+		abandoned := (stale || lost) && c.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
-		f.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", abandoned)
+		f.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", abandoned,
+			"carrier", carrierName(c.carrier), "link_lost", lost)
 	})
 	return func() { timer.Stop() }
 }
@@ -195,8 +220,9 @@
 	return nil
 }
 
-// newRequest returns the request for one attempt at a target.
-func (f *forwarder) newRequest(ctx context.Context, r *http.Request, c *call, s engine.Send, view *bodyView) *http.Request {
+// newRequest returns the request for one attempt at a target, to be sent to the target or
+// to c.carrier.
+func (f *forwarder) newRequest(ctx context.Context, r *http.Request, c *call, s engine.Send, view *bodyView) (*http.Request, error) {
 	req := r.Clone(ctx)
 	req.RequestURI = ""
 	req.URL.Scheme = "http"
@@ -211,14 +237,17 @@
 		req.Body = view
 	}
 	stripHeader(req.Header)
-	if !f.dialect.OmitForwarded {
+	if !f.dialect.OmitForwarded && !c.carriedIn {
 		setForwarded(req.Header, r, c.trustedProxies)
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
 	f.dialect.PrepareAttempt(req.Header, wire.AttemptInfo{Call: c.name, Target: s.Target, TimeLeft: time.Until(c.deadline)})
-	return req
+	if !c.carrier.IsValid() {
+		return req, nil
+	}
+	return req, prepareCarry(req, c, s)
 }
 
 // expectsContinue reports whether the caller sends its body only after a 100
@@ -242,12 +271,17 @@
 	}}
 }
 
-// streamResponse streams a response to the caller. It returns an error when the
-// response was cut short by the target or the caller has disconnected.
-func (f *forwarder) streamResponse(w responseWriter, resp *http.Response) error {
+// streamResponse streams a response to the caller, or as it is to the entry host for which
+// this one has carried the call. It returns an error when the response was cut short by
+// the target or the caller has disconnected.
+func (f *forwarder) streamResponse(w responseWriter, resp *http.Response, carriedIn bool) error {
 	defer resp.Body.Close()
 	stripHeader(resp.Header)
-	f.dialect.PrepareAnswer(resp.Header)
+	prepare := f.dialect.PrepareAnswer
+	if carriedIn {
+		prepare = func(http.Header) {}
+	}
+	prepare(resp.Header)
 	header := w.Header()
 	for name, values := range resp.Header {
 		header[name] = append(header[name], values...)
@@ -262,7 +296,7 @@
 	if err := copyBody(w, resp); err != nil {
 		return err
 	}
-	f.dialect.PrepareAnswer(resp.Trailer)
+	prepare(resp.Trailer)
 	for name, values := range resp.Trailer {
 		header[http.TrailerPrefix+name] = values
 	}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -64,6 +64,9 @@
 	}
 )
 
+// maxCarryBytes bounds what wire.SetCarry adds to the header of a request.
+const maxCarryBytes = 4 << 10
+
 // WithLogger sets the logger; the default discards.
 func WithLogger(log *slog.Logger) Option {
 	return func(h *Host) { h.log = log }
@@ -95,7 +98,7 @@
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.forwarder = newForwarder(h.dialect, h.log, h.metrics)
+	h.forwarder = newForwarder(h.dialect, cfg.DataCentre, h.log, h.metrics)
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
@@ -134,8 +137,13 @@
 			return err
 		}
 	}
-	failed := make(chan error, 4)
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	h.forwarder.work = work
+	var background sync.WaitGroup
+	defer background.Wait()
+	defer stopWork()
 	servers := h.servers()
+	failed := make(chan error, len(servers))
 	for i, s := range servers {
 		var (
 			l   net.Listener
@@ -147,16 +155,13 @@
 		}
 		go func() { failed <- s.serve(l) }()
 	}
-	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
-	var background sync.WaitGroup
-	defer background.Wait()
-	defer stopWork()
 	if h.fleet != nil {
 		background.Go(func() { h.fleet.run(work) })
 	} else {
 		background.Go(func() { h.config.run(work) })
 		background.Go(func() { h.members.run(work) })
 	}
+	h.forwarder.ways.setCarriers(h.listedCarriers())
 	go h.forwarder.pool.reap(work)
 	if h.keyPair != nil {
 		go h.keyPair.watchFiles(work, keyPairCheckInterval, h.log)
@@ -202,7 +207,7 @@
 	peers := peer.NewServer()
 	peerpb.RegisterMembershipServer(peers, h.members)
 	if h.fleet != nil {
-		list := []server{h.callServer(), httpServer("admin", h.cfg.AdminAddress, operators, func() {})}
+		list := []server{h.callServer(), h.carrierServer(), httpServer("admin", h.cfg.AdminAddress, operators, func() {})}
 		if h.newFront != nil {
 			front := &http.Server{Handler: h.newFront(h), ReadHeaderTimeout: admin.ReadHeaderTimeout}
 			list = append(list, httpServer("front", h.cfg.Fleet.FrontAddress, front, func() {}))
@@ -210,6 +215,7 @@
 		return list
 	}
 	peerTraffic, announceTraffic := trafficOf(h.metrics, "peer"), trafficOf(h.metrics, "announce")
+	carrier := h.carrierServer()
 	return []server{
 		h.callServer(),
 		{
@@ -219,8 +225,16 @@
 		},
 		{
 			name: "peer", address: h.cfg.PeerAddress,
-			serve: func(l net.Listener) error { return peers.Serve(peer.CountListener(l, peerTraffic)) },
-			stop:  func(context.Context) { peers.Stop() },
+			serve: func(l net.Listener) error {
+				splitter := peer.NewSplitter(l)
+				go splitter.Run(h.forwarder.work)
+				go h.serveCarrier(carrier, splitter.HTTP())
+				return peers.Serve(peer.CountListener(splitter.GRPC(), peerTraffic))
+			},
+			stop: func(ctx context.Context) {
+				carrier.stop(ctx)
+				peers.Stop()
+			},
 		},
 		httpServer("admin", h.cfg.AdminAddress, operators, func() {}),
 	}
@@ -228,28 +242,57 @@
 
 // callServer returns the server that accepts calls.
 func (h *Host) callServer() server {
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: h.callers.HeaderTimeout.Std(), IdleTimeout: h.callers.IdleTimeout.Std(),
-		MaxHeaderBytes: h.callers.MaxHeaderBytes, ConnContext: withCaller,
-		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelWarn),
-	}
-	result := httpServer("call", h.cfg.CallAddress, s, func() { h.callsCutOff.Store(h.openCalls.Load()) })
+	inner := h.newCallServer(h, h.callers.MaxHeaderBytes)
+	result := httpServer("call", h.cfg.CallAddress, inner, func() { h.callsCutOff.Store(h.openCalls.Load()) })
 	result.serve = func(l net.Listener) error {
-		callers := &callerListener{Listener: l, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
-		track := s.ConnState
-		s.ConnState = func(c net.Conn, state http.ConnState) {
-			track(c, state)
-			callers.trackState(c, state)
-		}
+		listener := h.trackCallers(inner, l)
 		if h.keyPair == nil {
-			return s.Serve(callers)
+			return inner.Serve(listener)
 		}
-		s.TLSConfig = h.keyPair.config()
-		return s.ServeTLS(callers, "", "")
+		inner.TLSConfig = h.keyPair.config()
+		return inner.ServeTLS(listener, "", "")
 	}
 	return result
 }
 
+// carrierServer returns the server that accepts the calls of other entry hosts.
+func (h *Host) carrierServer() server {
+	inner := h.newCallServer(carrierHandler{h}, h.callers.MaxHeaderBytes+maxCarryBytes)
+	result := httpServer("carrier", h.cfg.PeerAddress, inner, func() {})
+	result.serve = func(l net.Listener) error { return inner.Serve(h.trackCallers(inner, l)) }
+	return result
+}
+
+// serveCarrier runs the carrier server behind the listener of another server, whose end
+// ends it too.
+func (h *Host) serveCarrier(s server, l net.Listener) {
+	if err := s.serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		h.log.Error("calls of other entry hosts are not served", "error", err)
+	}
+}
+
+// newCallServer returns an HTTP server for calls, whose headers have at most
+// maxHeaderBytes.
+func (h *Host) newCallServer(handler http.Handler, maxHeaderBytes int) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: h.callers.HeaderTimeout.Std(), IdleTimeout: h.callers.IdleTimeout.Std(),
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: withCaller,
+		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelWarn),
+	}
+}
+
+// trackCallers returns a listener that limits and tracks the connections of l, which s is
+// to serve.
+func (h *Host) trackCallers(s *http.Server, l net.Listener) net.Listener {
+	callers := &callerListener{Listener: l, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
+	track := s.ConnState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		track(c, state)
+		callers.trackState(c, state)
+	}
+	return callers
+}
+
 // httpServer returns a server that serves inner. cutOff is called when its open
 // requests are cut off.
 func httpServer(name string, address netip.AddrPort, inner *http.Server, cutOff func()) server {
--- a/io/entry/member.go
+++ b/io/entry/member.go
@@ -247,6 +247,16 @@
 	return m.node.UsableCount()
 }
 
+// find returns the record of a target, and false when it is not known.
+func (m *membership) find(k member.Key) (member.Record, bool) {
+	for _, r := range m.all() {
+		if r.Key == k {
+			return r, true
+		}
+	}
+	return member.Record{}, false
+}
+
 // receive passes another host's message to the node and returns the reply. It
 // returns a gRPC status error when the node gives none.
 func (m *membership) receive(from string, message member.Message) (member.Reply, error) {
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -61,8 +61,8 @@
 			ExpectContinueTimeout:  continueTimeout,
 		},
 		metrics: metrics, connect: dialTarget,
-		idle:    make(map[netip.AddrPort][]*targetConn),
-		open:    make(map[netip.AddrPort]int),
+		idle: make(map[netip.AddrPort][]*targetConn),
+		open: make(map[netip.AddrPort]int),
 	}
 }
 
@@ -75,25 +75,24 @@
 	return d.conn, nil
 }
 
-// get returns a connection to address, marked as carrying a request, as
-// beginRequest does. With trusted set it is a new one, or one on which bytes were
-// received within maxTrustedSilence. It returns an error when none can be opened.
-func (p *pool) get(ctx context.Context, address netip.AddrPort, trusted bool) (*targetConn, error) {
+// reuse returns an idle connection to address on which bytes were received after
+// heardAfter, marked as carrying a request, as beginRequest does. It returns nil when
+// there is none.
+func (p *pool) reuse(address netip.AddrPort, heardAfter time.Time) *targetConn {
 	now := time.Now()
-	for c := p.takeIdle(address, trusted, now); c != nil; c = p.takeIdle(address, trusted, now) {
+	for c := p.takeIdle(address, heardAfter); c != nil; c = p.takeIdle(address, heardAfter) {
 		if c.beginRequest(now) && c.client.Err() == nil {
 			p.metrics.Counter("connections_reused").Add(1)
-			return c, nil
+			return c
 		}
 		p.discard(c)
 	}
-	return p.dial(ctx, address)
+	return nil
 }
 
-// takeIdle removes and returns the most recently used idle connection. It returns
-// nil when there is none, or when trusted is set and that connection has received
-// nothing within maxTrustedSilence.
-func (p *pool) takeIdle(address netip.AddrPort, trusted bool, now time.Time) *targetConn {
+// takeIdle removes and returns the most recently used idle connection. It returns nil
+// when there is none, or when that connection has received nothing since heardAfter.
+func (p *pool) takeIdle(address netip.AddrPort, heardAfter time.Time) *targetConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -101,13 +100,22 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if trusted && c.lastReadBefore(now.Add(-maxTrustedSilence)) {
+	if c.lastReadBefore(heardAfter) {
 		return nil // The other connections have been silent for longer.
 	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
 
+// trustedSince returns the time after which an idle connection must have been heard from
+// at now to carry a call: for calls that are not idempotent it is maxTrustedSilence ago.
+func trustedSince(idempotent bool, now time.Time) time.Time {
+	if idempotent {
+		return time.Time{}
+	}
+	return now.Add(-maxTrustedSilence)
+}
+
 // dial opens a connection and marks it as carrying a request, as beginRequest does. It
 // returns an error if the connection fails or its target has sent bytes already.
 func (p *pool) dial(ctx context.Context, address netip.AddrPort) (*targetConn, error) {
--- /dev/null
+++ b/io/entry/ways.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/reach"
+)
+
+// ways holds what this host knows about its ways to targets. It is safe for concurrent
+// use.
+type ways struct {
+	mu       sync.Mutex
+	links    *reach.Links
+	carriers *reach.Carriers
+	rng      *rand.Rand
+	// needed is sent to, if it has room, when a link is lost, so that the list of
+	// carriers is renewed.
+	needed chan struct{}
+}
+
+const (
+	// linkPatience is how long a call waits for a connection over this host's own link
+	// before it is carried: some ten round-trip times, and a tenth of the time after
+	// which a lost SYN is sent again.
+	linkPatience = 100 * time.Millisecond
+	// settleTime is how long a connection that checks a link must stay open: one that a
+	// device on the path accepts and drops does not show that the link works.
+	settleTime = 50 * time.Millisecond
+)
+
+// errLinkLost says that no connection was opened, since the link to the target is lost.
+var errLinkLost = errors.New("entry: the link to the target is lost")
+
+func newWays(dataCentre string) *ways {
+	return &ways{
+		links: reach.NewLinks(), carriers: reach.NewCarriers(dataCentre),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), needed: make(chan struct{}, 1),
+	}
+}
+
+func (w *ways) heard(address netip.AddrPort, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.links.Heard(address, now)
+}
+
+func (w *ways) opened(address netip.AddrPort, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.links.Opened(address, now)
+}
+
+// lose records that no connection to address could be opened, and asks for a new list of
+// carriers.
+func (w *ways) lose(address netip.AddrPort, refused bool, now time.Time) {
+	w.mu.Lock()
+	w.links.Lose(address, refused, now)
+	w.mu.Unlock()
+	select {
+	case w.needed <- struct{}{}:
+	default: // It is already asked for.
+	}
+}
+
+func (w *ways) lost(address netip.AddrPort) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.links.Lost(address)
+}
+
+func (w *ways) cutOff() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.links.CutOff()
+}
+
+func (w *ways) claimCheck(address netip.AddrPort, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.links.ClaimCheck(address, now)
+}
+
+// way returns how a call may be sent over the link to address. Without carriers a lost
+// link is tried like a sound one.
+func (w *ways) way(address netip.AddrPort) reach.Way {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	way := w.links.Way(address)
+	way.Dial = way.Dial || w.carriers.Len() == 0
+	return way
+}
+
+func (w *ways) setCarriers(list []reach.Carrier) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carriers.Update(list)
+}
+
+func (w *ways) hasCarriers() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.carriers.Len() > 0
+}
+
+func (w *ways) beginCarry(tried []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.carriers.Begin(tried, now, w.rng)
+}
+
+func (w *ways) endCarry(carrier netip.AddrPort, failed bool, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carriers.End(carrier, failed, now)
+}
+
+func (w *ways) avoidCarrier(carrier netip.AddrPort, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carriers.Avoid(carrier, now)
+}
+
+// connect returns a connection to a target over this host's own link, marked as carrying
+// a request, as beginRequest does. It returns an error when the link is lost.
+func (f *forwarder) connect(ctx context.Context, c *call, address netip.AddrPort) (*targetConn, error) {
+	now := time.Now()
+	way := f.ways.way(address)
+	heardAfter := trustedSince(c.class.Idempotent, now)
+	if way.HeardAfter.After(heardAfter) {
+		heardAfter = way.HeardAfter
+	}
+	if conn := f.pool.reuse(address, heardAfter); conn != nil {
+		return conn, nil
+	}
+	if !way.Dial {
+		f.checkLink(address, now)
+		return nil, errLinkLost
+	}
+	return f.dialLink(ctx, c, address)
+}
+
+// dialLink opens a connection to a target within the patience of the call, and records
+// whether the link works.
+func (f *forwarder) dialLink(ctx context.Context, c *call, address netip.AddrPort) (*targetConn, error) {
+	patience := dialTimeout
+	if c.carriedIn || f.ways.hasCarriers() {
+		patience = linkPatience + c.host.uploads.queueDelay()
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	conn, err := f.pool.dial(dialCtx, address)
+	switch {
+	case err == nil:
+		f.ways.opened(address, time.Now())
+	case ctx.Err() == nil:
+		f.recordDialFailure(address, err)
+	}
+	return conn, err
+}
+
+// recordDialFailure records that the link to address is lost if err, with which a
+// connection could not be opened, comes from the network.
+func (f *forwarder) recordDialFailure(address netip.AddrPort, err error) {
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	silent := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
+		errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+	var timeout interface{ Timeout() bool }
+	if silent = silent || errors.As(err, &timeout) && timeout.Timeout(); !refused && !silent {
+		return
+	}
+	wasLost := f.ways.lost(address)
+	f.ways.lose(address, refused, time.Now())
+	if !wasLost {
+		f.metrics.Counter("links_lost").Add(1)
+		f.log.Info("link to target lost", "address", address.String(), "refused", refused, "cut_off", f.ways.cutOff(), "error", err)
+	}
+}
+
+// checkLink opens a connection to a target whose link is lost, unless that was done a
+// short time ago, and does not wait for it. If the connection stays open, the link works
+// and the connection is kept for calls.
+func (f *forwarder) checkLink(address netip.AddrPort, now time.Time) {
+	if !f.ways.claimCheck(address, now) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(f.work, dialTimeout)
+		defer cancel()
+		conn, err := f.pool.dial(ctx, address)
+		if err != nil {
+			f.recordDialFailure(address, err)
+			return
+		}
+		f.settle(ctx, conn)
+	}()
+}
+
+// settle puts a new connection into the pool if it stays open for settleTime, and records
+// that its link works.
+func (f *forwarder) settle(ctx context.Context, conn *targetConn) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(settleTime):
+	}
+	if ctx.Err() != nil || !conn.unused() {
+		f.pool.discard(conn)
+		return
+	}
+	now := time.Now()
+	f.ways.opened(conn.address, now)
+	f.metrics.Counter("links_restored").Add(1)
+	f.log.Info("link to target restored", "address", conn.address.String())
+	conn.endUnused(now)
+}
+
+// linkLost reports whether an attempt that got no response failed because this host has
+// lost its link to the target, and not because of the target. A link that was not known to
+// be lost is tried, unless the call has ended.
+func (f *forwarder) linkLost(ctx context.Context, c *call, address netip.AddrPort) bool {
+	if f.ways.lost(address) {
+		return true
+	}
+	if ctx.Err() != nil || !f.ways.hasCarriers() {
+		return false
+	}
+	conn, err := f.dialLink(ctx, c, address)
+	if err != nil {
+		return f.ways.lost(address)
+	}
+	go f.settle(f.work, conn)
+	return false
+}
+
+// silentLinkLost reports whether conn is silent because this host has lost its link to
+// the target. If conn leads to a carrier, the carrier is avoided.
+func (f *forwarder) silentLinkLost(conn *targetConn, c *call, s engine.Send) bool {
+	if conn.address != s.Address {
+		f.ways.avoidCarrier(conn.address, time.Now())
+		return false
+	}
+	return f.linkLost(f.work, c, s.Address)
+}
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -14,6 +14,7 @@
 
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
+	"cardamomspool/core/reach"
 	"cardamomspool/core/roster"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
@@ -34,6 +35,8 @@
 		active map[netip.AddrPort]bool
 		// streams holds the control hosts from which updates arrive.
 		streams map[netip.AddrPort]streamState
+		// clients holds the connections of the streams.
+		clients map[netip.AddrPort]peerpb.FleetClient
 		started time.Time // When the Follower was created.
 		// confirmed is closed when there is a plan and Synced is true for the first time.
 		confirmed     chan struct{}
@@ -91,20 +94,25 @@
 	planFetchPatience = 500 * time.Millisecond
 	// planFetchTimeout bounds a fetch of a plan.
 	planFetchTimeout = 5 * time.Second
+	// entriesTimeout bounds a request for the list of entry hosts.
+	entriesTimeout = 300 * time.Millisecond
 	// maxPlanFetches is the number of fetches that may run at the same time. Each
 	// takes a share of a narrow link from the others.
 	maxPlanFetches = 3
 )
 
-// errStreamSilent reports a stream without an update for streamTimeout.
-var errStreamSilent = errors.New("feed: the control host has sent nothing for too long")
+var (
+	// errStreamSilent reports a stream without an update for streamTimeout.
+	errStreamSilent = errors.New("feed: the control host has sent nothing for too long")
+	errNoControl    = errors.New("feed: no control host is followed")
+)
 
 // NewFollower returns a follower that updates state and discovers control hosts
 // from the addresses that seeds returns. It counts its bytes in traffic.
 func NewFollower(state *State, self Self, seeds func() []netip.AddrPort, traffic peer.Traffic) *Follower {
 	return &Follower{
 		state: state, seeds: seeds, self: self, traffic: traffic,
-		active: make(map[netip.AddrPort]bool), streams: make(map[netip.AddrPort]streamState), started: time.Now(),
+		active: make(map[netip.AddrPort]bool), streams: make(map[netip.AddrPort]streamState), clients: make(map[netip.AddrPort]peerpb.FleetClient), started: time.Now(),
 		offset: rand.Uint64(), confirmed: make(chan struct{}), planFetches: make(map[netip.AddrPort]bool),
 	}
 }
@@ -115,6 +123,8 @@
 	r := &peerpb.FollowRequest{Host: f.self.Host, DataCentre: f.self.DataCentre, FetchesPlan: true}
 	if f.self.Control {
 		r.Control, r.Disk = f.self.Peer.String(), f.self.Disk
+	} else {
+		r.Entry = f.self.Peer.String()
 	}
 	r.Known, r.PlanVersion, r.Epoch = f.state.summary()
 	return r
@@ -279,6 +289,7 @@
 		received, err := f.follow(ctx, address)
 		f.mu.Lock()
 		delete(f.streams, address)
+		delete(f.clients, address)
 		f.mu.Unlock()
 		if received && ctx.Err() == nil {
 			f.state.metrics.Counter("streams_lost").Add(1)
@@ -324,7 +335,7 @@
 			f.state.log.Info("control host heard", "address", address.String(), "current", update.GetCurrent(),
 				"plan_version", update.GetPlanVersion(), "targets", len(update.GetTargets()))
 		}
-		f.merge(address, update)
+		f.merge(address, update, client)
 		f.checkConfirmed()
 		if f.claimPlanFetch(address, update.GetPlanVersion(), time.Now()) {
 			fetches.Go(func() { f.fetchPlans(ctx, client, address) })
@@ -392,9 +403,48 @@
 	return decodePlan(reply.GetPlan())
 }
 
-// merge applies one update of the control host at address. Parts of the update
+// Entries returns the other entry hosts that follow one of the control hosts that this
+// host follows, drawn at random. It fails when no control host answers.
+func (f *Follower) Entries(ctx context.Context) ([]reach.Carrier, error) {
+	f.mu.Lock()
+	clients := make([]peerpb.FleetClient, 0, len(f.clients))
+	for _, client := range f.clients { // In random order.
+		clients = append(clients, client)
+	}
+	f.mu.Unlock()
+	err := errNoControl
+	for _, client := range clients {
+		var reply *peerpb.EntriesReply
+		if reply, err = requestEntries(ctx, client); err != nil {
+			continue
+		}
+		var list []reach.Carrier
+		for _, e := range reply.GetEntries() {
+			address, parseErr := netip.ParseAddrPort(e.GetAddress())
+			if parseErr != nil {
+				f.state.log.Error("entry host refused", "address", e.GetAddress(), "error", parseErr)
+				continue
+			}
+			if address != f.self.Peer {
+				list = append(list, reach.Carrier{Address: address, DataCentre: e.GetDataCentre()})
+			}
+		}
+		return list, nil
+	}
+	return nil, errors.Wrap(err, "feed: entry hosts")
+}
+
+// requestEntries asks one control host for entry hosts.
+func requestEntries(ctx context.Context, client peerpb.FleetClient) (*peerpb.EntriesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
+	defer cancel()
+	return client.Entries(ctx, &peerpb.EntriesRequest{})
+}
+
+// merge applies one update of the control host at address, which client is connected to.
+// Parts of the update
 // that cannot be parsed are logged and skipped.
-func (f *Follower) merge(address netip.AddrPort, u *peerpb.FleetUpdate) {
+func (f *Follower) merge(address netip.AddrPort, u *peerpb.FleetUpdate, client peerpb.FleetClient) {
 	now := time.Now()
 	f.state.ObserveControl(address, 0, now)
 	if u.GetView() != nil {
@@ -434,7 +484,7 @@
 	}
 	s.newestPlan = u.GetPlanVersion()
 	s.complete, s.current, s.informed, s.controls = u.GetComplete(), u.GetCurrent(), u.GetInformed(), controls
-	f.streams[address] = s
+	f.streams[address], f.clients[address] = s, client
 }
 
 // mergeControls returns the control hosts that the one at address names, without this
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -20,6 +21,15 @@
 		state *State
 		stop  context.Context // Ends the streams.
 		place func(peerpb.Fleet_PlaceServer) error
+
+		mu      sync.Mutex
+		entries map[netip.AddrPort]followingEntry // The entry hosts that follow, by peer address.
+	}
+
+	// followingEntry is an entry host with streams open streams.
+	followingEntry struct {
+		dataCentre string
+		streams    int
 	}
 
 	// updateStream generates the updates of one stream. Its fields hold what
@@ -50,6 +60,9 @@
 	// leasePeriod is the time between two lists of lease renewals; it is a
 	// fraction of roster.Lease.
 	leasePeriod = 4 * time.Second
+	// maxListedEntries bounds the entry hosts that one reply lists, which are drawn at
+	// random from all.
+	maxListedEntries = 64
 	// noControls is the only entry of an empty list of control hosts; a list without
 	// an entry is an unchanged one.
 	noControls = ""
@@ -60,7 +73,7 @@
 // NewServer returns a server that streams state. Its streams end when stop does.
 // place serves the streams opened by the Place RPC.
 func NewServer(stop context.Context, state *State, place func(peerpb.Fleet_PlaceServer) error) *Server {
-	return &Server{state: state, stop: stop, place: place}
+	return &Server{state: state, stop: stop, place: place, entries: make(map[netip.AddrPort]followingEntry)}
 }
 
 // Place serves a stream on which an entry host sends the events of its calls and
@@ -100,6 +113,37 @@
 	return &peerpb.PlanReply{Plan: data}, nil
 }
 
+// Entries returns entry hosts that follow this host, at most maxListedEntries.
+func (s *Server) Entries(context.Context, *peerpb.EntriesRequest) (*peerpb.EntriesReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := &peerpb.EntriesReply{}
+	for address, e := range s.entries { // In random order.
+		if len(reply.GetEntries()) >= maxListedEntries {
+			break
+		}
+		reply.Entries = append(reply.Entries, &peerpb.EntryHost{Address: address.String(), DataCentre: e.dataCentre})
+	}
+	return reply, nil
+}
+
+// addEntry lists an entry host until the returned function is called.
+func (s *Server) addEntry(address netip.AddrPort, dataCentre string) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[address] = followingEntry{dataCentre: dataCentre, streams: s.entries[address].streams + 1}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		e := s.entries[address]
+		if e.streams--; e.streams == 0 {
+			delete(s.entries, address)
+			return
+		}
+		s.entries[address] = e
+	}
+}
+
 // Follow streams the state of the fleet until the follower or the server stops.
 func (s *Server) Follow(r *peerpb.FollowRequest, stream peerpb.Fleet_FollowServer) error {
 	control, err := netip.ParseAddrPort(r.GetControl())
@@ -110,6 +154,9 @@
 		// whether it still is.
 		s.state.ObserveControl(control, r.GetDisk(), time.Now())
 	}
+	if entry, entryErr := netip.ParseAddrPort(r.GetEntry()); entryErr == nil {
+		defer s.addEntry(entry, r.GetDataCentre())()
+	}
 	out := newUpdateStream(s.state, r, time.Now())
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
