Count only targets, not carriers, as heard when a host looks for a cut

A host that is cut off while links hang found the cut link by link, each with calls that waited until their deadlines: the answers of carriers counted as targets that were heard, so that it never counted as cut off.

--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -39,6 +39,8 @@
 		hosts   []*Host
 		urls    []string
 		links   []*targetLinks
+		// interval is the time between two calls of one caller.
+		interval time.Duration
 	}
 
 	// servedCount counts the first tries at one host.
@@ -53,7 +55,6 @@
 	// served.
 	cutContact = 3 * time.Second
 	cutMeasure = 2 * time.Second
-	// cutInterval is the time between two calls of one caller.
 	cutInterval = 25 * time.Millisecond
 )
 
@@ -83,10 +84,10 @@
 	return p
 }
 
-func newCutBed(t *testing.T) *cutBed {
-	b := &cutBed{t: t}
+func newCutBed(t *testing.T, targets int) *cutBed {
+	b := &cutBed{t: t, interval: cutInterval}
 	var reports []roster.Target
-	for i := range 4 {
+	for i := range targets {
 		target := newTracedTarget(t)
 		b.targets = append(b.targets, target)
 		reports = append(reports, rosterTarget(fmt.Sprintf("t%d", i), target.address, member.Ready))
@@ -132,7 +133,7 @@
 							counts[i].failed++
 						}
 					})
-					time.Sleep(cutInterval)
+					time.Sleep(b.interval)
 				}
 			})
 		}
@@ -193,7 +194,7 @@
 			t.Run(fmt.Sprintf("%s, %d of %d", mode.name, cut, cutFirstCentre), func(t *testing.T) {
 				t.Parallel()
 				g := gomega.NewWithT(t)
-				b := newCutBed(t)
+				b := newCutBed(t, 4)
 				b.load("before", 500*time.Millisecond)
 				for _, links := range b.links[:cut] {
 					links.begin(mode)
@@ -212,6 +213,25 @@
 	}
 }
 
+// Guards against callers that are not served because the host finds each of many lost
+// links by a call of its own.
+func TestHostCutOffFromManyTargetsNoticesAtOnce(t *testing.T) {
+	for _, mode := range cutModes {
+		t.Run(mode.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			b := newCutBed(t, 48)
+			b.load("before", 2*time.Second)
+			b.interval = 8 * cutInterval
+			b.links[0].begin(mode)
+			b.load("noticing", cutContact)
+			n := b.load("cut", 3*cutMeasure)[0]
+			g.Expect(n.failed).To(gomega.BeNumerically("<=", (n.served+n.failed)/50), "served %d and failed %d", n.served, n.failed)
+			b.checkRuns()
+		})
+	}
+}
+
 // Guards against callers that are not served because a host with a fixed list of entry
 // hosts has lost its links to the targets.
 func TestCallersOfListedHostsCutOffFromTargetsAreServed(t *testing.T) {
@@ -219,7 +239,7 @@
 		t.Run(mode.name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			b := &cutBed{t: t}
+			b := &cutBed{t: t, interval: cutInterval}
 			var addresses []netip.AddrPort
 			for range 3 {
 				b.targets = append(b.targets, newTracedTarget(t))
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -112,8 +112,10 @@
 	stopWatch := f.watchSilence(conn, c, s)
 	defer stopWatch()
 	if resp, err = conn.client.RoundTrip(req); err == nil {
-		f.ways.heard(conn.address, time.Now())
-		if c.carryOutcome = wire.TakeCarryOutcome(resp.Header); c.carryOutcome != "" && conn.address == c.carrier {
+		outcome := wire.TakeCarryOutcome(resp.Header)
+		if conn.address == s.Address {
+			f.ways.heard(s.Address, time.Now())
+		} else if c.carryOutcome = outcome; outcome != "" {
 			return f.endCarried(r, conn, resp, c)
 		}
 		targetInfo = f.dialect.ParseAnswer(resp.StatusCode, resp.Header, c.name)
