Let a target that answers probes be unreachable for one host without ejecting it

Where part of the hosts lost their links to a service, the targets were ejected for all hosts as soon as one call failed to connect: such a failure counted as certain proof, though the deciding host's own probes were answered. An attempt that does not reach a target whose probe was answered in the last half second now counts as an ordinary failure. The new spec of the fastest policy failed before (t1 chosen for t0).

--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -207,7 +207,7 @@
 		s.probeLostAt = at
 	case ProbeUnhealthy, ProbeHealthy:
 		s.unhealthy = p.Result == ProbeUnhealthy
-		s.lostProbes = 0
+		s.lostProbes, s.probed, s.probedAt = 0, true, at
 	}
 	if p.Reported {
 		t.applyLoadReport(s, p.Load, at)
--- a/core/route/fastest_test.go
+++ b/core/route/fastest_test.go
@@ -196,6 +196,20 @@
 		}
 		gomega.Expect(choose(route.Query{Exclude: targetsExcept(4, 0)})).To(gomega.Equal("t0"))
 	})
+
+	ginkgo.It("does not eject a target that one host does not reach while it answers probes", func() {
+		table, _ = newTwoCentreTable(2, now)
+		table.ApplyProbe("t0", probeWithPace(100), now)
+		for _, name := range []string{"t0", "t1"} {
+			table.Begin(name, now)
+			table.Finish(name, route.Feedback{Outcome: route.Unreachable}, 0, now)
+		}
+		gomega.Expect(table.Occupancy(route.Query{Now: now, Slots: 3}, 0).Failing).To(gomega.Equal(2), "both have failed")
+		for range 3 {
+			gomega.Expect(choose(route.Query{})).To(gomega.Equal("t0"), "t1, which is not probed, is ejected")
+			table.Begin("t0", now)
+		}
+	})
 })
 
 // targetsExcept returns the names of targets 0 to n-1 without that of excluded.
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -125,7 +125,7 @@
 	case Failed:
 		t.recordFailure(s, failureWeight, at)
 	case Unreachable:
-		t.recordFailure(s, 1, at)
+		t.recordFailure(s, s.unreachableWeight(at), at)
 	}
 	if f.Reported {
 		t.applyLoadReport(s, f.Load, at)
@@ -190,6 +190,16 @@
 	s.rampStart, s.rampEnd = s.ejectedUntil, s.ejectedUntil+ejectionRamp
 }
 
+// unreachableWeight returns the weight of an attempt that could not reach the target: 1, or
+// that of any failure if a probe was answered lately, as then it is rather the link of the
+// host that made the attempt that is lost.
+func (s *targetState) unreachableWeight(at time.Duration) float64 {
+	if s.probed && at-s.probedAt <= probeEvidence {
+		return failureWeight
+	}
+	return 1
+}
+
 // expectedFailureRate returns the failure rate to expect of the next attempt: that of
 // the last attempts, which decays with their age.
 func (s *targetState) expectedFailureRate(at time.Duration) float64 {
--- a/core/route/probe.go
+++ b/core/route/probe.go
@@ -44,4 +44,7 @@
 	// lostProbeMemory is the time for which a lost probe counts against a target
 	// that is not probed again, as when the service has few calls.
 	lostProbeMemory = time.Second
+	// probeEvidence is how long an answered probe shows that a target can be reached:
+	// some probe intervals.
+	probeEvidence = 500 * time.Millisecond
 )
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -91,6 +91,9 @@
 		// a probe or an attempt, the latest of them at probeLostAt.
 		lostProbes  int
 		probeLostAt time.Duration
+		// probedAt is when a probe was last answered; valid when probed is true.
+		probedAt time.Duration
+		probed   bool
 		// ejectedUntil is the end of the last ejection.
 		ejectedUntil time.Duration
 		// ejections counts the target's ejections since its failure rate was
