--- a/core/reach/carriers.go
+++ b/core/reach/carriers.go
@@ -24,19 +24,46 @@
 		best       []netip.AddrPort // A buffer for the equally good ones of one choice.
 	}
 
+	// Carriage says what became of a call that was offered to a carrier.
+	Carriage uint8
+
 	// carrierState is what calls have revealed about a carrier.
 	carrierState struct {
 		inFlight     int
 		failures     int // In a row.
 		avoidedUntil time.Time
+		targets      map[netip.AddrPort]sighting // Whether it reached targets, by address.
+	}
+
+	// carrierRank is the order of a carrier, by its first number first; the lowest is
+	// chosen.
+	carrierRank [5]int
+
+	// sighting says whether a carrier reached a target at a time.
+	sighting struct {
+		reached bool
+		at      time.Time
 	}
 )
 
+const (
+	// Carried means that the carrier reached the target.
+	Carried Carriage = iota + 1
+	// NotReached means that the carrier did not reach the target either.
+	NotReached
+	// NotTaken means that the carrier could not be reached, or carries no calls.
+	NotTaken
+)
+
 const (
 	// A carrier that does not carry calls is avoided for minAvoidance, and for twice as
 	// long each further time, up to maxAvoidance.
 	minAvoidance = 250 * time.Millisecond
 	maxAvoidance = 2 * time.Second
+	// sightingMemory is how long it counts whether a carrier reached a target.
+	sightingMemory = time.Second
+	// maxSightings bounds the targets that are kept for one carrier.
+	maxSightings = 4096
 )
 
 // NewCarriers returns an empty set of carriers for a host in the given data centre.
@@ -59,18 +86,19 @@
 	return len(c.list)
 }
 
-// Begin chooses a carrier that is not in tried for a call at now, and counts the call as
-// in flight there. It takes the one with the fewest calls in flight, among these one in
-// this host's data centre, and draws among equals. A carrier that is avoided is chosen
-// only when no others are left. It reports false when all are in tried.
-func (c *Carriers) Begin(tried []netip.AddrPort, now time.Time, rng *rand.Rand) (netip.AddrPort, bool) {
+// Begin chooses a carrier that is not in tried for a call to target at now, and counts the
+// call as in flight there. It takes the one with the fewest calls in flight, among these
+// one that has reached the target lately, among these one in this host's data centre, and
+// draws among equals. Carriers that are avoided come last, before them those that have not
+// reached the target lately. It reports false when all are in tried.
+func (c *Carriers) Begin(target netip.AddrPort, tried []netip.AddrPort, now time.Time, rng *rand.Rand) (netip.AddrPort, bool) {
 	c.best = c.best[:0]
-	var lowest [3]int
+	var lowest carrierRank
 	for _, k := range c.list {
 		if slices.Contains(tried, k.Address) {
 			continue
 		}
-		rank := c.rank(k, now)
+		rank := c.rank(k, target, now)
 		order := slices.Compare(rank[:], lowest[:])
 		if len(c.best) == 0 || order < 0 {
 			c.best, lowest = c.best[:0], rank
@@ -87,31 +115,42 @@
 	return address, true
 }
 
-// rank returns the order of a carrier; the lowest is chosen.
-func (c *Carriers) rank(k Carrier, now time.Time) [3]int {
-	var rank [3]int
+// rank returns the order of a carrier for a call to target.
+func (c *Carriers) rank(k Carrier, target netip.AddrPort, now time.Time) carrierRank {
+	rank := carrierRank{3: 1}
 	if s, ok := c.states[k.Address]; ok {
 		if now.Before(s.avoidedUntil) {
 			rank[0] = 1
 		}
-		rank[1] = s.inFlight
+		if seen, known := s.targets[target]; known && now.Sub(seen.at) < sightingMemory {
+			if seen.reached {
+				rank[3] = 0
+			} else {
+				rank[1] = 1
+			}
+		}
+		rank[2] = s.inFlight
 	}
 	if k.DataCentre != c.dataCentre {
-		rank[2] = 1
+		rank[4] = 1
 	}
 	return rank
 }
 
-// End counts a call as no longer in flight at the carrier at address. If failed is true,
-// the carrier could not be reached or is cut off itself, and is avoided for a time.
-func (c *Carriers) End(address netip.AddrPort, failed bool, now time.Time) {
+// End counts a call to target as no longer in flight at the carrier at address, and
+// records what became of it. A carrier that has not taken it is avoided for a time.
+func (c *Carriers) End(address, target netip.AddrPort, carriage Carriage, now time.Time) {
 	s := c.state(address)
 	s.inFlight = max(s.inFlight-1, 0)
-	if !failed {
-		s.failures = 0
+	if carriage == NotTaken {
+		c.avoid(s, now)
 		return
 	}
-	c.avoid(s, now)
+	s.failures = 0
+	if len(s.targets) >= maxSightings {
+		clear(s.targets)
+	}
+	s.targets[target] = sighting{reached: carriage == Carried, at: now}
 }
 
 // Avoid avoids the carrier at address for a time, as it is silent.
@@ -133,7 +172,7 @@
 func (c *Carriers) state(address netip.AddrPort) *carrierState {
 	s, ok := c.states[address]
 	if !ok {
-		s = &carrierState{}
+		s = &carrierState{targets: make(map[netip.AddrPort]sighting)}
 		c.states[address] = s
 	}
 	return s
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxCarriers is the number of carriers that an attempt is offered to.
-	maxCarriers = 3
+	maxCarriers = 4
 	// carryPatience is the time in which an attempt is offered to carriers.
 	carryPatience = 300 * time.Millisecond
 	// The list of carriers is renewed every carriersInterval, and when a link is lost,
@@ -36,7 +36,7 @@
 	confirmed := false
 	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && c.body.replayable(); {
 		var ok bool
-		if c.carrier, ok = f.ways.beginCarry(tried, time.Now()); !ok {
+		if c.carrier, ok = f.ways.beginCarry(s.Address, tried, time.Now()); !ok {
 			break
 		}
 		tried = append(tried, c.carrier)
@@ -54,8 +54,8 @@
 // attemptThroughCarrier makes an attempt through c.carrier, and reports false when the
 // carrier has not sent the call to the target.
 func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) (engine.Result, bool) {
-	failed := true
-	defer func() { f.ways.endCarry(c.carrier, failed, time.Now()) }()
+	carriage := reach.NotTaken
+	defer func() { f.ways.endCarry(c.carrier, s.Address, carriage, time.Now()) }()
 	c.carryOutcome = ""
 	conn := f.pool.reuse(c.carrier, trustedSince(c.class.Idempotent, time.Now()))
 	if conn == nil {
@@ -69,7 +69,12 @@
 	}
 	result := f.exchange(ctx, w, r, c, s, conn)
 	carried := result != engine.NotRun || c.carryOutcome == "" && c.feedback.Answered
-	failed = c.carryOutcome == wire.CarryUnavailable || c.carryOutcome == "" && !c.feedback.Answered
+	switch {
+	case carried && (c.carryOutcome != "" || c.feedback.Answered || result == engine.Broken):
+		carriage = reach.Carried
+	case c.carryOutcome == wire.CarryUnreachable || c.carryOutcome == wire.CarryRefused:
+		carriage = reach.NotReached
+	}
 	if f.log.Enabled(ctx, 0) && c.host.sampled() {
 		f.log.Info("carried", "call", c.name, "target", s.Target, "carrier", c.carrier.String(),
 			"result", result.String(), "outcome", string(c.carryOutcome))
--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -53,8 +53,8 @@
 	cutFirstCentre, cutSecondCentre = 3, 2
 	// cutContact is the time after the beginning of a cut from which callers must be
 	// served.
-	cutContact = 3 * time.Second
-	cutMeasure = 2 * time.Second
+	cutContact  = 3 * time.Second
+	cutMeasure  = 2 * time.Second
 	cutInterval = 25 * time.Millisecond
 )
 
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -110,16 +110,16 @@
 	return w.carriers.Len() > 0
 }
 
-func (w *ways) beginCarry(tried []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
+func (w *ways) beginCarry(target netip.AddrPort, tried []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.carriers.Begin(tried, now, w.rng)
+	return w.carriers.Begin(target, tried, now, w.rng)
 }
 
-func (w *ways) endCarry(carrier netip.AddrPort, failed bool, now time.Time) {
+func (w *ways) endCarry(carrier, target netip.AddrPort, carriage reach.Carriage, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.carriers.End(carrier, failed, now)
+	w.carriers.End(carrier, target, carriage, now)
 }
 
 func (w *ways) avoidCarrier(carrier netip.AddrPort, now time.Time) {
