Keep the rests that targets ask hosts for

The field was read nowhere: a 503 paused a target for 50 ms at most.

The entry host, or carrier, that gets such an answer keeps the end of the rest and makes no attempt before it, whoever decides; the deciding host keeps rests by target and entry host, for new calls, retries and held calls alike. Calls that all targets want none of are refused at once with the time left. Stub targets can turn calls away and ask for rest.

--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -108,6 +108,8 @@
 	sub.Float64(&b.SlowFactor, "", "slower", "factor of all service times")
 	sub.Bool(&b.FailFast, "", "fail-fast", "answer every call immediately with an error")
 	sub.Float64(&b.Limit, "", "limit", "limit named on every answer, in calls a second over all hosts; 0 names none")
+	sub.Float64(&b.ShedShare, "", "shed", "share of calls turned away, from 0 to 1")
+	sub.Duration(&b.Rest, "", "rest", "rest that hosts are asked for when a call is turned away; 0 asks for none")
 	sub.Float64(&b.ColdFactor, "", "cold-factor", "service time factor while the target is cold")
 	sub.Duration(&b.ColdDuration, "", "cold-span", "how long the target is cold after its start")
 	sub.String(&o.report, "", "report", "kind of load reports: "+strings.Join(stub.ReportModeNames, ", "))
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -32,10 +32,14 @@
 		Deadline time.Time
 		// DataCentre is the data centre that the call came from; may be empty.
 		DataCentre string
+		// Host identifies the entry host that sends the call to targets; 0 for the host
+		// of the Scheduler.
+		Host uint64
 	}
 
 	// Finish reports the end of an attempt. The call has ended when Result is
-	// Answered or Broken. After NotSent the Scheduler chooses another target. When
+	// Answered or Broken. After NotSent the Scheduler chooses another target; Feedback
+	// has the rest that the target has asked for, or it has left. When
 	// Result is NotRun, or when the call is idempotent and Result is Unknown, the
 	// Scheduler may send the call again. Otherwise it refuses the call.
 	Finish struct {
@@ -155,7 +159,7 @@
 	// caller completely.
 	Broken
 	// NotSent means that the attempt was not made, because the entry host knows
-	// that the chosen target is draining or has left.
+	// that the chosen target is draining, has left or has asked it for rest.
 	NotSent
 )
 
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -43,6 +43,7 @@
 	call struct {
 		class      spec.Class
 		dataCentre string
+		host       uint64 // That sends the call; see Arrive.
 		arrived    time.Time
 		// waitingSince is the time from which the longest wait counts: the
 		// arrival, or the time at which a call with an aim was last requeued.
@@ -170,9 +171,9 @@
 // as it can; otherwise it sends the call if it can.
 func (s *Scheduler) arrive(dst []Action, e Arrive, now time.Time) []Action {
 	if len(s.calls) >= s.doc.Refuse.OpenCalls {
-		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter(now)})
+		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter(e.Host, now)})
 	}
-	c := &call{class: e.Class, dataCentre: e.DataCentre, arrived: now, waitingSince: now, deadline: e.Deadline}
+	c := &call{class: e.Class, dataCentre: e.DataCentre, host: e.Host, arrived: now, waitingSince: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
 	s.retryBudget.CountCall(now)
 	s.retryCredit = min(s.retryCredit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
@@ -189,7 +190,11 @@
 	if !ok || c.target == "" {
 		return dst
 	}
+	s.targets.Rest(c.target, c.host, e.Feedback.Rest, now)
 	if e.Result == NotSent {
+		if e.Feedback.Rest == 0 {
+			s.targets.Withdraw(c.target, c.incarnation)
+		}
 		return s.dispatchQueued(s.redirect(dst, e.Call, c, now), now)
 	}
 	s.targets.Finish(c.target, e.Feedback, now.Sub(c.sent), now)
@@ -214,10 +219,9 @@
 }
 
 // redirect chooses another target for a call that was not sent, because its target is
-// draining or has left. This costs neither an attempt nor retry budget.
+// draining, has left or rests. This costs neither an attempt nor retry budget.
 func (s *Scheduler) redirect(dst []Action, id uint64, c *call, now time.Time) []Action {
 	s.targets.Finish(c.target, route.Feedback{}, now.Sub(c.sent), now)
-	s.targets.Withdraw(c.target, c.incarnation)
 	c.target = ""
 	c.attempts--
 	return s.sendOrRequeue(dst, id, c, now)
@@ -348,7 +352,7 @@
 
 // sendOrRequeue sends a call to a target that excludedTargets does not list, or
 // else queues it ahead of all calls of its priority. It refuses the call when no
-// target is ready or cold.
+// target is ready or cold, or all rest for longer than the call may wait.
 func (s *Scheduler) sendOrRequeue(dst []Action, id uint64, c *call, now time.Time) []Action {
 	if pick, ok := s.choose(c, now); ok {
 		return s.send(dst, id, c, pick, now)
@@ -356,14 +360,18 @@
 	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
 		return s.refuse(dst, id, c, NoTarget, now)
 	}
-	s.queue.Requeue(s.queuedCall(id, c))
+	h := s.queuedCall(id, c)
+	if wait := s.targets.RestWait(c.host, now); wait > 0 && now.Add(wait).After(h.Until) {
+		return s.refuse(dst, id, c, NoProspect, now)
+	}
+	s.queue.Requeue(h)
 	return s.appendHold(dst, id)
 }
 
 // choose picks a target for a call. It reports false when no target can accept
 // the call now.
 func (s *Scheduler) choose(c *call, now time.Time) (route.Pick, bool) {
-	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: s.excludedTargets(c), Now: now, DataCentre: c.dataCentre}
+	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: s.excludedTargets(c), Now: now, DataCentre: c.dataCentre, Host: c.host}
 	q.Relaxed = c.class.Aim > relaxedAimFactor*s.targets.MeanLatency()
 	return s.targets.Choose(s.policy, q, s.rng)
 }
@@ -388,7 +396,7 @@
 		return s.refuse(dst, id, c, NoTarget, now)
 	}
 	h := s.queuedCall(id, c)
-	if now.Add(s.estimateWait(s.queue.Ahead(h), now)).After(h.Until) {
+	if now.Add(s.estimateWait(s.queue.Ahead(h), c.host, now)).After(h.Until) {
 		return s.refuse(dst, id, c, NoProspect, now)
 	}
 	if err := s.queue.Push(h); err != nil {
@@ -436,20 +444,22 @@
 }
 
 // estimateWait estimates how long a call that has ahead calls before it in the
-// queue waits, for a slot and for the limits that targets have named.
-func (s *Scheduler) estimateWait(ahead int, now time.Time) time.Duration {
-	return max(admit.EstimateWait(ahead, s.targets.InFlight(), s.targets.MeanLatency()), s.targets.LimitWait(ahead, now))
+// queue waits, for a slot, for the limits that targets have named and for the rests that
+// they have asked its host for.
+func (s *Scheduler) estimateWait(ahead int, host uint64, now time.Time) time.Duration {
+	wait := admit.EstimateWait(ahead, s.targets.InFlight(), s.targets.MeanLatency())
+	return max(wait, s.targets.LimitWait(ahead, now), s.targets.RestWait(host, now))
 }
 
 // dispatchQueued sends queued calls while targets have free slots. A call that has
-// already tried all targets with free slots stays queued, and the calls behind it
-// may be sent before it.
+// already tried all targets with free slots, or whose host they want no calls from, stays
+// queued, and the calls behind it may be sent before it.
 func (s *Scheduler) dispatchQueued(dst []Action, now time.Time) []Action {
 	s.skipped = s.skipped[:0]
 	for h, ok := s.queue.Peek(); ok; h, ok = s.queue.Peek() {
 		c := s.calls[h.Call]
 		pick, found := s.choose(c, now)
-		if !found && len(c.tried) == 0 {
+		if !found && len(c.tried) == 0 && !s.targets.HasRests(now) {
 			break
 		}
 		s.queue.Pop()
@@ -477,14 +487,14 @@
 // refuse ends a call that is neither queued nor at a target and appends a Refuse.
 func (s *Scheduler) refuse(dst []Action, id uint64, c *call, reason Reason, now time.Time) []Action {
 	delete(s.calls, id)
-	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfter(now)})
+	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfter(c.host, now)})
 }
 
 // retryAfter returns the estimated time until the calls queued now have left
 // the queue, and at least the Refuse.RetryAfter of the document. It returns the latter
 // when this host has no share of the limits of its targets, since another one may.
-func (s *Scheduler) retryAfter(now time.Time) time.Duration {
-	least, wait := s.doc.Refuse.RetryAfter.Std(), s.estimateWait(s.queue.Len(), now)
+func (s *Scheduler) retryAfter(host uint64, now time.Time) time.Duration {
+	least, wait := s.doc.Refuse.RetryAfter.Std(), s.estimateWait(s.queue.Len(), host, now)
 	if wait >= route.MaxLimitWait {
 		return least
 	}
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -25,6 +25,9 @@
 		Limit wire.Limit
 		// Draining says that the answer was marked as from a draining target.
 		Draining bool
+		// Rest is the time for which the target wants no calls from the host that made
+		// the attempt, or was to make it; 0 for none.
+		Rest time.Duration
 		// AddressTaken says that another target answered at the address.
 		AddressTaken bool
 	}
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -27,6 +27,9 @@
 		// Relaxed says that the call's aim is much longer than the mean latency,
 		// so that Fastest keeps the call in its data centre more strictly.
 		Relaxed bool
+		// Host identifies the host that sends the call, for the rests that targets have
+		// asked it for; 0 for this host.
+		Host uint64
 	}
 
 	// Why says what decided a choice.
@@ -113,7 +116,7 @@
 // that is reached.
 func (t *Table) usable(i int, q Query, at time.Duration) bool {
 	s := &t.states[i]
-	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at || t.limitReached(s, at) {
+	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at || t.limitReached(s, at) || s.restLeft(q.Host, at) > 0 {
 		return false
 	}
 	for _, name := range q.Exclude {
--- a/core/route/probe.go
+++ b/core/route/probe.go
@@ -22,6 +22,9 @@
 		// Limit is the limit that the answer named. A probe that names none does not
 		// end a limit, as targets need not name it in answers to probes.
 		Limit wire.Limit
+		// Rest is the time for which the target wants no requests from this host; 0
+		// for none.
+		Rest time.Duration
 	}
 )
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -35,6 +35,9 @@
 
 		states []targetState
 
+		// restsUntil is the end of the last rest of any target.
+		restsUntil time.Duration
+
 		// meanLatency is the moving average latency of all targets in
 		// nanoseconds; 0 before the first answer.
 		meanLatency float64
@@ -122,6 +125,8 @@
 		addressTaken bool
 		// limit is the limit that the target has named.
 		limit rateLimit
+		// rests are the rests that the target has asked hosts for.
+		rests []hostRest
 	}
 )
 
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -82,6 +82,11 @@
 		Limit Limit
 		// LimitErr is the error from parsing the limit.
 		LimitErr error
+		// Rest is the time for which the target wants no calls from the host that got
+		// the answer; valid when RestErr is nil.
+		Rest time.Duration
+		// RestErr is the error from parsing the rest.
+		RestErr error
 	}
 
 	// Health is the information in the status and the header of the answer to a
@@ -98,6 +103,9 @@
 		// Limit is the limit that the target names; the zero value also for one that
 		// cannot be parsed.
 		Limit Limit
+		// Rest is the time for which the target wants no requests from the host that
+		// got the answer; 0 also for one that cannot be parsed.
+		Rest time.Duration
 	}
 
 	// Refusal is what the caller learns about a call that gets no answer from a
@@ -158,6 +166,7 @@
 		info.Load, info.LoadErr = ParseLoad(info.Report)
 	}
 	info.Limit, info.LimitErr = ParseLimit(header.Get(HeaderLimit))
+	info.Rest, info.RestErr = RestOf(status, header)
 	return info
 }
 
@@ -171,6 +180,9 @@
 	if h.Limit, err = ParseLimit(header.Get(HeaderLimit)); err != nil {
 		h.Limit = Limit{} // Answers to calls, which name it too, are counted as invalid.
 	}
+	if h.Rest, err = RestOf(status, header); err != nil {
+		h.Rest = 0 // Likewise.
+	}
 	return h
 }
 
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -269,6 +269,16 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
+		c.feedback = route.Feedback{}
+		if rest := h.restLeft(c, action); rest > 0 {
+			h.metrics.Counter("attempts_withheld").Add(1)
+			if h.sampled() {
+				h.log.Info("target rests", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
+					"rest", rest.String(), "decided_by", c.decidedBy())
+			}
+			c.feedback.Rest = rest
+			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
+		}
 		if h.fleet != nil && h.fleet.hasDeparted(action) {
 			h.metrics.Counter("decisions_outdated").Add(1)
 			if h.sampled() {
@@ -283,6 +293,7 @@
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
 		result := h.forwarder.attempt(ctx, w, r, c, action)
 		h.observeLimit(c, action.Target, c.feedback, time.Since(start))
+		h.observeRest(c, action.Target, c.feedback)
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
 		return h.finishAttempt(ctx, w, r, c, result)
 	case engine.Refuse:
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -95,9 +95,14 @@
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryUnavailable)
 		return
 	}
+	if h.restLeft(c, send) > 0 {
+		k.refuse(w, http.StatusServiceUnavailable, wire.CarryRefused)
+		return
+	}
 	start := time.Now()
 	result := h.forwarder.attempt(ctx, w, r, c, send)
 	h.observeLimit(c, send.Target, c.feedback, time.Since(start))
+	h.observeRest(c, send.Target, c.feedback)
 	switch result {
 	case engine.Answered:
 	case engine.Broken:
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -45,7 +45,7 @@
 			f.metrics.Counter("calls_carried_out").Add(1)
 			return result, true
 		}
-		confirmed = confirmed || c.carryOutcome == wire.CarryUnreachable || c.carryOutcome == wire.CarryRefused
+		confirmed = confirmed || c.carryOutcome == wire.CarryUnreachable
 	}
 	c.linkLost = !confirmed && len(tried) > 0
 	return 0, false
--- a/io/entry/feedback.go
+++ b/io/entry/feedback.go
@@ -39,6 +39,11 @@
 		metrics.Counter("load_reports_refused").Add(1)
 	}
 	f.Load, f.Reported = targetInfo.Load, targetInfo.Reported()
+	if targetInfo.RestErr != nil {
+		metrics.Counter("rests_refused").Add(1)
+	} else if !targetInfo.AddressTaken {
+		f.Rest = targetInfo.Rest
+	}
 	if targetInfo.LimitErr != nil {
 		metrics.Counter("limits_refused").Add(1)
 	}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -33,6 +33,7 @@
 		forwarder     *forwarder
 		uploads       *uploadBacklog
 		limits        limitTracker
+		rests         restTracker
 		dialect       wire.Dialect
 		members       *membership
 		config        *configuration
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -25,12 +25,13 @@
 	}}}
 }
 
-// toArrive decodes the arrival of a call; call is the control host's ID of the call.
+// toArrive decodes the arrival of a call; call is the control host's ID of the call, and
+// host identifies the entry host.
 // The deadline is the time left, as the entry host sent it, after now.
-func toArrive(call uint64, m *peerpb.CallArrive, now time.Time) engine.Arrive {
+func toArrive(call, host uint64, m *peerpb.CallArrive, now time.Time) engine.Arrive {
 	left := time.Duration(m.GetLeftMs()) * time.Millisecond
 	return engine.Arrive{
-		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(),
+		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(), Host: host,
 		Class: spec.Class{
 			Weight: int(m.GetWeight()), Deadline: left, Idempotent: m.GetIdempotent(), Rank: int(m.GetRank()),
 			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()), Late: m.GetLate(),
@@ -43,6 +44,7 @@
 	m := &peerpb.CallFinish{
 		Result: uint32(e.Result), Replayable: e.Replayable, Ending: uint32(e.Feedback.Outcome),
 		Drains: e.Feedback.Draining, Gone: e.Feedback.AddressTaken,
+		RestMs: uint32(e.Feedback.Rest.Round(time.Millisecond).Milliseconds()),
 	}
 	if e.Feedback.Reported {
 		l := e.Feedback.Load
@@ -58,6 +60,7 @@
 // call.
 func toFinish(call uint64, m *peerpb.CallFinish) engine.Finish {
 	f := route.Feedback{Outcome: route.Outcome(m.GetEnding()), Draining: m.GetDrains(), AddressTaken: m.GetGone(), Answered: m.GetAnswered()}
+	f.Rest = time.Duration(m.GetRestMs()) * time.Millisecond
 	if m.Limit != nil {
 		f.Limit = wire.Limit{Named: true, Rate: m.GetLimit()}
 	}
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -35,6 +35,7 @@
 		plan     *plan.Plan      // nil before the first plan.
 		services map[string]*service
 		nextCall uint64 // The last ID given to a call.
+		streams  uint64 // The number of streams that were opened.
 	}
 
 	// Config configures a Server.
@@ -61,6 +62,7 @@
 	// call events to the actors and queues the decisions of the actors to be sent.
 	entryStream struct {
 		server   *Server
+		number   uint64 // Identifies the entry host while the stream lasts; from 1.
 		outgoing *queue[*peerpb.CallDecision]
 
 		mu sync.Mutex
@@ -254,7 +256,7 @@
 
 // Serve serves one entry host's stream until it ends and returns its error.
 func (s *Server) Serve(rpc peerpb.Fleet_PlaceServer) error {
-	st := &entryStream{server: s, outgoing: newQueue[*peerpb.CallDecision](), callsByRemoteID: make(map[uint64]localCall)}
+	st := &entryStream{server: s, number: s.nextStream(), outgoing: newQueue[*peerpb.CallDecision](), callsByRemoteID: make(map[uint64]localCall)}
 	defer st.close()
 	go st.send(rpc)
 	for {
@@ -269,6 +271,14 @@
 	}
 }
 
+// nextStream returns the number of a new stream.
+func (s *Server) nextStream() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams++
+	return s.streams
+}
+
 // send sends queued decisions until the stream ends.
 func (st *entryStream) send(rpc peerpb.Fleet_PlaceServer) {
 	for {
@@ -328,7 +338,7 @@
 	st.callsByRemoteID[remoteID] = localCall{id: localID, pid: pid}
 	st.mu.Unlock()
 	st.server.system.Root.Send(pid, &broker.Arrival{
-		Event: toArrive(localID, m, now), Received: now,
+		Event: toArrive(localID, st.number, m, now), Received: now,
 		Deliver: func(a engine.Action) {
 			if _, final := a.(engine.Refuse); final {
 				st.mu.Lock()
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -156,7 +156,7 @@
 
 // run probes one target until ctx ends. The interval runs from the start of one
 // probe to the start of the next one, which begins at least a quarter of the
-// interval after the end of the former.
+// interval after the end of the former, and after the rest that the target asks for.
 func (p *Prober) run(ctx context.Context, target member.Record) {
 	wait := rand.N(p.interval)
 	_, shrunk := p.currentInterval(time.Now())
@@ -181,6 +181,9 @@
 		var interval time.Duration
 		interval, shrunk = p.currentInterval(time.Now())
 		wait = max(interval-time.Since(begin), interval/4)
+		if result.Rest > 0 {
+			wait, shrunk = max(wait, result.Rest), nil
+		}
 	}
 }
 
--- a/io/stub/behaviour.go
+++ b/io/stub/behaviour.go
@@ -34,6 +34,11 @@
 		// Limit is the limit that the target names on its answers, in calls a second
 		// over all hosts; 0 names none.
 		Limit float64
+		// ShedShare is the share of calls that the target turns away, from 0 to 1.
+		ShedShare float64
+		// Rest is the time for which the target asks hosts whose calls it turns away
+		// to send none, in whole seconds; 0 asks for none.
+		Rest time.Duration
 		// Report selects how the target reports its load.
 		Report ReportMode
 		// ReportLag is the least age of the reported load if Report is ReportLate.
@@ -116,6 +121,16 @@
 	return !now.Before(t.nextNoisy.from)
 }
 
+// drawShed draws whether to turn a call away.
+func (t *Target) drawShed() bool {
+	if t.behaviour.ShedShare == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rng.Float64() < t.behaviour.ShedShare
+}
+
 // drawNoisyPeriod draws the next noisy period that begins later than after.
 func (t *Target) drawNoisyPeriod(after time.Time) noisyPeriod {
 	from := after.Add(time.Duration(t.noisyRNG.ExpFloat64() * float64(t.behaviour.NeighbourInterval)))
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -159,9 +160,12 @@
 		http.Error(w, "broken", http.StatusInternalServerError)
 		return
 	}
-	if !t.acquireSlot(r.Context()) {
+	if t.drawShed() || !t.acquireSlot(r.Context()) {
 		t.setStateHeaders(w.Header())
 		t.reportLoad(w, 0)
+		if rest := t.behaviour.Rest; rest > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(wire.RetryAfterSeconds(rest)))
+		}
 		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
