Let a leaving target's answer bind the host that passed it on

Server-Leaving was in no file; in the project's own dialect the mark reached only the host that decided about the call, so that after its loss the entry host sent the target calls by its own decision.

The entry host, or carrier, now keeps which incarnations have said that they leave and makes no attempt at them; the deciding host is told and withdraws them. Answers to probes withdraw a target too. TestAnswerOfALeavingTargetBindsTheHostThatPassedItOn failed before (1 request more than 2 s later) and passes.

--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -215,4 +215,7 @@
 	if p.Limit.Named {
 		s.limit.report(p.Limit, at, at)
 	}
+	if p.Leaving {
+		t.withdrawRow(i)
+	}
 }
--- a/core/route/probe.go
+++ b/core/route/probe.go
@@ -15,6 +15,8 @@
 	Probe struct {
 		// Result says whether the probe was answered and as what.
 		Result ProbeResult
+		// Leaving says that the target is draining or leaves.
+		Leaving bool
 		// Load is the target's load report; valid when Reported is true.
 		Load wire.Load
 		// Reported says that the answer carried a valid load report.
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -96,6 +96,8 @@
 		Healthy bool
 		// AddressTaken says that another target answered at the address.
 		AddressTaken bool
+		// Leaving says that the target is draining or leaves.
+		Leaving bool
 		// Load is the target's load report; valid when Reported is true.
 		Load Load
 		// Reported says that the answer carried a valid load report.
@@ -173,6 +175,9 @@
 // parseHealth takes only status 200 as healthy.
 func parseHealth(status int, header http.Header, _ string) Health {
 	h := Health{Healthy: status == http.StatusOK}
+	if state, ok := member.ParseState(header.Get(HeaderState)); ok {
+		h.Leaving = state >= member.Draining
+	}
 	var err error
 	if h.Load, err = ParseLoad(header.Get(HeaderLoad)); err == nil {
 		h.Reported = true
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -279,7 +279,7 @@
 			c.feedback.Rest = rest
 			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
 		}
-		if h.fleet != nil && h.fleet.hasDeparted(action) {
+		if h.hasDeparted(c, action) {
 			h.metrics.Counter("decisions_outdated").Add(1)
 			if h.sampled() {
 				h.log.Info("decision outdated", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -95,7 +95,7 @@
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryUnavailable)
 		return
 	}
-	if h.restLeft(c, send) > 0 {
+	if h.restLeft(c, send) > 0 || h.hasDeparted(c, send) {
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryRefused)
 		return
 	}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -125,6 +125,7 @@
 		return f.failAttempt(ctx, r, conn, c, s, err)
 	}
 	f.activity.recordResponse(c.service.doc.Name, s.Target, targetInfo)
+	c.host.observeLeaving(c, s, targetInfo)
 	c.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
 	if targetInfo.NotRun && !c.carriedIn {
 		f.discardResponse(conn, resp)
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -34,6 +34,7 @@
 		uploads       *uploadBacklog
 		limits        limitTracker
 		rests         restTracker
+		leavers       leaverTracker
 		dialect       wire.Dialect
 		members       *membership
 		config        *configuration
