Soak: entry hosts lose their links to all targets

The soak's relays were shared by all entry hosts, so that it could not cut one of them off from the targets. Entry hosts now connect from an address of their own (new setting source_address), by which the relays tell them apart. One or more, not all, are cut off at random times: open connections hang, are reset or live on, new ones are reset.

--- a/io/entry/conn_test.go
+++ b/io/entry/conn_test.go
@@ -115,7 +115,7 @@
 			targetSide <- c
 		}
 	}()
-	p := newPool(telem.NewRegistry())
+	p := newPool(netip.Addr{}, telem.NewRegistry())
 	conn, err := p.dial(t.Context(), netip.MustParseAddrPort(target.Addr().String()))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer p.discard(conn)
--- a/io/entry/dial.go
+++ b/io/entry/dial.go
@@ -23,10 +23,16 @@
 // keepAlive detects idle connections that a device on the path has dropped.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
 
-// dialTarget opens a TCP connection to a target within dialTimeout.
-func dialTarget(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+// dialFrom returns a function that opens a TCP connection within dialTimeout, from the
+// address source or, if that is the zero value, from one that the system chooses.
+func dialFrom(source netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacked}
-	return d.DialContext(ctx, "tcp", address.String())
+	if source.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address.String())
+	}
 }
 
 // limitUnacked sets TCP_USER_TIMEOUT to maxUnackedTime.
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -16,6 +16,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
 )
 
@@ -68,9 +69,9 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// newForwarder returns a forwarder of a host in the given data centre.
-func newForwarder(dialect wire.Dialect, dataCentre string, log *slog.Logger, metrics *telem.Registry) *forwarder {
-	return &forwarder{pool: newPool(metrics), dialect: dialect, ways: newWays(dataCentre), log: log, metrics: metrics, work: context.Background()}
+// newForwarder returns a forwarder of the host with the settings cfg.
+func newForwarder(cfg *setup.Entry, dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
+	return &forwarder{pool: newPool(cfg.SourceAddress, metrics), dialect: dialect, ways: newWays(cfg.DataCentre), log: log, metrics: metrics, work: context.Background()}
 }
 
 // attempt sends the call to one target, over this host's own link or through a carrier,
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -100,7 +100,7 @@
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.forwarder = newForwarder(h.dialect, cfg.DataCentre, h.log, h.metrics)
+	h.forwarder = newForwarder(&h.cfg, h.dialect, h.log, h.metrics)
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -52,7 +52,8 @@
 // errors of pool.dial.
 var errDial = errors.New("entry: no connection to the target")
 
-func newPool(metrics *telem.Registry) *pool {
+// newPool returns a pool whose connections are opened from source; see dialFrom.
+func newPool(source netip.Addr, metrics *telem.Registry) *pool {
 	return &pool{
 		transport: &http.Transport{
 			DialContext:            dialedConn,
@@ -60,7 +61,7 @@
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			ExpectContinueTimeout:  continueTimeout,
 		},
-		metrics: metrics, connect: dialTarget,
+		metrics: metrics, connect: dialFrom(source),
 		idle: make(map[netip.AddrPort][]*targetConn),
 		open: make(map[netip.AddrPort]int),
 	}
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -37,6 +37,7 @@
 		{Path: "entries[].host", Label: "Entry host", Help: "Name of an entry host. The list includes all entry hosts."},
 		{Path: "entries[].data_centre", Label: "Its data centre", Help: "Where that entry host runs."},
 		{Path: "entries[].peer_address", Label: "Its peer address", Unit: "IP address and port", Help: "Where that entry host accepts connections."},
+		{Path: "source_address", Label: "Source address", Unit: "IP address", Help: "Address from which this host connects to targets and to entry hosts that carry calls for it; chosen by the system if empty."},
 		{Path: "data_folder", Label: "Data folder", Help: "Folder that keeps the newest documents across restarts; may be empty."},
 		{
 			Path: "drain_delay", Label: "Drain delay", Low: 0, High: int64(MaxStopTime),
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -57,6 +57,9 @@
 		AnnounceAddress netip.AddrPort `json:"announce_address"`
 		// Entries lists all entry hosts.
 		Entries []Peer `json:"entries"`
+		// SourceAddress is the address from which the host connects to targets and
+		// carriers; the zero value lets the system choose.
+		SourceAddress netip.Addr `json:"source_address"`
 		// DataFolder is the path of the folder that keeps the newest documents
 		// across restarts. If it is empty, they are not kept.
 		DataFolder string `json:"data_folder"`
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -53,6 +53,11 @@
 		// OverLimit counts targets that got more calls than the limit that they
 		// named.
 		OverLimit int `json:"over_limit"`
+		// CutCalls counts the calls at entry hosts that were cut off from the targets
+		// while another one could carry them, CutUnserved those without an answer of a
+		// target.
+		CutCalls    int `json:"cut_calls"`
+		CutUnserved int `json:"cut_unserved"`
 		// Changes counts the operator's accepted changes, Reads its confirmed
 		// reads.
 		Changes int `json:"changes"`
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -17,7 +18,7 @@
 
 type (
 	// Fault is one kind of disturbance with its parameters: Stop, Kill, Freeze,
-	// LoseDisk, Isolate, Reset, Delay or Block.
+	// LoseDisk, Isolate, Reset, Delay, Block or CutOff.
 	Fault interface {
 		// String describes the fault, but not its victim.
 		String() string
@@ -159,6 +160,8 @@
 		return "delay"
 	case Block:
 		return "block"
+	case CutOff:
+		return "cut_off"
 	}
 	return "unknown"
 }
@@ -193,6 +196,11 @@
 		}
 		events = append(events, e)
 	}
+	if s.gentle {
+		return events
+	}
+	events = append(events, s.drawCuts(length)...)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
@@ -276,6 +284,10 @@
 		return errors.Errorf("soak: no process or relay is called %q", e.Victim)
 	}
 	p := s.processes()[i]
+	if f, ok := e.Fault.(CutOff); ok {
+		s.cutOff(ctx, p, e, f)
+		return nil
+	}
 	if f, ok := e.Fault.(Isolate); ok {
 		if p.kind == KindControl {
 			if !s.isolation.TryLock() {
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -137,13 +137,14 @@
 	}
 	cfg := setup.Entry{
 		Common: commonSettings(p, list[0], controls), CallAddress: list[1], AnnounceAddress: list[2], Entries: entries,
-		Tick: strict.Duration(tick), AnnounceInterval: strict.Duration(announceInterval), DecisionLogOneIn: 1,
+		SourceAddress: p.PeerAddress.Addr(), Tick: strict.Duration(tick), AnnounceInterval: strict.Duration(announceInterval), DecisionLogOneIn: 1,
 		DrainDelay: strict.Duration(entryDrainDelay), StopGrace: strict.Duration(stopGrace),
 	}
 	process, err := s.addHost(KindEntry, p.Host, cfg)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
+	process.source = p.PeerAddress.Addr()
 	s.entries = append(s.entries, process)
 	s.adminAddress[process], s.callAddress[process] = list[0], list[1]
 	return list[2], nil
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net/netip"
 	"os"
 	"os/exec"
 	"sync"
@@ -22,12 +23,15 @@
 		args    []string // The command line, beginning with the program.
 		log     *os.File
 		faultMu sync.Mutex // Held while a fault is injected into the process.
+		cutMu   sync.Mutex // Held while the entry host is cut off from all targets.
+		source  netip.Addr // Where an entry host's connections to targets come from.
 
 		mu      sync.Mutex
 		cmd     *exec.Cmd
 		exited  chan struct{} // Closed when cmd has exited.
 		outages []interval    // From each kill or freeze until the process ran again.
 		stops   []interval    // From each graceful stop until the process ran again.
+		cuts    []interval    // While the entry host was cut off from all targets.
 	}
 
 	// interval is the time that a fault lasted. The zero end means that it has
--- a/io/soak/relay.go
+++ b/io/soak/relay.go
@@ -20,9 +20,10 @@
 
 		mu           sync.Mutex
 		connections  map[*relayedConn]bool
-		delay        time.Duration // Before each chunk is forwarded.
-		blocked      [2]bool       // By direction.
-		released     chan struct{} // Closed and replaced when a disturbance ends.
+		delay        time.Duration          // Before each chunk is forwarded.
+		blocked      [2]bool                // By direction.
+		cuts         map[netip.Addr]CutMode // The sources that are cut off.
+		released     chan struct{}          // Closed and replaced when a disturbance ends.
 		disturbances []interval
 	}
 
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{name: name, to: to, connections: make(map[*relayedConn]bool), released: make(chan struct{})}
+	r := &relay{name: name, to: to, connections: make(map[*relayedConn]bool), cuts: make(map[netip.Addr]CutMode), released: make(chan struct{})}
 	if r.listener, err = net.Listen("tcp", address.String()); err != nil {
 		return nil, errors.Wrap(err, "soak: relay")
 	}
@@ -95,13 +96,17 @@
 	}
 	p.sides[backward] = other.(*net.TCPConn)
 	r.mu.Lock()
-	r.connections[p] = true
+	_, cut := r.cuts[p.source()]
+	r.connections[p] = !cut
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.connections, p)
 	}()
+	if cut {
+		return
+	}
 	var group sync.WaitGroup
 	for direction := range p.sides {
 		group.Go(func() { r.copyDirection(p, direction) })
@@ -142,7 +147,7 @@
 func (r *relay) awaitUnblocked(p *relayedConn, direction int) bool {
 	for {
 		r.mu.Lock()
-		blocked, delay, released := r.blocked[direction], r.delay, r.released
+		blocked, delay, released := r.blocked[direction] || r.cuts[p.source()] == CutHangs, r.delay, r.released
 		r.mu.Unlock()
 		if !blocked {
 			time.Sleep(delay)
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -28,8 +28,9 @@
 		targetCommand []string
 		seed          uint64
 		callCount     int
-		workers       int  // Callers, each with one call at a time.
-		gentle        bool // See WithGentle.
+		workers       int           // Callers, each with one call at a time.
+		pause         time.Duration // Between two calls of a worker.
+		gentle        bool          // See WithGentle.
 		folder        string
 
 		controlCount, entryCount, targetCount int
@@ -99,6 +100,11 @@
 	return func(s *Soak) { s.callCount = n }
 }
 
+// WithPause sets the time between two calls of one worker; the default is 0.
+func WithPause(d time.Duration) Option {
+	return func(s *Soak) { s.pause = d }
+}
+
 // WithSize sets the numbers of processes; the default is 3, 3 and 6.
 func WithSize(controls, entries, targets int) Option {
 	return func(s *Soak) { s.controlCount, s.entryCount, s.targetCount = controls, entries, targets }
@@ -176,6 +182,7 @@
 	if err = s.checkLimits(&report); err != nil {
 		return report, err
 	}
+	s.checkCuts(&report)
 	s.operator.addTo(&report)
 	for _, text := range report.Faults {
 		s.timeline.add("broken: %s", text)
@@ -244,18 +251,17 @@
 }
 
 // disturbed reports whether an injected fault may have cut the call off: a kill or
-// freeze of its entry host or of any target, or a fault of a relay between entry hosts
-// and targets. A fault counts until recoveryTime after its end.
+// freeze of its entry host or of any target, a fault of a relay between entry hosts and
+// targets, or a cut between its entry host and the targets, during which a fault of another
+// entry host may break it as well. A fault counts until recoveryTime after its end.
 func (s *Soak) disturbed(c *callRecord) bool {
-	for _, r := range s.callRelays {
-		r.mu.Lock()
-		touched := overlaps(r.disturbances, c.begin, c.end)
-		r.mu.Unlock()
-		if touched {
-			return true
-		}
-	}
-	if c.entry.hadOutage(c.begin, c.end) {
+	return c.entry.hadOutage(c.begin, c.end) || c.entry.wasCut(c.begin, c.end) || s.targetsDisturbed(c)
+}
+
+// targetsDisturbed reports whether a kill or freeze of a target or a fault of a relay
+// between entry hosts and targets may affect the call.
+func (s *Soak) targetsDisturbed(c *callRecord) bool {
+	if slices.ContainsFunc(s.callRelays, func(r *relay) bool { return r.disturbedAt(c.begin, c.end) }) {
 		return true
 	}
 	return slices.ContainsFunc(s.targets, func(p *process) bool { return p.hadOutage(c.begin, c.end) })
@@ -380,6 +386,7 @@
 					return
 				}
 				s.call(ctx, c, rng, i)
+				sleep(ctx, s.pause)
 			}
 		})
 	}
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -58,6 +58,31 @@
 	}
 }
 
+// Guards against callers that are not served at entry hosts that have lost their links to
+// the targets, with kills and freezes on top.
+func TestCallersOfCutOffEntryHostsAreServed(t *testing.T) {
+	system, lab := programs(t)
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	var events []Event
+	add := func(at time.Duration, fault Fault, victims ...string) {
+		for _, victim := range victims {
+			events = append(events, Event{At: at, Victim: victim, Fault: fault})
+		}
+	}
+	add(0, CutOff{Mode: CutHangs, For: 5 * time.Second}, "entry-1")
+	add(time.Second, Kill{Down: 200 * time.Millisecond}, "entry-4")
+	add(6*time.Second, CutOff{Mode: CutRefuses, For: 5 * time.Second}, "entry-1", "entry-2", "entry-3")
+	add(7*time.Second, Freeze{For: time.Second}, "control-1")
+	add(12*time.Second, CutOff{Mode: CutResets, For: 5 * time.Second}, "entry-1", "entry-2")
+	add(16*time.Second, Freeze{For: 500 * time.Millisecond}, "entry-3")
+	report, err := New(system, []string{lab, "soak-target"}, t.TempDir(), WithSize(3, 4, 6), WithEvents(events), WithCalls(3000), WithPause(50*time.Millisecond)).Run(ctx)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "%+v", report)
+	g.Expect(report.ByKind["cut_off"]).To(gomega.Equal(6))
+	g.Expect(report.CutCalls).To(gomega.BeNumerically(">", 100))
+}
+
 // TestCheckDetectsEachFault checks one call per way of handling it, rightly or wrongly.
 func TestCheckDetectsEachFault(t *testing.T) {
 	g := gomega.NewWithT(t)
