Check all lost links of a host when one of them works again

After a cut, each link was checked by the next call to its target only, which was carried: calls to targets that are rarely chosen went through carriers long after the cut. The link that is restored first now has the others checked at once. Cuts with more combinations are played too: open connections live on while new ones hang, hang while new ones are refused, or carry requests but no answers.

--- a/core/reach/links.go
+++ b/core/reach/links.go
@@ -160,6 +160,15 @@
 	return true
 }
 
+// AppendLost appends the addresses of the targets whose links are lost by themselves to dst
+// and returns it.
+func (l *Links) AppendLost(dst []netip.AddrPort) []netip.AddrPort {
+	for address := range l.lost {
+		dst = append(dst, address)
+	}
+	return dst
+}
+
 // newCheck returns the state of a link that was lost at now.
 func newCheck(now time.Time) check {
 	return check{next: now.Add(minCheckDelay), delay: 2 * minCheckDelay}
--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -93,7 +93,17 @@
 		reports = append(reports, rosterTarget(fmt.Sprintf("t%d", i), target.address, member.Ready))
 	}
 	control := newPlannedControl(t, cutPlan(), reports...)
+	heartbeats := time.NewTicker(roster.Lease / 4)
+	t.Cleanup(heartbeats.Stop)
 	control.state.UpdateTargets(true, reports...)
+	go func() {
+		for now := range heartbeats.C {
+			for i := range reports {
+				reports[i].Sequence, reports[i].Heard = reports[i].Sequence+1, now
+			}
+			control.state.UpdateTargets(true, reports...)
+		}
+	}()
 	for i := range cutFirstCentre + cutSecondCentre {
 		h, _ := newFleetHost(t, control.address, func(cfg *setup.Entry) {
 			cfg.Host = fmt.Sprintf("entry-%d", i)
@@ -232,6 +242,28 @@
 	}
 }
 
+// Guards against a host that stays with carriers, or does not notice a cut that follows
+// another one.
+func TestHostUsesItsLinksAgainAfterEachCut(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	b := newCutBed(t, 8)
+	carried := b.hosts[0].metrics.Counter("calls_carried_out")
+	for i, mode := range []cutMode{cutModes[0], cutModes[1], cutModes[3]} {
+		b.links[0].begin(mode)
+		b.load(fmt.Sprintf("noticing-%d", i), cutContact)
+		n := b.load(fmt.Sprintf("cut-%d", i), cutMeasure/2)[0]
+		g.Expect(n.failed).To(gomega.BeNumerically("<=", (n.served+n.failed)/50), "%s: served %d and failed %d", mode.name, n.served, n.failed)
+		b.links[0].end()
+		b.load(fmt.Sprintf("returning-%d", i), cutContact)
+		before := carried.Value()
+		n = b.load(fmt.Sprintf("sound-%d", i), cutMeasure/2)[0]
+		g.Expect(n.failed).To(gomega.BeZero(), mode.name)
+		g.Expect(carried.Value()).To(gomega.Equal(before), "%s: calls are carried though the links work", mode.name)
+	}
+	b.checkRuns()
+}
+
 // Guards against callers that are not served because a host with a fixed list of entry
 // hosts has lost its links to the targets.
 func TestCallersOfListedHostsCutOffFromTargetsAreServed(t *testing.T) {
--- a/io/entry/links_test.go
+++ b/io/entry/links_test.go
@@ -16,6 +16,7 @@
 		name    string
 		resets  bool // Open connections are reset.
 		hangs   bool // Open connections are silent.
+		mutes   bool // Open connections carry requests, but no answers.
 		refuses bool // New connections are refused at once; otherwise they hang.
 	}
 
@@ -42,6 +43,9 @@
 	{name: "reset", resets: true, refuses: true},
 	{name: "reset and hang", resets: true},
 	{name: "live on", refuses: true},
+	{name: "live on and hang"},
+	{name: "hang and refuse", hangs: true, refuses: true},
+	{name: "one way", mutes: true},
 }
 
 // newTargetLinks puts links that can be cut between h and all targets.
@@ -103,15 +107,15 @@
 			l.mu.Lock()
 			l.pairs = append(l.pairs, p)
 			l.mu.Unlock()
-			go l.copy(p.target, p.host)
-			go l.copy(p.host, p.target)
+			go l.copy(p.target, p.host, false)
+			go l.copy(p.host, p.target, true)
 		}
 	}()
 }
 
-// copy copies from one side of a connection to the other. While the connection is cut
-// and silent it holds what it has read.
-func (l *targetLinks) copy(to, from *net.TCPConn) {
+// copy copies from one side of a connection to the other, answers if answers is true. While
+// the connection is cut and silent it holds what it has read.
+func (l *targetLinks) copy(to, from *net.TCPConn, answers bool) {
 	defer to.CloseWrite()
 	buf := make([]byte, 16<<10)
 	for {
@@ -120,7 +124,7 @@
 			l.mu.Lock()
 			cut, healed := l.cut, l.healed
 			l.mu.Unlock()
-			if cut != nil && cut.hangs {
+			if cut != nil && (cut.hangs || cut.mutes && answers) {
 				<-healed
 			}
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
@@ -158,7 +162,7 @@
 func (l *targetLinks) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cut != nil && l.cut.hangs {
+	if l.cut != nil && (l.cut.hangs || l.cut.mutes) {
 		for _, p := range l.pairs {
 			p.host.SetLinger(0)
 			p.host.Close()
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -76,6 +76,12 @@
 	return w.links.Lost(address)
 }
 
+func (w *ways) lostLinks() []netip.AddrPort {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.links.AppendLost(nil)
+}
+
 func (w *ways) cutOff() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -219,6 +225,9 @@
 	f.metrics.Counter("links_restored").Add(1)
 	f.log.Info("link to target restored", "address", conn.address.String())
 	conn.endUnused(now)
+	for _, address := range f.ways.lostLinks() {
+		f.checkLink(address, now) // They may have been lost for the same reason.
+	}
 }
 
 // linkLost reports whether an attempt that got no response failed because this host has
--- a/io/soak/cut.go
+++ b/io/soak/cut.go
@@ -53,7 +53,7 @@
 }
 
 // drawCuts draws the cuts of a run of the given length, each of one or more entry hosts but
-// not of all. They have random numbers of their own, so that the other events of a seed stay
+// not of all, one after another. They have random numbers of their own, so that the other events of a seed stay
 // the same.
 func (s *Soak) drawCuts(length time.Duration) []Event {
 	rng := rand.New(rand.NewPCG(s.seed, 3))
@@ -62,8 +62,9 @@
 	next := func() time.Duration { return time.Duration(rng.ExpFloat64() * float64(meanCutInterval)) }
 	for at := next(); at < length && len(s.entries) > 1; at += next() {
 		fault := CutOff{Mode: modes[rng.IntN(len(modes))], For: time.Duration(rng.Int64N(int64(maxCutDuration)))}
+		at += fault.For
 		for _, i := range rng.Perm(len(s.entries))[:1+rng.IntN(len(s.entries)-1)] {
-			events = append(events, Event{At: at, Victim: s.entries[i].name, Fault: fault})
+			events = append(events, Event{At: at - fault.For, Victim: s.entries[i].name, Fault: fault})
 		}
 	}
 	return events
