--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -223,22 +223,27 @@
 	}
 }
 
-// Guards against callers that are not served because the host finds each of many lost
-// links by a call of its own.
-func TestHostCutOffFromManyTargetsNoticesAtOnce(t *testing.T) {
+// Guards against callers that are not served because each of many lost links is found by
+// calls of their own, at the host or at carriers that are cut off too.
+func TestHostsCutOffFromManyTargetsNoticeAtOnce(t *testing.T) {
 	for _, mode := range cutModes {
-		t.Run(mode.name, func(t *testing.T) {
-			t.Parallel()
-			g := gomega.NewWithT(t)
-			b := newCutBed(t, 48)
-			b.load("before", 2*time.Second)
-			b.interval = 8 * cutInterval
-			b.links[0].begin(mode)
-			b.load("noticing", cutContact)
-			n := b.load("cut", 3*cutMeasure)[0]
-			g.Expect(n.failed).To(gomega.BeNumerically("<=", (n.served+n.failed)/50), "served %d and failed %d", n.served, n.failed)
-			b.checkRuns()
-		})
+		for _, cut := range []int{1, cutFirstCentre} {
+			t.Run(fmt.Sprintf("%s, %d of %d", mode.name, cut, cutFirstCentre), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				b := newCutBed(t, 48)
+				b.load("before", 2*time.Second)
+				b.interval = 8 * cutInterval
+				for _, links := range b.links[:cut] {
+					links.begin(mode)
+				}
+				b.load("noticing", cutContact)
+				for i, n := range b.load("cut", 3*cutMeasure) {
+					g.Expect(n.failed).To(gomega.BeNumerically("<=", (n.served+n.failed)/50), "host %d served %d and failed %d", i, n.served, n.failed)
+				}
+				b.checkRuns()
+			})
+		}
 	}
 }
 
