Keep carriers that a short list of entry hosts leaves out

A control host that has just started, or that entry hosts do not reach, names few entry hosts or none; its list replaced all carriers of a host, which then had none while its links were lost. Lists are now merged, and a carrier is kept for a minute after one last named it. TestShortListDoesNotRemoveCarriers fails without.

--- a/core/reach/carriers.go
+++ b/core/reach/carriers.go
@@ -29,6 +29,7 @@
 
 	// carrierState is what calls have revealed about a carrier.
 	carrierState struct {
+		namedAt      time.Time // When a list last named it; zero if none has.
 		inFlight     int
 		failures     int // In a row.
 		avoidedUntil time.Time
@@ -60,6 +61,9 @@
 	// long each further time, up to maxAvoidance.
 	minAvoidance = 250 * time.Millisecond
 	maxAvoidance = 2 * time.Second
+	// carrierMemory is how long a carrier is kept after a list last named it: some
+	// intervals between two lists.
+	carrierMemory = time.Minute
 	// sightingMemory is how long it counts whether a carrier reached a target.
 	sightingMemory = time.Second
 	// maxSightings bounds the targets that are kept for one carrier.
@@ -71,14 +75,25 @@
 	return &Carriers{dataCentre: dataCentre, states: make(map[netip.AddrPort]*carrierState)}
 }
 
-// Update replaces the carriers. What is known of those that stay is kept.
-func (c *Carriers) Update(list []Carrier) {
-	c.list = slices.Clone(list)
-	for address, s := range c.states {
-		if s.inFlight == 0 && !slices.ContainsFunc(list, func(k Carrier) bool { return k.Address == address }) {
-			delete(c.states, address)
+// Update adds the carriers of a list that was received at now, and removes those that no
+// list has named for carrierMemory: a list may be short because the host that sent it has
+// just started, or is cut off.
+func (c *Carriers) Update(list []Carrier, now time.Time) {
+	for _, k := range list {
+		if s := c.state(k.Address); s.namedAt.IsZero() {
+			s.namedAt = now
+			c.list = append(c.list, k)
+		} else {
+			s.namedAt = now
 		}
 	}
+	c.list = slices.DeleteFunc(c.list, func(k Carrier) bool {
+		old := now.Sub(c.states[k.Address].namedAt) > carrierMemory
+		if old {
+			delete(c.states, k.Address)
+		}
+		return old
+	})
 }
 
 // Len returns the number of carriers.
--- a/core/reach/carriers_test.go
+++ b/core/reach/carriers_test.go
@@ -15,7 +15,7 @@
 
 func newTestCarriers(list ...Carrier) (*Carriers, *rand.Rand) {
 	c := NewCarriers("near")
-	c.Update(list)
+	c.Update(list, epoch)
 	return c, rand.New(rand.NewPCG(1, 1))
 }
 
@@ -71,6 +71,21 @@
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
+func TestShortListDoesNotRemoveCarriers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, rng := newTestCarriers(near(1), near(2))
+	c.Update(nil, epoch.Add(time.Second))
+	g.Expect(c.Len()).To(gomega.Equal(2), "a host that has just started lists none")
+	c.Update([]Carrier{near(2)}, epoch.Add(carrierMemory))
+	c.Update([]Carrier{near(2)}, epoch.Add(carrierMemory+1))
+	g.Expect(c.Len()).To(gomega.Equal(1))
+	k, _ := c.Begin(address(9), nil, epoch.Add(carrierMemory+1), rng)
+	g.Expect(k).To(gomega.Equal(address(2)))
+	c.End(address(1), address(9), Carried, epoch.Add(carrierMemory+1))
+	c.Update([]Carrier{near(1)}, epoch.Add(carrierMemory+2))
+	g.Expect(c.Len()).To(gomega.Equal(2), "a carrier that ended a call after its removal comes back")
+}
+
 func TestCarrierThatDoesNotReachATargetIsUsedForOthers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c, rng := newTestCarriers(near(1), far(2))
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -122,7 +122,7 @@
 	for {
 		interval := carriersInterval
 		if list, err := f.follower.Entries(ctx); err == nil {
-			ways.setCarriers(list)
+			ways.addCarriers(list)
 		} else {
 			interval = minCarriersInterval
 			f.host.log.Debug("entry hosts not listed", "error", err)
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -163,7 +163,7 @@
 		background.Go(func() { h.config.run(work) })
 		background.Go(func() { h.members.run(work) })
 	}
-	h.forwarder.ways.setCarriers(h.listedCarriers())
+	h.forwarder.ways.addCarriers(h.listedCarriers())
 	go h.forwarder.pool.reap(work)
 	if h.keyPair != nil {
 		go h.keyPair.watchFiles(work, keyPairCheckInterval, h.log)
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -104,10 +104,11 @@
 	return way
 }
 
-func (w *ways) setCarriers(list []reach.Carrier) {
+// addCarriers adds the carriers of a new list, see reach.Carriers.Update.
+func (w *ways) addCarriers(list []reach.Carrier) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.carriers.Update(list)
+	w.carriers.Update(list, time.Now())
 }
 
 func (w *ways) hasCarriers() bool {
