End forgotten idle connections when the keep-alive probes do

The users' pages: a TCP_USER_TIMEOUT that is set also decides when keep-alive probes give up. Ours was 10 s, so that idle connections whose three probes had failed at 8 s lived two seconds longer, and docs/design/outcomes.md said otherwise. It is now derived from the probes. TestUserTimeoutIsNoLongerThanKeepAlive failed before (10 s for 8 s).

--- a/io/entry/dial.go
+++ b/io/entry/dial.go
@@ -15,18 +15,22 @@
 
 const (
 	dialTimeout = time.Second
-	// maxUnackedTime is how long sent bytes may remain unacknowledged by the
-	// target's kernel. The kernel of a slow target still acknowledges.
-	maxUnackedTime = 10 * time.Second
+	// Idle connections that a device on the path has dropped end keepAliveCount probes,
+	// keepAliveInterval apart, after they have been silent for keepAliveIdle.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	// maxUnackedTime is how long sent bytes may remain unacknowledged by the target's
+	// kernel; that of a slow target still acknowledges. It also decides when keep-alive
+	// probes give up, whatever their count, so that it is the time that they take.
+	maxUnackedTime = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
-// keepAlive detects idle connections that a device on the path has dropped.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
-
 // dialFrom returns a function that opens a TCP connection within dialTimeout, from the
 // address source or, if that is the zero value, from one that the system chooses.
 func dialFrom(source netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacked}
+	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+	d := net.Dialer{KeepAliveConfig: keepAlive, Timeout: dialTimeout, Control: limitUnacked}
 	if source.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
 	}
