Do not pass early hints on once an attempt has ended

A target that sends informational answers without end crashed the entry host: net/http calls the trace for 103 Early Hints in a goroutine of its own, also after the deadline has ended the round trip, while the handler writes the final answer ("fatal error: concurrent map iteration and map write", which ends the process and all its calls). The hints now stop when the round trip returns.

TestAnswerWithoutEndEndsAtTheDeadline plays 13 kinds of answers without end, 16 calls each: the deadline ends them and the heap grows by less than 64 MB. Before, the case of early hints crashed the test; the others passed.

--- /dev/null
+++ b/io/entry/endless_test.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/spec"
+	"cardamomspool/core/strict"
+	"cardamomspool/io/setup"
+)
+
+const (
+	// endlessDeadline is the deadline of calls whose answers have no end, endlessGrace
+	// the time after it by which they must have ended.
+	endlessDeadline = 700 * time.Millisecond
+	endlessGrace    = 500 * time.Millisecond
+	// endlessHeap bounds what the heap may grow by for endlessCalls calls at once.
+	endlessHeap  = 64 << 20
+	endlessCalls = 16
+)
+
+// endlessAnswers are answers that begin with a text and go on with another one until the
+// connection is closed.
+var endlessAnswers = map[string]struct{ begin, rest string }{
+	"bytes that are no answer":    {"", strings.Repeat("x", 4096)},
+	"a status line":               {"HTTP/1.1 200 ", strings.Repeat("x", 4096)},
+	"a header field":              {"HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 4096)},
+	"header fields":               {"HTTP/1.1 200 OK\r\n", strings.Repeat("A: b\r\n", 512)},
+	"informational answers":       {"", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 128)},
+	"early hints":                 {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 128)},
+	"a body that ends by closing": {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 4096)},
+	"chunks":                      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("5\r\nabcde\r\n", 512)},
+	"a chunk's size":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 4096)},
+	"a chunk's extension":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", strings.Repeat("x", 4096)},
+	"a trailer":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n0\r\nA: ", strings.Repeat("x", 4096)},
+	"bytes after an answer":       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", strings.Repeat("x", 4096)},
+	"the body of a refusal":       {"HTTP/1.1 503 No\r\nSpool-Outcome: not_run\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+}
+
+// Guards against answers without end: memory is bounded, and the deadline ends them.
+func TestAnswerWithoutEndEndsAtTheDeadline(t *testing.T) {
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var open atomic.Int64
+			target := newRawTarget(t, func(c *rawConn) {
+				if c.readRequest() == nil {
+					return
+				}
+				open.Add(1)
+				defer open.Add(-1)
+				c.send(answer.begin)
+				for {
+					if _, err := io.WriteString(c.TCPConn, answer.rest); err != nil {
+						return
+					}
+					if len(answer.rest) < 100 {
+						time.Sleep(time.Millisecond)
+					}
+				}
+			})
+			b := newTestBed(t, func(doc *spec.Service, _ *setup.Entry) {
+				doc.Receive.Deadline, doc.Targets.Slots = strict.Duration(endlessDeadline), endlessCalls
+				doc.Retry.Attempts = 1
+			}, target.address)
+			peak, stop := watchHeap()
+			ended := make(chan time.Duration, endlessCalls)
+			for range endlessCalls {
+				go func() {
+					begin := time.Now()
+					conn, err := net.Dial("tcp", b.address)
+					if err == nil {
+						io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+						io.Copy(io.Discard, conn)
+						conn.Close()
+					}
+					ended <- time.Since(begin)
+				}()
+			}
+			for range endlessCalls {
+				var took time.Duration
+				g.Eventually(ended, testTimeout).Should(gomega.Receive(&took))
+				g.Expect(took).To(gomega.BeNumerically("<", endlessDeadline+endlessGrace))
+			}
+			stop()
+			g.Expect(peak.Load()).To(gomega.BeNumerically("<", endlessHeap))
+			g.Eventually(open.Load, testTimeout).Should(gomega.BeZero(), "the target's connections are closed")
+		})
+	}
+}
+
+// watchHeap returns the largest growth of the heap, in bytes, until stop is called.
+func watchHeap() (peak *atomic.Int64, stop func()) {
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	peak = new(atomic.Int64)
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			var now runtime.MemStats
+			runtime.ReadMemStats(&now)
+			peak.Store(max(peak.Load(), int64(now.HeapAlloc)-int64(before.HeapAlloc)))
+			select {
+			case <-done:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	return peak, func() {
+		close(done)
+		<-ended
+	}
+}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,13 @@
 		stopping atomic.Bool     // The host drains or stops: silent connections are not abandoned.
 	}
 
+	// earlyHints passes a target's informational responses on to the caller.
+	earlyHints struct {
+		w     responseWriter
+		mu    sync.Mutex
+		ended bool
+	}
+
 	// responseWriter writes the response to the caller.
 	responseWriter struct {
 		http.ResponseWriter
@@ -107,12 +115,16 @@
 		targetInfo wire.AnswerInfo
 		err        error
 	)
-	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, earlyHints(w)), r, c, s, view); err != nil {
+	hints := earlyHints{w: w}
+	defer hints.end()
+	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, hints.trace()), r, c, s, view); err != nil {
 		return f.failAttempt(ctx, r, conn, c, s, err)
 	}
 	stopWatch := f.watchSilence(conn, c, s)
 	defer stopWatch()
-	if resp, err = conn.client.RoundTrip(req); err == nil {
+	resp, err = conn.client.RoundTrip(req)
+	hints.end()
+	if err == nil {
 		outcome := wire.TakeCarryOutcome(resp.Header)
 		if conn.address == s.Address {
 			f.ways.heard(s.Address, time.Now())
@@ -260,21 +272,30 @@
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// earlyHints returns a trace that passes 103 Early Hints on to the caller.
-// net/http handles 100 Continue on both sides.
-func earlyHints(w responseWriter) *httptrace.ClientTrace {
+// trace returns a trace that passes 103 Early Hints on to the caller. net/http handles 100
+// Continue on both sides.
+func (e *earlyHints) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
-		if code != http.StatusEarlyHints {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if code != http.StatusEarlyHints || e.ended {
 			return nil
 		}
-		link := header["Link"]
-		w.Header()["Link"] = link
-		w.WriteHeader(code)
-		w.Header().Del("Link")
+		e.w.Header()["Link"] = header["Link"]
+		e.w.WriteHeader(code)
+		e.w.Header().Del("Link")
 		return nil
 	}}
 }
 
+// end makes the trace pass nothing on any more, as net/http may call it after the round trip
+// has been given up, while the final response is written.
+func (e *earlyHints) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+}
+
 // streamResponse streams a response to the caller, or as it is to the entry host for which
 // this one has carried the call. It returns an error when the response was cut short by
 // the target or the caller has disconnected.
