Bound the header of answers to probes

net/http reads up to 10 MB of a header by default, which a target without an end of its header could make a control host read from each of its targets every 100 ms. It is 16 KB now.

--- a/io/probe/http.go
+++ b/io/probe/http.go
@@ -17,6 +17,8 @@
 const (
 	// idleTimeout is how long a connection is kept open after its last probe.
 	idleTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 16 << 10
 	// maxBodyBytes is how much is read of the body of an answer.
 	maxBodyBytes = 4 << 10
 )
@@ -30,6 +32,7 @@
 	client := &http.Client{
 		Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
