Take an answer of the target through a carrier as final

A target that turned a carried call away with an answer whose limit could not be read, or with 421, was offered the call again through up to three more carriers, beyond the attempts of its route: the host told answers of the target from failures of the carrier by whether a limit was read. It now notes whether the target has answered. A connection to a carrier that fails no longer counts against the target, and an attempt that fails opens no connection to see whether the link works if another one was heard meanwhile. Found by reading.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -40,6 +40,7 @@
 	carriedIn         bool               // This host is a carrier: the call comes from another entry host.
 	carrier           netip.AddrPort     // Where the attempt is sent instead of to its target; invalid for none.
 	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
+	targetAnswered    bool               // The last attempt got an answer of its target.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 }
 
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -56,7 +56,7 @@
 func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) (engine.Result, bool) {
 	carriage := reach.NotTaken
 	defer func() { f.ways.endCarry(c.carrier, s.Address, carriage, time.Now()) }()
-	c.carryOutcome = ""
+	c.carryOutcome, c.targetAnswered = "", false
 	conn := f.pool.reuse(c.carrier, trustedSince(c.class.Idempotent, time.Now()))
 	if conn == nil {
 		dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
@@ -68,18 +68,17 @@
 		}
 	}
 	result := f.exchange(ctx, w, r, c, s, conn)
-	carried := result != engine.NotRun || c.carryOutcome == "" && c.feedback.Answered
 	switch {
-	case carried && (c.carryOutcome != "" || c.feedback.Answered || result == engine.Broken):
+	case c.targetAnswered || c.carryOutcome == wire.CarryUnknown:
 		carriage = reach.Carried
 	case c.carryOutcome == wire.CarryUnreachable || c.carryOutcome == wire.CarryRefused:
 		carriage = reach.NotReached
 	}
-	if f.log.Enabled(ctx, 0) && c.host.sampled() {
+	if c.host.sampled() {
 		f.log.Info("carried", "call", c.name, "target", s.Target, "carrier", c.carrier.String(),
 			"result", result.String(), "outcome", string(c.carryOutcome))
 	}
-	return result, carried
+	return result, c.targetAnswered || result != engine.NotRun
 }
 
 // endCarried ends an attempt for which the carrier has no answer of the target, and sets
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -251,6 +251,13 @@
 	return c.requestStart, true
 }
 
+// began returns when the current request, or the last one, began.
+func (c *targetConn) began() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requestStart
+}
+
 // lastReadBefore reports whether no byte was received at or after t.
 func (c *targetConn) lastReadBefore(t time.Time) bool {
 	c.mu.Lock()
--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,8 +18,10 @@
 
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/reach"
 	"cardamomspool/core/roster"
 	"cardamomspool/core/spec"
+	"cardamomspool/core/wire"
 	"cardamomspool/io/setup"
 )
 
@@ -307,3 +311,43 @@
 		})
 	}
 }
+
+// Guards against a call that another carrier sends to the target again, after the target
+// has turned it away with an answer that cannot be read in full.
+func TestRefusalThroughACarrierIsFinal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var requests atomic.Int64
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
+		w.Header().Set(wire.HeaderLimit, "few")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(target.Close)
+	address := target.Listener.Addr().(*net.TCPAddr).AddrPort()
+	p := testPlan()
+	p.Routes[0].Attempts = 1
+	report := rosterTarget("t", address, member.Ready)
+	control := newPlannedControl(t, p, report)
+	control.state.UpdateTargets(true, report)
+	h, url := newFleetHost(t, control.address)
+	for range 3 {
+		newFleetHost(t, control.address)
+	}
+	g.Eventually(func() int { return len(listEntries(h)) }, testTimeout, time.Millisecond).Should(gomega.Equal(3))
+	h.forwarder.ways.addCarriers(listEntries(h))
+	links := newTargetLinks(t, h)
+	links.add(address)
+	links.begin(cutMode{refuses: true})
+	g.Expect(callRoute(t, http.MethodGet, url, nil)).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(requests.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// listEntries returns the other entry hosts that a control host names to h.
+func listEntries(h *Host) []reach.Carrier {
+	list, err := h.fleet.follower.Entries(context.Background())
+	if err != nil {
+		return nil
+	}
+	return list
+}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -104,7 +104,7 @@
 // exchange sends the call on conn, a connection to the target or to a carrier, as attempt
 // does.
 func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send, conn *targetConn) engine.Result {
-	c.carryOutcome = ""
+	c.carryOutcome, c.targetAnswered = "", false
 	f.pool.trim(conn.address, c.maxConnections)
 	view := c.body.newView()
 	defer view.release()
@@ -137,6 +137,7 @@
 	if err != nil {
 		return f.failAttempt(ctx, r, conn, c, s, err)
 	}
+	c.targetAnswered = true
 	f.activity.recordResponse(c.service.doc.Name, s.Target, targetInfo)
 	c.host.observeLeaving(c, s, targetInfo)
 	c.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
@@ -162,7 +163,9 @@
 		result = engine.Unknown
 	}
 	if conn.address == s.Address {
-		c.linkLost = f.linkLost(ctx, c, s.Address)
+		c.linkLost = f.linkLost(ctx, conn, c)
+	} else {
+		c.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
 	}
 	f.log.Info("attempt failed", "call", c.name, "target", s.Target, "fresh_connection", conn.fresh,
 		"may_have_run", result == engine.Unknown, "carrier", carrierName(c.carrier), "link_lost", c.linkLost, "error", err)
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -201,6 +201,14 @@
 	}
 }
 
+// heardSince reports whether an idle connection to address has received bytes at or after
+// t.
+func (p *pool) heardSince(address netip.AddrPort, t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], func(c *targetConn) bool { return !c.lastReadBefore(t) })
+}
+
 // countStray counts a connection on which a target sent unsolicited bytes.
 func (p *pool) countStray(*targetConn) {
 	p.metrics.Counter("connections_with_stray_bytes").Add(1)
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -231,21 +231,22 @@
 	}
 }
 
-// linkLost reports whether an attempt that got no response failed because this host has
-// lost its link to the target, and not because of the target. A link that was not known to
-// be lost is tried, unless the call has ended.
-func (f *forwarder) linkLost(ctx context.Context, c *call, address netip.AddrPort) bool {
+// linkLost reports whether an attempt on conn got no response because this host has lost
+// its link to the target, and not because of the target. A link that was not known to be lost
+// is tried, unless the call has ended or another connection was heard since it began.
+func (f *forwarder) linkLost(ctx context.Context, conn *targetConn, c *call) bool {
+	address := conn.address
 	if f.ways.lost(address) {
 		return true
 	}
-	if ctx.Err() != nil || !f.ways.hasCarriers() {
+	if ctx.Err() != nil || !f.ways.hasCarriers() || f.pool.heardSince(address, conn.began()) {
 		return false
 	}
-	conn, err := f.dialLink(ctx, c, address)
+	another, err := f.dialLink(ctx, c, address)
 	if err != nil {
 		return f.ways.lost(address)
 	}
-	go f.settle(f.work, conn)
+	go f.settle(f.work, another)
 	return false
 }
 
@@ -256,5 +257,5 @@
 		f.ways.avoidCarrier(conn.address, time.Now())
 		return false
 	}
-	return f.linkLost(f.work, c, s.Address)
+	return f.linkLost(f.work, conn, c)
 }
