Give the peer address of hosts in tests an IP number of its own

The peer address had the IP number of the call address and the port of the control host; the two addresses are the same if the ports are.

--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -110,7 +110,7 @@
 	cfg := setup.DefaultEntry()
 	cfg.Host, cfg.DataCentre, cfg.Tick = "entry-1", "lab", strict.Duration(5*time.Millisecond)
 	cfg.CallAddress, cfg.AdminAddress, cfg.DrainDelay = freeAddress(t), freeAddress(t), 0
-	cfg.PeerAddress = netip.AddrPortFrom(cfg.CallAddress.Addr(), control.Port())
+	cfg.PeerAddress = netip.AddrPortFrom(freeAddress(t).Addr(), control.Port())
 	cfg.Fleet = setup.Fleet{Adapter: setup.AdapterPlatform, Seeds: []netip.AddrPort{control}}
 	for _, change := range configure {
 		change(&cfg)
