Answer every request of which bytes were read when a server stops

Cause: http.Server.Shutdown closes connections that it calls idle, and it calls a kept connection idle until the whole header of the next request is read (conn.serve sets StateActive after readRequest). A header that is read just before Shutdown is dropped after it (conn.serve returns if shuttingDown), and connections that the kernel has established are reset with the listener.

Change: io/drain follows the connections itself and calls http.Server.Shutdown only when none is left. Idle connections are ended by a read that looks once more for bytes that have arrived; with bytes, the request is answered with Connection: close. Listeners accept what the kernel has established before they close. HTTP/2 is left to http.Server, which tells its clients. Stub targets and the soak's targets stop in the same way. Entry hosts log and publish requests_unanswered.

TestShutdownAcceptsEstablishedConnections and TestShutdownAnswersOnConnectionsJustOpened fail before.

--- /dev/null
+++ b/io/drain/listener.go
@@ -0,0 +1,78 @@
+package drain
+
+import (
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type (
+	// listener makes a conn of each connection that it accepts.
+	listener struct {
+		net.Listener
+		server  *Server
+		secured bool         // Whether connections begin with a TLS handshake.
+		last    atomic.Int64 // When accepting ends at the latest, in nanoseconds since 1970; 0 while it goes on.
+	}
+
+	// deadliner is a listener whose Accept can be bounded in time.
+	deadliner interface {
+		SetDeadline(t time.Time) error
+	}
+)
+
+const (
+	// acceptPause is the time without a new connection after which a listener that ends
+	// is closed.
+	acceptPause = 10 * time.Millisecond
+
+	// acceptTime bounds the time for which a listener that ends goes on accepting the
+	// connections that the kernel has established. Callers that connect later are
+	// refused by the kernel.
+	acceptTime = 250 * time.Millisecond
+)
+
+// Accept returns the next connection as a conn, which the server tracks. Once the
+// listener ends, Accept returns the connections that the kernel has established, and
+// then net.ErrClosed.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	last := l.last.Load()
+	if err != nil {
+		if last != 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			// A listener that has been closed before accepts nothing either.
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
+		return nil, err
+	}
+	if last != 0 {
+		l.extend(time.Unix(0, last))
+	}
+	c := &conn{Conn: inner, since: time.Now(), secured: l.secured}
+	l.server.add(c)
+	return c, nil
+}
+
+// end makes Accept return net.ErrClosed after the connections that wait to be accepted.
+func (l *listener) end() {
+	last := time.Now().Add(acceptTime)
+	l.last.Store(last.UnixNano())
+	l.extend(last)
+}
+
+// extend lets Accept wait for acceptPause, and not beyond last. A listener that has no
+// deadlines is closed.
+func (l *listener) extend(last time.Time) {
+	next := time.Now().Add(acceptPause)
+	if next.After(last) {
+		next = last
+	}
+	if d, ok := l.Listener.(deadliner); !ok || d.SetDeadline(next) != nil {
+		// A listener that has been closed before accepts nothing either.
+		_ = l.Close()
+	}
+}
--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
@@ -12,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamomspool/io/telem"
 )
 
@@ -40,6 +41,11 @@
 		headerBytes []byte // The first bytes of the current request.
 	}
 
+	// wrappingConn is a connection that wraps another, as with TLS.
+	wrappingConn interface {
+		NetConn() net.Conn
+	}
+
 	// callerKey is the context key of the callerConn of a request.
 	callerKey struct{}
 )
@@ -79,6 +85,15 @@
 	}
 }
 
+// SetDeadline sets the time at which a pending Accept fails.
+func (l *callerListener) SetDeadline(t time.Time) error {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return errors.Errorf("listener of type %T has no deadlines", l.Listener)
+	}
+	return d.SetDeadline(t)
+}
+
 // rejectConn sends rejectionResponse and closes the connection: with lingerClose, or
 // at once if the response could not be sent.
 func rejectConn(conn net.Conn) {
@@ -193,14 +208,18 @@
 	return ctx
 }
 
-// unwrapCaller returns the callerConn that conn is or, with TLS, wraps; nil if there
-// is none.
+// unwrapCaller returns the callerConn that conn is or wraps; nil if there is none.
 func unwrapCaller(conn net.Conn) *callerConn {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
+	for {
+		switch c := conn.(type) {
+		case *callerConn:
+			return c
+		case wrappingConn:
+			conn = c.NetConn()
+		default:
+			return nil
+		}
 	}
-	c, _ := conn.(*callerConn)
-	return c
 }
 
 // recordedConn returns the connection that recorded the header of r, or nil with
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -49,6 +49,7 @@
 		keyPair        *keyPair // For TLS with callers; nil without TLS.
 		openCalls      atomic.Int64
 		callsCutOff    atomic.Int64 // Calls open when the grace period of a stop ended.
+		unanswered     atomic.Int64 // Requests that had begun on any server when that period ended.
 		callNamePrefix string       // Starts the names of calls that callers have not named.
 	}
 
@@ -117,6 +118,7 @@
 	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
 	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.openCount() })
+	h.metrics.Func("requests_unanswered", func() any { return h.unanswered.Load() })
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
 	return h
 }
@@ -182,7 +184,8 @@
 	begin := time.Now()
 	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", h.cfg.StopGrace.Std().String())
 	stopAll(servers, h.cfg.StopGrace.Std())
-	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.callsCutOff.Load())
+	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.callsCutOff.Load(),
+		"requests_unanswered", h.unanswered.Load())
 	return err
 }
 
@@ -209,10 +212,10 @@
 	peers := peer.NewServer()
 	peerpb.RegisterMembershipServer(peers, h.members)
 	if h.fleet != nil {
-		list := []server{h.callServer(), h.carrierServer(), httpServer("admin", h.cfg.AdminAddress, operators, func() {})}
+		list := []server{h.callServer(), h.carrierServer(), h.httpServer("admin", h.cfg.AdminAddress, operators, func() {})}
 		if h.newFront != nil {
 			front := &http.Server{Handler: h.newFront(h), ReadHeaderTimeout: admin.ReadHeaderTimeout}
-			list = append(list, httpServer("front", h.cfg.Fleet.FrontAddress, front, func() {}))
+			list = append(list, h.httpServer("front", h.cfg.Fleet.FrontAddress, front, func() {}))
 		}
 		return list
 	}
@@ -223,7 +226,7 @@
 		{
 			name: "announce", address: h.cfg.AnnounceAddress,
 			serve: func(l net.Listener) error { return announce.Serve(peer.CountListener(l, announceTraffic)) },
-			stop:  stopHTTP(announce, func() {}),
+			stop:  h.stopHTTP(announce, func() {}),
 		},
 		{
 			name: "peer", address: h.cfg.PeerAddress,
@@ -238,14 +241,14 @@
 				peers.Stop()
 			},
 		},
-		httpServer("admin", h.cfg.AdminAddress, operators, func() {}),
+		h.httpServer("admin", h.cfg.AdminAddress, operators, func() {}),
 	}
 }
 
 // callServer returns the server that accepts calls.
 func (h *Host) callServer() server {
 	inner := h.newCallServer(h, h.callers.MaxHeaderBytes)
-	result := httpServer("call", h.cfg.CallAddress, inner, func() { h.callsCutOff.Store(h.openCalls.Load()) })
+	result := h.httpServer("call", h.cfg.CallAddress, inner, func() { h.callsCutOff.Store(h.openCalls.Load()) })
 	result.serve = func(l net.Listener) error {
 		listener := h.trackCallers(inner, l)
 		if h.keyPair == nil {
@@ -260,7 +263,7 @@
 // carrierServer returns the server that accepts the calls of other entry hosts.
 func (h *Host) carrierServer() server {
 	inner := h.newCallServer(carrierHandler{h}, h.callers.MaxHeaderBytes+maxCarryBytes)
-	result := httpServer("carrier", h.cfg.PeerAddress, inner, func() {})
+	result := h.httpServer("carrier", h.cfg.PeerAddress, inner, func() {})
 	result.serve = func(l net.Listener) error { return inner.Serve(h.trackCallers(inner, l)) }
 	return result
 }
@@ -297,16 +300,18 @@
 
 // httpServer returns a server that serves inner. cutOff is called when its open
 // requests are cut off.
-func httpServer(name string, address netip.AddrPort, inner *http.Server, cutOff func()) server {
+func (h *Host) httpServer(name string, address netip.AddrPort, inner *http.Server, cutOff func()) server {
 	s := drain.New(inner)
-	return server{name: name, address: address, serve: s.Serve, stop: stopHTTP(s, cutOff)}
+	return server{name: name, address: address, serve: s.Serve, stop: h.stopHTTP(s, cutOff)}
 }
 
 // stopHTTP returns a function that waits for open requests until its context
-// ends. It then calls cutOff and closes the remaining connections.
-func stopHTTP(s *drain.Server, cutOff func()) func(context.Context) {
+// ends. It then counts those that are not answered, calls cutOff and closes the
+// remaining connections.
+func (h *Host) stopHTTP(s *drain.Server, cutOff func()) func(context.Context) {
 	return func(ctx context.Context) {
 		if err := s.Shutdown(ctx); err != nil {
+			h.unanswered.Add(int64(s.Unanswered()))
 			cutOff()
 			s.Close()
 		}
--- a/io/soak/target.go
+++ b/io/soak/target.go
@@ -19,6 +19,7 @@
 
 	"cardamomspool/core/member"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/drain"
 )
 
 // Target is a target for soak tests. It appends the identity of every call that it
@@ -92,14 +93,14 @@
 	if l, err = net.Listen("tcp", t.address.String()); err != nil {
 		return errors.Wrap(err, "soak: target")
 	}
-	s := &http.Server{Handler: t, ReadHeaderTimeout: announceTimeout}
+	s := drain.New(&http.Server{Handler: t, ReadHeaderTimeout: announceTimeout})
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(l) }()
 	t.announceUntil(ctx, member.Ready)
 	t.draining.Store(true)
-	drain, stopDrain := context.WithTimeout(context.Background(), targetDrainTime)
+	draining, stopDrain := context.WithTimeout(context.Background(), targetDrainTime)
 	defer stopDrain()
-	t.announceUntil(drain, member.Draining)
+	t.announceUntil(draining, member.Draining)
 	stop, cancel := context.WithTimeout(context.Background(), targetStopTimeout)
 	defer cancel()
 	return s.Shutdown(stop)
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -17,6 +17,7 @@
 
 	"cardamomspool/core/member"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/drain"
 )
 
 type (
@@ -136,7 +137,7 @@
 	if l, err = net.Listen("tcp", t.address.String()); err != nil {
 		return errors.Wrap(err, "stub")
 	}
-	s := &http.Server{Handler: t, ReadHeaderTimeout: headerTimeout}
+	s := drain.New(&http.Server{Handler: t, ReadHeaderTimeout: headerTimeout})
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(l) }()
 	t.announceUntil(ctx, failed)
