Keep control hosts from blocking themselves at the first calls of a service

Cause: place.Server asked the fleet's state for the targets of a service while it held its own lock, and the state passes changes of targets to the server with its lock held. A first call, or the first one after probing has stopped, that met a change of targets stopped the control host for good: its streams stay open and silent. Both come together when all hosts regain power.

Change: the server keeps the records that the state passes to it and never calls back.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
-	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
@@ -95,7 +94,7 @@
 	f := &fleet{host: h, nextViews: make(chan feed.View, 16), seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), saves: newTargetSaves()}
 	f.placement = place.NewServer(place.Config{
 		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
-	}, func(service string) []member.Record { return f.state.Records(service) }, probe.HTTP(h.dialect), h.log, h.metrics)
+	}, probe.HTTP(h.dialect), h.log, h.metrics)
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
 		feed.OnTargets(f.placement.SetTargets), feed.OnPlan(f.placement.SetPlan))
 	return f
--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -85,10 +85,13 @@
 	doc.Retry = spec.Retry{Attempts: 2, Window: strict.Duration(10 * time.Second)}
 	log, metrics := slog.New(slog.DiscardHandler), telem.NewRegistry()
 	decider := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond},
-		func(service string) []member.Record { return table.Records(nil, service) }, nil, log, metrics)
+		nil, log, metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go decider.Run(ctx)
+	for _, service := range p.Services {
+		decider.SetTargets(service.Name, table.Records(nil, service.Name))
+	}
 	decider.SetPlan(p)
 	l, err := net.Listen("tcp", freeAddress(t).String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -54,10 +54,11 @@
 		return route.Probe{Result: route.ProbeHealthy}, nil
 	}
 	s := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond},
-		func(string) []member.Record { return records }, probeTarget, slog.New(slog.DiscardHandler), telem.NewRegistry())
+		probeTarget, slog.New(slog.DiscardHandler), telem.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	go s.Run(ctx)
+	s.SetTargets("s", records)
 	s.SetPlan(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s"}}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -27,12 +27,12 @@
 		log         *slog.Logger
 		metrics     *telem.Registry
 		system      *actor.ActorSystem
-		targetsOf   func(service string) []member.Record
 		probeTarget probe.Func
 
 		mu       sync.Mutex
-		ctx      context.Context // Ends the probers.
-		plan     *plan.Plan      // nil before the first plan.
+		targets  map[string][]member.Record // Of all services, by name.
+		ctx      context.Context            // Ends the probers.
+		plan     *plan.Plan                 // nil before the first plan.
 		services map[string]*service
 		nextCall uint64 // The last ID given to a call.
 		streams  uint64 // The number of streams that were opened.
@@ -87,11 +87,11 @@
 // call.
 const probeIdleTimeout = 10 * time.Second
 
-// NewServer returns a server, which refuses all calls until SetPlan. targetsOf returns
-// the current targets of a service, probeTarget probes one target.
-func NewServer(cfg Config, targetsOf func(service string) []member.Record, probeTarget probe.Func, log *slog.Logger, metrics *telem.Registry) *Server {
+// NewServer returns a server, which refuses all calls until SetPlan and knows no targets
+// until SetTargets. probeTarget probes one target.
+func NewServer(cfg Config, probeTarget probe.Func, log *slog.Logger, metrics *telem.Registry) *Server {
 	return &Server{
-		cfg: cfg, log: log, metrics: metrics, targetsOf: targetsOf, probeTarget: probeTarget, ctx: context.Background(),
+		cfg: cfg, log: log, metrics: metrics, targets: make(map[string][]member.Record), probeTarget: probeTarget, ctx: context.Background(),
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log })),
 		services: make(map[string]*service),
 	}
@@ -179,11 +179,17 @@
 	}
 }
 
-// SetTargets replaces the targets of a service. It does nothing for a service that
-// has had no call here; the first call takes the targets from targetsOf.
+// SetTargets replaces the targets of a service. The caller must not modify records
+// afterwards. SetTargets and SetPlan may be called with the lock of the fleet's state
+// held, so the server calls nothing that takes that lock.
 func (s *Server) SetTargets(name string, records []member.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(records) == 0 {
+		delete(s.targets, name)
+	} else {
+		s.targets[name] = records
+	}
 	v, ok := s.services[name]
 	if !ok {
 		return
@@ -225,7 +231,7 @@
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics)}
 		s.services[name] = v
-		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targetsOf(name)})
+		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targets[name]})
 	}
 	v.lastCall = now
 	if v.prober == nil && s.cfg.ProbeInterval > 0 {
@@ -250,7 +256,7 @@
 	s.log.Info("service decided here", "service", name, "probe_interval", s.cfg.ProbeInterval.String())
 	p := probe.New(s.ctx, s.probeTarget, path, s.cfg.ProbeInterval, func(r engine.ProbeReport) { s.system.Root.Send(pid, r) },
 		s.metrics, s.log)
-	p.SetTargets(s.targetsOf(name))
+	p.SetTargets(s.targets[name])
 	return p
 }
 
