Share the slack of a retry budget over the control hosts by their order

Cause: every control host that decides for a service allowed half of the slack of the retry budget. Two of them stay within it; in a surge that makes entry hosts miss decisions, all seven hosts of a grown site decide for a service.

Change: core/rank gives each control host its position in the rendezvous order of a service, as it is known to every host without messages, and position k half as much as position k-1. The first one keeps the half that it had. Shares follow the known control hosts each second, log line 'share of retry budget'. The order used by entry hosts and this one are the same function now.

The test asks for the document that each host would use, in place of one document for all.

--- a/io/ctrl/budget_test.go
+++ b/io/ctrl/budget_test.go
@@ -27,11 +27,16 @@
 	g := gomega.NewWithT(t)
 	cfg := setup.DefaultControl()
 	cfg.Fleet = setup.Fleet{RetryRatio: ratio, RetryWindow: strict.Duration(10 * time.Second), RetrySlack: slack}
-	doc := (&Host{cfg: cfg}).placementDocument()
-	doc.Name = "s"
+	var addresses []netip.AddrPort
+	for i := range controls {
+		addresses = append(addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)}), 7000))
+	}
+	known := func() []netip.AddrPort { return addresses }
 	now := time.Unix(1000, 0)
 	var hosts []*engine.Scheduler
 	for i := range uint64(controls) {
+		cfg.PeerAddress = addresses[i]
+		doc := (&Host{cfg: cfg}).placement(known).Document("s", addresses)
 		s := engine.NewScheduler(doc, rand.New(rand.NewPCG(i, 1)))
 		var records []member.Record
 		for k := range 100 {
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -80,26 +80,30 @@
 	// refused call may retry.
 	placementRetryAfter = 100 * time.Millisecond
 	// The retry budget of a service allows, per time window, a ratio of the
-	// calls plus a fixed number of retries, the slack. When another host takes
-	// over a service within a window, each of the two hosts counts only its own
-	// calls but would grant the whole slack. So each host uses half of the
-	// slack, and leaves a tenth of the ratio for calls that only the other host
-	// counts.
+	// calls plus a fixed number of retries, the slack, which the control hosts share
+	// (rank.Share). A tenth of the ratio is left for calls that two hosts count,
+	// since an entry host offers a call to another one after a missed decision.
 	retryRatioFactor = 0.9
-	retrySlackFactor = 0.5
 )
 
 // newFleet returns the fleet part of h. The caller sets h.fleet to it.
 func newFleet(h *Host) *fleet {
 	f := &fleet{host: h, nextViews: make(chan feed.View, 16), seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), saves: newTargetSaves()}
-	f.placement = place.NewServer(place.Config{
-		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
-	}, probe.HTTP(h.dialect), h.log, h.metrics)
+	f.placement = place.NewServer(h.placement(func() []netip.AddrPort { return f.state.Controls() }), probe.HTTP(h.dialect), h.log, h.metrics)
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
 		feed.OnTargets(f.placement.SetTargets), feed.OnPlan(f.placement.SetPlan))
 	return f
 }
 
+// placement returns the configuration of the part that decides for calls. controls
+// returns the known control hosts.
+func (h *Host) placement(controls func() []netip.AddrPort) place.Config {
+	return place.Config{
+		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
+		Self: h.cfg.PeerAddress, Controls: controls,
+	}
+}
+
 // placementDocument returns the service document that applies to all services
 // whose calls this host places.
 func (h *Host) placementDocument() spec.Service {
@@ -110,7 +114,7 @@
 	doc.Retry = spec.Retry{
 		Attempts: spec.MaxAttempts, Window: h.cfg.Fleet.RetryWindow,
 		BudgetPercent: int(h.cfg.Fleet.RetryRatio * 100 * retryRatioFactor),
-		Slack:         int(float64(h.cfg.Fleet.RetrySlack) * retrySlackFactor),
+		Slack:         h.cfg.Fleet.RetrySlack,
 	}
 	doc.Targets = spec.Targets{Slots: placementSlots, Connections: placementConnections}
 	return doc
--- a/io/place/client.go
+++ b/io/place/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"log/slog"
 	"net/netip"
 	"slices"
@@ -13,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/rank"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/telem"
@@ -108,11 +108,9 @@
 }
 
 // Pick returns the client of the control host that decides for a service: of
-// those that are connected and not avoided for missed decisions, the one with
-// the highest rendezvous hash among the informed ones or, if there are none, among
-// all. It returns nil when none is connected. Source: D.
-// Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
-// IEEE/ACM Transactions on Networking 6(1), 1998.
+// those that are connected and not avoided for missed decisions, the first one by
+// rank.Score among the informed ones or, if there are none, among all. It returns nil
+// when none is connected.
 func (p *ClientPool) Pick(service string, now time.Time) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,7 +123,7 @@
 		if client.unavailable(now) {
 			continue
 		}
-		informed, score := p.informed(address), rendezvousScore(service, address)
+		informed, score := p.informed(address), rank.Score(service, address)
 		if best == nil || informed && !bestInformed || informed == bestInformed && score > bestScore {
 			best, bestInformed, bestScore = client, informed, score
 		}
@@ -133,17 +131,6 @@
 	return best
 }
 
-// rendezvousScore returns the hash of a service's name and a control host's address.
-func rendezvousScore(service string, address netip.AddrPort) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(service + "\n" + address.String()))
-	x := h.Sum64()
-	x ^= x >> 33 // FNV mixes its last bytes poorly into the high bits.
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // maintainStream reopens the stream to one control host for as long as
 // controlAddresses lists it.
 func (p *ClientPool) maintainStream(ctx context.Context, address netip.AddrPort) {
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/rank"
 	"cardamomspool/core/spec"
 	"cardamomspool/io/broker"
 	"cardamomspool/io/peer/peerpb"
@@ -34,8 +36,9 @@
 		ctx      context.Context            // Ends the probers.
 		plan     *plan.Plan                 // nil before the first plan.
 		services map[string]*service
-		nextCall uint64 // The last ID given to a call.
-		streams  uint64 // The number of streams that were opened.
+		controls []netip.AddrPort // The last result of Config.Controls.
+		nextCall uint64           // The last ID given to a call.
+		streams  uint64           // The number of streams that were opened.
 	}
 
 	// Config configures a Server.
@@ -49,6 +52,11 @@
 		// HoldCheckInterval is the longest time, while calls are held, between two
 		// checks whether a held call is to be sent or refused.
 		HoldCheckInterval time.Duration
+		// Self is the address of this host, and Controls returns those of the control
+		// hosts that may decide for the same services. They share the slack of the
+		// retry budget; without Controls this host has all of it.
+		Self     netip.AddrPort
+		Controls func() []netip.AddrPort
 	}
 
 	// service is one service for which this host decides or has decided.
@@ -56,6 +64,7 @@
 		pid      *actor.PID    // The actor that owns the engine.
 		prober   *probe.Prober // nil while the targets are not probed.
 		lastCall time.Time     // When the last call arrived.
+		slack    int           // Of the retry budget, in the document in force.
 	}
 
 	// entryStream is the control host's side of one entry host's stream: it passes
@@ -97,12 +106,13 @@
 	}
 }
 
-// Run logs the states of the services every second, ends their overdue calls and stops
-// the probing of idle ones. When ctx ends it shuts the actor system down and returns.
+// Run logs the states of the services every second, ends their overdue calls, stops the
+// probing of idle ones and adapts this host's shares of retry budgets. When ctx ends it shuts the actor system down and returns.
 func (s *Server) Run(ctx context.Context) {
 	s.mu.Lock()
 	s.ctx = ctx
 	s.mu.Unlock()
+	s.shareBudgets()
 	defer s.system.Shutdown()
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -111,6 +121,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			s.shareBudgets()
 			s.logStates()
 			s.endOverdueCalls()
 			s.stopIdleProbers(now)
@@ -118,6 +129,30 @@
 	}
 }
 
+// shareBudgets adapts this host's shares of the retry budgets to the control hosts that
+// are known now.
+func (s *Server) shareBudgets() {
+	if s.cfg.Controls == nil {
+		return
+	}
+	controls := s.cfg.Controls() // Not under mu, see SetTargets.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.controls = controls
+	for name, v := range s.services {
+		if doc, ok := s.document(name); ok && doc.Retry.Slack != v.slack {
+			s.log.Info("share of retry budget", "service", name, "slack", doc.Retry.Slack, "before", v.slack, "control_hosts", len(controls))
+			s.configure(v, doc)
+		}
+	}
+}
+
+// configure puts a document in force. The caller holds mu.
+func (s *Server) configure(v *service, doc spec.Service) {
+	v.slack = doc.Retry.Slack
+	s.system.Root.Send(v.pid, engine.Configure{Document: doc})
+}
+
 // endOverdueCalls passes a Tick to all services, since brokers have none of their own
 // while no calls are queued.
 func (s *Server) endOverdueCalls() {
@@ -168,7 +203,7 @@
 	s.plan = p
 	for name, v := range s.services {
 		if doc, ok := s.document(name); ok {
-			s.system.Root.Send(v.pid, engine.Configure{Document: doc})
+			s.configure(v, doc)
 			continue
 		}
 		if v.prober != nil {
@@ -208,14 +243,23 @@
 	}
 	for _, v := range s.plan.Services {
 		if v.Name == name {
-			doc := s.cfg.ServiceTemplate
-			doc.Name = name
-			return doc, true
+			return s.cfg.Document(name, s.controls), true
 		}
 	}
 	return spec.Service{}, false
 }
 
+// Document returns the document of a service at this host when the given control hosts
+// may decide for it too.
+func (c Config) Document(service string, controls []netip.AddrPort) spec.Service {
+	doc := c.ServiceTemplate
+	doc.Name = service
+	if c.Controls != nil {
+		doc.Retry.Slack = int(float64(doc.Retry.Slack) * rank.Share(rank.Position(service, c.Self, controls)))
+	}
+	return doc
+}
+
 // serviceForCall returns the actor of a service and a new ID for a call that arrived
 // at now. It starts the actor and the probing when they are not running. It returns
 // false when the service has no document.
@@ -229,7 +273,7 @@
 			return nil, 0, false
 		}
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics)}
+		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack}
 		s.services[name] = v
 		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targets[name]})
 	}
