Let busy hosts answer a connection late instead of opening another

Cause: an attempt to connect to another host of the system got 300 ms, the gRPC handshake included. The kernel establishes connections at once, but a control host that has too much to do answers the handshake later.

Change: 300 ms bound what the network does (TCP), 3 s the whole attempt.

--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -33,11 +33,16 @@
 )
 
 const (
-	// connectTimeout is the time that each attempt to connect gets, or the
-	// current delay between attempts if that is longer. It is about ten times the
-	// round-trip time between regions. TCP retransmits a lost SYN only after one
-	// second, so a new attempt is faster.
+	// connectTimeout is the time that TCP gets to establish a connection. It is about
+	// ten times the round-trip time between regions. TCP retransmits a lost SYN only
+	// after one second, so a new attempt is faster.
 	connectTimeout = 300 * time.Millisecond
+	// handshakeTimeout is the time that an attempt to connect gets in all, or the
+	// current delay between attempts if that is longer. The kernel establishes
+	// connections without the process on the other side; with several hundred hosts
+	// that connect at once, a control host with a quarter of a core answers the last
+	// one after about a second. Attempts given up before that only add to its load.
+	handshakeTimeout = 3 * time.Second
 	// The delay between two attempts of a gRPC connection grows by
 	// retryMultiplier from minRetryDelay to maxRetryDelay; each delay varies by
 	// the fraction retryJitter.
@@ -70,9 +75,10 @@
 func Dial(address netip.AddrPort, opts ...grpc.DialOption) (*grpc.ClientConn, error) {
 	opts = append([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: minRetryDelay, Multiplier: retryMultiplier, Jitter: retryJitter, MaxDelay: maxRetryDelay},
-			MinConnectTimeout: connectTimeout,
+			MinConnectTimeout: handshakeTimeout,
 		}),
 		grpc.WithStaticStreamWindowSize(windowBytes), grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithSharedWriteBuffer(true),
@@ -80,11 +86,16 @@
 	return grpc.NewClient("passthrough:///"+address.String(), opts...)
 }
 
+// dial establishes a TCP connection.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // WithTraffic returns a dial option that counts the connection's bytes in t.
 func WithTraffic(t Traffic) grpc.DialOption {
-	var d net.Dialer
 	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, "tcp", address)
+		conn, err := dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
