Bound the control hosts that one overloaded service makes late

Cause: entry hosts counted only decisions that never came as missed, so a control host that decided every call too late kept all its work, for nothing. Where decisions stayed away, the stream was ended after four of them and opened anew, and the service went to the next control host, which then probed its targets as well: an overloaded service made all control hosts late, one after the other.

Change: decisions that come too late count as missed. A control host that goes on missing them is avoided for 1, 2 and 4 s. A stream ends only if nothing at all was received for a second.

--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -1,17 +1,27 @@
 package rank
 
 import (
-	"hash/fnv"
 	"math"
 	"net/netip"
 )
 
+const (
+	fnvOffset = 14695981039346656037 // FNV-1a, 64 bits.
+	fnvPrime  = 1099511628211
+)
+
 // Score returns the rendezvous hash of a service's name and a host's address. The host
 // with the highest score is the first one.
 func Score(service string, host netip.AddrPort) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(service + "\n" + host.String()))
-	x := h.Sum64()
+	var buf [64]byte
+	text := host.AppendTo(append(buf[:0], '\n'))
+	x := uint64(fnvOffset)
+	for i := range len(service) {
+		x = (x ^ uint64(service[i])) * fnvPrime
+	}
+	for _, b := range text {
+		x = (x ^ uint64(b)) * fnvPrime
+	}
 	x ^= x >> 33 // FNV mixes its last bytes poorly into the high bits.
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -1,6 +1,7 @@
 package rank_test
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -68,6 +69,21 @@
 	}
 }
 
+// Hosts of different versions must compute the same order.
+func TestScoreIsFNV(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for i, host := range testHosts(20) {
+		service := "service " + strconv.Itoa(i)
+		h := fnv.New64a()
+		h.Write([]byte(service + "\n" + host.String()))
+		x := h.Sum64()
+		x ^= x >> 33
+		x *= 0xff51afd7ed558ccd
+		x ^= x >> 33
+		g.Expect(rank.Score(service, host)).To(gomega.Equal(x))
+	}
+}
+
 func BenchmarkPosition(b *testing.B) {
 	hosts := testHosts(12)
 	b.ReportAllocs()
--- a/io/place/client.go
+++ b/io/place/client.go
@@ -46,7 +46,9 @@
 		// avoidUntil is when the control host may be picked again after missed
 		// decisions.
 		avoidUntil      time.Time
-		missedDecisions int // Missed since the last decision that arrived.
+		missedDecisions int           // Missed since the last decision that arrived in time.
+		avoidFor        time.Duration // How long to avoid the control host the next time.
+		lastReceived    time.Time     // When the last decision arrived, late ones included.
 	}
 
 	// Callbacks receive the decisions about one call. Neither may block.
@@ -63,9 +65,17 @@
 	// for new control hosts.
 	discoveryInterval = 100 * time.Millisecond
 	// maxMissedDecisions is the number of consecutive missed decisions after
-	// which a control host is not picked for avoidDuration.
+	// which a control host is not picked for avoidDuration. That doubles, up to
+	// maxAvoidDuration, while it goes on missing them.
 	maxMissedDecisions = 2
 	avoidDuration      = time.Second
+	maxAvoidDuration   = 4 * time.Second
+	// silenceLimit is how long a control host that misses decisions may send nothing
+	// at all until the stream counts as broken. A busy host goes on sending; opening
+	// another stream to it would add to its load.
+	silenceLimit = time.Second
+	// maxCandidates is more than the control hosts of a fleet; others are not asked.
+	maxCandidates = 64
 )
 
 // errUnresponsive is the cause with which this host ends a stream whose control host
@@ -107,28 +117,28 @@
 	}
 }
 
-// Pick returns the client of the control host that decides for a service: of
-// those that are connected and not avoided for missed decisions, the first one by
-// rank.Score among the informed ones or, if there are none, among all. It returns nil
-// when none is connected.
+// Pick returns the client of the control host that decides for a service, as rank.Choose
+// says for those that are connected. It returns nil when this host must decide itself.
 func (p *ClientPool) Pick(service string, now time.Time) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var (
-		best         *Client
-		bestInformed bool
-		bestScore    uint64
+		clients    [maxCandidates]*Client
+		candidates [maxCandidates]rank.Candidate
+		n          int
 	)
 	for address, client := range p.connected {
-		if client.unavailable(now) {
+		late, open := client.availability(now)
+		if !open || n == maxCandidates {
 			continue
 		}
-		informed, score := p.informed(address), rank.Score(service, address)
-		if best == nil || informed && !bestInformed || informed == bestInformed && score > bestScore {
-			best, bestInformed, bestScore = client, informed, score
-		}
+		clients[n], candidates[n] = client, rank.Candidate{Host: address, Informed: p.informed(address), Late: late}
+		n++
+	}
+	if i := rank.Choose(service, candidates[:n]); i >= 0 {
+		return clients[i]
 	}
-	return best
+	return nil
 }
 
 // maintainStream reopens the stream to one control host for as long as
@@ -162,7 +172,10 @@
 		p.log.Debug("stream to control host not opened", "address", address.String(), "error", err)
 		return false
 	}
-	client := &Client{address: address, log: p.log, outgoing: newQueue[*peerpb.CallEvent](), callbacks: make(map[uint64]Callbacks)}
+	client := &Client{
+		address: address, log: p.log, outgoing: newQueue[*peerpb.CallEvent](), callbacks: make(map[uint64]Callbacks),
+		avoidFor: avoidDuration, lastReceived: time.Now(),
+	}
 	p.mu.Lock()
 	p.connected[address] = client
 	p.mu.Unlock()
@@ -194,7 +207,7 @@
 		if err := stream.Send(&peerpb.CallEvents{Events: events}); err != nil {
 			return err
 		}
-		if c.unresponsive() {
+		if c.unresponsive(time.Now()) {
 			return errUnresponsive
 		}
 	}
@@ -227,7 +240,10 @@
 	if _, final := action.(engine.Refuse); final {
 		delete(c.callbacks, d.GetCall())
 	}
-	c.missedDecisions = 0
+	c.lastReceived = time.Now()
+	if ok { // Otherwise the call no longer waits for the decision.
+		c.missedDecisions, c.avoidFor = 0, avoidDuration
+	}
 	c.mu.Unlock()
 	if ok {
 		callbacks.OnDecision(action)
@@ -276,30 +292,33 @@
 }
 
 // RecordMissedDecision counts a decision that did not arrive in time. After
-// maxMissedDecisions in a row the control host is not picked until avoidDuration
-// after now.
+// maxMissedDecisions in a row the control host is avoided, for a time that doubles with
+// each further one.
 func (c *Client) RecordMissedDecision(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.missedDecisions++; c.missedDecisions >= maxMissedDecisions {
-		c.avoidUntil = now.Add(avoidDuration)
+	if c.missedDecisions++; c.missedDecisions < maxMissedDecisions || c.avoidUntil.After(now) {
+		return
 	}
+	c.avoidUntil = now.Add(c.avoidFor)
+	c.avoidFor = min(2*c.avoidFor, maxAvoidDuration)
 }
 
-// unavailable reports whether the control host must not be picked: its stream has
-// ended, or it is avoided for missed decisions.
-func (c *Client) unavailable(now time.Time) bool {
+// availability reports whether the control host is avoided for missed decisions, and
+// whether its stream is open.
+func (c *Client) availability(now time.Time) (late, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed || c.avoidUntil.After(now)
+	return c.avoidUntil.After(now), !c.closed
 }
 
 // unresponsive reports whether so many consecutive decisions were missed, twice
-// maxMissedDecisions, that the stream has probably failed without an error.
-func (c *Client) unresponsive() bool {
+// maxMissedDecisions, and nothing was received for so long, that the stream has
+// probably failed without an error.
+func (c *Client) unresponsive(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.missedDecisions >= 2*maxMissedDecisions
+	return c.missedDecisions >= 2*maxMissedDecisions && now.Sub(c.lastReceived) >= silenceLimit
 }
 
 // close makes StartCall refuse further calls, calls OnStreamLost for every registered
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -213,6 +213,35 @@
 		gomega.Expect(pool.Pick("s", now.Add(2*time.Second))).To(gomega.Equal(client))
 	})
 
+	// A busy host that decides too late does all the work for nothing.
+	ginkgo.It("is not picked after decisions that arrive too late", func() {
+		host := newControlHost()
+		pool := newClientPool(host.address)
+		client := pick(pool)
+		for id := range uint64(4) {
+			decisions, _ := startCall(client, id)
+			client.CancelCall(engine.Cancel{Call: id})
+			client.RecordMissedDecision(time.Now())
+			gomega.Consistently(decisions, 50*time.Millisecond).ShouldNot(gomega.Receive())
+		}
+		gomega.Expect(pool.Pick("s", time.Now())).To(gomega.BeNil())
+		gomega.Consistently(pool.Pick, 500*time.Millisecond).WithArguments("s", time.Now().Add(time.Minute)).Should(gomega.Equal(client),
+			"a stream on which decisions arrive must stay open")
+	})
+
+	ginkgo.It("is avoided for longer while it goes on missing decisions", func() {
+		host := newControlHost()
+		pool := newClientPool(host.address)
+		client, now := pick(pool), time.Now()
+		client.RecordMissedDecision(now)
+		client.RecordMissedDecision(now)
+		now = now.Add(1100 * time.Millisecond)
+		gomega.Expect(pool.Pick("s", now)).To(gomega.Equal(client))
+		client.RecordMissedDecision(now)
+		gomega.Expect(pool.Pick("s", now.Add(1900*time.Millisecond))).To(gomega.BeNil())
+		gomega.Expect(pool.Pick("s", now.Add(2100*time.Millisecond))).To(gomega.Equal(client))
+	})
+
 	ginkgo.It("is picked consistently for a service by all entry hosts", func() {
 		a, b, c := newControlHost(), newControlHost(), newControlHost()
 		one, two := newClientPool(a.address, b.address, c.address), newClientPool(c.address, a.address, b.address)
