Collect changes of targets for longer, the more entry hosts follow

Cause: a control host sent an update to every follower 15 ms after each change of a target. While all targets of a fleet announce themselves, that is up to 60 updates a second to each of several hundred entry hosts, three times what a control host can send with a quarter of a core.

Change: changes are collected for 1 ms per entry host that follows, 15 to 250 ms (core/pace Batch). Plans, views and departures cut the wait short, and control hosts hear all changes after 15 ms as before.

--- /dev/null
+++ b/io/feed/burst_test.go
@@ -0,0 +1,113 @@
+package feed
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	"cardamomspool/core/member"
+	"cardamomspool/core/roster"
+	"cardamomspool/io/peer/peerpb"
+)
+
+// countingFollower is the stream of an entry host that counts the updates it gets and the
+// targets that are in them.
+type countingFollower struct {
+	grpc.ServerStream
+	ctx      context.Context
+	updates  atomic.Int64
+	targets  atomic.Int64
+	draining chan struct{} // Closed when a target that drains is known.
+}
+
+func (f *countingFollower) Context() context.Context { return f.ctx }
+
+func (f *countingFollower) Send(u *peerpb.FleetUpdate) error {
+	f.updates.Add(1)
+	f.targets.Add(int64(len(u.GetTargets())))
+	for _, t := range u.GetTargets() {
+		if t.GetState() == uint32(member.Draining) {
+			close(f.draining)
+		}
+	}
+	return nil
+}
+
+// All targets announce themselves within a second, while 200 entry hosts follow. Each
+// host learns all of them in few updates, and a departure among them at once.
+func TestBurstOfTargetsTakesFewUpdates(t *testing.T) {
+	const (
+		followers, targets = 200, 500
+		burst              = time.Second
+		// maxUpdates allows one update in 200 ms, and the first one, over the burst and
+		// the wait after it, and one each for the departure and the heartbeats.
+		maxUpdates = 1 + 8 + 1 + 3
+	)
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	state := NewState()
+	server := NewServer(ctx, state, nil)
+	var (
+		group sync.WaitGroup
+		list  []*countingFollower
+	)
+	defer group.Wait()
+	defer cancel()
+	for i := range followers {
+		f := &countingFollower{ctx: ctx, draining: make(chan struct{})}
+		list = append(list, f)
+		entry := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+		group.Go(func() { server.Follow(&peerpb.FollowRequest{Host: "h" + strconv.Itoa(i), Entry: entry.String(), FetchesPlan: true}, f) })
+	}
+	g.Eventually(func() bool {
+		for _, f := range list {
+			if f.updates.Load() == 0 {
+				return false
+			}
+		}
+		return true
+	}, waitTime).Should(gomega.BeTrue())
+
+	target := func(i int, state member.State) roster.Target {
+		return roster.Target{
+			ID: "t" + strconv.Itoa(i), Service: "s", State: state, Sequence: uint64(1 + state), Slots: 1, Born: time.Unix(1, 0), Heard: time.Now(),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, 1}), uint16(1000+i)),
+		}
+	}
+	for i := range targets {
+		state.UpdateTargets(true, target(i, member.Ready))
+		time.Sleep(burst / targets)
+		if i == targets/2 {
+			state.UpdateTargets(true, target(i, member.Draining))
+			begin := time.Now()
+			for _, f := range list {
+				g.Eventually(f.draining, waitTime).Should(gomega.BeClosed())
+			}
+			g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", 500*time.Millisecond)) // DRAIN allows 2 s.
+		}
+	}
+	g.Eventually(func() bool {
+		for _, f := range list {
+			if f.targets.Load() < targets {
+				return false
+			}
+		}
+		return true
+	}, waitTime).Should(gomega.BeTrue())
+	most := int64(0)
+	for _, f := range list {
+		most = max(most, f.updates.Load())
+	}
+	t.Logf("%d targets in %d updates at most", targets, most)
+	g.Expect(most).To(gomega.BeNumerically("<=", maxUpdates))
+}
+
+// waitTime bounds the waits of this file.
+const waitTime = 10 * time.Second
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"cardamomspool/core/pace"
 	"cardamomspool/core/roster"
 	"cardamomspool/io/peer/peerpb"
 )
@@ -24,6 +25,7 @@
 
 		mu      sync.Mutex
 		entries map[netip.AddrPort]followingEntry // The entry hosts that follow, by peer address.
+		streams int                               // Number of open streams of entry hosts.
 	}
 
 	// followingEntry is an entry host with streams open streams.
@@ -32,6 +34,12 @@
 		streams    int
 	}
 
+	// wakeUp holds the channels that are closed at the next change of the state, and at
+	// the next one that followers must not learn late.
+	wakeUp struct {
+		changed, urgent <-chan struct{}
+	}
+
 	// updateStream generates the updates of one stream. Its fields hold what
 	// the follower already has.
 	updateStream struct {
@@ -54,8 +62,9 @@
 	// heartbeatPeriod is the time between two updates of a stream on which
 	// nothing changes.
 	heartbeatPeriod = 500 * time.Millisecond
-	// batchDelay is how long an update is delayed after a change, so that it
-	// carries all changes made in the meantime.
+	// batchDelay is how long an update is delayed after an urgent change, and after any
+	// change for a control host, so that it carries all changes made in the meantime.
+	// Other updates to entry hosts are delayed by pace.Batch.
 	batchDelay = 15 * time.Millisecond
 	// leasePeriod is the time between two lists of lease renewals; it is a
 	// fraction of roster.Lease.
@@ -131,10 +140,12 @@
 func (s *Server) addEntry(address netip.AddrPort, dataCentre string) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.streams++
 	s.entries[address] = followingEntry{dataCentre: dataCentre, streams: s.entries[address].streams + 1}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.streams--
 		e := s.entries[address]
 		if e.streams--; e.streams == 0 {
 			delete(s.entries, address)
@@ -154,15 +165,17 @@
 		// whether it still is.
 		s.state.ObserveControl(control, r.GetDisk(), time.Now())
 	}
+	delay := func() time.Duration { return batchDelay }
 	if entry, entryErr := netip.ParseAddrPort(r.GetEntry()); entryErr == nil {
 		defer s.addEntry(entry, r.GetDataCentre())()
+		delay = s.entryBatch
 	}
 	out := newUpdateStream(s.state, r, time.Now())
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for heartbeat := true; ; {
 		now := time.Now()
-		update, changed, hasChanges := out.next(now)
+		update, wake, hasChanges := out.next(now)
 		if hasChanges || heartbeat {
 			if sendErr := stream.Send(update); sendErr != nil {
 				return sendErr
@@ -170,12 +183,9 @@
 		}
 		heartbeat = false
 		select {
-		case <-changed:
+		case <-wake.changed:
 			// Changes come in bursts; one update carries all changes of a burst.
-			select {
-			case <-time.After(batchDelay):
-			case <-stream.Context().Done():
-			}
+			awaitBatch(stream.Context(), delay(), wake.urgent)
 		case <-ticker.C:
 			heartbeat = true
 		case <-stream.Context().Done():
@@ -187,6 +197,32 @@
 	}
 }
 
+// entryBatch returns the time over which changes are collected for an entry host.
+func (s *Server) entryBatch() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return pace.Batch(s.streams)
+}
+
+// awaitBatch waits for delay, or for batchDelay once urgent is closed. It returns early
+// when ctx ends.
+func awaitBatch(ctx context.Context, delay time.Duration, urgent <-chan struct{}) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return
+	case <-ctx.Done():
+		return
+	case <-urgent:
+	}
+	timer.Reset(batchDelay)
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // newUpdateStream returns the stream of updates to the host that sent r. The
 // updates omit what the host already holds according to r.
 func newUpdateStream(state *State, r *peerpb.FollowRequest, now time.Time) *updateStream {
@@ -200,9 +236,9 @@
 	return s
 }
 
-// next returns the update that brings the follower up to date, a channel that is
-// closed at the next change, and whether the update holds anything new.
-func (s *updateStream) next(now time.Time) (*peerpb.FleetUpdate, <-chan struct{}, bool) {
+// next returns the update that brings the follower up to date, what wakes the stream
+// next, and whether the update holds anything new.
+func (s *updateStream) next(now time.Time) (*peerpb.FleetUpdate, wakeUp, bool) {
 	state := s.state
 	state.mu.Lock()
 	defer state.mu.Unlock()
@@ -250,7 +286,7 @@
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard) > 0
 	s.lastChange, s.current, s.informed, s.first = state.lastChange(), state.current, state.informed, false
-	return u, state.changed, hasChanges
+	return u, wakeUp{changed: state.changed, urgent: state.urgent}, hasChanges
 }
 
 // encodedPlan returns the plan in force in JSON, or nothing when it cannot be encoded.
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -80,6 +80,7 @@
 		current       bool          // See SetCurrent.
 		informed      bool          // See setInformed.
 		changed       chan struct{} // Closed and replaced at each change; see notify.
+		urgent        chan struct{} // Closed and replaced at changes that followers must not learn late.
 		// lastExpiry is the time of the last call of Expire, and keepUntil the time
 		// before which no lease expires.
 		lastExpiry, keepUntil time.Time
@@ -177,6 +178,7 @@
 		log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), table: roster.NewTable(),
 		onTargets: func(string, []member.Record) {}, onPlan: func(*plan.Plan) {},
 		changeRecords: make(map[string]changeRecord), controls: make(map[netip.AddrPort]Control), changed: make(chan struct{}),
+		urgent: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -189,16 +191,20 @@
 func (s *State) UpdateTargets(relay bool, targets ...roster.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := make(map[string]bool)
+	changed, leaving := make(map[string]bool), false
 	for _, t := range targets {
 		if s.updateTarget(t, relay) {
 			changed[t.Service] = true
+			leaving = leaving || t.State > member.Ready
 		}
 	}
 	for service := range changed {
 		s.onTargets(service, s.table.Records(nil, service))
 	}
-	if len(changed) > 0 {
+	switch {
+	case leaving:
+		s.notifyUrgent()
+	case len(changed) > 0:
 		s.notify()
 	}
 }
@@ -361,7 +367,7 @@
 	s.plan = p
 	s.log.Info("plan in force", "version", p.Version, "routes", len(p.Routes), "services", len(p.Services))
 	s.onPlan(p)
-	s.notify()
+	s.notifyUrgent()
 	return true
 }
 
@@ -390,7 +396,7 @@
 	}
 	s.view = v
 	s.log.Info("new view of control hosts", "epoch", v.Epoch, "members", v.Names())
-	s.notify()
+	s.notifyUrgent()
 	return true
 }
 
@@ -486,7 +492,7 @@
 	defer s.mu.Unlock()
 	if s.current != current {
 		s.current = current
-		s.notify()
+		s.notifyUrgent()
 	}
 }
 
@@ -498,7 +504,7 @@
 	if s.informed != informed {
 		s.informed = informed
 		s.log.Info("updates of a majority", "received", informed)
-		s.notify()
+		s.notifyUrgent()
 	}
 }
 
@@ -507,3 +513,11 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// notifyUrgent is notify for a change that followers must not learn late. The caller
+// holds mu.
+func (s *State) notifyUrgent() {
+	close(s.urgent)
+	s.urgent = make(chan struct{})
+	s.notify()
+}
