Ask a silent control host for its state less and less often

Cause: a follower ended a stream without an update for 1.6 s and asked again, with the digests of all targets that it held. That is far more work for a busy control host than the updates that were late, from all its followers at once.

Change: the time doubles up to 6.4 s while the control host stays silent, and is back after a stream of 10 s (core/pace Patience).

--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
+	"cardamomspool/core/pace"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/reach"
@@ -81,8 +82,12 @@
 	// not followed yet.
 	discoveryPeriod = 100 * time.Millisecond
 	// streamTimeout is how long a stream may be without an update before it is
-	// closed: three heartbeats are then missing.
-	streamTimeout = 1600 * time.Millisecond
+	// closed: three heartbeats are then missing. It doubles, up to maxStreamTimeout,
+	// while the control host stays silent on one stream after the other, and is back
+	// after a stream of steadyTime.
+	streamTimeout    = 1600 * time.Millisecond
+	maxStreamTimeout = 4 * streamTimeout
+	steadyTime       = 10 * time.Second
 	// expirePeriod is the time between two calls of State.Expire.
 	expirePeriod = time.Second
 	// majorityWait is how long after its start a host waits for the state of a
@@ -285,8 +290,9 @@
 		delete(f.active, address)
 	}()
 	isWanted := func() bool { return slices.Contains(f.knownControls(), address) }
+	patience := &pace.Patience{Min: streamTimeout, Max: maxStreamTimeout}
 	peer.Reconnect(ctx, isWanted, func() bool {
-		received, err := f.follow(ctx, address)
+		received, err := f.follow(ctx, address, patience)
 		f.mu.Lock()
 		delete(f.streams, address)
 		delete(f.clients, address)
@@ -301,8 +307,8 @@
 
 // follow merges the updates of one stream until the stream ends or times out. It
 // reports whether any update arrived, and always returns an error that says why
-// the stream ended.
-func (f *Follower) follow(ctx context.Context, address netip.AddrPort) (bool, error) {
+// the stream ended. patience is that with this control host.
+func (f *Follower) follow(ctx context.Context, address netip.AddrPort, patience *pace.Patience) (bool, error) {
 	var (
 		conn   *grpc.ClientConn
 		stream peerpb.Fleet_FollowClient
@@ -318,7 +324,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := peerpb.NewFleetClient(conn)
-	watchdog := time.AfterFunc(streamTimeout, func() { cancel(errStreamSilent) })
+	begin := time.Now()
+	watchdog := time.AfterFunc(patience.Current(), func() { cancel(errStreamSilent) })
 	defer watchdog.Stop()
 	if stream, err = client.Follow(ctx, f.newRequest()); err != nil {
 		return false, errors.Wrap(err, "feed: follow")
@@ -327,10 +334,14 @@
 		if update, err = stream.Recv(); err != nil {
 			if errors.Is(context.Cause(ctx), errStreamSilent) {
 				err = errStreamSilent
+				patience.GiveUp()
 			}
 			return received, err
 		}
-		watchdog.Reset(streamTimeout)
+		if time.Since(begin) > steadyTime {
+			patience.Reset()
+		}
+		watchdog.Reset(patience.Current())
 		if !received {
 			f.state.log.Info("control host heard", "address", address.String(), "current", update.GetCurrent(),
 				"plan_version", update.GetPlanVersion(), "targets", len(update.GetTargets()))
