List the targets of a service once in a while, not once for each change

Cause: every change of a target made a list of all targets of its service, by a walk over all targets of the fleet and a sort, at every control host and every entry host. 3,000 targets that announce themselves in the same seconds take 0.9 s of a core at each, while a control host has a quarter of one for that second and an entry host a sixth.

Change: lists are made at once after a pause, and otherwise 0.1 ms apart for each target of the fleet, 250 ms at most (core/pace Rebuild). Departures and expired targets are passed on at once as before.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -20,6 +20,9 @@
 	batchPerFollower = time.Millisecond
 	// maxBatch is the most time: a tenth of the 2.5 s in which a change must be in force.
 	maxBatch = 250 * time.Millisecond
+	// rebuildPerTarget limits the time that rebuilding lists of targets takes to a
+	// hundredth of a core: a list takes about 0.001 ms for each target.
+	rebuildPerTarget = 100 * time.Microsecond
 )
 
 // Current returns the time to wait.
@@ -42,3 +45,9 @@
 func Batch(followers int) time.Duration {
 	return min(max(time.Duration(followers)*batchPerFollower, minBatch), maxBatch)
 }
+
+// Rebuild returns the least time between two lists of all targets of a service, when the
+// table holds the given number of targets.
+func Rebuild(targets int) time.Duration {
+	return min(time.Duration(targets)*rebuildPerTarget, maxBatch)
+}
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -31,3 +31,11 @@
 	}
 	g.Expect(pace.Batch(10_000)).To(gomega.Equal(250 * time.Millisecond))
 }
+
+// 3,000 targets that announce themselves within a second must not lead to 3,000 lists of
+// a thousand targets.
+func TestRebuildGrowsWithTheTable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(pace.Rebuild(36)).To(gomega.Equal(3600 * time.Microsecond))
+	g.Expect(pace.Rebuild(3000)).To(gomega.Equal(250 * time.Millisecond))
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -219,6 +219,11 @@
 	return dst
 }
 
+// Len returns the number of targets.
+func (t *Table) Len() int {
+	return len(t.targets)
+}
+
 // Get returns the target with the given ID and whether it is in the table.
 func (t *Table) Get(id string) (Target, bool) {
 	target, ok := t.targets[id]
--- a/io/feed/burst_test.go
+++ b/io/feed/burst_test.go
@@ -64,7 +64,9 @@
 		f := &countingFollower{ctx: ctx, draining: make(chan struct{})}
 		list = append(list, f)
 		entry := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
-		group.Go(func() { server.Follow(&peerpb.FollowRequest{Host: "h" + strconv.Itoa(i), Entry: entry.String(), FetchesPlan: true}, f) })
+		group.Go(func() {
+			server.Follow(&peerpb.FollowRequest{Host: "h" + strconv.Itoa(i), Entry: entry.String(), FetchesPlan: true}, f)
+		})
 	}
 	g.Eventually(func() bool {
 		for _, f := range list {
@@ -111,3 +113,52 @@
 
 // waitTime bounds the waits of this file.
 const waitTime = 10 * time.Second
+
+// A fleet of 3,000 targets starts. The lists of a service that are made for the deciding
+// part must not be as many as the targets.
+func TestBurstOfTargetsMakesFewLists(t *testing.T) {
+	const targets, services = 3000, 4
+	g := gomega.NewWithT(t)
+	var (
+		mu     sync.Mutex
+		lists  int
+		newest = make(map[string]int)
+	)
+	state := NewState(OnTargets(func(service string, records []member.Record) {
+		mu.Lock()
+		defer mu.Unlock()
+		lists++
+		newest[service] = len(records)
+	}))
+	begin := time.Now()
+	for i := range targets {
+		state.UpdateTargets(true, roster.Target{
+			ID: "t" + strconv.Itoa(i), Service: "s" + strconv.Itoa(i%services), State: member.Ready, Sequence: 1, Born: time.Unix(1, 0), Heard: time.Now(),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1000),
+		})
+	}
+	took := time.Since(begin)
+	complete := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, n := range newest {
+			if n != targets/services {
+				return false
+			}
+		}
+		return len(newest) == services
+	}
+	g.Eventually(complete, waitTime).Should(gomega.BeTrue())
+	mu.Lock()
+	t.Logf("%d lists, %s for all targets", lists, took)
+	g.Expect(lists).To(gomega.BeNumerically("<", targets/10))
+	mu.Unlock()
+	state.UpdateTargets(true, roster.Target{
+		ID: "t0", Service: "s0", State: member.Draining, Sequence: 2, Born: time.Unix(1, 0), Heard: time.Now(),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, 0}), 1000),
+	})
+	state.UpdateTargets(true, roster.Target{ID: "t4", Service: "s0", State: member.Leaving, Sequence: 2, Born: time.Unix(1, 0), Heard: time.Now()})
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(newest["s0"]).To(gomega.Equal(targets/services-1), "departures are passed on at once")
+}
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/member"
+	"cardamomspool/core/pace"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/roster"
@@ -66,6 +67,12 @@
 
 		mu    sync.Mutex
 		table *roster.Table
+		// stale holds the services whose targets have changed since onTargets was last
+		// called for them. deliverTimer, if not nil, will call it; deliveredAt is when
+		// it was last called.
+		stale        map[string]bool
+		deliverTimer *time.Timer
+		deliveredAt  time.Time
 		// The changes of all targets are numbered from 1, in their order.
 		// changes holds the ID of the changed target for each change, oldest
 		// first. changesBase is how many of the oldest changes were dropped from
@@ -123,8 +130,9 @@
 }
 
 // OnTargets sets a callback that is called with all targets of a service whenever
-// one of them changes or expires. Calls do not overlap. The callback must not call
-// methods of the State.
+// one of them changes or expires: at once when a target departs or expires or when there
+// was no change lately, otherwise after the time that pace.Rebuild allows. Calls do not
+// overlap. The callback must not call methods of the State.
 func OnTargets(f func(service string, records []member.Record)) Option {
 	return func(s *State) { s.onTargets = f }
 }
@@ -177,7 +185,7 @@
 	s := &State{
 		log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), table: roster.NewTable(),
 		onTargets: func(string, []member.Record) {}, onPlan: func(*plan.Plan) {},
-		changeRecords: make(map[string]changeRecord), controls: make(map[netip.AddrPort]Control), changed: make(chan struct{}),
+		stale: make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: make(map[netip.AddrPort]Control), changed: make(chan struct{}),
 		urgent: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -191,24 +199,55 @@
 func (s *State) UpdateTargets(relay bool, targets ...roster.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed, leaving := make(map[string]bool), false
+	changed, leaving := false, false
 	for _, t := range targets {
 		if s.updateTarget(t, relay) {
-			changed[t.Service] = true
+			s.stale[t.Service] = true
+			changed = true
 			leaving = leaving || t.State > member.Ready
 		}
 	}
-	for service := range changed {
-		s.onTargets(service, s.table.Records(nil, service))
-	}
 	switch {
 	case leaving:
+		s.deliver()
 		s.notifyUrgent()
-	case len(changed) > 0:
+	case changed:
+		s.deliverSoon(time.Now())
 		s.notify()
 	}
 }
 
+// deliverSoon calls deliver, now or as soon as pace.Rebuild allows. The caller holds mu.
+func (s *State) deliverSoon(now time.Time) {
+	if s.deliverTimer != nil {
+		return
+	}
+	wait := s.deliveredAt.Add(pace.Rebuild(s.table.Len())).Sub(now)
+	if wait <= 0 {
+		s.deliver()
+		return
+	}
+	s.deliverTimer = time.AfterFunc(wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.deliver()
+	})
+}
+
+// deliver calls onTargets for the services whose targets have changed. The caller holds
+// mu.
+func (s *State) deliver() {
+	if s.deliverTimer != nil {
+		s.deliverTimer.Stop()
+		s.deliverTimer = nil
+	}
+	s.deliveredAt = time.Now()
+	for service := range s.stale {
+		s.onTargets(service, s.table.Records(nil, service))
+	}
+	clear(s.stale)
+}
+
 // updateTarget applies the state of one target and reports whether that changed
 // anything but its lease. The caller holds mu.
 func (s *State) updateTarget(t roster.Target, relay bool) bool {
@@ -241,9 +280,10 @@
 	}
 	for service, n := range returned {
 		s.log.Info("expired targets returned", "service", service, "targets", n)
-		s.onTargets(service, s.table.Records(nil, service))
+		s.stale[service] = true
 	}
 	if len(returned) > 0 {
+		s.deliver()
 		s.notify()
 	}
 }
@@ -340,7 +380,10 @@
 	if !now.Before(s.keepUntil) {
 		for _, service := range s.table.Expire(nil, now) {
 			s.log.Info("targets expired", "service", service, "lease", roster.Lease.String())
-			s.onTargets(service, s.table.Records(nil, service))
+			s.stale[service] = true
+		}
+		if len(s.stale) > 0 {
+			s.deliver()
 		}
 	}
 	for id := range s.changeRecords {
