Have hosts that have just started agree on who decides

Cause: an entry host asked whichever control host it had a stream to. After a loss of power 141 entry hosts reach six control hosts in as many orders, so all six took up every service: six tables that know a sixth of the calls each, and six times the probes, which their processors can't do in that second.

Change: for a second after it was found, a control host counts in the order of a service although there is no stream to it yet or it has not said what it knows; if it is the first, the entry host decides by itself rather than ask the next. The first update of a control host leads to a look for others at once.

Test: a spec with two control hosts of which the first is not ready to be asked; before, the second one was picked at once.

--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -308,9 +308,13 @@
 		ginkgo.DeferCleanup(cancel)
 		go control.Run(ctx)
 		f := follow(feed.NewState(), seeds...)
-		informed := func() bool { return f.Informed(s[0].address) }
+		informedHost := func(address netip.AddrPort) bool {
+			informed, known := f.Informed(address)
+			return informed && known
+		}
+		informed := func() bool { return informedHost(s[0].address) }
 		gomega.Eventually(informed, waitTimeout).Should(gomega.BeTrue())
-		gomega.Expect(f.Informed(s[1].address)).To(gomega.BeFalse())
+		gomega.Expect(informedHost(s[1].address)).To(gomega.BeFalse())
 		s[1].stop()
 		gomega.Eventually(informed, waitTimeout).Should(gomega.BeFalse())
 	})
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -42,7 +42,8 @@
 		// confirmed is closed when there is a plan and Synced is true for the first time.
 		confirmed     chan struct{}
 		confirmedOnce sync.Once
-		offset        uint64 // Selects the first control host; see claimNext.
+		offset        uint64        // Selects the first control host; see claimNext.
+		discover      chan struct{} // Holds a value when a check for control hosts is due.
 		// planFetches holds the control hosts from which a plan is being fetched; the
 		// last fetch began at planFetchStarted.
 		planFetches      map[netip.AddrPort]bool
@@ -79,7 +80,7 @@
 
 const (
 	// discoveryPeriod is the time between two checks for control hosts that are
-	// not followed yet.
+	// not followed yet. The first batch of a control host leads to a check at once.
 	discoveryPeriod = 100 * time.Millisecond
 	// streamTimeout is how long a stream may be without an update before it is
 	// closed: three heartbeats are then missing. It doubles, up to maxStreamTimeout,
@@ -118,7 +119,7 @@
 	return &Follower{
 		state: state, seeds: seeds, self: self, traffic: traffic,
 		active: make(map[netip.AddrPort]bool), streams: make(map[netip.AddrPort]streamState), clients: make(map[netip.AddrPort]peerpb.FleetClient), started: time.Now(),
-		offset: rand.Uint64(), confirmed: make(chan struct{}), planFetches: make(map[netip.AddrPort]bool),
+		offset: rand.Uint64(), discover: make(chan struct{}, 1), confirmed: make(chan struct{}), planFetches: make(map[netip.AddrPort]bool),
 	}
 }
 
@@ -158,6 +159,7 @@
 		case <-ctx.Done():
 			return
 		case <-discovery.C:
+		case <-f.discover:
 		}
 	}
 }
@@ -233,12 +235,13 @@
 }
 
 // Informed reports whether the control host at address receives the updates of a
-// majority of the voting hosts. It then knows of every departure that was acknowledged,
-// since a majority has each of them.
-func (f *Follower) Informed(address netip.AddrPort) bool {
+// majority of the voting hosts, and whether it has said so yet. If it does, it knows of
+// every departure that was acknowledged, since a majority has each of them.
+func (f *Follower) Informed(address netip.AddrPort) (informed, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.streams[address].informed
+	s, known := f.streams[address]
+	return s.informed, known
 }
 
 // hearsMajority reports whether this control host receives the updates of a majority of
@@ -348,6 +351,12 @@
 		}
 		f.merge(address, update, client)
 		f.checkConfirmed()
+		if !received {
+			select {
+			case f.discover <- struct{}{}:
+			default:
+			}
+		}
 		if f.claimPlanFetch(address, update.GetPlanVersion(), time.Now()) {
 			fetches.Go(func() { f.fetchPlans(ctx, client, address) })
 		}
--- a/io/place/client.go
+++ b/io/place/client.go
@@ -23,14 +23,20 @@
 	// NewClientPool.
 	ClientPool struct {
 		controlAddresses func() []netip.AddrPort
-		informed         func(netip.AddrPort) bool
+		informed         func(netip.AddrPort) (informed, known bool)
 		log              *slog.Logger
 		metrics          *telem.Registry
 		traffic          peer.Traffic
 
 		mu        sync.Mutex
-		running   map[netip.AddrPort]bool    // Control hosts with a running maintainStream.
-		connected map[netip.AddrPort]*Client // Control hosts with an open stream.
+		running   map[netip.AddrPort]*runningStream // Control hosts with a running maintainStream.
+		connected map[netip.AddrPort]*Client        // Control hosts with an open stream.
+	}
+
+	// runningStream is what is known of a control host since maintainStream began.
+	runningStream struct {
+		begin  time.Time
+		opened bool // A stream was open.
 	}
 
 	// Client is the entry host's side of a stream to one control host. It is obtained
@@ -74,6 +80,10 @@
 	// at all until the stream counts as broken. A busy host goes on sending; opening
 	// another stream to it would add to its load.
 	silenceLimit = time.Second
+	// settleTime is how long after it was found a control host counts as the one that
+	// other hosts ask although there is no stream to it yet, or it has not said whether
+	// it is informed.
+	settleTime = time.Second
 	// maxCandidates is more than the control hosts of a fleet; others are not asked.
 	maxCandidates = 64
 )
@@ -84,11 +94,12 @@
 
 // NewClientPool returns a pool of clients for the control hosts whose addresses
 // controlAddresses returns. informed reports whether a control host knows what the others
-// have acknowledged. The pool adds the bytes of the streams to traffic.
-func NewClientPool(controlAddresses func() []netip.AddrPort, informed func(netip.AddrPort) bool, traffic peer.Traffic, log *slog.Logger, metrics *telem.Registry) *ClientPool {
+// have acknowledged, and whether it has said so yet. The pool adds the bytes of the
+// streams to traffic.
+func NewClientPool(controlAddresses func() []netip.AddrPort, informed func(netip.AddrPort) (informed, known bool), traffic peer.Traffic, log *slog.Logger, metrics *telem.Registry) *ClientPool {
 	return &ClientPool{
 		controlAddresses: controlAddresses, informed: informed, log: log, metrics: metrics, traffic: traffic,
-		running: make(map[netip.AddrPort]bool), connected: make(map[netip.AddrPort]*Client),
+		running: make(map[netip.AddrPort]*runningStream), connected: make(map[netip.AddrPort]*Client),
 	}
 }
 
@@ -102,8 +113,10 @@
 	for {
 		for _, address := range p.controlAddresses() {
 			p.mu.Lock()
-			start := !p.running[address]
-			p.running[address] = true
+			start := p.running[address] == nil
+			if start {
+				p.running[address] = &runningStream{begin: time.Now()}
+			}
 			p.mu.Unlock()
 			if start {
 				group.Go(func() { p.maintainStream(ctx, address) })
@@ -118,21 +131,29 @@
 }
 
 // Pick returns the client of the control host that decides for a service, as rank.Choose
-// says for those that are connected. It returns nil when this host must decide itself.
+// says for those that are connected. It returns nil when this host must decide itself:
+// there is none, or the one that all hosts will choose is not ready to be asked. Hosts
+// that have just started would otherwise each ask another one, which would then decide
+// without the calls of the others and probe the same targets.
 func (p *ClientPool) Pick(service string, now time.Time) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var (
-		clients    [maxCandidates]*Client
+		clients    [maxCandidates]*Client // nil for one that must not be asked yet.
 		candidates [maxCandidates]rank.Candidate
 		n          int
 	)
-	for address, client := range p.connected {
-		late, open := client.availability(now)
-		if !open || n == maxCandidates {
+	for address, stream := range p.running {
+		client := p.connected[address]
+		informed, known := p.informed(address)
+		settling := now.Sub(stream.begin) < settleTime && (client == nil && !stream.opened || client != nil && !known)
+		if client == nil && !settling || n == maxCandidates {
 			continue
 		}
-		clients[n], candidates[n] = client, rank.Candidate{Host: address, Informed: p.informed(address), Late: late}
+		candidates[n] = rank.Candidate{Host: address, Informed: informed || settling}
+		if !settling {
+			clients[n], candidates[n].Late = client, client.late(now)
+		}
 		n++
 	}
 	if i := rank.Choose(service, candidates[:n]); i >= 0 {
@@ -178,6 +199,9 @@
 	}
 	p.mu.Lock()
 	p.connected[address] = client
+	if running := p.running[address]; running != nil {
+		running.opened = true
+	}
 	p.mu.Unlock()
 	p.log.Info("call stream to control host opened", "address", address.String())
 	go func() { cancel(client.send(ctx, stream)) }()
@@ -304,12 +328,11 @@
 	c.avoidFor = min(2*c.avoidFor, maxAvoidDuration)
 }
 
-// availability reports whether the control host is avoided for missed decisions, and
-// whether its stream is open.
-func (c *Client) availability(now time.Time) (late, open bool) {
+// late reports whether the control host is avoided for missed decisions.
+func (c *Client) late(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.avoidUntil.After(now), !c.closed
+	return c.avoidUntil.After(now)
 }
 
 // unresponsive reports whether so many consecutive decisions were missed, twice
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -17,6 +17,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/rank"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
@@ -82,8 +83,8 @@
 }
 
 // uninformed says of every control host that it may not know what others know.
-func uninformed(netip.AddrPort) bool {
-	return false
+func uninformed(netip.AddrPort) (informed, known bool) {
+	return false, true
 }
 
 // newRelay starts a relay of connections to address. After silence it passes nothing
@@ -258,6 +259,33 @@
 		gomega.Eventually(same, eventTimeout).Should(gomega.BeTrue())
 	})
 
+	// After a loss of power entry hosts reach the control hosts in different orders.
+	ginkgo.It("is not picked while the one that others will pick is not reached yet", func() {
+		a, b := newControlHost(), newControlHost()
+		first, second := a, b
+		if rank.Score("s", b.address) > rank.Score("s", a.address) {
+			first, second = b, a
+		}
+		var known atomic.Bool
+		metrics := telem.NewRegistry()
+		pool := place.NewClientPool(func() []netip.AddrPort { return []netip.AddrPort{second.address, first.address} },
+			func(address netip.AddrPort) (bool, bool) { return true, address == second.address || known.Load() },
+			peer.Traffic{In: metrics.Counter("in"), Out: metrics.Counter("out")}, slog.New(slog.DiscardHandler), metrics)
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		go pool.Run(ctx)
+		gomega.Consistently(func() *place.Client { return pool.Pick("s", time.Now()) }, 500*time.Millisecond).Should(gomega.BeNil())
+		later := time.Now().Add(2 * time.Second)
+		gomega.Expect(pool.Pick("s", later).Address()).To(gomega.Equal(first.address), "nobody waits for long")
+		known.Store(true)
+		gomega.Eventually(func() netip.AddrPort {
+			if client := pool.Pick("s", time.Now()); client != nil {
+				return client.Address()
+			}
+			return netip.AddrPort{}
+		}, eventTimeout).Should(gomega.Equal(first.address))
+	})
+
 	// A control host that is cut off from the others misses departures and new targets.
 	ginkgo.It("is picked only while it is informed, if another one is", func() {
 		a, b := newControlHost(), newControlHost()
@@ -266,7 +294,7 @@
 		var informed atomic.Pointer[netip.AddrPort]
 		informed.Store(&netip.AddrPort{})
 		pool := place.NewClientPool(func() []netip.AddrPort { return []netip.AddrPort{a.address, b.address} },
-			func(address netip.AddrPort) bool { return address == *informed.Load() }, traffic, slog.New(slog.DiscardHandler), metrics)
+			func(address netip.AddrPort) (bool, bool) { return address == *informed.Load(), true }, traffic, slog.New(slog.DiscardHandler), metrics)
 		ctx, cancel := context.WithCancel(context.Background())
 		ginkgo.DeferCleanup(cancel)
 		go pool.Run(ctx)
