--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -198,6 +198,9 @@
 		return s.dispatchQueued(s.redirect(dst, e.Call, c, now), now)
 	}
 	s.targets.Finish(c.target, e.Feedback, now.Sub(c.sent), now)
+	if e.Result == Answered || e.Feedback.Outcome == route.Shed {
+		s.targets.ReturnConn(c.target, c.host, now)
+	}
 	c.tried = append(c.tried, c.target)
 	c.target = ""
 	c.mayHaveRun = c.mayHaveRun || e.Result == Unknown
@@ -379,6 +382,7 @@
 // send begins an attempt of the call at the target of pick and appends a Send.
 func (s *Scheduler) send(dst []Action, id uint64, c *call, pick route.Pick, now time.Time) []Action {
 	s.targets.Begin(pick.Name, now)
+	s.targets.TakeConn(pick.Name, c.host)
 	c.target, c.incarnation = pick.Name, pick.Incarnation
 	c.sent = now
 	c.attempts++
--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -15,8 +15,8 @@
 // slow the target down: its reported pace, a recent start, the share of busy
 // slots, a higher latency than the mean, failures, a failing health check, being
 // suspect or stalled, and the way to another data centre. The call's data centre is
-// preferred among targets that are about equally fast. No target gets more calls
-// than its slots, including the calls of other entry hosts that its reports show.
+// preferred among targets that are about equally fast, and then one to which the host
+// that sends the call has an idle connection. No target gets more calls than its slots, including the calls of other entry hosts that its reports show.
 type Fastest struct{}
 
 const (
@@ -113,10 +113,11 @@
 			tied = append(tied, i)
 		}
 	}
-	t.ties = tied
 	if len(tied) == 0 {
 		return Pick{}, false
 	}
+	tied = t.preferWarm(tied, q.Host, at, rng)
+	t.ties = tied
 	why := WhyFastest
 	switch {
 	case allOutOfUse:
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -127,6 +127,8 @@
 		limit rateLimit
 		// rests are the rests that the target has asked hosts for.
 		rests []hostRest
+		// conns holds the hosts that have used the target lately.
+		conns []hostConns
 	}
 )
 
