Protect callers from targets that fail at once, under every policy

Cause: a target that fails at once has few calls in flight, so that least_outstanding and two_choices give it most of the calls. Under every policy a 500, 502, 503 or 429 went to the caller although the call could run again elsewhere, a broken off answer counted as a good one of its target, and a 429 as well.

Change: both policies use ejected targets only when no others are left; route.unprotected restores the published baselines, for experiments. Answers by which a target says that it failed are held while another attempt is allowed by the retry budget, for calls that may repeat, and passed on if none does better. Broken answers and 429 count as failures.

--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -84,11 +84,11 @@
 func PolicyFor(r spec.Route) Policy {
 	switch r.Policy {
 	case spec.PolicyTwoChoices:
-		return TwoChoices{}
+		return TwoChoices{Unprotected: r.Unprotected}
 	case spec.PolicyFastest:
 		return Fastest{}
 	case spec.PolicyLeastOutstanding:
-		return LeastOutstanding{}
+		return LeastOutstanding{Unprotected: r.Unprotected}
 	default:
 		return HotCold{PreferOwnDataCentre: r.PreferOwnDataCentre}
 	}
@@ -100,9 +100,9 @@
 	at := t.offset(q.Now)
 	switch p := p.(type) {
 	case TwoChoices:
-		return t.twoChoices(q, at, rng)
+		return t.twoChoices(p, q, at, rng)
 	case LeastOutstanding:
-		return t.leastOutstanding(q, at, rng)
+		return t.leastOutstanding(p, q, at, rng)
 	case HotCold:
 		return t.hotCold(p, q, at, rng)
 	case Fastest:
--- a/core/spec/fields.go
+++ b/core/spec/fields.go
@@ -86,6 +86,10 @@
 		Path: "route.prefer_own_data_centre", Label: "Prefer the own data centre",
 		Help: "Targets of the entry host's own data centre go first among equals.",
 	},
+	{
+		Path: "route.unprotected", Label: "Unprotected",
+		Help: "For experiments: least_outstanding and two_choices don't leave out targets that fail.",
+	},
 	{
 		Path: "measure.probes_per_second", Label: "Probes", Unit: "probes per second", Low: 0, High: MaxProbesPerSecond,
 		Help: "Budget for measuring targets, over all entry hosts, in any second; 0 measures nothing.",
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -100,6 +100,9 @@
 		// PreferOwnDataCentre breaks ties in favour of targets in the entry
 		// host's own data centre. It applies to PolicyHotCold only.
 		PreferOwnDataCentre bool `json:"prefer_own_data_centre"`
+		// Unprotected makes PolicyLeastOutstanding and PolicyTwoChoices use targets
+		// that fail like any others, to compare policies in experiments.
+		Unprotected bool `json:"unprotected,omitempty"`
 	}
 
 	// Measure limits the rate of probes.
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -41,6 +41,7 @@
 	carrier           netip.AddrPort     // Where the attempt is sent instead of to its target; invalid for none.
 	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
 	targetAnswered    bool               // The last attempt got an answer of its target.
+	held              *heldAnswer        // The last answer of a target, not passed on yet; nil for none.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 }
 
@@ -299,6 +300,10 @@
 		return h.finishAttempt(ctx, w, r, c, result)
 	case engine.Refuse:
 		h.logRefuse(c, action)
+		if h.passHeld(w, c) {
+			h.metrics.Counter("calls_answered").Add(1)
+			return true
+		}
 		h.metrics.Counter("calls_refused").Add(1)
 		notRun := action.NotRun && !c.mayHaveRun
 		status := http.StatusServiceUnavailable
@@ -396,6 +401,9 @@
 		h.log.Info("given up", "call", c.name, "service", c.service.doc.Name, "reason", reason,
 			"not_run", !c.mayHaveRun, "after", time.Since(c.arrived).String())
 	}
+	if h.passHeld(w, c) {
+		return
+	}
 	h.writeRefusal(w, http.StatusGatewayTimeout, reason, !c.mayHaveRun, c.service.doc.Refuse.RetryAfter.Std())
 }
 
--- a/io/entry/feedback.go
+++ b/io/entry/feedback.go
@@ -32,7 +32,7 @@
 	switch {
 	case targetInfo.NotRun:
 		f.Outcome = route.Shed
-	case status >= http.StatusInternalServerError:
+	case status >= http.StatusInternalServerError || status == http.StatusTooManyRequests:
 		f.Outcome = route.Failed
 	}
 	if targetInfo.LoadErr != nil {
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/setup"
@@ -41,6 +42,9 @@
 		ended bool
 	}
 
+	// callerError is an error in writing to the caller.
+	callerError struct{ error }
+
 	// responseWriter writes the response to the caller.
 	responseWriter struct {
 		http.ResponseWriter
@@ -145,13 +149,18 @@
 		f.discardResponse(conn, resp)
 		return engine.NotRun
 	}
-	if err = f.streamResponse(w, resp, c.carriedIn); err != nil {
+	result, err := f.receiveAnswer(w, resp, c, s)
+	if err != nil {
 		f.pool.discard(conn)
-		f.log.Warn("answer cut short", "call", c.name, "target", s.Target, "error", err)
-		return engine.Broken
+		f.activity.recordFailure(c.service.doc.Name, s.Target)
+		f.log.Warn("answer cut short", "call", c.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
+		if r.Context().Err() == nil && !errors.As(err, new(callerError)) {
+			c.feedback.Outcome = route.Failed
+		}
+		return result
 	}
 	conn.endResponse()
-	return engine.Answered
+	return result
 }
 
 // failAttempt closes the connection of an attempt that got no response, and sets
@@ -311,15 +320,10 @@
 	}
 	prepare(resp.Header)
 	header := w.Header()
-	for name, values := range resp.Header {
-		header[name] = append(header[name], values...)
-	}
+	copyHeader(header, resp.Header)
 	for name := range resp.Trailer {
 		header.Add("Trailer", name)
 	}
-	if _, ok := header["Content-Type"]; !ok {
-		header["Content-Type"] = nil // Disables content sniffing in net/http.
-	}
 	w.WriteHeader(resp.StatusCode)
 	if err := copyBody(w, resp); err != nil {
 		return err
@@ -339,7 +343,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
-				return writeErr
+				return callerError{writeErr}
 			}
 		}
 		switch {
@@ -352,7 +356,7 @@
 			continue
 		}
 		if err = w.controller.Flush(); err != nil {
-			return err
+			return callerError{err}
 		}
 	}
 }
--- a/io/exper/exper.go
+++ b/io/exper/exper.go
@@ -162,6 +162,7 @@
 	doc.Receive.PathPrefixes = []string{"/"}
 	doc.Targets.Slots = r.fleet.cfg.Slots
 	doc.Route.Policy = policy
+	doc.Route.Unprotected = true // The baselines are the policies as published.
 	var (
 		body []byte
 		req  *http.Request
