Relay a target from one control host, and renew leases from the one that hears it

Cause: a target whose heartbeat is not answered within a second goes to the next control host, which relayed it to all its followers as if it were new, and went on renewing its lease for ever. The list of renewals was made anew for each follower.

Change: a target that a live control host relays is not relayed by another; when that one is lost, the next heartbeat changes it. Leases are renewed by the host that heard the target in the last period; one list serves all followers.

--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -300,6 +300,7 @@
 		delete(f.streams, address)
 		delete(f.clients, address)
 		f.mu.Unlock()
+		f.state.forgetRelay(address)
 		if received && ctx.Err() == nil {
 			f.state.metrics.Counter("streams_lost").Add(1)
 			f.state.log.Warn("control host lost", "address", address.String(), "error", err)
@@ -494,7 +495,7 @@
 			targets = append(targets, t)
 		}
 	}
-	f.state.UpdateTargets(false, targets...)
+	f.state.updateTargets(false, address, targets)
 	f.state.renewLeases(u.GetHeard(), now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -275,13 +275,7 @@
 	})
 	s.known = nil
 	if now.Sub(s.leasesSentAt) >= leasePeriod {
-		for id := range state.changeRecords {
-			state.visitRelayed(id, func(t roster.Target) {
-				if t.Heard.After(s.leasesSentAt) {
-					u.Heard = append(u.Heard, leaseRenewal(t, now))
-				}
-			})
-		}
+		u.Heard = append(u.Heard, state.renewals(now)...)
 		s.leasesSentAt = now
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard) > 0
@@ -299,6 +293,25 @@
 	return text
 }
 
+// renewals returns the renewals of the leases of the targets that this host has heard
+// itself in the last leasePeriod and a little more. Streams that ask within
+// heartbeatPeriod share one list. The caller holds mu.
+func (s *State) renewals(now time.Time) []*peerpb.TargetHeard {
+	if now.Sub(s.renewedAt) < heartbeatPeriod {
+		return s.renewed
+	}
+	s.renewed, s.renewedAt = nil, now
+	for id, r := range s.changeRecords {
+		if now.Sub(r.heardAt) > leasePeriod+2*heartbeatPeriod {
+			continue
+		}
+		if t, ok := s.table.Get(id); ok {
+			s.renewed = append(s.renewed, leaseRenewal(t, now))
+		}
+	}
+	return s.renewed
+}
+
 // leaseRenewal returns the message that renews the lease of a target. It holds the
 // time since the target's last heartbeat.
 func leaseRenewal(t roster.Target, now time.Time) *peerpb.TargetHeard {
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -84,10 +84,13 @@
 		encoder       planEncoder // Of plan, for followers.
 		view          View
 		controls      map[netip.AddrPort]Control
-		current       bool          // See SetCurrent.
-		informed      bool          // See setInformed.
-		changed       chan struct{} // Closed and replaced at each change; see notify.
-		urgent        chan struct{} // Closed and replaced at changes that followers must not learn late.
+		// renewed is the last result of renewals, made at renewedAt.
+		renewed   []*peerpb.TargetHeard
+		renewedAt time.Time
+		current   bool          // See SetCurrent.
+		informed  bool          // See setInformed.
+		changed   chan struct{} // Closed and replaced at each change; see notify.
+		urgent    chan struct{} // Closed and replaced at changes that followers must not learn late.
 		// lastExpiry is the time of the last call of Expire, and keepUntil the time
 		// before which no lease expires.
 		lastExpiry, keepUntil time.Time
@@ -98,6 +101,11 @@
 	changeRecord struct {
 		change  uint64
 		relayed bool
+		// from is the control host that has sent the last change; invalid if this host
+		// has heard it from the target, or is no longer connected to that control host.
+		from netip.AddrPort
+		// heardAt is when this host last heard the target itself.
+		heardAt time.Time
 	}
 
 	// Option sets one property of a State.
@@ -194,14 +202,20 @@
 	return s
 }
 
-// UpdateTargets applies new states of targets. If relay is true, the targets are
-// streamed to this host's followers.
+// UpdateTargets applies new states of targets. If relay is true, this host has heard them
+// itself, and they are streamed to its followers.
 func (s *State) UpdateTargets(relay bool, targets ...roster.Target) {
+	s.updateTargets(relay, netip.AddrPort{}, targets)
+}
+
+// updateTargets is UpdateTargets; from is the control host that has sent the states, and
+// invalid for none.
+func (s *State) updateTargets(relay bool, from netip.AddrPort, targets []roster.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed, leaving := false, false
 	for _, t := range targets {
-		if s.updateTarget(t, relay) {
+		if s.updateTarget(t, relay, from) {
 			s.stale[t.Service] = true
 			changed = true
 			leaving = leaving || t.State > member.Ready
@@ -250,14 +264,14 @@
 
 // updateTarget applies the state of one target and reports whether that changed
 // anything but its lease. The caller holds mu.
-func (s *State) updateTarget(t roster.Target, relay bool) bool {
+func (s *State) updateTarget(t roster.Target, relay bool, from netip.AddrPort) bool {
 	if !s.table.Merge(t) {
-		if r := s.changeRecords[t.ID]; relay && !r.relayed {
-			s.recordChange(t.ID, true)
+		if relay {
+			s.recordHeard(t.ID)
 		}
 		return false
 	}
-	s.recordChange(t.ID, relay)
+	s.recordChange(t.ID, relay, from)
 	s.metrics.Counter("target_changes").Add(1)
 	s.log.Info("target changed", "target", t.ID, "service", t.Service, "address", t.Address.String(),
 		"state", t.State.String(), "born", t.Born.UnixMilli(), "sequence", t.Sequence, "heard_here", relay)
@@ -274,7 +288,7 @@
 		if !s.table.Renew(m.GetId(), m.GetSequence(), now.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), now) {
 			continue
 		}
-		s.recordChange(m.GetId(), false)
+		s.recordChange(m.GetId(), false, netip.AddrPort{})
 		t, _ := s.table.Get(m.GetId())
 		returned[t.Service]++
 	}
@@ -290,13 +304,44 @@
 
 // recordChange appends a target to changes, dropping the older half of a list that
 // is full, and updates its change record. The caller holds mu.
-func (s *State) recordChange(id string, relay bool) {
+func (s *State) recordChange(id string, relay bool, from netip.AddrPort) {
 	if len(s.changes) >= maxChanges {
 		s.changesBase += uint64(len(s.changes) / 2)
 		s.changes = slices.Clone(s.changes[len(s.changes)/2:])
 	}
 	s.changes = append(s.changes, id)
-	s.changeRecords[id] = changeRecord{change: s.lastChange(), relayed: relay}
+	r := changeRecord{change: s.lastChange(), relayed: relay, from: from}
+	if relay {
+		r.heardAt = time.Now()
+	}
+	s.changeRecords[id] = r
+}
+
+// recordHeard records that this host has heard a target whose state it knows. A target
+// that another control host has sent and still relays is not relayed once more: under
+// load targets change from one control host to the next, and each change would be sent to
+// all hosts. Its lease is renewed from here. The caller holds mu.
+func (s *State) recordHeard(id string) {
+	r := s.changeRecords[id]
+	if !r.relayed && !r.from.IsValid() {
+		s.recordChange(id, true, netip.AddrPort{})
+		return
+	}
+	r.heardAt = time.Now()
+	s.changeRecords[id] = r
+}
+
+// forgetRelay records that the control host at address can no longer be counted on to
+// relay the targets that it has sent. This host relays those that it hears from then on.
+func (s *State) forgetRelay(address netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.changeRecords {
+		if r.from == address {
+			r.from = netip.AddrPort{}
+			s.changeRecords[id] = r
+		}
+	}
 }
 
 // lastChange returns the number of the last change of any target. The caller holds mu.
