Send no calls to targets known to fail while the others are only full

Cause: the policy fastest used targets that are out of use once no other had a free slot.

Change: while more than half of the ready targets are in use, the others get no calls; the call is held or refused by the time that a slot takes. If most seem to fail they are used as before.

--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -84,9 +84,9 @@
 func (Fastest) isPolicy() {}
 
 // fastest implements Fastest. Targets that are out of use are used only when all
-// candidates are. It reports false when there is no candidate.
+// candidates are, and never while mostInUse. It reports false when there is no candidate.
 func (t *Table) fastest(q Query, at time.Duration, rng *rand.Rand) (Pick, bool) {
-	candidates, allOutOfUse := 0, true
+	candidates, allOutOfUse, mostInUse := 0, true, t.mostInUse(q, at)
 	minCost := math.Inf(1)
 	t.ties, t.costs = t.ties[:0], t.costs[:0]
 	for _, i := range t.readyRows {
@@ -94,8 +94,11 @@
 		if s.addressTaken || s.inFlight+s.otherInFlight(at) >= t.callLimit(i, q) || !t.usable(i, q, at) {
 			continue
 		}
-		candidates++
 		outOfUse := s.outOfUse(at)
+		if outOfUse && mostInUse {
+			continue
+		}
+		candidates++
 		if outOfUse && !allOutOfUse {
 			continue
 		}
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cardamomspool/core/wire"
@@ -226,6 +227,24 @@
 	return s.ejectedUntil > at || s.probesLost(at) >= maxLostProbes
 }
 
+// mostInUse reports whether more than half of the ready targets that q does not exclude
+// are in use. The others then get no calls, even if all those in use are full: a call
+// that waits for a slot is better off than one that is sent to a target known to fail.
+// If most targets seem to fail, it is rather what this host knows of them that is wrong.
+func (t *Table) mostInUse(q Query, at time.Duration) bool {
+	inUse, n := 0, 0
+	for _, i := range t.readyRows {
+		if len(q.Exclude) > 0 && slices.Contains(q.Exclude, t.names[i]) {
+			continue
+		}
+		n++
+		if !t.states[i].outOfUse(at) {
+			inUse++
+		}
+	}
+	return 2*inUse > n
+}
+
 // applyLoadReport updates the state of a target, and the mean pace, from a load
 // report that was received at the given time.
 func (t *Table) applyLoadReport(s *targetState, l wire.Load, at time.Duration) {
