Let calls that have the time wait for a plan after a start

Cause: an entry host that has just started refused calls after 250 ms without a confirmed plan. After a loss of power the last of 141 hosts has its plan after 0.8 s; callers with one retry spend it on a host that is ready a moment later, and all come back in the same second (330 'no service' in 0.7 s).

Change: calls wait up to 0.8 s, and at most a third of the time that their caller gives. The wait is taken off the time that is handed on.

Tests: a spec with a plan that comes after 600 ms, which a call with 4 s to go waits for (503 before) and one with 0.6 s does not, and one for the time handed on.

--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -55,9 +55,12 @@
 	// has failed.
 	causeStreamLost = "stream_lost"
 	causeNoDecision = "no_decision"
-	// maxPlanWait is how long a call waits for the first plan: a few times the
-	// time to connect to a control host.
-	maxPlanWait = 250 * time.Millisecond
+	// maxPlanWait is how long a call waits for the first plan, and at most the part
+	// planWaitDivisor of its timeout. Of 141 entry hosts that start together on narrow
+	// links the last one has its plan after 0.8 s; a refusal would cost the caller its
+	// retry, and bring it back in the same second.
+	maxPlanWait     = 800 * time.Millisecond
+	planWaitDivisor = 3
 	// planRetryAfter is the delay that a host without a plan tells callers to wait
 	// before a retry (Retry-After).
 	planRetryAfter = 200 * time.Millisecond
@@ -180,7 +183,10 @@
 // with when there is no service.
 func (f *fleet) find(r *http.Request, callInfo wire.CallerInfo) (*service, spec.Class, *problem) {
 	var class spec.Class
-	v := f.awaitPlan(r.Context())
+	v, waited := f.awaitPlan(r.Context(), callInfo.Timeout)
+	if callInfo.Timeout > 0 {
+		callInfo.Timeout = max(callInfo.Timeout-waited, time.Millisecond)
+	}
 	if v == nil {
 		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "no plan is known and confirmed yet"}
 	}
@@ -207,23 +213,30 @@
 	return s, class, nil
 }
 
-// awaitPlan returns the plan in force. Until there is one, and until it is confirmed, it
-// waits up to maxPlanWait, since a starting host receives the plan soon. It returns nil
-// after that: a control host that is out of touch may send an old plan.
-func (f *fleet) awaitPlan(ctx context.Context) *activePlan {
+// awaitPlan returns the plan in force and the time that it has waited for it. Until there
+// is one, and until it is confirmed, it waits, since a starting host receives the plan
+// soon: up to maxPlanWait, and up to the part planWaitDivisor of timeout, the time that the
+// caller gives, if that is known. It returns nil after that: a control host that is out of
+// touch may send an old plan.
+func (f *fleet) awaitPlan(ctx context.Context, timeout time.Duration) (p *activePlan, waited time.Duration) {
 	if isClosed(f.planKnown) && isClosed(f.planConfirmed) {
-		return f.active.Load()
+		return f.active.Load(), 0
+	}
+	wait := maxPlanWait
+	if timeout > 0 {
+		wait = min(wait, timeout/planWaitDivisor)
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxPlanWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	begin := time.Now()
 	for _, event := range []<-chan struct{}{f.planKnown, f.planConfirmed} {
 		select {
 		case <-event:
 		case <-ctx.Done():
-			return nil
+			return nil, time.Since(begin)
 		}
 	}
-	return f.active.Load()
+	return f.active.Load(), time.Since(begin)
 }
 
 // isClosed reports whether c, on which nothing is sent, is closed.
--- a/io/entry/fleet_test.go
+++ b/io/entry/fleet_test.go
@@ -63,6 +63,28 @@
 		gomega.Expect(class.Attempts).To(gomega.Equal(2))
 	})
 
+	// After a loss of power hundreds of hosts ask for the plan at once.
+	ginkgo.It("delays a call that has the time until a late plan arrives", func() {
+		f := newTestFleet()
+		time.AfterFunc(600*time.Millisecond, func() { f.state.SetPlan(testPlan()) })
+		_, _, p := f.find(request("/a/x"), wire.CallerInfo{Timeout: 600 * time.Millisecond})
+		gomega.Expect(p.status).To(gomega.Equal(http.StatusServiceUnavailable), "a call with little time is told to come back")
+		begin := time.Now()
+		_, class, p := f.find(request("/a/x"), wire.CallerInfo{Timeout: 4 * time.Second})
+		gomega.Expect(p).To(gomega.BeNil())
+		waited := time.Since(begin)
+		gomega.Expect(waited).To(gomega.BeNumerically(">", 250*time.Millisecond))
+		gomega.Expect(class.Deadline).To(gomega.BeNumerically("<=", time.Second))
+	})
+
+	ginkgo.It("hands on only the time that is left after the wait for the plan", func() {
+		f := newTestFleet()
+		time.AfterFunc(200*time.Millisecond, func() { f.state.SetPlan(testPlan()) })
+		_, class, p := f.find(request("/a/x"), wire.CallerInfo{Timeout: 900 * time.Millisecond})
+		gomega.Expect(p).To(gomega.BeNil())
+		gomega.Expect(class.Deadline).To(gomega.BeNumerically("<=", 720*time.Millisecond))
+	})
+
 	ginkgo.It("answers 503 without a plan, and for an unknown path while its plan may be out of date", func() {
 		f := newTestFleet()
 		_, _, p := f.find(request("/a/x"), wire.CallerInfo{})
