Wait for a decision as long as the aim of a call allows

Cause: a call whose control host had not decided within 60 ms was sent blindly by its entry host.

Change: a call waits for a quarter of its aim, 60 to 250 ms.

Test: TestCallsWaitForLateDecisionsAsTheirAimAllows, decisions after 160 ms: with 60 ms two of twenty calls miss theirs and the host is avoided after that; none after the change.

--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -66,8 +66,12 @@
 	planRetryAfter = 200 * time.Millisecond
 	// decisionTimeout is how long a control host may take for a decision, in
 	// addition to the estimated delay behind callers' uploads (see uploadBacklog).
-	// It is about ten round-trip times.
-	decisionTimeout = 60 * time.Millisecond
+	// It is about ten round-trip times. A call with an aim waits for the part
+	// decisionAimDivisor of it, if that is longer, and at most maxDecisionTimeout: this
+	// host alone knows little of the targets, and under load most of them are full.
+	decisionTimeout    = 60 * time.Millisecond
+	maxDecisionTimeout = 250 * time.Millisecond
+	decisionAimDivisor = 4
 
 	// decisionBuffer is the number of decisions about one call that may wait to be
 	// executed, such as a hold and the decisions after it; further ones are dropped
@@ -304,9 +308,15 @@
 }
 
 // startDecisionTimer starts the wait for a decision of the control host. The wait is
-// decisionTimeout plus the estimated delay behind callers' uploads.
+// decisionPatience plus the estimated delay behind callers' uploads.
 func (c *call) startDecisionTimer() {
 	wait := c.host.uploads.queueDelay()
 	c.decisionRequested, c.delayedByUploads = time.Now(), wait > 0
-	c.decisionOverdue = time.After(decisionTimeout + wait)
+	c.decisionOverdue = time.After(decisionPatience(c.class.Aim) + wait)
+}
+
+// decisionPatience returns how long a call with an aim, 0 for none, waits for a decision
+// that nothing on this host delays.
+func decisionPatience(aim time.Duration) time.Duration {
+	return min(max(aim/decisionAimDivisor, decisionTimeout), maxDecisionTimeout)
 }
