Let a control host that is late probe less, and blame no targets for it

Cause: a control host with too little processor time reads answers to probes after their 250 ms.

Change: how late probes begin says whether the host is behind (core/pace Throttle). New: probes_late, 'probes are throttled'.

--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -10,6 +10,7 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
+	"cardamomspool/core/pace"
 	"cardamomspool/core/route"
 	"cardamomspool/io/telem"
 )
@@ -36,6 +37,7 @@
 		rateUpdated     time.Time
 		longestInterval time.Duration // The longest result of currentInterval since intervalShrunk was made.
 		intervalShrunk  chan struct{} // Closed and replaced when the interval has shrunk by more than intervalShrinkFactor.
+		throttle        pace.Throttle // Of the probe rate, while this host is late.
 	}
 
 	// targetProbe is the running probe loop of one target.
@@ -148,10 +150,11 @@
 
 // probeInterval returns the time between two probes of one target: the
 // configured interval, or more where the targets together would exceed
-// maxProbesPerSecond or maxProbesPerCall. The caller holds mu.
+// maxProbesPerSecond or maxProbesPerCall, or while this host is late. The caller holds mu.
 func (p *Prober) probeInterval(now time.Time) time.Duration {
 	maxRate := min(max(maxProbesPerCall*p.decayedCallRate(now), minProbesPerSecond), maxProbesPerSecond)
-	return max(p.interval, time.Duration(float64(len(p.running))/maxRate*float64(time.Second)))
+	interval := max(p.interval, time.Duration(float64(len(p.running))/maxRate*float64(time.Second)))
+	return time.Duration(float64(interval) / p.throttle.Factor())
 }
 
 // run probes one target until ctx ends. The interval runs from the start of one
@@ -160,8 +163,13 @@
 func (p *Prober) run(ctx context.Context, target member.Record) {
 	wait := rand.N(p.interval)
 	_, shrunk := p.currentInterval(time.Now())
-	for answering := true; p.waitUntilDue(ctx, wait, shrunk); {
+	for answering := true; ; {
+		due, ok := p.waitUntilDue(ctx, wait, shrunk)
+		if !ok {
+			return
+		}
 		begin := time.Now()
+		p.observeLateness(begin.Sub(due), begin)
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		result, err := p.probeTarget(probeCtx, target, p.healthPath)
 		cancel()
@@ -172,12 +180,18 @@
 		if err != nil {
 			p.metrics.Counter("probes_lost").Add(1)
 		}
-		if ok := err == nil; ok != answering {
-			answering = ok
-			p.log.Info("target started or stopped answering probes", "service", target.Service, "target", target.Target,
-				"answers", answering, "error", err)
+		switch answers := err == nil; {
+		case !answers && p.late():
+			// This host has too little processor time to read answers in time.
+			p.metrics.Counter("probes_late").Add(1)
+		default:
+			if answers != answering {
+				answering = answers
+				p.log.Info("target started or stopped answering probes", "service", target.Service, "target", target.Target,
+					"answers", answering, "error", err)
+			}
+			p.onReport(engine.ProbeReport{Target: target.Target, Probe: result})
 		}
-		p.onReport(engine.ProbeReport{Target: target.Target, Probe: result})
 		var interval time.Duration
 		interval, shrunk = p.currentInterval(time.Now())
 		wait = max(interval-time.Since(begin), interval/4)
@@ -187,22 +201,43 @@
 	}
 }
 
-// waitUntilDue waits until the next probe of a target is due, that is, for wait. When
-// shrunk is closed meanwhile, it starts again, with a random part of the new interval
-// if that is shorter than wait. It returns false when ctx ends first.
-func (p *Prober) waitUntilDue(ctx context.Context, wait time.Duration, shrunk <-chan struct{}) bool {
+// observeLateness records that a probe began late by the given time at now.
+func (p *Prober) observeLateness(late time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.throttle.Factor()
+	p.throttle.Observe(late, now)
+	if after := p.throttle.Factor(); (before == 1) != (after == 1) {
+		p.log.Info("probes are throttled", "throttled", after < 1, "late", late.String())
+	}
+}
+
+// late reports whether this host is late.
+func (p *Prober) late() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.throttle.Late()
+}
+
+// waitUntilDue waits until the next probe of a target is due, that is, for wait, and
+// returns when that was. When shrunk is closed meanwhile, it starts again, with a random
+// part of the new interval if that is shorter than wait. It returns false when ctx ends
+// first.
+func (p *Prober) waitUntilDue(ctx context.Context, wait time.Duration, shrunk <-chan struct{}) (due time.Time, ok bool) {
+	due = time.Now().Add(wait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return false
+			return due, false
 		case <-timer.C:
-			return true
+			return due, true
 		case <-shrunk:
 			var interval time.Duration
 			interval, shrunk = p.currentInterval(time.Now())
 			wait = min(wait, rand.N(interval)) // Spreads the probes over the interval.
+			due = time.Now().Add(wait)
 			timer.Reset(wait)
 		}
 	}
