Stop the servers for calls in the way of io/drain too

Cause: the call server and the carrier server replaced the serve function of the drain server by that of the http.Server inside it, to track callers.

Change: both serve through the drain server.

Test: TestStopAnswersRequestsThatArriveAsTheDrainEnds, 80 callers that send on kept connections in steps of 2 ms around the end of the drain delay.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -212,10 +212,10 @@
 	peers := peer.NewServer()
 	peerpb.RegisterMembershipServer(peers, h.members)
 	if h.fleet != nil {
-		list := []server{h.callServer(), h.carrierServer(), h.httpServer("admin", h.cfg.AdminAddress, operators, func() {})}
+		list := []server{h.callServer(), h.carrierServer(), h.httpServer("admin", h.cfg.AdminAddress, operators)}
 		if h.newFront != nil {
 			front := &http.Server{Handler: h.newFront(h), ReadHeaderTimeout: admin.ReadHeaderTimeout}
-			list = append(list, h.httpServer("front", h.cfg.Fleet.FrontAddress, front, func() {}))
+			list = append(list, h.httpServer("front", h.cfg.Fleet.FrontAddress, front))
 		}
 		return list
 	}
@@ -241,31 +241,35 @@
 				peers.Stop()
 			},
 		},
-		h.httpServer("admin", h.cfg.AdminAddress, operators, func() {}),
+		h.httpServer("admin", h.cfg.AdminAddress, operators),
 	}
 }
 
 // callServer returns the server that accepts calls.
 func (h *Host) callServer() server {
-	inner := h.newCallServer(h, h.callers.MaxHeaderBytes)
-	result := h.httpServer("call", h.cfg.CallAddress, inner, func() { h.callsCutOff.Store(h.openCalls.Load()) })
-	result.serve = func(l net.Listener) error {
-		listener := h.trackCallers(inner, l)
-		if h.keyPair == nil {
-			return inner.Serve(listener)
-		}
-		inner.TLSConfig = h.keyPair.config()
-		return inner.ServeTLS(listener, "", "")
+	inner := drain.New(h.newCallServer(h, h.callers.MaxHeaderBytes))
+	return server{
+		name: "call", address: h.cfg.CallAddress,
+		serve: func(l net.Listener) error {
+			listener := h.trackCallers(inner.Server, l)
+			if h.keyPair == nil {
+				return inner.Serve(listener)
+			}
+			inner.TLSConfig = h.keyPair.config()
+			return inner.ServeTLS(listener, "", "")
+		},
+		stop: h.stopHTTP(inner, func() { h.callsCutOff.Store(h.openCalls.Load()) }),
 	}
-	return result
 }
 
 // carrierServer returns the server that accepts the calls of other entry hosts.
 func (h *Host) carrierServer() server {
-	inner := h.newCallServer(carrierHandler{h}, h.callers.MaxHeaderBytes+maxCarryBytes)
-	result := h.httpServer("carrier", h.cfg.PeerAddress, inner, func() {})
-	result.serve = func(l net.Listener) error { return inner.Serve(h.trackCallers(inner, l)) }
-	return result
+	inner := drain.New(h.newCallServer(carrierHandler{h}, h.callers.MaxHeaderBytes+maxCarryBytes))
+	return server{
+		name: "carrier", address: h.cfg.PeerAddress,
+		serve: func(l net.Listener) error { return inner.Serve(h.trackCallers(inner.Server, l)) },
+		stop:  h.stopHTTP(inner, func() {}),
+	}
 }
 
 // serveCarrier runs the carrier server behind the listener of another server, whose end
@@ -298,11 +302,10 @@
 	return callers
 }
 
-// httpServer returns a server that serves inner. cutOff is called when its open
-// requests are cut off.
-func (h *Host) httpServer(name string, address netip.AddrPort, inner *http.Server, cutOff func()) server {
+// httpServer returns a server that serves inner.
+func (h *Host) httpServer(name string, address netip.AddrPort, inner *http.Server) server {
 	s := drain.New(inner)
-	return server{name: name, address: address, serve: s.Serve, stop: h.stopHTTP(s, cutOff)}
+	return server{name: name, address: address, serve: s.Serve, stop: h.stopHTTP(s, func() {})}
 }
 
 // stopHTTP returns a function that waits for open requests until its context
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +144,73 @@
 	g.Expect(target.connsWithData()).To(gomega.Equal(1))
 	g.Eventually(b.done, testTimeout).Should(gomega.Receive(gomega.BeNil()))
 }
+
+// Callers send on kept connections, in pieces as over a narrow link, around the end of
+// the drain delay, in steps of 2 ms. The host must answer each request of which it has
+// had the time to read the first piece.
+func TestStopAnswersRequestsThatArriveAsTheDrainEnds(t *testing.T) {
+	const (
+		drain   = 400 * time.Millisecond
+		callers = 80
+		step    = 2 * time.Millisecond
+		lead    = callers / 2 * step // From the first request to the end of the drain.
+		pause   = 20 * time.Millisecond
+		// readTime is far more than the host needs to read bytes that have arrived.
+		readTime = 200 * time.Millisecond
+	)
+	for _, pieces := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d pieces", pieces), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			target := newRawTarget(t, func(c *rawConn) {
+				for c.readRequest() != nil {
+					c.send(okResponse)
+				}
+			})
+			b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
+				cfg.DrainDelay = strict.Duration(drain)
+				doc.Targets.Slots, doc.Targets.Connections = callers, callers
+			}, target.address)
+			conns := make([]*caller, callers)
+			for i := range conns {
+				conns[i] = b.dial(t)
+				conns[i].call(t, keepAlivePost)
+			}
+			b.stop()
+			stopped := time.Now()
+			var (
+				group          sync.WaitGroup
+				answered, lost atomic.Int64
+			)
+			for i, c := range conns {
+				group.Go(func() {
+					time.Sleep(time.Until(stopped.Add(drain - lead + time.Duration(i)*step)))
+					begin := time.Now()
+					for p := range pieces {
+						if p > 0 {
+							time.Sleep(pause)
+						}
+						part := keepAlivePost[p*len(keepAlivePost)/pieces : (p+1)*len(keepAlivePost)/pieces]
+						if _, err := io.WriteString(c, part); err != nil {
+							return // The connection was closed before.
+						}
+					}
+					answer, err := http.ReadResponse(c.reader, nil)
+					switch {
+					case err == nil && answer.StatusCode == http.StatusOK:
+						answered.Add(1)
+					case time.Since(begin) > readTime:
+						lost.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			t.Logf("%d of %d answered", answered.Load(), callers)
+			g.Expect(lost.Load()).To(gomega.BeZero())
+			// Requests that begin 20 ms or more before the end of the drain must be
+			// answered, which leaves ten steps.
+			g.Expect(answered.Load()).To(gomega.BeNumerically(">=", callers/2-10))
+			g.Eventually(b.done, testTimeout).Should(gomega.Receive(gomega.BeNil()))
+			g.Expect(b.logs.String()).To(gomega.ContainSubstring("requests_unanswered=0"))
+		})
+	}
+}
--- a/io/probe/late_test.go
+++ b/io/probe/late_test.go
@@ -50,7 +50,7 @@
 		time.Sleep(lateSample)
 	}
 	g.Expect(reports.Load() - blamed).To(gomega.BeZero())
-	g.Expect(sent.Load() - probes).To(gomega.BeNumerically("<=", 10), "50 at the full rate")
+	g.Expect(sent.Load()-probes).To(gomega.BeNumerically("<=", 10), "50 at the full rate")
 }
 
 // lateSample is the time between two observations of lateness.
