Run the README's separate processes in a test, and check the example documents

Cause: nothing noticed that all documents under examples/ named the baseline policy, nor would it if a command of the README stopped working.

Change: a test runs the block of README.md that starts three control hosts, two entry hosts and a target, as written, and expects 1,000 of 1,000 calls answered; another one checks that the example documents are valid and name the default policy.

--- /dev/null
+++ b/cmd/cardamomspool/readme_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cardamomspool/core/spec"
+)
+
+// shellBlocks returns the sh code blocks of a page in Markdown.
+func shellBlocks(page string) []string {
+	var blocks []string
+	for {
+		_, rest, found := strings.Cut(page, "```sh\n")
+		if !found {
+			return blocks
+		}
+		block, after, _ := strings.Cut(rest, "```")
+		blocks, page = append(blocks, block), after
+	}
+}
+
+// TestReadmeRunsSeparateProcesses runs the block of README.md that starts the example
+// system as separate processes, in a folder of its own, with the example files beside it.
+func TestReadmeRunsSeparateProcesses(t *testing.T) {
+	const build = "go build -o . ./cmd/...\n"
+	g := gomega.NewWithT(t)
+	page, err := os.ReadFile("../../README.md")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	script := ""
+	for _, block := range shellBlocks(string(page)) {
+		if strings.Contains(block, "spoollab load") {
+			script = block
+		}
+	}
+	g.Expect(script).To(gomega.HavePrefix(build))
+	root, err := filepath.Abs("../..")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	folder := t.TempDir()
+	g.Expect(os.Symlink(filepath.Join(root, "examples"), filepath.Join(folder, "examples"))).To(gomega.Succeed())
+	command := exec.Command("go", "build", "-o", folder, "./cmd/...")
+	command.Dir = root
+	output, err := command.CombinedOutput()
+	g.Expect(err).NotTo(gomega.HaveOccurred(), string(output))
+
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var stdout, stderr bytes.Buffer
+	command = exec.CommandContext(ctx, "bash", "-c", strings.TrimPrefix(script, build)+"wait\n")
+	command.Dir, command.Stdout, command.Stderr = folder, &stdout, &stderr
+	g.Expect(command.Run()).To(gomega.Succeed(), stderr.String())
+	var s struct {
+		Calls    int `json:"calls"`
+		Answered int `json:"answered"`
+	}
+	for _, line := range strings.Split(stdout.String(), "\n") {
+		if strings.HasPrefix(line, `{"calls"`) {
+			g.Expect(json.Unmarshal([]byte(line), &s)).To(gomega.Succeed(), line)
+		}
+	}
+	g.Expect(s.Calls).To(gomega.Equal(1000), stdout.String())
+	g.Expect(s.Answered).To(gomega.Equal(1000), stdout.String())
+}
+
+// TestExampleDocumentsAreValid checks that operators who start from the example
+// documents get the default policy and valid documents.
+func TestExampleDocumentsAreValid(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paths, err := filepath.Glob("../../examples/*/services/*.json")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(paths).NotTo(gomega.BeEmpty())
+	for _, path := range paths {
+		body, readErr := os.ReadFile(path)
+		g.Expect(readErr).NotTo(gomega.HaveOccurred())
+		doc, faults := spec.Parse(body)
+		g.Expect(faults).To(gomega.BeEmpty(), path)
+		g.Expect(doc.Route.Policy).To(gomega.Equal(spec.Default().Route.Policy), path)
+	}
+}
--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -16,7 +16,8 @@
 // slots, a higher latency than the mean, failures, a failing health check, being
 // suspect or stalled, and the way to another data centre. The call's data centre is
 // preferred among targets that are about equally fast, and then one to which the host
-// that sends the call has an idle connection. No target gets more calls than its slots, including the calls of other entry hosts that its reports show.
+// that sends the call has an idle connection. No target gets more calls than its slots,
+// including the calls of other entry hosts that its reports show.
 type Fastest struct{}
 
 const (
