Expect of a call the time that calls of similar aims take

Cause: whether a call can still be in time was judged by the mean latency of its service.

Change: a moving average for each class of aims (core/engine/latency.go) decides how long a call is held.

--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -24,6 +24,7 @@
 		retryCredit float64
 		// retryBudget limits retries when the document sets a retry window.
 		retryBudget admit.Budget
+		latencies   latencies
 		rng         *rand.Rand
 		// reportHolds says that a Hold is returned for each queued call.
 		reportHolds bool
@@ -201,6 +202,9 @@
 	if e.Result == Answered || e.Feedback.Outcome == route.Shed {
 		s.targets.ReturnConn(c.target, c.host, now)
 	}
+	if e.Result == Answered && e.Feedback.Outcome == route.Served {
+		s.latencies.observe(c.class.Aim, now.Sub(c.sent))
+	}
 	c.tried = append(c.tried, c.target)
 	c.target = ""
 	c.mayHaveRun = c.mayHaveRun || e.Result == Unknown
@@ -429,15 +433,16 @@
 // as it may, so that it would have no prospect behind calls that may wait longer.
 func (s *Scheduler) queuedCall(id uint64, c *call) admit.QueuedCall {
 	wait, rank := s.doc.Hold.LongestWait.Std(), c.class.Rank
+	expected := s.latencies.expect(c.class.Aim, s.targets.MeanLatency())
 	switch aim := c.class.Aim; {
 	case c.class.Late:
 		wait, rank = min(wait, aim/lateWaitDivisor), rank+lateRankOffset
 	case aim > 0:
-		wait = min(wait, max(aim-s.targets.MeanLatency(), aim/minWaitDivisor))
+		wait = min(wait, max(aim-expected, aim/minWaitDivisor))
 	}
 	until := c.waitingSince.Add(wait)
 	urgent := false
-	if last := c.deadline.Add(-s.targets.MeanLatency()); last.Before(until) {
+	if last := c.deadline.Add(-expected); last.Before(until) {
 		urgent = true
 		shortest := c.waitingSince.Add(c.deadline.Sub(c.waitingSince) / minWaitDivisor)
 		if until = last; until.Before(shortest) {
