--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -81,9 +81,11 @@
 	placementRetryAfter = 100 * time.Millisecond
 	// The retry budget of a service allows, per time window, a ratio of the
 	// calls plus a fixed number of retries, the slack, which the control hosts share
-	// (rank.Share). A tenth of the ratio is left for calls that two hosts count,
-	// since an entry host offers a call to another one after a missed decision.
-	retryRatioFactor = 0.9
+	// (rank.Share). A quarter of the ratio is left for calls that are counted here and
+	// not by the users: those that two hosts count, since an entry host offers a call to
+	// another one when a stream is lost, and those by which a platform tests which
+	// configuration is in force, one in eight on a fleet of 130 entry hosts.
+	retryRatioFactor = 0.75
 )
 
 // newFleet returns the fleet part of h. The caller sets h.fleet to it.
