--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Patience is the time for which a host waits for the next message of a stream before it
-// gives the stream up. It doubles from Min to Max with each stream that is given up. The
-// zero time of the struct means Min. Patience is not safe for concurrent use.
+// gives the stream up. It doubles from Min to Max with each stream that is given up.
+// Patience is not safe for concurrent use.
 type Patience struct {
 	// Min and Max bound the time; 0 < Min <= Max.
 	Min, Max time.Duration
