Name accounts, quotas, evacuations, cold targets and second attempts in the interfaces

No caller sees a change yet: the new parts of two deployments need common types, messages and settings before they can be built side by side.

The plan has client accounts with digests of their keys, open routes and the warm-up of services; messages between hosts, events of the scheduler and the settings have the fields that the parts of docs/design/accounts-and-load.md share. Empty fields are left out, so that messages and stored plans of today's deployments keep their bytes. An edit changes the current value of a register (quorum.Change.Edit); nothing uses it yet.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -24,9 +24,12 @@
 		Urgent bool
 		// Patient puts the call behind prompt calls of the same rank.
 		Patient bool
+		// Start orders the calls of one rank among client accounts, lower ones first.
+		// It is equal for all calls when there are no accounts.
+		Start float64
 	}
 
-	// Queue is a priority queue: by rank, then urgent before others, then prompt
+	// Queue is a priority queue: by rank, then by start tag, then urgent before others, then prompt
 	// before patient, then by order of arrival. The zero value accepts no call of a
 	// weight above 0; set MaxWeight before use.
 	Queue struct {
@@ -63,6 +66,8 @@
 	switch {
 	case c.Rank != o.Rank:
 		return cmp.Compare(c.Rank, o.Rank)
+	case c.Start != o.Start:
+		return cmp.Compare(c.Start, o.Start)
 	case c.Urgent && !o.Urgent:
 		return -1
 	case o.Urgent && !c.Urgent:
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -45,6 +45,8 @@
 	Finish struct {
 		// Call identifies the call.
 		Call uint64
+		// Attempt is the Send.Attempt of the attempt; 0 when only one is in progress.
+		Attempt int
 		// Result says how the attempt ended.
 		Result Result
 		// Replayable says that the request's body can be sent once more.
@@ -62,6 +64,13 @@
 		DeadlinePassed bool
 	}
 
+	// Extra asks for a second attempt of a call beside the one in progress. The
+	// Scheduler answers with a Send with Extra set, or not at all.
+	Extra struct {
+		// Call identifies the call.
+		Call uint64
+	}
+
 	// SetTargets replaces the targets of the service.
 	SetTargets struct {
 		// Records holds all known targets of the service.
@@ -125,6 +134,11 @@
 		ReportAge time.Duration
 		// HeldFor is the time from the call's arrival to this attempt.
 		HeldFor time.Duration
+		// ExtraAfter is the time after which the entry host may send an Extra; 0 for
+		// none.
+		ExtraAfter time.Duration
+		// Extra marks a second attempt beside one in progress.
+		Extra bool
 	}
 
 	// Hold tells the entry host that a call is queued until a target is available.
@@ -161,6 +175,9 @@
 	// NotSent means that the attempt was not made, because the entry host knows
 	// that the chosen target is draining, has left or has asked it for rest.
 	NotSent
+	// Withdrawn means that the attempt was cancelled because another attempt of the
+	// call has won.
+	Withdrawn
 )
 
 // The reasons for a refusal.
@@ -186,12 +203,15 @@
 	// Unreported means that the result of the last attempt was not reported by
 	// the call's deadline and some time after it.
 	Unreported Reason = "unreported"
+	// OverQuota means that the client account has used its quota.
+	OverQuota Reason = "over_quota"
 )
 
 var (
 	_ Event  = Arrive{}
 	_ Event  = Finish{}
 	_ Event  = Cancel{}
+	_ Event  = Extra{}
 	_ Event  = SetTargets{}
 	_ Event  = Configure{}
 	_ Event  = ProbeReport{}
@@ -215,6 +235,8 @@
 		return "broken"
 	case NotSent:
 		return "not_sent"
+	case Withdrawn:
+		return "withdrawn"
 	}
 	return "none"
 }
@@ -228,6 +250,7 @@
 func (Arrive) isEvent()      {}
 func (Finish) isEvent()      {}
 func (Cancel) isEvent()      {}
+func (Extra) isEvent()       {}
 func (SetTargets) isEvent()  {}
 func (Configure) isEvent()   {}
 func (ProbeReport) isEvent() {}
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -30,6 +30,8 @@
 		reportHolds bool
 		// records are those of the last SetTargets.
 		records []member.Record
+		// quota limits the calls of client accounts; nil for no limits.
+		quota Quota
 		// expired and skipped are buffers that tick and dispatchQueued reuse.
 		expired []admit.QueuedCall
 		skipped []admit.QueuedCall
@@ -37,6 +39,16 @@
 		nextRelease time.Time
 	}
 
+	// Quota limits the calls of client accounts. Schedulers of several services
+	// share one, so it must be safe for concurrent use.
+	Quota interface {
+		// Admit counts a call of the account. It reports false when the account has
+		// no room, and the time after which the caller may come back.
+		Admit(account string, now time.Time) (retryAfter time.Duration, ok bool)
+		// Return takes back the count of a call that was certainly not run.
+		Return(account string, now time.Time)
+	}
+
 	// Option sets one property of a Scheduler.
 	Option func(*Scheduler)
 
@@ -107,6 +119,11 @@
 	return func(s *Scheduler) { s.reportHolds = true }
 }
 
+// WithQuota has quota limit the calls of client accounts.
+func WithQuota(quota Quota) Option {
+	return func(s *Scheduler) { s.quota = quota }
+}
+
 // NewScheduler returns a Scheduler configured by doc, which must be valid. It
 // draws random numbers from rng.
 func NewScheduler(doc spec.Service, rng *rand.Rand, opts ...Option) *Scheduler {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"strings"
 	"time"
+	"unicode"
 
+	"cardamomspool/core/keys"
 	"cardamomspool/core/strict"
 )
 
@@ -17,6 +19,8 @@
 		Routes []Route `json:"routes"`
 		// Services are the services that routes may name.
 		Services []Service `json:"services"`
+		// Accounts are the client accounts; without any, calls need no key.
+		Accounts []Account `json:"accounts,omitempty"`
 		// Limits limits what callers may send.
 		Limits Limits `json:"limits"`
 	}
@@ -43,6 +47,8 @@
 		Attempts int `json:"attempts"`
 		// Parts lists the services that share the calls.
 		Parts []Part `json:"parts"`
+		// Open says that calls need no key although the plan has accounts.
+		Open bool `json:"open,omitempty"`
 	}
 
 	// Part is one service's share of a route.
@@ -63,6 +69,27 @@
 		// Connections is the largest number of connections to a target over
 		// all entry hosts.
 		Connections int `json:"connections"`
+		// WarmTime is how long a target that has just started is cold, and WarmRate
+		// the calls per second that a cold target takes from all hosts together; 0
+		// means that there is no limit.
+		WarmTime strict.Duration `json:"warm_time,omitempty"`
+		WarmRate float64         `json:"warm_rate,omitempty"`
+	}
+
+	// Account is a client account: the callers that share keys, a rank and a quota.
+	Account struct {
+		// Name identifies the account; targets are told of it.
+		Name string `json:"name"`
+		// Keys are the digests of the account's keys.
+		Keys []keys.Digest `json:"keys"`
+		// Rank replaces the rank of the route; nil keeps that.
+		Rank *int `json:"rank,omitempty"`
+		// Rate is the quota in calls per second, over all hosts and services; 0
+		// means that there is none.
+		Rate float64 `json:"rate,omitempty"`
+		// Burst is the number of calls that the account may make at once beyond
+		// Rate.
+		Burst float64 `json:"burst,omitempty"`
 	}
 
 	// Limits limits what callers may send. A limit of 0 means that the setting of
@@ -85,6 +112,8 @@
 		Plan Plan `json:"plan"`
 		// Source is the operators' text, in a format of their own.
 		Source json.RawMessage `json:"source"`
+		// Evacuated lists the data centres whose targets get no calls, sorted.
+		Evacuated []string `json:"evacuated,omitempty"`
 	}
 )
 
@@ -107,9 +136,37 @@
 	for i := range p.Routes {
 		p.Routes[i].validate(&f, serviceNames)
 	}
+	p.validateAccounts(&f)
 	return f
 }
 
+// validateAccounts adds the faults of the accounts to f. Keys are not part of the
+// messages.
+func (p *Plan) validateAccounts(f *strict.Faults) {
+	names := make(map[string]bool, len(p.Accounts))
+	holders := make(map[keys.Digest]string)
+	for i := range p.Accounts {
+		a := &p.Accounts[i]
+		at := "accounts[" + a.Name + "]"
+		switch {
+		case a.Name == "" || strings.ContainsFunc(a.Name, unicode.IsControl):
+			f.Add(at, "must have a name without control characters")
+		case names[a.Name]:
+			f.Add(at, "is listed twice")
+		}
+		names[a.Name] = true
+		if a.Rate < 0 || a.Burst < 0 {
+			f.Add(at, "has the rate %v and the burst %v, must not be negative", a.Rate, a.Burst)
+		}
+		for _, k := range a.Keys {
+			if holder, taken := holders[k]; taken && holder != a.Name {
+				f.Add(at+".keys", "has a key of the account %q", holder)
+			}
+			holders[k] = a.Name
+		}
+	}
+}
+
 // validate adds the faults of the route to f. The keys of services are the names
 // of the plan's services.
 func (r *Route) validate(f *strict.Faults, services map[string]bool) {
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -36,6 +36,12 @@
 		// change replaces the document if the document's version is lower, and
 		// has no effect otherwise. Base, Request and Deleted are then ignored.
 		Version uint64
+		// Edit, if not nil, derives the new document from the current one and
+		// returns nil when there is nothing to change; it must not modify its
+		// argument. With Version it receives the zero value's body when there is no
+		// document yet and its result replaces Body. Without Version it keeps the
+		// version of the document, and Base, Request, Deleted and Body are ignored.
+		Edit func(current json.RawMessage) (json.RawMessage, error)
 		// Next, if not empty, ends the view: the document accepts no further
 		// change, and the listed hosts continue from it in the next view. All
 		// other fields except Name are then ignored.
@@ -140,6 +146,8 @@
 		return v, Request{Revision: v.Revision}, nil
 	case c.Version > 0:
 		return applyVersion(v, c)
+	case c.Edit != nil:
+		return applyEdit(v, c)
 	}
 	digest := c.Digest()
 	for _, r := range v.Requests {
@@ -173,9 +181,30 @@
 	if c.Version <= v.Version {
 		return v, Request{Revision: v.Revision}, nil
 	}
+	body := bytes.Clone(c.Body)
+	if c.Edit != nil {
+		var err error
+		if body, err = c.Edit(v.Body); err != nil {
+			return v, Request{}, err
+		}
+	}
 	next := Value{
-		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: bytes.Clone(c.Body)},
+		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: body},
 		Operator:  c.Operator, At: c.At, Version: c.Version,
 	}
 	return next, Request{Revision: next.Revision}, nil
 }
+
+// applyEdit returns the value with the edited document of v and the version of v, and v
+// if the edit changes nothing.
+func applyEdit(v Value, c Change) (Value, Request, error) {
+	body, err := c.Edit(v.Body)
+	if err != nil || body == nil {
+		return v, Request{Revision: v.Revision}, err
+	}
+	next := Value{
+		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: body},
+		Operator:  c.Operator, At: c.At, Version: v.Version,
+	}
+	return next, Request{Revision: next.Revision}, nil
+}
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -165,6 +165,8 @@
 		// Attempts is the largest number of attempts of the call; 0 means that
 		// only Retry.Attempts applies.
 		Attempts int
+		// Account is the client account that makes the call; empty for none.
+		Account string
 	}
 
 	// Versioned is a document with its revision: a service document, or another
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -56,6 +56,11 @@
 		Target string
 		// TimeLeft is the time until the call's deadline.
 		TimeLeft time.Duration
+		// Accounts says that the deployment has client accounts; the field for the
+		// account is then not taken over from the caller.
+		Accounts bool
+		// Account is the client account that makes the call; empty for none.
+		Account string
 	}
 
 	// AnswerInfo is the information in the status and the header of a target's
@@ -108,6 +113,9 @@
 		// Rest is the time for which the target wants no requests from the host that
 		// got the answer; 0 also for one that cannot be parsed.
 		Rest time.Duration
+		// WarmFor is how long the target stays cold; 0 when it is warm or does not
+		// say.
+		WarmFor time.Duration
 	}
 
 	// Refusal is what the caller learns about a call that gets no answer from a
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -21,7 +21,7 @@
 	return &peerpb.CallEvent{Call: e.Call, Service: service, Event: &peerpb.CallEvent_Arrive{Arrive: &peerpb.CallArrive{
 		LeftMs: uint32(max(e.Deadline.Sub(now), 0).Milliseconds()), AimMs: uint32(e.Class.Aim.Milliseconds()),
 		Rank: uint32(max(e.Class.Rank, 0)), Attempts: uint32(max(e.Class.Attempts, 0)), Idempotent: e.Class.Idempotent,
-		Weight: uint32(max(e.Class.Weight, 0)), DataCentre: e.DataCentre, Late: e.Class.Late,
+		Weight: uint32(max(e.Class.Weight, 0)), DataCentre: e.DataCentre, Late: e.Class.Late, Account: e.Class.Account,
 	}}}
 }
 
@@ -34,7 +34,7 @@
 		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(), Host: host,
 		Class: spec.Class{
 			Weight: int(m.GetWeight()), Deadline: left, Idempotent: m.GetIdempotent(), Rank: int(m.GetRank()),
-			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()), Late: m.GetLate(),
+			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()), Late: m.GetLate(), Account: m.GetAccount(),
 		},
 	}
 }
@@ -44,7 +44,7 @@
 	m := &peerpb.CallFinish{
 		Result: uint32(e.Result), Replayable: e.Replayable, Ending: uint32(e.Feedback.Outcome),
 		Drains: e.Feedback.Draining, Gone: e.Feedback.AddressTaken,
-		RestMs: uint32(e.Feedback.Rest.Round(time.Millisecond).Milliseconds()),
+		RestMs: uint32(e.Feedback.Rest.Round(time.Millisecond).Milliseconds()), Attempt: uint32(max(e.Attempt, 0)),
 	}
 	if e.Feedback.Reported {
 		l := e.Feedback.Load
@@ -68,7 +68,7 @@
 		f.Reported = true
 		f.Load = wire.Load{Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()), Pace: int(l.GetSpeed())}
 	}
-	return engine.Finish{Call: call, Result: engine.Result(m.GetResult()), Replayable: m.GetReplayable(), Feedback: f}
+	return engine.Finish{Call: call, Attempt: int(m.GetAttempt()), Result: engine.Result(m.GetResult()), Replayable: m.GetReplayable(), Feedback: f}
 }
 
 // fromAction encodes a decision; call is the entry host's ID of the call.
@@ -79,7 +79,7 @@
 		m.Decision = &peerpb.CallDecision_Send{Send: &peerpb.CallSend{
 			Target: a.Target, Address: a.Address.String(), Attempt: uint32(a.Attempt), Candidates: uint32(a.Candidates),
 			Why: string(a.Why), InFlight: uint32(a.InFlight), ReportAgeUs: a.ReportAge.Microseconds(), HeldUs: a.HeldFor.Microseconds(),
-			Incarnation: a.Incarnation,
+			Incarnation: a.Incarnation, ExtraAfterMs: uint32(a.ExtraAfter.Milliseconds()), Extra: a.Extra,
 		}}
 	case engine.Refuse:
 		m.Decision = &peerpb.CallDecision_Refuse{Refuse: &peerpb.CallRefuse{
@@ -105,6 +105,7 @@
 			Candidates: int(d.Send.GetCandidates()), Why: route.Why(d.Send.GetWhy()), InFlight: int(d.Send.GetInFlight()),
 			ReportAge: time.Duration(d.Send.GetReportAgeUs()) * time.Microsecond,
 			HeldFor:   time.Duration(d.Send.GetHeldUs()) * time.Microsecond, Incarnation: d.Send.GetIncarnation(),
+			ExtraAfter: time.Duration(d.Send.GetExtraAfterMs()) * time.Millisecond, Extra: d.Send.GetExtra(),
 		}, nil
 	case *peerpb.CallDecision_Refuse:
 		return engine.Refuse{
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -24,6 +24,13 @@
 		{Path: "fleet.retry_window", Label: "Retry window", Low: 0, High: int64(MaxRetryWindow), Help: "Length of the window of the retry budget: 0s, or at least 100ms."},
 		{Path: "fleet.retry_slack", Label: "Retry slack", Unit: "retries per window", Low: 0, High: MaxRetrySlack, Help: "Retries allowed in a window in addition to the retry ratio."},
 		{Path: "fleet.probe_interval", Label: "Probe interval", Low: 0, High: int64(MaxProbeInterval), Help: "Time between two probes of a target; 0 disables probes."},
+		{Path: "fleet.key_lease", Label: "Lease of keys", Low: 0, High: int64(MaxKeyLease), Help: "How long after its withdrawal a key may still be accepted by any host: 0s for no bound, or at least 1s."},
+		{Path: "fleet.quota_window", Label: "Quota window", Low: 0, High: int64(MaxQuotaWindow), Help: "Window of the quotas of client accounts: 0s for no quotas, or at least 100ms."},
+		{Path: "fleet.quota_overshoot", Label: "Quota overshoot", Help: "Ratio by which an account may exceed its rate and burst in a quota window."},
+		{Path: "fleet.quota_slack", Label: "Quota slack", Unit: "calls per window", Low: 0, High: MaxQuotaSlack, Help: "Calls by which an account may exceed its rate and burst in a quota window, in addition to the overshoot."},
+		{Path: "fleet.warm_overshoot", Label: "Warm-up overshoot", Help: "Multiple of its warm rate that a cold target may get in any second."},
+		{Path: "fleet.warm_slack", Label: "Warm-up slack", Unit: "requests per second", Help: "Requests that a cold target may get in any second in addition to the warm-up overshoot."},
+		{Path: "fleet.extra_attempts", Label: "Extra attempts", Help: "Largest share of the calls of a service, from 0 to 1, that may get a second attempt while the first one runs; 0 disables them."},
 		{
 			Path: "stop_grace", Label: "Grace of a stop", Low: 0, High: int64(MaxStopTime),
 			Help: "Longest duration of a graceful stop; calls and connections still open after it are cut off.",
--- a/io/setup/fleet.go
+++ b/io/setup/fleet.go
@@ -40,6 +40,22 @@
 	// callers upload; 0 means that uploads cause no such delay, as they cannot
 	// saturate the link.
 	LinkMbps float64 `json:"link_mbps"`
+	// KeyLease is how long after its withdrawal a key may still be accepted
+	// anywhere; 0 means that hosts accept keys as long as they know no newer plan.
+	KeyLease strict.Duration `json:"key_lease"`
+	// QuotaWindow is the window of the quotas of client accounts. In each, an
+	// account may exceed its rate and burst by the ratio QuotaOvershoot and by
+	// QuotaSlack calls.
+	QuotaWindow    strict.Duration `json:"quota_window"`
+	QuotaOvershoot float64         `json:"quota_overshoot"`
+	QuotaSlack     int             `json:"quota_slack"`
+	// WarmOvershoot and WarmSlack bound the requests that a cold target gets in any
+	// second: its warm rate times WarmOvershoot plus WarmSlack.
+	WarmOvershoot float64 `json:"warm_overshoot"`
+	WarmSlack     float64 `json:"warm_slack"`
+	// ExtraAttempts is the largest share of the calls of a service, from 0 to 1, that
+	// may get a second attempt while the first one runs.
+	ExtraAttempts float64 `json:"extra_attempts"`
 }
 
 // AdapterPlatform is the value of Fleet.Adapter for the adapter in package platform.
@@ -51,6 +67,13 @@
 	MaxRetryWindow   = time.Minute
 	MaxRetrySlack    = 100_000
 	MaxProbeInterval = time.Minute
+	MinKeyLease      = time.Second
+	MaxKeyLease      = time.Hour
+	MinQuotaWindow   = 100 * time.Millisecond
+	MaxQuotaWindow   = time.Minute
+	MaxQuotaSlack    = 100_000
+	MaxOvershoot     = 100
+	MaxWarmSlack     = 100_000
 )
 
 // Enabled reports whether the host discovers the other hosts from seeds.
@@ -77,7 +100,21 @@
 	f.CheckOptionalDuration("fleet.retry_window", s.RetryWindow, spec.MinRetryWindow, MaxRetryWindow)
 	f.CheckRange("fleet.retry_slack", s.RetrySlack, 0, MaxRetrySlack)
 	f.CheckDurationRange("fleet.probe_interval", s.ProbeInterval, 0, MaxProbeInterval)
+	f.CheckOptionalDuration("fleet.key_lease", s.KeyLease, MinKeyLease, MaxKeyLease)
+	f.CheckOptionalDuration("fleet.quota_window", s.QuotaWindow, MinQuotaWindow, MaxQuotaWindow)
+	checkRatio(f, "fleet.quota_overshoot", s.QuotaOvershoot, MaxOvershoot)
+	f.CheckRange("fleet.quota_slack", s.QuotaSlack, 0, MaxQuotaSlack)
+	checkRatio(f, "fleet.warm_overshoot", s.WarmOvershoot, MaxOvershoot)
+	checkRatio(f, "fleet.warm_slack", s.WarmSlack, MaxWarmSlack)
+	checkRatio(f, "fleet.extra_attempts", s.ExtraAttempts, 1)
 	if s.LinkMbps < 0 {
 		f.Add("fleet.link_mbps", "is %v, must not be negative", s.LinkMbps)
 	}
 }
+
+// checkRatio adds a fault at path unless v is from 0 to high.
+func checkRatio(f *strict.Faults, path string, v, high float64) {
+	if !(v >= 0 && v <= high) {
+		f.Add(path, "is %v, must be from 0 to %v", v, high)
+	}
+}
