--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -113,6 +113,9 @@
 	if h.fleet == nil {
 		h.members.awaitTargets(ctx, s.doc.Name, time.Until(c.deadline))
 	}
+	if h.fleet != nil {
+		h.fleet.awaitDecider(ctx, c)
+	}
 	if h.fleet == nil || !h.fleet.delegate(c, time.Now()) {
 		h.decideLocally(c)
 	}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -35,6 +35,17 @@
 		// planConfirmed is feed.Follower.Confirmed.
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
+
+		mu sync.Mutex
+		// early holds the calls that have waited for the first plan, until it is in
+		// force.
+		early []earlyCall
+	}
+
+	// earlyCall is what a call that waits for the first plan says about its route.
+	earlyCall struct {
+		host, path string
+		timeout    time.Duration
 	}
 
 	// activePlan is the plan in force.
@@ -73,6 +84,12 @@
 	maxDecisionTimeout = 250 * time.Millisecond
 	decisionAimDivisor = 4
 
+	// settleCheckInterval is the time between two checks whether the control host that
+	// is to decide can be asked; about the time in which a stream opens.
+	settleCheckInterval = 10 * time.Millisecond
+	// maxEarlyCalls bounds the calls whose timeouts are remembered until there is a plan.
+	maxEarlyCalls = 4096
+
 	// decisionBuffer is the number of decisions about one call that may wait to be
 	// executed, such as a hold and the decisions after it; further ones are dropped
 	// and logged.
@@ -187,7 +204,7 @@
 // with when there is no service.
 func (f *fleet) find(r *http.Request, callInfo wire.CallerInfo) (*service, spec.Class, *problem) {
 	var class spec.Class
-	v, waited := f.awaitPlan(r.Context(), callInfo.Timeout)
+	v, waited := f.awaitPlan(r, callInfo.Timeout)
 	if callInfo.Timeout > 0 {
 		callInfo.Timeout = max(callInfo.Timeout-waited, time.Millisecond)
 	}
@@ -221,15 +238,41 @@
 // is one, and until it is confirmed, it waits, since a starting host receives the plan
 // soon, as long as awaitAll says. It returns nil after that: a control host that is out of
 // touch may send an old plan.
-func (f *fleet) awaitPlan(ctx context.Context, timeout time.Duration) (p *activePlan, waited time.Duration) {
+func (f *fleet) awaitPlan(r *http.Request, timeout time.Duration) (p *activePlan, waited time.Duration) {
 	if isClosed(f.planKnown) && isClosed(f.planConfirmed) {
 		return f.active.Load(), 0
 	}
 	begin := time.Now()
-	if !awaitAll(ctx, timeout, f.planKnown, f.planConfirmed) {
+	f.noteEarly(r, timeout)
+	if !awaitAll(r.Context(), timeout, f.planKnown, f.planConfirmed) {
 		return nil, time.Since(begin)
 	}
-	return f.active.Load(), time.Since(begin)
+	p = f.active.Load()
+	f.learnEarly(p)
+	return p, time.Since(begin)
+}
+
+// noteEarly records the timeout of a call that waits for the first plan; 0 for none.
+func (f *fleet) noteEarly(r *http.Request, timeout time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if timeout > 0 && len(f.early) < maxEarlyCalls {
+		f.early = append(f.early, earlyCall{host: withoutPort(r.Host), path: r.URL.Path, timeout: timeout})
+	}
+}
+
+// learnEarly records the longest timeouts of the calls that have waited for the plan.
+// After a loss of power most of them are retries, and without the others each would count
+// as a first attempt.
+func (f *fleet) learnEarly(v *activePlan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.early {
+		if route := v.table.Find(e.host, e.path); route != nil {
+			v.observeTimeout(route, e.timeout)
+		}
+	}
+	f.early = nil
 }
 
 // awaitAll waits until all events, whose channels are closed then, have happened: up to
@@ -267,13 +310,7 @@
 // time spent is the longest timeout that any caller has sent on the route minus
 // timeout, which the caller has sent with this call.
 func (v *activePlan) deductElapsed(route *plan.Route, timeout time.Duration, class *spec.Class) {
-	stored, _ := v.longestTimeouts.Load(route)
-	longest, _ := stored.(time.Duration)
-	if timeout >= longest {
-		v.longestTimeouts.Store(route, timeout)
-		return
-	}
-	elapsed := longest - timeout
+	elapsed := v.observeTimeout(route, timeout) - timeout
 	if elapsed >= class.Aim/lateAimDivisor {
 		class.Late = true
 		return
@@ -281,6 +318,17 @@
 	class.Aim -= elapsed
 }
 
+// observeTimeout records a timeout that a caller has sent on a route, and returns the
+// longest one so far.
+func (v *activePlan) observeTimeout(route *plan.Route, timeout time.Duration) time.Duration {
+	stored, _ := v.longestTimeouts.Load(route)
+	longest, _ := stored.(time.Duration)
+	if timeout > longest {
+		v.longestTimeouts.Store(route, timeout)
+	}
+	return max(longest, timeout)
+}
+
 // hasDeparted reports whether the target of a decision is draining or has left as far
 // as this host knows. The host that decided may not know it yet, as when it was frozen
 // or cut off.
@@ -289,6 +337,23 @@
 	return known && (t.Incarnation() > s.Incarnation && s.Incarnation > 0 || t.State >= member.Draining)
 }
 
+// awaitDecider waits while the control host that all hosts will ask about a call is not
+// ready yet, as after a start. A host that decides alone then knows nothing of the targets,
+// and the calls that have waited for it would fill them all at once. The wait is that for
+// a decision; a late call, which has nothing more to lose and must not delay the others,
+// waits up to maxPlanWait.
+func (f *fleet) awaitDecider(ctx context.Context, c *call) {
+	wait := decisionPatience(c.class.Aim)
+	if c.class.Late {
+		wait = maxPlanWait
+	}
+	for begin := time.Now(); time.Since(begin) < wait; {
+		if !f.controls.Settling(c.service.doc.Name, time.Now()) || !sleep(ctx, settleCheckInterval) {
+			return
+		}
+	}
+}
+
 // delegate asks the control host of the call's service to decide about the call.
 // It returns false if there is no such host or its stream has just ended; the call
 // has then not been sent to it.
--- a/io/peer/reconnect.go
+++ b/io/peer/reconnect.go
@@ -6,14 +6,19 @@
 	"time"
 )
 
-// Reconnect calls connect repeatedly, with jittered exponential backoff, until
-// ctx ends or wanted returns false. connect must return when its connection has
-// ended and report whether the connection was established; if so, the backoff
-// starts again from minReconnectDelay.
+// eagerTime is how long Reconnect keeps the shortest delay. Hosts that start together,
+// as after a loss of power, are up within that time of each other, and callers wait for
+// the last one.
+const eagerTime = time.Second
+
+// Reconnect calls connect repeatedly, with jittered exponential backoff that begins after
+// eagerTime, until ctx ends or wanted returns false. connect must return when its
+// connection has ended and report whether the connection was established; if so, the
+// backoff starts again from minReconnectDelay.
 func Reconnect(ctx context.Context, wanted, connect func() bool) {
-	delay := minReconnectDelay
+	begin, delay := time.Now(), minReconnectDelay
 	for ctx.Err() == nil && wanted() {
-		if connect() {
+		if connect() || time.Since(begin) < eagerTime {
 			delay = minReconnectDelay
 		}
 		select {
--- a/io/place/client.go
+++ b/io/place/client.go
@@ -136,6 +136,19 @@
 // that have just started would otherwise each ask another one, which would then decide
 // without the calls of the others and probe the same targets.
 func (p *ClientPool) Pick(service string, now time.Time) *Client {
+	client, _ := p.choose(service, now)
+	return client
+}
+
+// Settling reports whether Pick returns nil because the control host that all hosts will
+// choose is not ready to be asked.
+func (p *ClientPool) Settling(service string, now time.Time) bool {
+	client, chosen := p.choose(service, now)
+	return client == nil && chosen
+}
+
+// choose implements Pick and reports whether a control host was chosen.
+func (p *ClientPool) choose(service string, now time.Time) (client *Client, chosen bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var (
@@ -156,10 +169,11 @@
 		}
 		n++
 	}
-	if i := rank.Choose(service, candidates[:n]); i >= 0 {
-		return clients[i]
+	i := rank.Choose(service, candidates[:n])
+	if i < 0 {
+		return nil, false
 	}
-	return nil
+	return clients[i], true
 }
 
 // maintainStream reopens the stream to one control host for as long as
