Decide fresh calls first after a start, and give retries to callers who came back

Most calls that waited for the first plan were retries, but an entry host that has just started counted them as first attempts, decided all of them alone or asked for all decisions at once, and the control host answered after 0.2 s.

When targets turned away 55 of 100 attempts, callers who had come back were refused for good while first attempts used the retry budget.

--- a/core/admit/budget.go
+++ b/core/admit/budget.go
@@ -38,6 +38,12 @@
 // AllowRetry reports whether the budget allows a retry at now, and counts it if
 // so.
 func (b *Budget) AllowRetry(now time.Time) bool {
+	return b.AllowRetryWithin(now, 1)
+}
+
+// AllowRetryWithin is AllowRetry for a retry that may use only the given share of the
+// budget, from 0 to 1.
+func (b *Budget) AllowRetryWithin(now time.Time, share float64) bool {
 	if b.Window <= 0 {
 		return true
 	}
@@ -47,7 +53,7 @@
 		calls += b.calls[k]
 		retries += b.retries[k]
 	}
-	if float64(retries+1) > b.Ratio*float64(calls)+b.Slack {
+	if float64(retries+1) > share*(b.Ratio*float64(calls)+b.Slack) {
 		return false
 	}
 	b.retries[i]++
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -76,6 +76,10 @@
 	// retryBurst is the retry credit of a new service, in retries, and the most
 	// that it can accumulate.
 	retryBurst = 10
+	// firstTryShare is the share of a retry budget that calls may use whose callers can
+	// still come back. When targets turn many calls away, the rest goes to the calls that
+	// have come back already and would otherwise be lost.
+	firstTryShare = 0.5
 	// maxFreeSheds is the number of sheds of one call from which sending it again
 	// is a retry. Before, it costs no retry budget: the target did not run the
 	// call and is skipped for a while.
@@ -277,7 +281,11 @@
 		return false
 	}
 	if s.doc.Retry.Window > 0 {
-		return c.attempts < s.attemptLimit(c) && s.retryBudget.AllowRetry(now)
+		share := 1.0
+		if !c.class.Returned {
+			share = firstTryShare
+		}
+		return c.attempts < s.attemptLimit(c) && s.retryBudget.AllowRetryWithin(now, share)
 	}
 	if c.attempts-c.sheds >= s.attemptLimit(c) || s.retryCredit < 1 {
 		return false
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -162,6 +162,9 @@
 		// Late says that an answer within Aim is no longer possible, as when the
 		// caller has retried the call.
 		Late bool
+		// Returned says that the caller has made the call before, and so will probably
+		// not make it again.
+		Returned bool
 		// Attempts is the largest number of attempts of the call; 0 means that
 		// only Retry.Attempts applies.
 		Attempts int
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -44,6 +44,7 @@
 	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
 	targetAnswered    bool               // The last attempt got an answer of its target.
 	held              *heldAnswer        // The last answer of a target, not passed on yet; nil for none.
+	endTurn           func()             // Lets another late call be decided; nil outside a fleet.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 }
 
@@ -115,6 +116,8 @@
 	}
 	if h.fleet != nil {
 		h.fleet.awaitDecider(ctx, c)
+		c.endTurn = h.fleet.awaitTurn(ctx, c)
+		defer c.endTurn()
 	}
 	if h.fleet == nil || !h.fleet.delegate(c, time.Now()) {
 		h.decideLocally(c)
@@ -257,6 +260,9 @@
 			return
 		case action := <-c.decisions:
 			c.decisionOverdue = nil
+			if c.endTurn != nil {
+				c.endTurn()
+			}
 			if h.executeDecision(ctx, w, r, c, action) {
 				return
 			}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -36,6 +36,9 @@
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
 
+		// lateUndecided has room for the late calls that may wait for a decision.
+		lateUndecided chan struct{}
+
 		mu sync.Mutex
 		// early holds the calls that have waited for the first plan, until it is in
 		// force.
@@ -87,6 +90,10 @@
 	// settleCheckInterval is the time between two checks whether the control host that
 	// is to decide can be asked; about the time in which a stream opens.
 	settleCheckInterval = 10 * time.Millisecond
+	// maxLateUndecided bounds the late calls for which this host waits for a decision. After
+	// a loss of power most calls are late, and all hosts together would keep a control host
+	// busy for half a second, in which calls that can still be in time are not decided.
+	maxLateUndecided = 2
 	// maxEarlyCalls bounds the calls whose timeouts are remembered until there is a plan.
 	maxEarlyCalls = 4096
 
@@ -113,7 +120,7 @@
 func newFleet(h *Host) *fleet {
 	f := &fleet{
 		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}),
-		splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		lateUndecided: make(chan struct{}, maxLateUndecided), splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
 		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan))
@@ -311,6 +318,7 @@
 // timeout, which the caller has sent with this call.
 func (v *activePlan) deductElapsed(route *plan.Route, timeout time.Duration, class *spec.Class) {
 	elapsed := v.observeTimeout(route, timeout) - timeout
+	class.Returned = elapsed > 0
 	if elapsed >= class.Aim/lateAimDivisor {
 		class.Late = true
 		return
@@ -337,6 +345,22 @@
 	return known && (t.Incarnation() > s.Incarnation && s.Incarnation > 0 || t.State >= member.Draining)
 }
 
+// awaitTurn waits until a late call may be decided, up to maxPlanWait. The returned
+// function must be called once it is decided.
+func (f *fleet) awaitTurn(ctx context.Context, c *call) func() {
+	if !c.class.Late {
+		return func() {}
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxPlanWait)
+	defer cancel()
+	select {
+	case f.lateUndecided <- struct{}{}:
+		return sync.OnceFunc(func() { <-f.lateUndecided })
+	case <-ctx.Done():
+		return func() {}
+	}
+}
+
 // awaitDecider waits while the control host that all hosts will ask about a call is not
 // ready yet, as after a start. A host that decides alone then knows nothing of the targets,
 // and the calls that have waited for it would fill them all at once. The wait is that for
