Spread the first probes of many targets

A control host began to probe 288 targets within 0.1 s of its first call, each over a new connection, and its decisions took 0.2 s. First probes are now made at 300 a second.

--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -54,6 +54,10 @@
 	// maxProbesPerSecond bounds the probes of one service. Each takes about
 	// 0.02 ms of a core, and a control host in production has a quarter of one.
 	maxProbesPerSecond = 1300
+	// firstProbeTime limits the first probes of targets to 300 a second: each opens a
+	// connection, and a control host begins to probe with the first call that it decides.
+	// 288 first probes in 0.1 s delayed decisions by 0.2 s.
+	firstProbeTime = time.Second / 300
 	// maxProbesPerCall bounds the probes of a service by its calls, so that a
 	// host that decides about few calls probes less than one that decides about
 	// all. Services with long calls need the most probes per call: 14 targets
@@ -101,13 +105,17 @@
 			delete(p.running, key)
 		}
 	}
+	var added []member.Record
 	for _, r := range records {
-		if _, ok := p.running[r.Key]; ok || r.State > member.Ready {
-			continue
+		if _, ok := p.running[r.Key]; !ok && r.State <= member.Ready {
+			added = append(added, r)
 		}
+	}
+	within := max(p.interval, time.Duration(len(added))*firstProbeTime)
+	for _, r := range added {
 		ctx, stop := context.WithCancel(p.ctx)
 		p.running[r.Key] = targetProbe{incarnation: r.Incarnation, stop: stop}
-		go p.run(ctx, r)
+		go p.run(ctx, r, rand.N(within))
 	}
 }
 
@@ -157,12 +165,11 @@
 	return time.Duration(float64(interval) / p.throttle.Factor())
 }
 
-// run probes one target until ctx ends. The interval runs from the start of one
+// run probes one target, first after wait, until ctx ends. The interval runs from the start of one
 // probe to the start of the next one, which begins at least a quarter of the
 // interval after the end of the former, and after the rest that the target asks for.
-func (p *Prober) run(ctx context.Context, target member.Record) {
-	wait := rand.N(p.interval)
-	_, shrunk := p.currentInterval(time.Now())
+func (p *Prober) run(ctx context.Context, target member.Record, wait time.Duration) {
+	var shrunk <-chan struct{} // The first probe is not made sooner when the interval shrinks.
 	for answering := true; ; {
 		due, ok := p.waitUntilDue(ctx, wait, shrunk)
 		if !ok {
