--- a/core/plan/compress.go
+++ b/core/plan/compress.go
@@ -58,41 +58,48 @@
 
 // Encode returns the document in JSON, compressed if it is large.
 func (d *Document) Encode() ([]byte, error) {
-	var (
-		text []byte
-		s    storedDocument
-		err  error
-	)
-	if text, err = json.Marshal(d); err != nil {
+	text, err := json.Marshal(d)
+	if err != nil {
 		return nil, errors.Wrapf(err, "plan: encode version %d", d.Plan.Version)
 	}
+	return packDocument(text)
+}
+
+// packDocument returns the stored form of the JSON text of a document.
+func packDocument(text []byte) ([]byte, error) {
 	if len(text) < minCompressedBytes {
 		return text, nil
 	}
-	if s.Compressed, err = Compress(text); err != nil {
+	compressed, err := Compress(text)
+	if err != nil {
 		return nil, err
 	}
-	text, err = json.Marshal(s)
-	return text, errors.Wrapf(err, "plan: encode version %d", d.Plan.Version)
+	text, err = json.Marshal(storedDocument{Compressed: compressed})
+	return text, errors.Wrap(err, "plan: encode stored document")
+}
+
+// unpackDocument returns the JSON text of the stored form of a document.
+func unpackDocument(data []byte) ([]byte, error) {
+	var s storedDocument
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, errors.Wrap(err, "plan: stored document")
+	}
+	if len(s.Compressed) == 0 {
+		return data, nil
+	}
+	return Decompress(s.Compressed)
 }
 
 // DecodeDocument decodes what Document.Encode has returned.
 func DecodeDocument(data []byte) (Document, error) {
 	var (
-		d   Document
-		s   storedDocument
-		err error
+		d    Document
+		text []byte
+		err  error
 	)
-	if err = json.Unmarshal(data, &s); err != nil {
-		return d, errors.Wrap(err, "plan: stored document")
-	}
-	if len(s.Compressed) > 0 {
-		if data, err = Decompress(s.Compressed); err != nil {
-			return d, err
-		}
-	}
-	if err = json.Unmarshal(data, &d); err != nil {
-		return d, errors.Wrap(err, "plan: document")
+	if text, err = unpackDocument(data); err != nil {
+		return d, err
 	}
-	return d, nil
+	err = json.Unmarshal(text, &d)
+	return d, errors.Wrap(err, "plan: document")
 }
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -36,11 +36,17 @@
 		// change replaces the document if the document's version is lower, and
 		// has no effect otherwise. Base, Request and Deleted are then ignored.
 		Version uint64
-		// Edit, if not nil, derives the new document from the current one and
-		// returns nil when there is nothing to change; it must not modify its
-		// argument. With Version it receives the zero value's body when there is no
-		// document yet and its result replaces Body. Without Version it keeps the
-		// version of the document, and Base, Request, Deleted and Body are ignored.
+		// Edit, if not nil, derives the new body of the document from its current one,
+		// which is nil when there is no document yet. It returns nil when there is
+		// nothing to change. It must be deterministic and must not modify its argument:
+		// it is run again, on what may be another value, for each further ballot that
+		// the change needs.
+		//
+		// With Version the result replaces Body, and nil keeps Body. Without Version
+		// the document keeps its version, and Base, Deleted and Body are ignored. An
+		// edit with a Request acts at most once: a value that has accepted the Request
+		// is not edited again, so that an edit whose ballot was lost after others had
+		// built on it does not undo what they have done.
 		Edit func(current json.RawMessage) (json.RawMessage, error)
 		// Next, if not empty, ends the view: the document accepts no further
 		// change, and the listed hosts continue from it in the next view. All
@@ -167,44 +173,60 @@
 		Versioned: spec.Versioned{Name: c.Name, Revision: accepted.Revision, Deleted: c.Deleted, Body: bytes.Clone(c.Body)},
 		Operator:  c.Operator,
 		At:        c.At,
-		Requests:  append(append([]Request(nil), v.Requests...), accepted),
-	}
-	if extra := len(next.Requests) - MaxRequests; extra > 0 {
-		next.Requests = next.Requests[extra:]
+		Requests:  appendRequest(v.Requests, accepted),
 	}
 	return next, accepted, nil
 }
 
 // applyVersion returns the value that replaces v if the version of c is higher,
-// and v otherwise.
+// and v otherwise. The accepted requests of edits are kept.
 func applyVersion(v Value, c Change) (Value, Request, error) {
 	if c.Version <= v.Version {
 		return v, Request{Revision: v.Revision}, nil
 	}
-	body := bytes.Clone(c.Body)
+	body := c.Body
 	if c.Edit != nil {
-		var err error
-		if body, err = c.Edit(v.Body); err != nil {
+		edited, err := c.Edit(v.Body)
+		if err != nil {
 			return v, Request{}, err
 		}
+		if edited != nil {
+			body = edited
+		}
 	}
 	next := Value{
-		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: body},
-		Operator:  c.Operator, At: c.At, Version: c.Version,
+		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: bytes.Clone(body)},
+		Operator:  c.Operator, At: c.At, Version: c.Version, Requests: v.Requests,
 	}
 	return next, Request{Revision: next.Revision}, nil
 }
 
 // applyEdit returns the value with the edited document of v and the version of v, and v
-// if the edit changes nothing.
+// if the edit changes nothing or v has accepted its request.
 func applyEdit(v Value, c Change) (Value, Request, error) {
+	for _, r := range v.Requests {
+		if c.Request != "" && r.ID == c.Request {
+			return v, r, nil
+		}
+	}
 	body, err := c.Edit(v.Body)
 	if err != nil || body == nil {
 		return v, Request{Revision: v.Revision}, err
 	}
+	accepted := Request{ID: c.Request, Revision: v.Revision + 1}
 	next := Value{
-		Versioned: spec.Versioned{Name: c.Name, Revision: v.Revision + 1, Body: body},
-		Operator:  c.Operator, At: c.At, Version: v.Version,
+		Versioned: spec.Versioned{Name: c.Name, Revision: accepted.Revision, Body: bytes.Clone(body)},
+		Operator:  c.Operator, At: c.At, Version: v.Version, Requests: v.Requests,
 	}
-	return next, Request{Revision: next.Revision}, nil
+	if c.Request != "" {
+		next.Requests = appendRequest(v.Requests, accepted)
+	}
+	return next, accepted, nil
+}
+
+// appendRequest returns list with r at its end, without the oldest requests beyond
+// MaxRequests. It does not change list.
+func appendRequest(list []Request, r Request) []Request {
+	list = append(slices.Clone(list), r)
+	return list[max(len(list)-MaxRequests, 0):]
 }
--- a/core/quorum/views_test.go
+++ b/core/quorum/views_test.go
@@ -39,10 +39,14 @@
 		// pendingOperations holds the operations without a result, by host and
 		// ticket.
 		pendingOperations map[string]map[uint64]viewOperation
-		bodies            map[uint64]string // by version
-		agreedVersion     uint64            // highest version that an operator has received
-		lastVersion       uint64            // highest version submitted
-		successors        map[uint64]string // members of the view after each epoch
+		bodies            map[uint64]string // by bodyKey
+		// bodyKey returns the number, the version by default, that tells values with
+		// different bodies apart; planChange returns the change to a version.
+		bodyKey       func(v quorum.Value) uint64
+		planChange    func(version uint64) quorum.Change
+		agreedVersion uint64            // highest version that an operator has received
+		lastVersion   uint64            // highest version submitted
+		successors    map[uint64]string // members of the view after each epoch
 		// proposedSuccessors holds the members proposed for the view after
 		// each epoch.
 		proposedSuccessors map[uint64][][]string
@@ -74,6 +78,10 @@
 		blocked: make(map[[2]string]bool), pendingOperations: make(map[string]map[uint64]viewOperation),
 		bodies: make(map[uint64]string), successors: make(map[uint64]string),
 		proposedSuccessors: make(map[uint64][][]string),
+		bodyKey:            func(v quorum.Value) uint64 { return v.Version },
+		planChange: func(version uint64) quorum.Change {
+			return quorum.Change{Name: document, Version: version, Body: json.RawMessage(strconv.FormatUint(version, 10))}
+		},
 	}
 	f.newNode = func(h *simulatedHost) (*quorum.Node, error) {
 		v := f.views[h.name]
@@ -212,10 +220,11 @@
 // checkValue checks that each version has one body and each view one successor,
 // and moves the host to the next view if v is the last value of its view.
 func (f *viewCluster) checkValue(host string, v quorum.Value) {
-	if first, ok := f.bodies[v.Version]; ok && first != string(v.Body) {
-		f.failf("version %d is both %s and %s", v.Version, first, v.Body)
+	key := f.bodyKey(v)
+	if first, ok := f.bodies[key]; ok && first != string(v.Body) {
+		f.failf("number %d is both %s and %s", key, first, v.Body)
 	}
-	f.bodies[v.Version] = string(v.Body)
+	f.bodies[key] = string(v.Body)
 	if len(v.Next) == 0 {
 		return
 	}
@@ -262,8 +271,7 @@
 	)
 	c := viewOperation{version: version, minVersion: f.agreedVersion}
 	if version > 0 {
-		body := json.RawMessage(strconv.FormatUint(version, 10))
-		ticket, out = h.node.Apply(f.now, quorum.Change{Name: document, Version: version, Body: body})
+		ticket, out = h.node.Apply(f.now, f.planChange(version))
 	} else {
 		ticket, out = h.node.Read(f.now, document)
 	}
