Send no calls to targets in evacuated data centres

Callers saw calls run in a data centre that operators wanted to empty: there was no way to say so but to drain each target.

Control hosts agree on the orders and stream the list with the revision of the agreed value; the highest revision is in force. Records for schedulers leave the targets there out. An entry host reports NotSent with a short rest for a decision for one of them, so that the deciding host does not count the target as departed after the order is withdrawn. A control host that restarts with an accepted order that it does not know to be agreed on does not count as complete until it has read the value through a majority: an entry host so knows the orders before its plan is confirmed, also after all hosts lost power.

A fleet without orders sends the same bytes.

--- a/io/ctrl/enter.go
+++ b/io/ctrl/enter.go
@@ -64,6 +64,10 @@
 	for _, l := range saved.Learnt {
 		f.applyChosen([]quorum.Value{l.Chosen})
 	}
+	if hasUnsettledOrders(saved) {
+		f.state.SetUnsettled(true)
+		go f.settleOrders(ctx)
+	}
 	return nil
 }
 
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -266,9 +266,10 @@
 	}
 }
 
-// publishPlan stores a chosen plan in the fleet state. It ignores a value that
-// holds no plan yet.
+// publishPlan stores a chosen plan and the chosen orders to evacuate data centres in the
+// fleet state. It ignores the plan of a value that holds none yet.
 func (f *fleet) publishPlan(v quorum.Value) {
+	f.publishOrders(v)
 	if v.Version == 0 {
 		return
 	}
--- a/io/ctrl/plan.go
+++ b/io/ctrl/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
 	"time"
 
@@ -24,7 +25,8 @@
 var ErrNotMember = errors.New("control: this host does not vote")
 
 // PutPlan proposes a plan and returns nil once a majority has written it, or a
-// plan with a higher version, to disk. It returns ErrNotMember, quorum.ErrRecovering
+// plan with a higher version, to disk. The orders to evacuate data centres stay in
+// force. It returns ErrNotMember, quorum.ErrRecovering
 // while this host is a member that does not vote yet, and quorum.ErrNoMajority when
 // the outcome is unknown. The host must be part of a fleet, as for ReadPlan and
 // Voters.
@@ -36,7 +38,9 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	begin := time.Now()
-	c := quorum.Change{Name: planName, Version: d.Plan.Version, At: begin, Body: body}
+	c := quorum.Change{Name: planName, Version: d.Plan.Version, At: begin, Body: body, Edit: func(current json.RawMessage) (json.RawMessage, error) {
+		return plan.WithOrdersOf(current, body)
+	}}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
 	h.log.Info("plan proposed", "version", d.Plan.Version, "epoch", h.fleet.state.View().Epoch,
 		"held", r.Value.Version, "took", time.Since(begin).String(), "error", errorText(r.Err))
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -312,6 +312,14 @@
 			c.feedback.Rest = rest
 			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
 		}
+		if h.isEvacuated(action) {
+			h.metrics.Counter("decisions_evacuated").Add(1)
+			if h.sampled() {
+				h.log.Info("target is evacuated", "call", c.name, "service", c.service.doc.Name, "target", action.Target, "decided_by", c.decidedBy())
+			}
+			c.feedback.Rest = evacuatedRest
+			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
+		}
 		if h.hasDeparted(c, action) {
 			h.metrics.Counter("decisions_outdated").Add(1)
 			if h.sampled() {
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -96,7 +96,7 @@
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryUnavailable)
 		return
 	}
-	if _, blocked := h.blockLeft(c, r); blocked || h.restLeft(c, send) > 0 || h.hasDeparted(c, send) {
+	if _, blocked := h.blockLeft(c, r); blocked || h.restLeft(c, send) > 0 || h.hasDeparted(c, send) || h.isEvacuated(send) {
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryRefused)
 		return
 	}
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -476,6 +476,9 @@
 			f.state.SetView(v)
 		}
 	}
+	if e := u.GetEvacuation(); e != nil {
+		f.state.SetEvacuation(e.GetRevision(), e.GetDataCentres())
+	}
 	controls := f.mergeControls(address, u.GetControls())
 	for _, a := range controls {
 		f.state.nameControl(a, now)
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -51,9 +51,11 @@
 		fetchesPlan bool   // The follower fetches plans by itself.
 		epoch       uint64 // Epoch of the view.
 		lastLost    uint64 // Number of the last change of the table of lost calls.
+		evacuation  uint64 // Revision of the list of evacuated data centres.
 		controls    []netip.AddrPort
 		current     bool
 		informed    bool
+		unsettled   bool
 		first       bool            // No update has been generated yet.
 		known       map[uint64]bool // Digests of the targets that the follower held at the start.
 		// leasesSentAt is when lease renewals were last sent.
@@ -245,8 +247,11 @@
 	state := s.state
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	u := &peerpb.FleetUpdate{Current: state.current, Informed: state.informed, Complete: true}
-	hasChanges := s.first || s.current != state.current || s.informed != state.informed
+	u := &peerpb.FleetUpdate{Current: state.current, Informed: state.informed, Complete: !state.unsettled}
+	hasChanges := s.first || s.current != state.current || s.informed != state.informed || s.unsettled != state.unsettled
+	if u.Evacuation = state.fromEvacuation(s.evacuation); u.GetEvacuation() != nil {
+		s.evacuation, hasChanges = u.GetEvacuation().GetRevision(), true
+	}
 	if state.view.Epoch > s.epoch {
 		u.View = fromView(state.view)
 		s.epoch, hasChanges = state.view.Epoch, true
@@ -285,7 +290,7 @@
 		s.leasesSentAt = now
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard)+len(u.LostCalls) > 0
-	s.lastChange, s.current, s.informed, s.first = state.lastChange(), state.current, state.informed, false
+	s.lastChange, s.current, s.informed, s.unsettled, s.first = state.lastChange(), state.current, state.informed, state.unsettled, false
 	return u, wakeUp{changed: state.changed, urgent: state.urgent}, hasChanges
 }
 
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -90,12 +90,15 @@
 		renewedAt time.Time
 		current   bool          // See SetCurrent.
 		informed  bool          // See setInformed.
+		unsettled bool          // See SetUnsettled.
 		crashes   *crash.Table  // The calls that were at targets as these ended.
 		changed   chan struct{} // Closed and replaced at each change; see notify.
 		urgent    chan struct{} // Closed and replaced at changes that followers must not learn late.
 		// lastExpiry is the time of the last call of Expire, and keepUntil the time
 		// before which no lease expires.
 		lastExpiry, keepUntil time.Time
+
+		evacuations evacuations // Not guarded by mu.
 	}
 
 	// changeRecord holds the number of the last change of a target, as in
@@ -260,7 +263,7 @@
 	}
 	s.deliveredAt = time.Now()
 	for service := range s.stale {
-		s.onTargets(service, s.table.Records(nil, service))
+		s.onTargets(service, s.records(service))
 	}
 	clear(s.stale)
 }
@@ -417,11 +420,11 @@
 	return s.table.All(nil)
 }
 
-// Records returns the targets of a service.
+// Records returns the targets of a service that are not in evacuated data centres.
 func (s *State) Records(service string) []member.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Records(nil, service)
+	return s.records(service)
 }
 
 // Expire removes the targets whose leases have expired at now, and the control
