Take orders to evacuate data centres from operators

Operators had no request and no command for an evacuation.

The front of control hosts serves POST and DELETE /evacuations/ZONE, the admin API the same under /v1/evacuations, and ctl has evacuate and restore. The status shows the orders in force.

Tests of platform, io/admin and io/ctrl pass.

--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -79,6 +79,8 @@
 		ctlGetCommand(o), ctlApplyCommand(o), ctlDeleteCommand(o), ctlHistoryCommand(o), ctlValidateCommand(o),
 		ctlDrainCommand(o, "drain", "stop sending new calls to a target", true),
 		ctlDrainCommand(o, "undrain", "send calls to a drained target again", false),
+		ctlEvacuateCommand(o, "evacuate", "send no calls to the targets in a data centre", true),
+		ctlEvacuateCommand(o, "restore", "send calls to the targets in a data centre again", false),
 		ctlCommand(o, "status", "print the status of each control host", ctlStatus),
 		ctlTargetsCommand(o),
 		ctlExplainCommand(o),
--- a/cmd/cardamomspool/print.go
+++ b/cmd/cardamomspool/print.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -66,6 +67,11 @@
 		}
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%s", s.Address, s.Host, s.Registers, s.Reachable, s.Majority, state))
 	}
+	for _, s := range list {
+		if len(s.Evacuated) > 0 {
+			rows = append(rows, fmt.Sprintf("%s\t%s\t-\t-\t-\tevacuated: %s", s.Address, s.Host, strings.Join(s.Evacuated, ", ")))
+		}
+	}
 	return printRows(w, output, list, "ADDRESS\tHOST\tDOCUMENTS\tHEARD\tNEEDED\tSTATE", rows)
 }
 
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -81,6 +81,8 @@
 		log     *slog.Logger
 		metrics *telem.Registry
 		now     func() time.Time
+		// evacuator is nil outside a fleet.
+		evacuator Evacuator
 	}
 )
 
@@ -144,6 +146,7 @@
 	mux.HandleFunc("POST /v1/validate", c.validate)
 	mux.HandleFunc("GET /v1/status", c.status)
 	mux.HandleFunc("GET "+TargetsPath, c.targets)
+	c.handleEvacuations(mux)
 	return mux
 }
 
@@ -252,7 +255,11 @@
 }
 
 func (c *control) status(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, c.store.Status())
+	s := StatusView{Status: c.store.Status()}
+	if c.evacuator != nil {
+		_, s.Evacuated = c.evacuator.Evacuation()
+	}
+	reply(w, http.StatusOK, s)
 }
 
 func (c *control) targets(w http.ResponseWriter, r *http.Request) {
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -14,7 +14,6 @@
 
 	"github.com/pkg/errors"
 
-	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
 	"cardamomspool/io/admin"
 )
@@ -61,7 +60,7 @@
 	HostStatus struct {
 		// Address is the admin address that was queried.
 		Address netip.AddrPort `json:"address"`
-		quorum.Status
+		admin.StatusView
 		// Problem is the reason why there is no answer; empty if there is one.
 		Problem string `json:"problem,omitempty"`
 	}
@@ -199,7 +198,7 @@
 	for i, address := range c.controls {
 		list[i].Address = address
 		go func() {
-			if err := c.attempt(ctx, address, request{method: http.MethodGet, path: "/v1/status"}, &list[i].Status); err != nil {
+			if err := c.attempt(ctx, address, request{method: http.MethodGet, path: "/v1/status"}, &list[i].StatusView); err != nil {
 				list[i].Problem = err.Error()
 			}
 			answers <- i
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -80,7 +80,10 @@
 	maxMessageBytes = 64 << 20
 )
 
-var _ admin.Store = (*Host)(nil)
+var (
+	_ admin.Store     = (*Host)(nil)
+	_ admin.Evacuator = (*Host)(nil)
+)
 
 // WithLogger sets the logger; the default discards.
 func WithLogger(log *slog.Logger) Option {
