Keep calls to cold targets within what they take

A target that had just started got 13 requests in a second where 11 were allowed, and crashed, when a control host that is cut off and entry hosts that decide alone used it at the same time as the deciding one.

Schedulers limit their calls to cold targets: a deciding host by a token bucket of the service's rate with a quarter of the slack, one that hears no majority by the part of the rate that the overshoot leaves, and a host that decides alone by a random share of the seconds, and only when no other target is ready. A target that becomes cold again is a change that is streamed; answers to probes say it at once. Calls that the target did not get are taken back. Without a rate in the plan or a bound in the settings there is no limit.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -102,6 +102,12 @@
 		Elapsed time.Duration
 	}
 
+	// SetColdLimit replaces the limit for calls to cold targets.
+	SetColdLimit struct {
+		// Limit is the new limit.
+		Limit route.ColdLimit
+	}
+
 	// Tick reports that time has passed: queued calls that have waited too long
 	// are refused, calls at targets whose results are overdue are ended, and queued
 	// calls are sent if targets have become available.
@@ -216,6 +222,7 @@
 	_ Event  = Configure{}
 	_ Event  = ProbeReport{}
 	_ Event  = LimitReport{}
+	_ Event  = SetColdLimit{}
 	_ Event  = Tick{}
 	_ Action = Send{}
 	_ Action = Hold{}
@@ -247,15 +254,16 @@
 	return r == Answered || r == Broken
 }
 
-func (Arrive) isEvent()      {}
-func (Finish) isEvent()      {}
-func (Cancel) isEvent()      {}
-func (Extra) isEvent()       {}
-func (SetTargets) isEvent()  {}
-func (Configure) isEvent()   {}
-func (ProbeReport) isEvent() {}
-func (LimitReport) isEvent() {}
-func (Tick) isEvent()        {}
-func (Send) isAction()       {}
-func (Hold) isAction()       {}
-func (Refuse) isAction()     {}
+func (Arrive) isEvent()       {}
+func (Finish) isEvent()       {}
+func (Cancel) isEvent()       {}
+func (Extra) isEvent()        {}
+func (SetTargets) isEvent()   {}
+func (Configure) isEvent()    {}
+func (ProbeReport) isEvent()  {}
+func (LimitReport) isEvent()  {}
+func (SetColdLimit) isEvent() {}
+func (Tick) isEvent()         {}
+func (Send) isAction()        {}
+func (Hold) isAction()        {}
+func (Refuse) isAction()      {}
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -158,6 +158,9 @@
 	case LimitReport:
 		s.targets.ReportLimit(e.Target, e.Limit, e.Elapsed, now)
 		return s.dispatchQueued(dst, now)
+	case SetColdLimit:
+		s.targets.SetColdLimit(e.Limit)
+		return s.dispatchQueued(dst, now)
 	case Tick:
 		return s.tick(dst, now)
 	}
@@ -246,6 +249,7 @@
 // draining, has left or rests. This costs neither an attempt nor retry budget.
 func (s *Scheduler) redirect(dst []Action, id uint64, c *call, now time.Time) []Action {
 	s.targets.Finish(c.target, route.Feedback{}, now.Sub(c.sent), now)
+	s.targets.TakeBack(c.target)
 	c.target = ""
 	c.attempts--
 	return s.sendOrRequeue(dst, id, c, now)
@@ -470,11 +474,11 @@
 }
 
 // estimateWait estimates how long a call that has ahead calls before it in the
-// queue waits, for a slot, for the limits that targets have named and for the rests that
-// they have asked its host for.
+// queue waits, for a slot, for the limits that targets have named, while they are cold, and
+// for the rests that they have asked its host for.
 func (s *Scheduler) estimateWait(ahead int, host uint64, now time.Time) time.Duration {
 	wait := admit.EstimateWait(ahead, s.targets.InFlight(), s.targets.MeanLatency())
-	return max(wait, s.targets.LimitWait(ahead, now), s.targets.RestWait(host, now))
+	return max(wait, s.targets.LimitWait(ahead, now), s.targets.ColdWait(ahead, now), s.targets.RestWait(host, now))
 }
 
 // dispatchQueued sends queued calls while targets have free slots. A call that has
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -66,6 +66,9 @@
 	// lateHeartbeat is the time after a departure in which a heartbeat may still be
 	// one that the target sent before.
 	lateHeartbeat = 3 * time.Second
+	// warmTolerance is the difference up to which two ends of a warm-up are one: reports
+	// say how long it lasts from their arrival, and some arrive late.
+	warmTolerance = 500 * time.Millisecond
 	// expiredTime is how long an expired target may be brought back by a renewal.
 	// It is far longer than the time from a follower's request, which lists the
 	// targets that it holds, to the renewals that answer it.
@@ -81,7 +84,8 @@
 
 // Merge merges the report of a target, received directly or from another host. It
 // returns true if the target is new or if its state, start, service, address, data
-// centre or slots changed; a new sequence number or time alone is not a change. It
+// centre or slots changed, or if it was warm and is cold again; a new sequence number or
+// time alone is not a change. It
 // also returns false if it ignores the report, because a newer one is known or a
 // target that started later holds the address.
 func (t *Table) Merge(report Target) bool {
@@ -95,7 +99,15 @@
 		t.targets[report.ID] = report
 		return true
 	}
+	coldAgain := known && old.Born.Equal(report.Born) && report.State < member.Draining && old.coldAgain(&report)
 	if known && !old.olderThan(&report) {
+		if coldAgain && old.State < member.Draining {
+			// The lease was renewed with a later sequence number, by a host that heard a
+			// later heartbeat, before this one arrived.
+			old.WarmAt = report.WarmAt
+			t.targets[report.ID] = old
+			return true
+		}
 		if old.Born.Equal(report.Born) && report.Heard.After(old.Heard) && report.State <= old.State {
 			old.Heard = report.Heard
 			t.targets[report.ID] = old
@@ -110,7 +122,7 @@
 	}
 	t.targets[report.ID] = report
 	delete(t.expired, report.ID)
-	return !known || old.State != report.State || !old.Born.Equal(report.Born) || old.Address != report.Address ||
+	return !known || coldAgain || old.State != report.State || !old.Born.Equal(report.Born) || old.Address != report.Address ||
 		old.Service != report.Service || old.Slots != report.Slots || old.DataCentre != report.DataCentre
 }
 
@@ -146,6 +158,11 @@
 	return uint64(max(t.Born.UnixMilli(), 0))
 }
 
+// coldAgain reports whether the target is cold by the report, and longer than by t.
+func (t *Target) coldAgain(report *Target) bool {
+	return report.WarmAt.After(report.Heard) && report.WarmAt.Sub(t.WarmAt) > warmTolerance
+}
+
 // departedWithoutStart reports whether the target has left by a departure that named no
 // start, while none was known.
 func (t *Target) departedWithoutStart() bool {
--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -143,7 +143,7 @@
 	if utilisation > kneeUtilisation && slots > 1 {
 		cost *= kneeCost
 	}
-	if t.warmAt[i] > at {
+	if t.isCold(i, at) {
 		cost *= coldStartCost
 	}
 	if s.latencySamples >= minStragglerSamples && s.meanLatency > stragglerRatio*t.meanLatency {
@@ -217,6 +217,9 @@
 	if p.Reported {
 		t.applyLoadReport(s, p.Load, at)
 	}
+	if p.WarmFor > 0 {
+		s.cold.until = max(s.cold.until, at+p.WarmFor)
+	}
 	if p.Limit.Named {
 		s.limit.report(p.Limit, at, at)
 	}
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -134,6 +134,9 @@
 	if f.Reported {
 		t.applyLoadReport(s, f.Load, at)
 	}
+	if f.AddressTaken {
+		s.cold.takeBack() // Another target got the call.
+	}
 	s.addressTaken = s.addressTaken || f.AddressTaken
 	if f.Draining {
 		t.withdrawRow(i)
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -30,6 +30,8 @@
 		// Host identifies the host that sends the call, for the rests that targets have
 		// asked it for; 0 for this host.
 		Host uint64
+		// warmReady says that calls need not go to cold targets; see Table.warmReady.
+		warmReady bool
 	}
 
 	// Why says what decided a choice.
@@ -98,6 +100,7 @@
 // host. It reports false when there is none at q.Now.
 func (t *Table) Choose(p Policy, q Query, rng *rand.Rand) (Pick, bool) {
 	at := t.offset(q.Now)
+	q.warmReady = t.warmReady(q, at)
 	switch p := p.(type) {
 	case TwoChoices:
 		return t.twoChoices(p, q, at, rng)
@@ -112,11 +115,11 @@
 }
 
 // usable reports whether the target of row i has a free slot as far as this entry
-// host's calls show, is not excluded, is not paused after a shed and has named no limit
-// that is reached.
+// host's calls show, is not excluded, is not paused after a shed, has named no limit
+// that is reached and does not get all calls that it may get while it is cold.
 func (t *Table) usable(i int, q Query, at time.Duration) bool {
 	s := &t.states[i]
-	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at || t.limitReached(s, at) || s.restLeft(q.Host, at) > 0 {
+	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at || t.limitReached(s, at) || s.restLeft(q.Host, at) > 0 || t.coldLimitReached(i, at, q.warmReady) {
 		return false
 	}
 	for _, name := range q.Exclude {
--- a/core/route/probe.go
+++ b/core/route/probe.go
@@ -27,6 +27,9 @@
 		// Rest is the time for which the target wants no requests from this host; 0
 		// for none.
 		Rest time.Duration
+		// WarmFor is how long the target stays cold; 0 when it did not say. A probe that
+		// names none does not make a target warm.
+		WarmFor time.Duration
 	}
 )
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -17,6 +17,7 @@
 		epoch      time.Time
 		dataCentre string
 		limitShare float64 // See SetLimitShare.
+		cold       ColdLimit
 		index      map[string]int
 		readyRows  []int // The rows of the targets that accept new calls.
 		coldCount  int   // The number of targets in state member.Cold.
@@ -63,6 +64,8 @@
 		Failing int
 		// Limited is the number of those that have named a limit.
 		Limited int
+		// Cold is the number of those that are cold.
+		Cold int
 		// ReportedCalls is the number of calls at them by their load reports.
 		ReportedCalls int
 	}
@@ -125,6 +128,8 @@
 		addressTaken bool
 		// limit is the limit that the target has named.
 		limit rateLimit
+		// cold is what limits the calls to the target while it is cold.
+		cold coldState
 		// rests are the rests that the target has asked hosts for.
 		rests []hostRest
 		// conns holds the hosts that have used the target lately.
@@ -233,6 +238,7 @@
 	}
 	s.inFlight++
 	s.limit.take(t.limitShare, t.offset(now))
+	s.cold.take(t.cold, t.offset(now))
 }
 
 // InFlight returns the number of calls in flight from this entry host to all
@@ -261,6 +267,9 @@
 		if s.limit.holds(at) {
 			o.Limited++
 		}
+		if t.isCold(i, at) {
+			o.Cold++
+		}
 		if s.reported && at-s.reportAt <= maxAge {
 			o.ReportedCalls += s.load.Running + s.load.Queued
 		}
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -196,6 +196,7 @@
 	if h.Rest, err = RestOf(status, header); err != nil {
 		h.Rest = 0 // Likewise.
 	}
+	h.WarmFor = ParseWarmFor(header.Get(HeaderWarm))
 	return h
 }
 
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -103,6 +103,7 @@
 	return place.Config{
 		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
 		Self: h.cfg.PeerAddress, Controls: controls,
+		Cold: place.ColdConfig{Overshoot: h.cfg.Fleet.WarmOvershoot, Slack: h.cfg.Fleet.WarmSlack, Informed: func() bool { return h.fleet.state.Informed() }},
 	}
 }
 
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -124,6 +124,7 @@
 		interval := carriersInterval
 		if list, err := f.follower.Entries(ctx); err == nil {
 			ways.addCarriers(list)
+			f.countEntryHosts(len(list) + 1)
 		} else {
 			interval = minCarriersInterval
 			f.host.log.Debug("entry hosts not listed", "error", err)
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -35,6 +35,11 @@
 		// planConfirmed is feed.Follower.Confirmed.
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
+		// entryHosts is the number of entry hosts as last listed, 0 when unknown. coldSeed
+		// and coldLimits, by service, are those of coldLimit.
+		entryHosts atomic.Int64
+		coldSeed   uint64
+		coldLimits sync.Map
 	}
 
 	// activePlan is the plan in force.
@@ -95,7 +100,7 @@
 
 func newFleet(h *Host) *fleet {
 	f := &fleet{
-		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}),
+		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}), coldSeed: newColdSeed(),
 		splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
@@ -147,12 +152,14 @@
 	}
 	f.splits.Retain(p)
 	h.services.Store(next)
+	f.limitCold(p)
 	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p)}) == nil {
 		close(f.planKnown)
 	}
 	for name, old := range current.byName {
 		if next.byName[name] == nil {
 			h.system.Root.Stop(old.pid)
+			f.coldLimits.Delete(name)
 		}
 	}
 	go func() {
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -275,7 +275,7 @@
 		}
 	}
 	state.changedSince(s.lastChange, func(t roster.Target) {
-		if s.known != nil && s.known[digest(t)] {
+		if s.known != nil && s.known[digest(t)] && !t.WarmAt.After(now) { // The digest does not show that it is cold.
 			u.Heard = append(u.Heard, leaseRenewal(t, now)) // Without it, the lease would expire at the follower.
 			return
 		}
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -614,6 +614,14 @@
 	}
 }
 
+// Informed reports whether this control host receives the updates of a majority of the voting
+// hosts.
+func (s *State) Informed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.informed
+}
+
 // notify wakes all streams that wait for a change. The caller holds mu.
 func (s *State) notify() {
 	close(s.changed)
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -14,6 +14,7 @@
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/rank"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/io/broker"
 	"cardamomspool/io/peer/peerpb"
@@ -40,6 +41,7 @@
 		started  time.Time
 		nextCall uint64 // The last ID given to a call.
 		streams  uint64 // The number of streams that were opened.
+		informed bool   // The last result of ColdConfig.Informed.
 	}
 
 	// Config configures a Server.
@@ -58,6 +60,8 @@
 		// retry budget; without Controls this host has all of it.
 		Self     netip.AddrPort
 		Controls func() []netip.AddrPort
+		// Cold bounds the calls to cold targets.
+		Cold ColdConfig
 	}
 
 	// service is one service for which this host decides or has decided.
@@ -66,6 +70,7 @@
 		prober   *probe.Prober // nil while the targets are not probed.
 		lastCall time.Time     // When the last call arrived.
 		slack    int           // Of the retry budget, in the document in force.
+		cold     route.ColdLimit
 	}
 
 	// entryStream is the control host's side of one entry host's stream: it passes
@@ -114,6 +119,7 @@
 	s.ctx = ctx
 	s.mu.Unlock()
 	s.shareBudgets()
+	s.adaptColdLimits()
 	defer s.system.Shutdown()
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -123,6 +129,7 @@
 			return
 		case now := <-ticker.C:
 			s.shareBudgets()
+			s.adaptColdLimits()
 			s.logStates()
 			s.endOverdueCalls()
 			s.stopIdleProbers(now)
@@ -176,7 +183,7 @@
 		s.system.Root.Send(v.pid, broker.Inspect{Deliver: func(b broker.State) {
 			s.log.Info("service state", "service", name, "open", b.Stats.OpenCalls, "queued", b.Stats.QueuedCalls,
 				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.Targets.ReportedCalls,
-				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "limited", b.Stats.Targets.Limited, "mean_latency", b.Stats.MeanLatency.String(),
+				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "limited", b.Stats.Targets.Limited, "cold", b.Stats.Targets.Cold, "mean_latency", b.Stats.MeanLatency.String(),
 				"longest_lag", b.LongestLag.String())
 		}})
 	}
@@ -205,6 +212,7 @@
 	for name, v := range s.services {
 		if doc, ok := s.document(name); ok {
 			s.configure(v, doc)
+			s.limitCold(name, v)
 			continue
 		}
 		if v.prober != nil {
@@ -282,6 +290,7 @@
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack}
 		s.services[name] = v
+		s.limitCold(name, v)
 		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targets[name]})
 	}
 	v.lastCall = now
--- a/io/probe/http.go
+++ b/io/probe/http.go
@@ -53,7 +53,7 @@
 			return route.Probe{Result: route.ProbeLost}, errors.Wrap(err, "probe")
 		}
 		h := dialect.ParseHealth(resp.StatusCode, resp.Header, target.Target)
-		result := route.Probe{Result: route.ProbeUnhealthy, Load: h.Load, Reported: h.Reported, Limit: h.Limit, Rest: h.Rest, Leaving: h.Leaving}
+		result := route.Probe{Result: route.ProbeUnhealthy, Load: h.Load, Reported: h.Reported, Limit: h.Limit, Rest: h.Rest, WarmFor: h.WarmFor, Leaving: h.Leaving}
 		switch {
 		case h.AddressTaken:
 			result = route.Probe{Result: route.ProbeAddressTaken}
