Test evacuations against stale decisions and losses of power

Callers would have seen calls in an evacuated data centre for up to a second after a loss of power, had nobody learnt yet that the order was agreed on; a read whose questions are lost would have delayed their first calls by a second.

The read that settles an order waits for contact with a majority.

--- a/io/ctrl/evacuate.go
+++ b/io/ctrl/evacuate.go
@@ -91,13 +91,16 @@
 }
 
 // settleOrders reads the plan through a majority until that succeeds, this host takes no
-// part in the agreement any more, or ctx ends. What was acknowledged is then known here.
+// part in the agreement any more, or ctx ends. What was acknowledged is then known here. It
+// waits for contact with a majority first: a read whose questions are lost takes a second.
 func (f *fleet) settleOrders(ctx context.Context) {
 	defer f.state.SetUnsettled(false)
 	for {
-		_, _, err := f.host.ReadPlan(ctx)
-		if err == nil || errors.Is(err, ErrNotMember) {
-			return
+		if f.host.Status().Current {
+			_, _, err := f.host.ReadPlan(ctx)
+			if err == nil || errors.Is(err, ErrNotMember) {
+				return
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/io/ctrl/evacuated_calls_test.go
+++ b/io/ctrl/evacuated_calls_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -108,7 +110,52 @@
 	gomega.EventuallyWithOffset(1, func() int64 { call(address); return t.calls.Load() - before }, 10*time.Second, 2*time.Millisecond).Should(gomega.BeNumerically(">", 0), "target %s", t.ID)
 }
 
+// learntFile returns the path of the file with the plan that host i knows to be agreed on, in
+// the first view.
+func (s *testFleet) learntFile(i int) string {
+	return filepath.Join(s.dataFolder(i), "epoch-1", "learnt.plan.doc")
+}
+
 var _ = ginkgo.Describe("An evacuated data centre", func() {
+	// Guards against calls that are decided without an order that was acknowledged just before
+	// all hosts lost power, when none of them had learnt yet that a majority has it.
+	ginkgo.It("gets no calls after a loss of power by which nobody has learnt the order", func() {
+		s := newTestFleet(3)
+		for i := range 3 {
+			s.startHost(i, true)
+		}
+		gomega.Eventually(func() error { return s.hosts[0].host.PutPlan(context.Background(), callPlan(1)) }, planTimeout, pollPeriod).Should(gomega.Succeed())
+		out, stays := newTestTarget("t-out", "buda"), newTestTarget("t-stays", "pest")
+		out.announce(s)
+		stays.announce(s)
+		var learnt [3][]byte
+		for i := range 3 {
+			gomega.Eventually(func() error {
+				var err error
+				learnt[i], err = os.ReadFile(s.learntFile(i))
+				return err
+			}, planTimeout, pollPeriod).Should(gomega.Succeed())
+		}
+		time.Sleep(time.Second) // The targets are written to disk.
+		s.setEvacuated("buda", true)
+		for i := range 3 {
+			s.stopHost(i)
+		}
+		for i := range 3 {
+			gomega.Expect(os.WriteFile(s.learntFile(i), learnt[i], 0o600)).To(gomega.Succeed())
+		}
+		for i := range 3 {
+			s.startHost(i, false)
+		}
+		address, stop := s.startEntry()
+		defer stop()
+		callsReach(address, stays)
+		for range 100 {
+			gomega.Expect(call(address)).To(gomega.Equal(http.StatusOK))
+		}
+		gomega.Expect(out.calls.Load()).To(gomega.BeZero())
+	})
+
 	// Guards against calls that reach a target in an evacuated data centre once the order was
 	// acknowledged and had its time, also after a restart of all hosts, and against targets that
 	// get no calls any more when the order is withdrawn.
--- a/io/entry/evacuated.go
+++ b/io/entry/evacuated.go
@@ -17,6 +17,9 @@
 	if h.fleet == nil {
 		return false
 	}
+	if _, list := h.fleet.state.Evacuation(); len(list) == 0 {
+		return false
+	}
 	t, known := h.fleet.state.Target(s.Target)
 	return known && h.fleet.state.IsEvacuated(t.DataCentre)
 }
--- a/io/feed/evacuation.go
+++ b/io/feed/evacuation.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	if len(added) > 0 {
-		s.metrics.Counter("evacuations_in_force").Add(int64(len(added)))
+		s.metrics.Counter("evacuations_begun").Add(int64(len(added)))
 		s.log.Info("evacuation in force", "revision", revision, "data_centres", added)
 	}
 	if len(removed) > 0 {
--- a/io/feed/evacuation_test.go
+++ b/io/feed/evacuation_test.go
@@ -115,3 +115,30 @@
 		gomega.Expect(state.IsEvacuated("buda")).To(gomega.BeTrue())
 	})
 })
+
+var _ = ginkgo.Describe("A target that becomes cold again", func() {
+	// Guards against followers that send a cold target calls at full rate: the change is
+	// neither streamed, nor sent to a follower that holds the target by its digest.
+	ginkgo.It("is streamed, also to a host that follows again", func() {
+		s := newControls(2)
+		s[0].UpdateTargets(true, target("t", 1, member.Ready))
+		state := feed.NewState()
+		follow(state, s[0].address, s[1].address)
+		warmAt := func() time.Time {
+			if list := state.Records("s"); len(list) == 1 {
+				return list[0].WarmAt
+			}
+			return time.Unix(0, 0)
+		}
+		gomega.Eventually(warmAt, waitTimeout).Should(gomega.BeZero())
+		cold := target("t", 2, member.Ready)
+		cold.WarmAt = time.Now().Add(20 * time.Second)
+		s[0].UpdateTargets(true, cold)
+		gomega.Eventually(warmAt, waitTimeout).Should(gomega.BeTemporally("~", cold.WarmAt, time.Second))
+		s[0].stop()
+		colder := target("t", 3, member.Ready)
+		colder.WarmAt = time.Now().Add(40 * time.Second)
+		s[1].UpdateTargets(true, colder)
+		gomega.Eventually(warmAt, waitTimeout).Should(gomega.BeTemporally("~", colder.WarmAt, time.Second))
+	})
+})
