--- a/core/engine/cold_test.go
+++ b/core/engine/cold_test.go
@@ -250,7 +250,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	s := newColdScheduler(false, route.NewColdLimit(4, 1.5, 8, true), now, true)
 	actions := arriveCold(s, 60, now)
-	g.Expect(sentTo(actions, "t-0") + sentTo(actions, "t-1")).To(gomega.Equal(4), "the burst of both")
+	g.Expect(sentTo(actions, "t-0")+sentTo(actions, "t-1")).To(gomega.Equal(4), "the burst of both")
 	g.Expect(s.QueuedCalls()).To(gomega.BeNumerically("~", 2, 1), "as many as 8 calls a second serve in time")
 	refuse, ok := actions[len(actions)-1].(engine.Refuse)
 	g.Expect(ok).To(gomega.BeTrue())
--- a/core/route/cold.go
+++ b/core/route/cold.go
@@ -219,11 +219,14 @@
 	} else {
 		next = 0
 	}
-	seconds := max(float64(ahead+1)-tokens, 0) / rate
-	if !(seconds < warm.Seconds()) {
+	missing := float64(ahead+1) - tokens
+	if missing <= 0 {
+		return min(next, warm)
+	}
+	if missing >= warm.Seconds()*rate {
 		return warm
 	}
-	return min(max(next, time.Duration(seconds*float64(time.Second))), warm)
+	return min(max(next, time.Duration(missing/rate*float64(time.Second))), warm)
 }
 
 // nextGrant returns the time until the next second in which a call to the cold target of row
