Bound the calls of all control hosts to cold targets

After a loss of power up to six control hosts decide for a service for a moment, just when all targets are cold: with two full shares and more, 25 requests in a second were possible where 11 are allowed.

From the third one in the order of a service on, each control host has half of what the one before it has, beginning with what the overshoot leaves.

--- a/core/route/cold.go
+++ b/core/route/cold.go
@@ -77,6 +77,16 @@
 	return l
 }
 
+// Scaled returns the limit of a host that may use only the part f of l. A host whose burst is
+// less than one call sends none.
+func (l ColdLimit) Scaled(f float64) ColdLimit {
+	l.Rate, l.Burst = l.Rate*f, l.Burst*f
+	if l.Burst < 1 {
+		l.Rate = 0
+	}
+	return l
+}
+
 // NewAloneColdLimit returns the limit of one of hosts hosts that decide alone, with a seed
 // that differs from those of the others. The other arguments are those of NewColdLimit.
 func NewAloneColdLimit(rate, overshoot, slack float64, hosts int, seed uint64) ColdLimit {
--- a/io/place/cold.go
+++ b/io/place/cold.go
@@ -1,7 +1,10 @@
 package place
 
 import (
+	"net/netip"
+
 	"cardamomspool/core/engine"
+	"cardamomspool/core/rank"
 	"cardamomspool/core/route"
 )
 
@@ -18,6 +21,22 @@
 	return c.Informed == nil || c.Informed()
 }
 
+// fullColdPositions is the number of control hosts, in the order of a service, that get the
+// whole limit of a deciding host: the second one decides when the first one is lost.
+const fullColdPositions = 2
+
+// ColdLimit returns the limit of this host for calls to cold targets of a service that take
+// rate calls a second, when the given control hosts may decide for the service too. After a
+// start, several may do so for a moment: from the third one in the order on, each has half of
+// what the one before it has, beginning with what the overshoot leaves.
+func (c Config) ColdLimit(service string, rate float64, controls []netip.AddrPort, informed bool) route.ColdLimit {
+	position := rank.Position(service, c.Self, controls)
+	if position < fullColdPositions {
+		return route.NewColdLimit(rate, c.Cold.Overshoot, c.Cold.Slack, informed)
+	}
+	return route.NewColdLimit(rate, c.Cold.Overshoot, c.Cold.Slack, false).Scaled(rank.Share(position - fullColdPositions))
+}
+
 // coldLimit returns the limit for calls to cold targets of a service. The caller holds mu.
 func (s *Server) coldLimit(name string) route.ColdLimit {
 	if s.plan == nil {
@@ -25,7 +44,7 @@
 	}
 	for i := range s.plan.Services {
 		if v := &s.plan.Services[i]; v.Name == name {
-			return route.NewColdLimit(v.WarmRate, s.cfg.Cold.Overshoot, s.cfg.Cold.Slack, s.informed)
+			return s.cfg.ColdLimit(name, v.WarmRate, s.controls, s.informed)
 		}
 	}
 	return route.ColdLimit{}
@@ -40,8 +59,8 @@
 	}
 }
 
-// adaptColdLimits adapts the limits for calls to cold targets to whether this host hears a
-// majority of the control hosts.
+// adaptColdLimits adapts the limits for calls to cold targets to the control hosts that are
+// known, and to whether this host hears a majority of them.
 func (s *Server) adaptColdLimits() {
 	informed := s.cfg.Cold.informed() // Not under mu, see SetTargets.
 	s.mu.Lock()
--- a/io/place/cold_test.go
+++ b/io/place/cold_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -23,6 +24,29 @@
 	"cardamomspool/io/telem"
 )
 
+// Guards against a bound that is exceeded when more than two control hosts decide for a
+// service, as after a loss of power.
+func TestColdLimitsOfAllControlHostsStayWithinTheBound(t *testing.T) {
+	var controls []netip.AddrPort
+	for i := range 7 {
+		controls = append(controls, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000))
+	}
+	for _, c := range []struct{ rate, overshoot, slack float64 }{{2.27, 1.5, 8}, {4.2, 1.5, 8}} {
+		for _, informed := range []bool{true, false} {
+			g := gomega.NewWithT(t)
+			sum := 0
+			for _, self := range controls {
+				cfg := place.Config{Self: self, Cold: place.ColdConfig{Overshoot: c.overshoot, Slack: c.slack}}
+				if l := cfg.ColdLimit("s", c.rate, controls, informed); l.Burst >= 1 {
+					sum += int(l.Rate + l.Burst) // A bucket lets no more through in a second.
+				}
+			}
+			g.Expect(float64(sum)).To(gomega.BeNumerically("<=", c.rate*c.overshoot+c.slack))
+			t.Logf("%d requests in a second from all control hosts", sum)
+		}
+	}
+}
+
 var _ = ginkgo.Describe("A control host that decides for a cold target", func() {
 	// Guards against a limit that does not reach the schedulers of services, and one where the
 	// plan names no rate.
