--- a/io/ctrl/evacuate_test.go
+++ b/io/ctrl/evacuate_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"cardamomspool/io/client"
 )
 
 // setEvacuated gives an order to any host, again and again as an operator does.
@@ -69,6 +72,31 @@
 		}
 	})
 
+	// Guards against commands that reach no host which takes the order.
+	ginkgo.It("is taken from the operators' client", func() {
+		s := newTestFleet(3)
+		var admins []netip.AddrPort
+		for i := range 4 { // The last one does not vote at first.
+			s.startHost(i, true)
+			admins = append([]netip.AddrPort{netip.AddrPortFrom(s.address(i), s.ports[1].Port())}, admins...)
+		}
+		c := client.New(admins)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*planTimeout)
+		defer cancel()
+		v, err := c.SetEvacuated(ctx, "buda", true)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(v.DataCentres).To(gomega.Equal([]string{"buda"}))
+		for i := range 4 {
+			s.expectEvacuated(i, "[buda]")
+		}
+		for _, status := range c.Status(ctx) {
+			gomega.Expect(status.Evacuated).To(gomega.Equal([]string{"buda"}))
+		}
+		v, err = c.SetEvacuated(ctx, "buda", false)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(v.DataCentres).To(gomega.BeEmpty())
+	})
+
 	// Guards against messages and stored plans that change without orders.
 	ginkgo.It("leaves a fleet without orders as it was", func() {
 		s := newTestFleet(1)
