Show evacuated data centres in the console

Operators who looked for missing calls in the console were not shown an order in force. The page on hosts and targets names the evacuated data centres; without an order it is as before.

--- a/io/consol/console.go
+++ b/io/consol/console.go
@@ -16,16 +16,17 @@
 type (
 	// Console is the HTTP handler of the operators' pages. Use New.
 	Console struct {
-		store  admin.Store
-		editor *admin.Editor
-		fleet  *admin.Fleet
-		host   string
-		token  string
-		signer signer
-		log    *slog.Logger
-		now    func() time.Time
-		newID  func() string
-		mux    *http.ServeMux
+		store      admin.Store
+		editor     *admin.Editor
+		fleet      *admin.Fleet
+		host       string
+		token      string
+		signer     signer
+		log        *slog.Logger
+		now        func() time.Time
+		newID      func() string
+		mux        *http.ServeMux
+		evacuation func() (uint64, []string)
 	}
 
 	// Option sets one property of a Console.
@@ -71,6 +72,12 @@
 	return func(c *Console) { c.fleet = f }
 }
 
+// WithEvacuation sets the function that returns the evacuated data centres, which are
+// shown; the default is none.
+func WithEvacuation(evacuation func() (revision uint64, dataCentres []string)) Option {
+	return func(c *Console) { c.evacuation = evacuation }
+}
+
 // WithLogger sets the logger; the default discards.
 func WithLogger(log *slog.Logger) Option {
 	return func(c *Console) { c.log = log }
@@ -93,6 +100,7 @@
 	c := &Console{
 		store: store, host: host, fleet: admin.NewFleet(nil), log: slog.New(slog.DiscardHandler),
 		now: time.Now, newID: rand.Text, mux: http.NewServeMux(),
+		evacuation: func() (uint64, []string) { return 0, nil },
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/io/consol/show.go
+++ b/io/consol/show.go
@@ -70,6 +70,8 @@
 		EntryAnswers []hostRow
 		Targets      []targetRow
 		AskedAt      time.Time
+		// Evacuated lists the evacuated data centres.
+		Evacuated []string
 		// Names lists the services. Service is the one whose targets are shown.
 		Names   []string
 		Service string
@@ -162,6 +164,7 @@
 		w.Header().Set("Refresh", strconv.Itoa(seconds))
 	}
 	p := hostsPage{page: c.page("Hosts and targets", s), Status: c.store.Status(), AskedAt: c.now()}
+	_, p.Evacuated = c.evacuation()
 	for _, v := range c.store.List() {
 		p.Names = append(p.Names, v.Name)
 	}
--- a/io/ctrl/operators.go
+++ b/io/ctrl/operators.go
@@ -10,10 +10,12 @@
 // operatorsHandler returns the handler of the operators' API and the console.
 func (h *Host) operatorsHandler() http.Handler {
 	fleet := admin.NewFleet(h.cfg.Entries)
-	pages := consol.New(h, h.cfg.Host, consol.WithToken(h.token), consol.WithFleet(fleet), consol.WithLogger(h.log))
-	opts := []admin.Option{admin.WithFleet(fleet), admin.WithPages(pages)}
+	shown := []consol.Option{consol.WithToken(h.token), consol.WithFleet(fleet), consol.WithLogger(h.log)}
+	var opts []admin.Option
 	if h.fleet != nil {
+		shown = append(shown, consol.WithEvacuation(h.Evacuation))
 		opts = append(opts, admin.WithEvacuator(h))
 	}
+	opts = append(opts, admin.WithFleet(fleet), admin.WithPages(consol.New(h, h.cfg.Host, shown...)))
 	return admin.NewControl(h, h.token, h.metrics, h.log, opts...)
 }
