--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -103,6 +103,7 @@
 	return place.Config{
 		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
 		Self: h.cfg.PeerAddress, Controls: controls,
+		Cold: place.ColdConfig{Overshoot: h.cfg.Fleet.WarmOvershoot, Slack: h.cfg.Fleet.WarmSlack, Informed: func() bool { return h.fleet.state.Informed() }},
 	}
 }
 
@@ -266,9 +267,10 @@
 	}
 }
 
-// publishPlan stores a chosen plan in the fleet state. It ignores a value that
-// holds no plan yet.
+// publishPlan stores a chosen plan and the chosen orders to evacuate data centres in the
+// fleet state. It ignores the plan of a value that holds none yet.
 func (f *fleet) publishPlan(v quorum.Value) {
+	f.publishOrders(v)
 	if v.Version == 0 {
 		return
 	}
