Ask the quota of a client account when a call arrives

Callers of one account could fill slots and queues for all others. The scheduler had no quota to ask. It now asks engine.Quota before anything else takes the call, refuses with over_quota and the time to come back, and gives back calls that were certainly not run; repeats of a call are not counted. Without an account or a quota nothing is asked.

--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -184,11 +184,16 @@
 	s.retryBudget.Slack = float64(doc.Retry.Slack)
 }
 
-// arrive handles a new call. It refuses the call when too many calls are open. While
+// arrive handles a new call. It refuses the call when its client account is over its
+// quota, before anything else takes the call, or when too many calls are open. While
 // other calls are queued, it queues the call too and then sends as many queued calls
 // as it can; otherwise it sends the call if it can.
 func (s *Scheduler) arrive(dst []Action, e Arrive, now time.Time) []Action {
+	if retryAfter, ok := s.admitToQuota(e, now); !ok {
+		return append(dst, Refuse{Call: e.Call, Reason: OverQuota, NotRun: true, RetryAfter: retryAfter})
+	}
 	if len(s.calls) >= s.doc.Refuse.OpenCalls {
+		s.returnToQuota(e.Class.Account, now)
 		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter(e.Host, now)})
 	}
 	c := &call{class: e.Class, dataCentre: e.DataCentre, host: e.Host, arrived: now, waitingSince: now, deadline: e.Deadline}
@@ -314,6 +319,9 @@
 		f.Outcome = route.Failed
 	}
 	s.targets.Finish(c.target, f, now.Sub(c.sent), now)
+	if c.target == "" && !c.mayHaveRun {
+		s.returnToQuota(c.class.Account, now)
+	}
 	delete(s.calls, e.Call)
 	return s.dispatchQueued(dst, now)
 }
@@ -512,6 +520,9 @@
 
 // refuse ends a call that is neither queued nor at a target and appends a Refuse.
 func (s *Scheduler) refuse(dst []Action, id uint64, c *call, reason Reason, now time.Time) []Action {
+	if !c.mayHaveRun {
+		s.returnToQuota(c.class.Account, now)
+	}
 	delete(s.calls, id)
 	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfter(c.host, now)})
 }
