Add core/quota: ledgers of control hosts and buckets of hosts that decide alone

Quotas of client accounts need one count over all hosts and services. Nothing kept it. A Ledger has a token bucket for each account, takes what other hosts report, and admits only an entry host's part while it hears no majority; a Local is the bucket of an entry host that decides alone. A bucket takes late reports before it adds the tokens of that time, so that an account within its quota is not refused after a freeze.

--- /dev/null
+++ b/core/quota/ledger.go
@@ -0,0 +1,521 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/plan"
+	"cardamomspool/core/quorum"
+)
+
+type (
+	// Config holds the bound of the quotas: in each window, an account may exceed its
+	// rate and burst by the ratio Overshoot and by Slack calls.
+	Config struct {
+		Window    time.Duration
+		Overshoot float64
+		Slack     float64
+	}
+
+	// Ledger holds the buckets of all accounts at a control host. Use NewLedger. It is
+	// safe for concurrent use.
+	Ledger struct {
+		cfg   Config
+		self  string
+		start uint64
+		// clock returns the time since the boot of the machine, including the time for
+		// which the machine was suspended.
+		clock func() time.Duration
+
+		mu       sync.Mutex
+		accounts map[string]*account
+		list     []*account // The accounts of the plan, in its order.
+		hosts    map[string]*host
+		voters   []string
+		// heardMajority is the latest time by clock since which a majority of the voters
+		// has answered.
+		heardMajority time.Duration
+		// entries is the number of entry hosts that may decide alone; 0 when unknown.
+		// share is the part of them that asks this host.
+		entries int
+		share   float64
+		// version counts the changes of published numbers.
+		version uint64
+		spreads uint64 // The number of results of spread that were used.
+	}
+
+	// Usage is the number of calls of an account.
+	Usage struct {
+		Account string
+		Calls   int64
+	}
+
+	// Progress is what another host has confirmed of the numbers of a Ledger. The zero
+	// value stands for nothing.
+	Progress struct {
+		confirmed map[string]int64
+		version   uint64 // Of the ledger; nothing that has changed up to it is unconfirmed.
+	}
+
+	// account is the state of one account.
+	account struct {
+		name           string
+		rate, burst    float64
+		inPlan         bool
+		bucket         bucket // Of all hosts together.
+		alone          bucket // Used while the ledger is restricted.
+		admitted       int64  // Calls admitted here since the start, less those given back.
+		version        uint64 // Of the ledger at the last change of admitted.
+		comeBack       time.Time
+		lowAt          time.Time // When the account last had no room.
+		use, refusals  window
+		refusedCalls   int64 // Since the start.
+		loggedRefusals int64 // The value of refusedCalls at the last result of Refused.
+	}
+
+	// host is what is known of another control host.
+	host struct {
+		start uint64
+		// baseline says that numbers which are new are not taken from buckets: the host
+		// has admitted them before this one started.
+		baseline bool
+		observed time.Time          // When its numbers were last observed.
+		heard    time.Duration      // By the ledger's clock; see Ledger.Heard.
+		numbers  map[string]hostUse // The highest ones observed, by account.
+		adopted  bool               // Adopt was called.
+	}
+
+	// hostUse is the use of one account at another control host.
+	hostUse struct {
+		calls   int64
+		changed time.Time
+	}
+
+	// Option sets one property of a Ledger.
+	Option func(*Ledger)
+)
+
+const (
+	// maxSilence is how long a host may not have heard a majority and still admit calls
+	// by the buckets of all hosts. It is six reports.
+	maxSilence = 300 * time.Millisecond
+	// headroomDivisor is the part of the slack by which a bucket is larger than the
+	// burst: calls of an account within its burst do not reach the deciding hosts at the
+	// intervals at which they were sent.
+	headroomDivisor = 4
+	// lowTime is how long an account is listed as limited after it had no room.
+	lowTime = time.Second
+	// usableWait is the longest time after which a caller is expected to come back. It is
+	// the shortest deadline of the classes of the deployments with quotas.
+	usableWait = 2 * time.Second
+	// activeTime is how long a host counts as one that uses an account after its number
+	// has changed.
+	activeTime = time.Second
+	// unknownEntries is the number of entry hosts that a restricted ledger assumes
+	// before it knows any.
+	unknownEntries = 100
+)
+
+var _ engine.Quota = (*Ledger)(nil)
+
+// WithClock sets the clock for the restriction of a ledger. It must go on while the
+// machine is suspended. The default stands still.
+func WithClock(clock func() time.Duration) Option {
+	return func(l *Ledger) { l.clock = clock }
+}
+
+// NewLedger returns a ledger of the control host called self without accounts. start
+// identifies this run of the process; it must grow with every run of any host. The ledger
+// is restricted until SetVoters and Heard say that a majority has answered.
+func NewLedger(cfg Config, self string, start uint64, opts ...Option) *Ledger {
+	l := &Ledger{
+		cfg: cfg, self: self, start: start, clock: func() time.Duration { return 0 }, share: 1,
+		accounts: make(map[string]*account), hosts: make(map[string]*host), heardMajority: math.MinInt64 / 2,
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Start returns the number that identifies this run of the process.
+func (l *Ledger) Start() uint64 {
+	return l.start
+}
+
+// SetAccounts puts the accounts of a plan in force at now. The bucket of a new account is
+// full. An account with another quota keeps what it has used.
+func (l *Ledger) SetAccounts(accounts []plan.Account, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.list {
+		a.inPlan = false
+	}
+	l.list = l.list[:0]
+	for i := range accounts {
+		p := &accounts[i]
+		// Accounts that leave the plan stay in the map: their numbers go on if they
+		// come back, as other hosts expect.
+		a, known := l.accounts[p.Name]
+		if !known {
+			a = &account{name: p.Name, rate: p.Rate, burst: p.Burst}
+			l.accounts[p.Name] = a
+		}
+		if a.rate != p.Rate || a.burst != p.Burst {
+			l.changeQuota(a, p.Rate, p.Burst, now)
+		}
+		a.inPlan = true
+		l.list = append(l.list, a)
+	}
+}
+
+// changeQuota sets the rate and the burst of an account. The caller holds mu.
+func (l *Ledger) changeQuota(a *account, rate, burst float64, now time.Time) {
+	l.refill(a, now)
+	before := l.capacity(a)
+	a.rate, a.burst = rate, burst
+	after := l.capacity(a)
+	a.bucket.level = min(a.bucket.level+max(after-before, 0), after)
+	a.alone = bucket{}
+	a.comeBack = time.Time{}
+}
+
+// SetVoters sets the names of the voting hosts, which may include this one.
+func (l *Ledger) SetVoters(voters []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Equal(voters, l.voters) {
+		l.voters = slices.Clone(voters)
+		l.updateMajority()
+	}
+}
+
+// SetEntries sets the numbers of entry hosts that follow this host, and of those that did
+// so lately. The latter may decide alone, so this ledger leaves them their part of all
+// quotas.
+func (l *Ledger) SetEntries(following, lost int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share := 1.0
+	if following > 0 {
+		share = float64(following) / float64(following+lost)
+	}
+	if share != l.share {
+		for _, a := range l.list {
+			l.refill(a, now)
+		}
+		l.share = share
+		for _, a := range l.list {
+			a.bucket.level = min(a.bucket.level, l.capacity(a))
+		}
+	}
+	if n := following + lost; n > 0 {
+		l.entries = n
+	}
+}
+
+// Heard records that another host has answered a question that was sent at the given
+// time by the ledger's clock.
+func (l *Ledger) Heard(name string, sent time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.host(name)
+	h.heard = max(h.heard, sent)
+	l.updateMajority()
+}
+
+// updateMajority sets heardMajority. The caller holds mu.
+func (l *Ledger) updateMajority() {
+	l.heardMajority = math.MinInt64 / 2
+	var heard []time.Duration
+	for _, v := range l.voters {
+		if v == l.self {
+			heard = append(heard, math.MaxInt64/2)
+		} else if h, ok := l.hosts[v]; ok && h.heard > 0 {
+			heard = append(heard, h.heard)
+		}
+	}
+	majority := quorum.Majority(len(l.voters))
+	if len(l.voters) == 0 || len(heard) < majority {
+		return
+	}
+	slices.Sort(heard)
+	l.heardMajority = heard[len(heard)-majority]
+}
+
+// host returns the record of another host. The caller holds mu.
+func (l *Ledger) host(name string) *host {
+	h, ok := l.hosts[name]
+	if !ok {
+		h = &host{numbers: make(map[string]hostUse)}
+		l.hosts[name] = h
+	}
+	return h
+}
+
+// Restricted reports whether the ledger admits only as much as an entry host alone.
+func (l *Ledger) Restricted() bool {
+	now := l.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restricted(now)
+}
+
+// restricted implements Restricted at a time by the ledger's clock. The caller holds mu.
+func (l *Ledger) restricted(now time.Duration) bool {
+	return now-l.heardMajority > maxSilence
+}
+
+// capacity returns the capacity of an account's bucket. The caller holds mu.
+func (l *Ledger) capacity(a *account) float64 {
+	return max(a.burst*l.share+l.cfg.Slack/headroomDivisor, 1)
+}
+
+// refill brings the bucket of an account up to date. The caller holds mu.
+func (l *Ledger) refill(a *account, now time.Time) {
+	a.bucket.refill(a.rate*l.share, l.capacity(a), now)
+}
+
+// Admit counts a call of an account and reports true if the account has room. Otherwise
+// it returns the time after which the caller may come back: when the account has room
+// for one more call after all calls that were told to come back before. An account that
+// the plan does not name has no limit.
+func (l *Ledger) Admit(name string, now time.Time) (time.Duration, bool) {
+	clock := l.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[name]
+	if !ok || !a.inPlan {
+		return 0, true
+	}
+	if a.rate <= 0 {
+		a.use.add(1, l.cfg.Window, now)
+		return 0, true
+	}
+	if l.restricted(clock) {
+		ok = l.takeAlone(a, now)
+	} else {
+		l.refill(a, now)
+		ok = a.bucket.take()
+	}
+	if !ok {
+		a.refusedCalls++
+		a.refusals.add(1, l.cfg.Window, now)
+		a.lowAt = now
+		return l.retryAfter(a, now), false
+	}
+	l.count(a, 1, now)
+	return 0, true
+}
+
+// takeAlone takes a call from the part of the quota that an entry host has which decides
+// alone. The bucket of all hosts is not refilled: what others have admitted in the
+// meantime is not known yet. The caller holds mu.
+func (l *Ledger) takeAlone(a *account, now time.Time) bool {
+	n := l.entries
+	if n == 0 {
+		n = unknownEntries
+	}
+	if a.bucket.updated.IsZero() {
+		l.refill(a, now)
+	}
+	a.alone.refill(a.rate/float64(n), max(a.burst/float64(n), 1), now)
+	if a.bucket.level < 1 || !a.alone.take() {
+		return false
+	}
+	a.bucket.level--
+	return true
+}
+
+// count counts n calls that were admitted here. The caller holds mu.
+func (l *Ledger) count(a *account, n int64, now time.Time) {
+	l.version++
+	a.admitted += n
+	a.version = l.version
+	a.use.add(int32(n), l.cfg.Window, now)
+}
+
+// retryAfter returns the time after which the caller of a refused call may come back.
+// Callers are told times that follow each other at the rate of the account, divided by
+// the number of hosts that decide for its calls at present. Times beyond usableWait are not
+// kept for anybody: those callers are spread over a window that begins when the present
+// one has passed. The caller holds mu.
+func (l *Ledger) retryAfter(a *account, now time.Time) time.Duration {
+	deciders := 1
+	for _, h := range l.hosts {
+		if u, ok := h.numbers[a.name]; ok && now.Sub(u.changed) < activeTime {
+			deciders++
+		}
+	}
+	room := now.Add(a.bucket.wait(a.rate*l.share, l.cfg.Window))
+	next := a.comeBack.Add(time.Duration(float64(deciders) / a.rate * float64(time.Second)))
+	if next.Before(room) {
+		next = room
+	}
+	if next.Sub(now) > usableWait {
+		l.spreads++
+		return roundUp(l.cfg.Window + spread(l.spreads, l.cfg.Window))
+	}
+	a.comeBack = next
+	return roundUp(next.Sub(now))
+}
+
+// roundUp rounds a time up to whole milliseconds, the unit of messages and header
+// fields. A caller that came back earlier would find no room.
+func roundUp(d time.Duration) time.Duration {
+	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
+// Return gives a call that was certainly not run back to the account.
+func (l *Ledger) Return(name string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[name]
+	if !ok || !a.inPlan {
+		return
+	}
+	if a.rate <= 0 {
+		a.use.add(-1, l.cfg.Window, now)
+		return
+	}
+	a.bucket.level = min(a.bucket.level+1, l.capacity(a))
+	l.count(a, -1, now)
+}
+
+// Observe takes what another host reports from the buckets. start identifies the run of
+// that host's process, and usage holds calls that it has admitted since then. Numbers of
+// an earlier run are ignored, and lower numbers than before too: calls that were given
+// back are not counted again when their tokens are used.
+//
+// The numbers of a host that started before this one are at first only remembered. What
+// is left of the quotas is told by Adopt.
+func (l *Ledger) Observe(name string, start uint64, usage []Usage, now time.Time) {
+	clock := l.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.host(name)
+	if start < h.start {
+		return
+	}
+	first := h.start == 0
+	if start > h.start {
+		clear(h.numbers)
+		h.start, h.baseline = start, first && start < l.start
+	}
+	restricted := l.restricted(clock)
+	for _, u := range usage {
+		l.observe(h, u, restricted, now)
+	}
+	h.baseline, h.observed = false, now
+}
+
+// observe implements Observe for one account. The calls were made between the last
+// observation of the host and now. They are taken before the tokens of that time are added,
+// which would be lost in a bucket that is nearly full. A restricted ledger adds no tokens
+// at all: after a resumption, several reports that have waited are read at once. The caller
+// holds mu.
+func (l *Ledger) observe(h *host, u Usage, restricted bool, now time.Time) {
+	before := h.numbers[u.Account].calls
+	if u.Calls <= before {
+		return
+	}
+	h.numbers[u.Account] = hostUse{calls: u.Calls, changed: now}
+	a, ok := l.accounts[u.Account]
+	if h.baseline || !ok || a.rate <= 0 {
+		return
+	}
+	n := u.Calls - before
+	a.use.add(int32(min(n, math.MaxInt32)), l.cfg.Window, now)
+	switch {
+	case h.observed.IsZero() || a.bucket.updated.IsZero():
+		l.refill(a, now)
+	case !restricted:
+		l.refill(a, h.observed)
+	}
+	l.lower(a, a.bucket.level-float64(n), now)
+}
+
+// lower sets the level of an account's bucket, at least so much that the bucket recovers
+// within a window and the time that it takes to fill: a wrong number must not block an
+// account for ever. The caller holds mu.
+func (l *Ledger) lower(a *account, level float64, now time.Time) {
+	a.bucket.level = max(level, -a.rate*l.cfg.Window.Seconds()-l.capacity(a))
+	if a.bucket.level < 1 {
+		a.lowAt = now
+	}
+}
+
+// Missing returns, for each account whose bucket is not full, how many calls it lacks.
+func (l *Ledger) Missing(now time.Time) []Usage {
+	clock := l.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Usage
+	for _, a := range l.list {
+		if a.rate <= 0 {
+			continue
+		}
+		if !l.restricted(clock) {
+			l.refill(a, now)
+		}
+		if n := math.Round(l.capacity(a) - a.bucket.level); n >= 1 && !a.bucket.updated.IsZero() {
+			list = append(list, Usage{Account: a.name, Calls: int64(n)})
+		}
+	}
+	return list
+}
+
+// Adopt takes over what a host that started before this one has returned from Missing.
+// Only the first result of a host has an effect.
+func (l *Ledger) Adopt(name string, start uint64, missing []Usage, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.host(name)
+	if h.adopted || start >= l.start {
+		return
+	}
+	h.adopted = true
+	for _, u := range missing {
+		a, ok := l.accounts[u.Account]
+		if !ok || a.rate <= 0 {
+			continue
+		}
+		l.refill(a, now)
+		l.lower(a, min(a.bucket.level, l.capacity(a)-float64(u.Calls)), now)
+	}
+}
+
+// Unreported appends the numbers that the other host has not confirmed to dst, and
+// returns it with the progress that Confirm records once they have arrived.
+func (l *Ledger) Unreported(dst []Usage, p *Progress) ([]Usage, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.version == l.version {
+		return dst, l.version
+	}
+	for _, a := range l.accounts {
+		if a.version > p.version && a.admitted != p.confirmed[a.name] {
+			dst = append(dst, Usage{Account: a.name, Calls: a.admitted})
+		}
+	}
+	return dst, l.version
+}
+
+// Confirm records that the result of Unreported has arrived.
+func (p *Progress) Confirm(usage []Usage, version uint64) {
+	if p.confirmed == nil {
+		p.confirmed = make(map[string]int64)
+	}
+	for _, u := range usage {
+		p.confirmed[u.Account] = u.Calls
+	}
+	p.version = version
+}
+
+// Reset makes the next report contain all numbers.
+func (p *Progress) Reset() {
+	*p = Progress{}
+}
--- /dev/null
+++ b/core/quota/local.go
@@ -0,0 +1,125 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/plan"
+)
+
+type (
+	// Local limits the calls that an entry host decides about alone: to its part of
+	// each account's quota, but one call at least. It admits no calls of the accounts
+	// that are over their quotas. Use NewLocal. It is safe for concurrent use.
+	Local struct {
+		window time.Duration
+
+		mu       sync.Mutex
+		accounts map[string]*localAccount
+		limited  map[string]bool
+		entries  int // The number of entry hosts; 0 when unknown.
+		refused  uint64
+	}
+
+	// localAccount is the state of one account.
+	localAccount struct {
+		rate, burst float64
+		bucket      bucket
+	}
+)
+
+var _ engine.Quota = (*Local)(nil)
+
+// NewLocal returns a Local without accounts for quotas with the given window.
+func NewLocal(window time.Duration) *Local {
+	return &Local{window: window, accounts: make(map[string]*localAccount)}
+}
+
+// SetAccounts puts the accounts of a plan in force. Accounts whose quotas are unchanged
+// keep what they have used.
+func (l *Local) SetAccounts(accounts []plan.Account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := make(map[string]*localAccount, len(accounts))
+	for i := range accounts {
+		a := &accounts[i]
+		if a.Rate <= 0 {
+			continue
+		}
+		next[a.Name] = &localAccount{rate: a.Rate, burst: a.Burst}
+		if old, ok := l.accounts[a.Name]; ok && old.rate == a.Rate && old.burst == a.Burst {
+			next[a.Name] = old
+		}
+	}
+	l.accounts = next
+}
+
+// SetLimited sets the accounts that are over their quotas.
+func (l *Local) SetLimited(names []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limited = make(map[string]bool, len(names))
+	for _, name := range names {
+		l.limited[name] = true
+	}
+}
+
+// SetEntries sets the number of entry hosts; 0 when unknown.
+func (l *Local) SetEntries(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = n
+}
+
+// Admit counts a call of an account and reports true if its part of the quota has room.
+// Otherwise it returns the time after which the caller may come back, at most one
+// window and a half: control hosts will probably decide again by then. An account
+// without a quota has no limit.
+func (l *Local) Admit(name string, now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[name]
+	if !ok {
+		return 0, true
+	}
+	rate := l.refill(a, now)
+	if !l.limited[name] && a.bucket.take() {
+		return 0, true
+	}
+	l.refused++
+	wait := a.bucket.wait(rate, l.window)
+	return roundUp(wait + spread(l.refused, max(wait, l.window/windowParts)/2)), false
+}
+
+// refill brings the bucket of an account up to date and returns its rate. The caller
+// holds mu.
+func (l *Local) refill(a *localAccount, now time.Time) float64 {
+	n := l.entries
+	if n <= 0 {
+		n = unknownEntries
+	}
+	rate := a.rate / float64(n)
+	a.bucket.refill(rate, l.capacity(a), now)
+	return rate
+}
+
+// capacity returns the capacity of an account's bucket. The caller holds mu.
+func (l *Local) capacity(a *localAccount) float64 {
+	if l.entries <= 0 {
+		return 1
+	}
+	return max(a.burst/float64(l.entries), 1)
+}
+
+// Return gives a call that was certainly not run back to the account.
+func (l *Local) Return(name string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[name]
+	if !ok {
+		return
+	}
+	l.refill(a, now)
+	a.bucket.level = min(a.bucket.level+1, l.capacity(a))
+}
