Take late reports of use from the tokens of their time

The ledger now keeps the time whose tokens a full bucket did not take, and late reports use them first. Refusals of a restricted ledger said Retry-After 0, as its bucket of all hosts was full; they name a time now.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -11,15 +11,55 @@
 	updated time.Time // When level was last brought up to date; zero for a full bucket.
 }
 
-// refill adds the tokens of the time until now, at rate a second, up to capacity. A now
-// before the last one has no effect.
-func (b *bucket) refill(rate, capacity float64, now time.Time) {
+// interval is the time whose tokens a full bucket did not take. They pay for calls of
+// that time that are reported late. The zero value stands for none.
+type interval struct {
+	from, until time.Time
+}
+
+// maxHole is the time without spilled tokens over which an interval is continued: a
+// bucket that is nearly full takes some tokens between those that it spills.
+const maxHole = time.Second
+
+// extend adds the time d that ends at now. Earlier time moves on, so that the interval
+// has no hole.
+func (i *interval) extend(d time.Duration, now time.Time) {
+	begin := now.Add(-d)
+	if hole := begin.Sub(i.until); i.until.IsZero() || hole > maxHole {
+		i.from = begin
+	} else {
+		i.from = i.from.Add(max(hole, 0))
+	}
+	i.until = now
+}
+
+// pay takes up to n tokens, at rate a second, from the time after since, and returns how
+// many there were. The time before it is given up, so that reports of the same time share
+// its tokens.
+func (i *interval) pay(n, rate float64, since time.Time) float64 {
+	if i.from.After(since) {
+		since = i.from
+	}
+	paid := min(rate*i.until.Sub(since).Seconds(), n)
+	if paid <= 0 {
+		return 0
+	}
+	i.from = since.Add(time.Duration(paid / rate * float64(time.Second)))
+	return paid
+}
+
+// refill adds the tokens of the time until now, at rate a second, up to capacity, and
+// returns the tokens beyond that. A now before the last one has no effect.
+func (b *bucket) refill(rate, capacity float64, now time.Time) (spilled float64) {
 	switch elapsed := now.Sub(b.updated); {
 	case b.updated.IsZero():
 		b.level, b.updated = capacity, now
 	case elapsed > 0:
-		b.level, b.updated = min(b.level+rate*elapsed.Seconds(), capacity), now
+		level := b.level + rate*elapsed.Seconds()
+		b.level, b.updated = min(level, capacity), now
+		return level - b.level
 	}
+	return 0
 }
 
 // take takes one token. It reports false if there is none.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -66,6 +66,7 @@
 		rate, burst    float64
 		inPlan         bool
 		bucket         bucket // Of all hosts together.
+		spilled        interval
 		alone          bucket // Used while the ledger is restricted.
 		admitted       int64  // Calls admitted here since the start, less those given back.
 		version        uint64 // Of the ledger at the last change of admitted.
@@ -276,7 +277,10 @@
 
 // refill brings the bucket of an account up to date. The caller holds mu.
 func (l *Ledger) refill(a *account, now time.Time) {
-	a.bucket.refill(a.rate*l.share, l.capacity(a), now)
+	rate := a.rate * l.share
+	if tokens := a.bucket.refill(rate, l.capacity(a), now); tokens > 0 {
+		a.spilled.extend(time.Duration(tokens/rate*float64(time.Second)), now)
+	}
 }
 
 // Admit counts a call of an account and reports true if the account has room. Otherwise
@@ -295,7 +299,8 @@
 		a.use.add(1, l.cfg.Window, now)
 		return 0, true
 	}
-	if l.restricted(clock) {
+	restricted := l.restricted(clock)
+	if restricted {
 		ok = l.takeAlone(a, now)
 	} else {
 		l.refill(a, now)
@@ -305,6 +310,9 @@
 		a.refusedCalls++
 		a.refusals.add(1, l.cfg.Window, now)
 		a.lowAt = now
+		if restricted {
+			return l.retryAfterAlone(a), false
+		}
 		return l.retryAfter(a, now), false
 	}
 	l.count(a, 1, now)
@@ -315,14 +323,11 @@
 // alone. The bucket of all hosts is not refilled: what others have admitted in the
 // meantime is not known yet. The caller holds mu.
 func (l *Ledger) takeAlone(a *account, now time.Time) bool {
-	n := l.entries
-	if n == 0 {
-		n = unknownEntries
-	}
+	n := l.aloneParts()
 	if a.bucket.updated.IsZero() {
 		l.refill(a, now)
 	}
-	a.alone.refill(a.rate/float64(n), max(a.burst/float64(n), 1), now)
+	a.alone.refill(a.rate/n, max(a.burst/n, 1), now)
 	if a.bucket.level < 1 || !a.alone.take() {
 		return false
 	}
@@ -330,6 +335,23 @@
 	return true
 }
 
+// aloneParts returns the number of parts into which quotas are divided among hosts that
+// decide alone. The caller holds mu.
+func (l *Ledger) aloneParts() float64 {
+	if l.entries == 0 {
+		return unknownEntries
+	}
+	return float64(l.entries)
+}
+
+// retryAfterAlone is retryAfter for a restricted ledger. Callers may come back before the
+// part of the quota has room: by then, a majority is probably heard. The caller holds mu.
+func (l *Ledger) retryAfterAlone(a *account) time.Duration {
+	l.spreads++
+	wait := min(a.alone.wait(a.rate/l.aloneParts(), usableWait), usableWait)
+	return roundUp(max(wait, l.cfg.Window/windowParts)/2 + spread(l.spreads, wait))
+}
+
 // count counts n calls that were admitted here. The caller holds mu.
 func (l *Ledger) count(a *account, n int64, now time.Time) {
 	l.version++
@@ -403,6 +425,7 @@
 	first := h.start == 0
 	if start > h.start {
 		clear(h.numbers)
+		h.observed = time.Time{}
 		h.start, h.baseline = start, first && start < l.start
 	}
 	restricted := l.restricted(clock)
@@ -413,10 +436,10 @@
 }
 
 // observe implements Observe for one account. The calls were made between the last
-// observation of the host and now. They are taken before the tokens of that time are added,
-// which would be lost in a bucket that is nearly full. A restricted ledger adds no tokens
-// at all: after a resumption, several reports that have waited are read at once. The caller
-// holds mu.
+// observation of the host and now. The tokens of that time that a full bucket did not take
+// are used for them first, since they would have had room if the report had been there at
+// once. A restricted ledger adds no tokens at all: after a resumption, several reports of a
+// host that have waited are read at once. The caller holds mu.
 func (l *Ledger) observe(h *host, u Usage, restricted bool, now time.Time) {
 	before := h.numbers[u.Account].calls
 	if u.Calls <= before {
@@ -429,13 +452,14 @@
 	}
 	n := u.Calls - before
 	a.use.add(int32(min(n, math.MaxInt32)), l.cfg.Window, now)
-	switch {
-	case h.observed.IsZero() || a.bucket.updated.IsZero():
+	if !restricted || a.bucket.updated.IsZero() {
 		l.refill(a, now)
-	case !restricted:
-		l.refill(a, h.observed)
 	}
-	l.lower(a, a.bucket.level-float64(n), now)
+	paid := 0.0
+	if !h.observed.IsZero() {
+		paid = a.spilled.pay(float64(n), a.rate*l.share, h.observed)
+	}
+	l.lower(a, a.bucket.level+paid-float64(n), now)
 }
 
 // lower sets the level of an account's bucket, at least so much that the bucket recovers
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -188,6 +188,8 @@
 	l.SetEntries(50, 0, simStart)
 	l.SetVoters([]string{"self", "b", "c", "d", "e"})
 	g.Expect(admitAll(l, simStart)).To(gomega.Equal(2), "the part of one of 50 entry hosts")
+	wait, _ := l.Admit("a", simStart)
+	g.Expect(wait).To(gomega.And(gomega.BeNumerically(">=", 250*time.Millisecond), gomega.BeNumerically("<=", 2*time.Second)))
 	l.Heard("b", clock)
 	l.Heard("not a voter", clock)
 	g.Expect(l.Restricted()).To(gomega.BeTrue())
@@ -343,3 +345,22 @@
 	local.SetAccounts(accounts(10, 20))
 	g.Expect(testing.AllocsPerRun(1000, func() { local.Admit("a", simStart) })).To(gomega.BeZero())
 }
+
+// Guards against a late report that is taken from a bucket which was full meanwhile, so
+// that calls within the quota are refused, and against reports that all use the same
+// tokens.
+func TestLateReportsUseTheTokensOfTheirTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLedger(10, 20)
+	for _, name := range []string{"b", "c"} {
+		l.Observe(name, ownStart+1, nil, simStart)
+	}
+	l.Admit("a", simStart)
+	now := simStart.Add(2 * time.Second) // 19 tokens are spilled.
+	l.Observe("b", ownStart+1, usage(15), now)
+	l.Observe("c", ownStart+1, usage(15), now)
+	g.Expect(admitAll(l, now)).To(gomega.BeNumerically("~", 20+testHeadroom+19-30, 1))
+	later := now.Add(time.Second)
+	l.Observe("b", ownStart+1, usage(30), later)
+	g.Expect(admitAll(l, later)).To(gomega.BeZero(), "nothing was spilled since")
+}
