Tell entry hosts how many they are and which accounts are over their quotas

An entry host that decides alone did not know its part of a quota. Updates now carry the number of entry hosts and the limited accounts while the plan has accounts, and nothing otherwise. Hosts that were lost in the last 30 s count, and a control host tells no number for 3 s after its start, since a low number makes all parts too large.

--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -499,6 +499,7 @@
 	f.state.updateTargets(false, address, targets)
 	f.state.renewLeases(u.GetHeard(), now)
 	f.state.addLostCalls(peer.ToLostCalls(u.GetLostCalls(), now), now)
+	f.state.accounts.merge(address, u, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, known := f.streams[address]
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -28,6 +28,9 @@
 		mu      sync.Mutex
 		entries map[netip.AddrPort]followingEntry // The entry hosts that follow, by peer address.
 		streams int                               // Number of open streams of entry hosts.
+		// lostEntries holds when entry hosts that no longer follow did so last.
+		lostEntries map[netip.AddrPort]time.Time
+		started     time.Time
 	}
 
 	// followingEntry is an entry host with streams open streams.
@@ -54,8 +57,10 @@
 		controls    []netip.AddrPort
 		current     bool
 		informed    bool
-		first       bool            // No update has been generated yet.
-		known       map[uint64]bool // Digests of the targets that the follower held at the start.
+		// limitedVersion is the number of the last change of limited accounts.
+		limitedVersion uint64
+		first          bool            // No update has been generated yet.
+		known          map[uint64]bool // Digests of the targets that the follower held at the start.
 		// leasesSentAt is when lease renewals were last sent.
 		leasesSentAt time.Time
 	}
@@ -85,7 +90,7 @@
 // NewServer returns a server that streams state. Its streams end when stop does.
 // place serves the streams opened by the Place RPC.
 func NewServer(stop context.Context, state *State, place func(peerpb.Fleet_PlaceServer) error) *Server {
-	return &Server{state: state, stop: stop, place: place, entries: make(map[netip.AddrPort]followingEntry)}
+	return &Server{state: state, stop: stop, place: place, entries: make(map[netip.AddrPort]followingEntry), lostEntries: make(map[netip.AddrPort]time.Time), started: time.Now()}
 }
 
 // Place serves a stream on which an entry host sends the events of its calls and
@@ -144,6 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.streams++
+	delete(s.lostEntries, address)
 	s.entries[address] = followingEntry{dataCentre: dataCentre, streams: s.entries[address].streams + 1}
 	return func() {
 		s.mu.Lock()
@@ -152,6 +158,7 @@
 		e := s.entries[address]
 		if e.streams--; e.streams == 0 {
 			delete(s.entries, address)
+			s.lostEntries[address] = time.Now()
 			return
 		}
 		s.entries[address] = e
@@ -169,7 +176,8 @@
 		s.state.ObserveControl(control, r.GetDisk(), time.Now())
 	}
 	delay := func() time.Duration { return batchDelay }
-	if entry, entryErr := netip.ParseAddrPort(r.GetEntry()); entryErr == nil {
+	entry, entryErr := netip.ParseAddrPort(r.GetEntry())
+	if entryErr == nil {
 		defer s.addEntry(entry, r.GetDataCentre())()
 		delay = s.entryBatch
 	}
@@ -179,6 +187,9 @@
 	for heartbeat := true; ; {
 		now := time.Now()
 		update, wake, hasChanges := out.next(now)
+		if entryErr == nil && s.addAccounts(update, out, now) {
+			hasChanges = true
+		}
 		if hasChanges || heartbeat {
 			if sendErr := stream.Send(update); sendErr != nil {
 				return sendErr
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -88,8 +88,9 @@
 		// renewed is the last result of renewals, made at renewedAt.
 		renewed   []*peerpb.TargetHeard
 		renewedAt time.Time
-		current   bool          // See SetCurrent.
-		informed  bool          // See setInformed.
+		current   bool // See SetCurrent.
+		informed  bool // See setInformed.
+		accounts  accounts
 		crashes   *crash.Table  // The calls that were at targets as these ended.
 		changed   chan struct{} // Closed and replaced at each change; see notify.
 		urgent    chan struct{} // Closed and replaced at changes that followers must not learn late.
