--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -81,6 +81,7 @@
 		ctlDrainCommand(o, "undrain", "send calls to a drained target again", false),
 		ctlCommand(o, "status", "print the status of each control host", ctlStatus),
 		ctlTargetsCommand(o),
+		ctlCommand(o, "accounts", "print the use of client accounts and their quotas", ctlAccounts),
 		ctlExplainCommand(o),
 		ctlTimelineCommand(o),
 	}
@@ -342,6 +343,14 @@
 	return printTargets(os.Stdout, o.output, list)
 }
 
+func ctlAccounts(ctx context.Context, c *client.Client, o *ctlOptions) error {
+	list, err := c.Accounts(ctx)
+	if err != nil {
+		return err
+	}
+	return printAccounts(os.Stdout, o.output, list)
+}
+
 // readFile reads a document from a file, or from standard input when path is "-".
 func readFile(path string) ([]byte, error) {
 	if path == "-" {
--- a/cmd/cardamomspool/print.go
+++ b/cmd/cardamomspool/print.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -82,6 +84,27 @@
 	return printRows(w, output, list, "SEEN BY\tSERVICE\tTARGET\tADDRESS\tDATA CENTRE\tSTATE", rows)
 }
 
+func printAccounts(w io.Writer, output string, list []admin.AccountUse) error {
+	var rows []string
+	for _, a := range list {
+		rate, burst, room := "-", "-", "-"
+		if a.Rate > 0 {
+			rate, burst, room = formatCalls(a.Rate), formatCalls(a.Burst), formatCalls(a.Room)
+		}
+		state := "-"
+		if a.Restricted {
+			state = "no majority heard"
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%d\t%s", a.Account, a.Used, rate, burst, room, a.Refused, state))
+	}
+	return printRows(w, output, list, "ACCOUNT\tUSED\tRATE\tBURST\tROOM\tREFUSED\tSTATE", rows)
+}
+
+// formatCalls returns a number of calls with one digit after the point at most.
+func formatCalls(n float64) string {
+	return strconv.FormatFloat(math.Round(n*10)/10, 'f', -1, 64)
+}
+
 // orDash returns s, or a dash when s is empty.
 func orDash(s string) string {
 	if s == "" {
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -73,14 +73,16 @@
 
 	// control is the state of the handler that NewControl returns.
 	control struct {
-		store   Store
-		editor  *Editor
-		fleet   *Fleet
-		pages   http.Handler
-		token   string
-		log     *slog.Logger
-		metrics *telem.Registry
-		now     func() time.Time
+		store  Store
+		editor *Editor
+		fleet  *Fleet
+		// accounts returns the use of client accounts.
+		accounts func() []AccountUse
+		pages    http.Handler
+		token    string
+		log      *slog.Logger
+		metrics  *telem.Registry
+		now      func() time.Time
 	}
 )
 
@@ -118,7 +120,7 @@
 // operator token that API requests must present. When it is empty, all requests
 // to a loopback host name are authorised and all others are refused.
 func NewControl(store Store, token string, metrics *telem.Registry, log *slog.Logger, opts ...Option) http.Handler {
-	c := &control{store: store, token: token, log: log, metrics: metrics, now: time.Now, fleet: NewFleet(nil)}
+	c := &control{store: store, token: token, log: log, metrics: metrics, now: time.Now, fleet: NewFleet(nil), accounts: noAccounts}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -144,6 +146,7 @@
 	mux.HandleFunc("POST /v1/validate", c.validate)
 	mux.HandleFunc("GET /v1/status", c.status)
 	mux.HandleFunc("GET "+TargetsPath, c.targets)
+	mux.HandleFunc("GET "+AccountsPath, c.listAccounts)
 	return mux
 }
 
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -175,6 +175,13 @@
 	return list, c.do(ctx, request{method: http.MethodGet, path: path}, &list)
 }
 
+// Accounts returns the use of client accounts as the first control host that answers
+// knows it.
+func (c *Client) Accounts(ctx context.Context) ([]admin.AccountUse, error) {
+	var list []admin.AccountUse
+	return list, c.do(ctx, request{method: http.MethodGet, path: admin.AccountsPath}, &list)
+}
+
 // Apply carries out a change. It returns a *StatusError when the change is
 // refused, and an error that wraps ErrNoAnswer when the outcome is unknown.
 func (c *Client) Apply(ctx context.Context, ch Change) (admin.Accepted, error) {
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -50,6 +50,7 @@
 		enteredAt time.Time
 		seeds     *feed.Seeds
 		saves     *targetSaves
+		usage     *usageExchange // nil without quotas.
 	}
 
 	// diskIdentity is a random number that is stored in the data folder. It is
@@ -91,12 +92,25 @@
 // newFleet returns the fleet part of h. The caller sets h.fleet to it.
 func newFleet(h *Host) *fleet {
 	f := &fleet{host: h, nextViews: make(chan feed.View, 16), seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), saves: newTargetSaves()}
-	f.placement = place.NewServer(h.placement(func() []netip.AddrPort { return f.state.Controls() }), probe.HTTP(h.dialect), h.log, h.metrics)
+	cfg := h.placement(func() []netip.AddrPort { return f.state.Controls() })
+	if h.cfg.Fleet.QuotaWindow > 0 {
+		f.usage = newUsageExchange(f)
+		cfg.Quota = f.usage.ledger
+	}
+	f.placement = place.NewServer(cfg, probe.HTTP(h.dialect), h.log, h.metrics)
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
-		feed.OnTargets(f.placement.SetTargets), feed.OnPlan(f.placement.SetPlan))
+		feed.OnTargets(f.placement.SetTargets), feed.OnPlan(f.setPlan))
 	return f
 }
 
+// setPlan puts a plan in force. It is called by f.state.
+func (f *fleet) setPlan(p *plan.Plan) {
+	if f.usage != nil {
+		f.usage.setPlan(p)
+	}
+	f.placement.SetPlan(p)
+}
+
 // placement returns the configuration of the part that decides for calls. controls
 // returns the known control hosts.
 func (h *Host) placement(controls func() []netip.AddrPort) place.Config {
@@ -207,7 +221,8 @@
 // available.
 func (f *fleet) start(stop, work context.Context, peers *grpc.Server) error {
 	h := f.host
-	peerpb.RegisterFleetServer(peers, &fleetServer{Server: feed.NewServer(stop, f.state, f.placement.Serve), fleet: f})
+	server := feed.NewServer(stop, f.state, f.placement.Serve)
+	peerpb.RegisterFleetServer(peers, &fleetServer{Server: server, fleet: f})
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
 	}, f.seeds.List, h.peerTraffic())
@@ -233,6 +248,9 @@
 	go f.follower.Run(work)
 	go f.placement.Run(work)
 	go f.watchViews(work, view.Epoch)
+	if f.usage != nil {
+		go f.usage.run(work, server.EntryHosts)
+	}
 	go f.saveTargets(work)
 	return nil
 }
--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -35,6 +35,8 @@
 		ports  []netip.AddrPort
 		seeds  []netip.AddrPort
 		hosts  map[int]*runningHost
+		// configure, unless nil, may change the settings of hosts before they start.
+		configure func(*setup.Fleet)
 	}
 
 	// runningHost is a host whose Run has been called; ended receives its result.
@@ -94,6 +96,9 @@
 		Adapter: setup.AdapterPlatform, Seeds: s.seeds, FirstStart: first,
 		FrontAddress: netip.AddrPortFrom(s.address(i), s.ports[2].Port()),
 	}
+	if s.configure != nil {
+		s.configure(&cfg.Fleet)
+	}
 	gomega.Expect(cfg.Validate()).To(gomega.BeEmpty())
 	log := telem.NewLogger(ginkgo.GinkgoWriter, slog.LevelInfo, cfg.Host, cfg.DataCentre)
 	host, err := ctrl.New(cfg, ctrl.WithLogger(log))
@@ -137,8 +142,12 @@
 
 // putPlan proposes a plan at any host, retrying as an operator does.
 func (s *testFleet) putPlan(version uint64) {
-	d := document(version)
-	gomega.EventuallyWithOffset(1, func() error {
+	s.putDocument(document(version))
+}
+
+// putDocument is putPlan for the given plan.
+func (s *testFleet) putDocument(d plan.Document) {
+	gomega.EventuallyWithOffset(2, func() error {
 		var err error
 		for _, r := range s.hosts {
 			if err = r.host.PutPlan(context.Background(), d); err == nil {
@@ -146,7 +155,7 @@
 			}
 		}
 		return err
-	}, planTimeout, pollPeriod).Should(gomega.Succeed(), "plan %d", version)
+	}, planTimeout, pollPeriod).Should(gomega.Succeed(), "plan %d", d.Plan.Version)
 }
 
 // expectPlan waits until host i reads a plan with the given version.
--- a/io/ctrl/operators.go
+++ b/io/ctrl/operators.go
@@ -11,5 +11,5 @@
 func (h *Host) operatorsHandler() http.Handler {
 	fleet := admin.NewFleet(h.cfg.Entries)
 	pages := consol.New(h, h.cfg.Host, consol.WithToken(h.token), consol.WithFleet(fleet), consol.WithLogger(h.log))
-	return admin.NewControl(h, h.token, h.metrics, h.log, admin.WithFleet(fleet), admin.WithPages(pages))
+	return admin.NewControl(h, h.token, h.metrics, h.log, admin.WithFleet(fleet), admin.WithPages(pages), admin.WithAccounts(h.Accounts))
 }
--- a/io/place/place_test.go
+++ b/io/place/place_test.go
@@ -17,6 +17,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/quota"
 	"cardamomspool/core/rank"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
@@ -54,13 +55,13 @@
 	probeTarget := func(context.Context, member.Record, string) (route.Probe, error) {
 		return route.Probe{Result: route.ProbeHealthy}, nil
 	}
-	s := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond},
+	s := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond, Quota: oneCall()},
 		probeTarget, slog.New(slog.DiscardHandler), telem.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	go s.Run(ctx)
 	s.SetTargets("s", records)
-	s.SetPlan(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s"}}})
+	s.SetPlan(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s"}, {Name: "u"}}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	host := &controlHost{address: l.Addr().(*net.TCPAddr).AddrPort(), server: peer.NewServer()}
@@ -70,6 +71,14 @@
 	return host
 }
 
+// oneCall returns a ledger in which the account "a" has room for one call.
+func oneCall() *quota.Ledger {
+	l := quota.NewLedger(quota.Config{Window: 5 * time.Second}, "self", 1)
+	l.SetVoters([]string{"self"})
+	l.SetAccounts([]plan.Account{{Name: "a", Rate: 0.001, Burst: 1}}, time.Now())
+	return l
+}
+
 // newClientPool starts a pool with streams to the given control hosts, as an entry
 // host does.
 func newClientPool(controls ...netip.AddrPort) *place.ClientPool {
@@ -203,6 +212,23 @@
 		gomega.Expect(client.FinishAttempt(engine.Finish{Call: 1, Result: engine.Unknown})).To(gomega.BeFalse())
 	})
 
+	// Guards against quotas that each service counts for itself.
+	ginkgo.It("refuses calls beyond the quota of their account, over all services", func() {
+		client := pick(newClientPool(newControlHost().address))
+		arrive := func(service string, call uint64) chan engine.Action {
+			decisions, now := make(chan engine.Action, 8), time.Now()
+			class := spec.Class{Weight: 1, Deadline: eventTimeout, Account: "a"}
+			callbacks := place.Callbacks{OnDecision: func(a engine.Action) { decisions <- a }, OnStreamLost: func() {}}
+			gomega.Expect(client.StartCall(service, engine.Arrive{Call: call, Class: class, Deadline: now.Add(eventTimeout)}, callbacks, now)).To(gomega.BeTrue())
+			return decisions
+		}
+		gomega.Eventually(arrive("s", 1), eventTimeout).Should(gomega.Receive(gomega.BeAssignableToTypeOf(engine.Send{})))
+		var refusal engine.Action
+		gomega.Eventually(arrive("u", 2), eventTimeout).Should(gomega.Receive(&refusal))
+		gomega.Expect(refusal).To(gomega.And(gomega.HaveField("Reason", engine.OverQuota), gomega.HaveField("NotRun", true)))
+		gomega.Expect(refusal.(engine.Refuse).RetryAfter).To(gomega.BeNumerically(">=", 5*time.Second))
+	})
+
 	ginkgo.It("is not picked for a while after missed decisions", func() {
 		host := newControlHost()
 		pool := newClientPool(host.address)
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -58,6 +58,9 @@
 		// retry budget; without Controls this host has all of it.
 		Self     netip.AddrPort
 		Controls func() []netip.AddrPort
+		// Quota limits the calls of client accounts, of all services together; nil for
+		// no limits.
+		Quota engine.Quota
 	}
 
 	// service is one service for which this host decides or has decided.
@@ -280,7 +283,7 @@
 			return nil, 0, false
 		}
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack}
+		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare), engine.WithQuota(s.cfg.Quota)), s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack}
 		s.services[name] = v
 		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targets[name]})
 	}
