Answer 429 for calls over the quota of their account

Callers of an account over its quota got no answer of their own, and an entry host that decides alone had no limit. It now has a bucket for each account, is told which accounts are limited, and does not count a call again that a lost control host had admitted. New: calls_over_quota.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -44,6 +44,7 @@
 	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
 	targetAnswered    bool               // The last attempt got an answer of its target.
 	held              *heldAnswer        // The last answer of a target, not passed on yet; nil for none.
+	quota             quotaCount         // Where the call counts against its account's quota.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 }
 
@@ -144,6 +145,10 @@
 	decisions := make(chan engine.Action, 1)
 	c.decisionRequested = time.Now()
 	c.control, c.decisions, c.controlLost, c.decisionOverdue = nil, decisions, nil, nil
+	if refusal, refused := h.checkLocalQuota(c, c.decisionRequested); refused {
+		decisions <- refusal
+		return
+	}
 	h.system.Root.Send(c.service.pid, &broker.Arrival{
 		Event: h.arriveEvent(c), Received: c.decisionRequested,
 		Deliver: func(action engine.Action) { decisions <- action },
@@ -287,6 +292,9 @@
 		c.controlLost, c.decisionOverdue = nil, nil
 		return h.executeDecision(ctx, w, r, c, engine.Refuse{Call: c.id, Reason: reasonDecisionLost, NotRun: true, RetryAfter: localRetryAfter})
 	}
+	if cause == causeNoDecision {
+		c.quota = quotaNotCounted // The control host gives the cancelled call back.
+	}
 	if cause != causeStreamLost || !h.fleet.delegate(c, time.Now()) {
 		h.decideLocally(c)
 	}
@@ -296,6 +304,7 @@
 // executeDecision executes a decision and reports whether the call has ended. A
 // hold needs no action: a further decision follows.
 func (h *Host) executeDecision(ctx context.Context, w responseWriter, r *http.Request, c *call, action engine.Action) bool {
+	c.recordAdmission(action)
 	switch action := action.(type) {
 	case engine.Send:
 		if ctx.Err() != nil {
@@ -345,6 +354,15 @@
 		if !notRun {
 			status = http.StatusBadGateway
 		}
+		if notRun {
+			h.returnToLocalQuota(c)
+		}
+		if action.Reason == engine.OverQuota {
+			h.metrics.Counter("calls_over_quota").Add(1)
+			if notRun {
+				status = http.StatusTooManyRequests
+			}
+		}
 		h.writeRefusal(w, status, string(action.Reason), notRun, action.RetryAfter)
 		return true
 	}
@@ -425,6 +443,9 @@
 // disconnected.
 func (h *Host) abandonCall(w responseWriter, r *http.Request, c *call) {
 	h.cancelCall(c, !c.callerGone(r) && !c.linkLost)
+	if !c.attempted {
+		h.returnToLocalQuota(c)
+	}
 	reason := reasonDeadline
 	if c.callerGone(r) {
 		reason = "caller_gone"
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/quota"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
@@ -35,6 +36,9 @@
 		// planConfirmed is feed.Follower.Confirmed.
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
+		// quota limits the calls of client accounts that this host decides about alone;
+		// nil without quotas.
+		quota *quota.Local
 	}
 
 	// activePlan is the plan in force.
@@ -97,9 +101,10 @@
 	f := &fleet{
 		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}),
 		splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		quota:  newLocalQuota(&h.cfg.Fleet),
 	}
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
-		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan))
+		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan), feed.OnAccounts(f.setQuotaState))
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress,
 	}, f.seeds.List, trafficOf(h.metrics, "feed"))
@@ -146,6 +151,7 @@
 		next = next.with(s)
 	}
 	f.splits.Retain(p)
+	f.setQuotas(p)
 	h.services.Store(next)
 	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p)}) == nil {
 		close(f.planKnown)
@@ -308,7 +314,7 @@
 		},
 		OnStreamLost: func() { close(streamLost) },
 	}
-	if !client.StartCall(c.service.doc.Name, f.host.arriveEvent(c), callbacks, now) {
+	if !client.StartCall(c.service.doc.Name, withoutCountedAccount(c, f.host.arriveEvent(c)), callbacks, now) {
 		return false
 	}
 	c.control, c.decisions, c.controlLost = client, decisions, streamLost
--- /dev/null
+++ b/io/entry/quota.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"time"
+
+	"cardamomspool/core/engine"
+	"cardamomspool/core/plan"
+	"cardamomspool/core/quota"
+	"cardamomspool/io/setup"
+)
+
+// quotaCount says where a call counts against the quota of its client account.
+type quotaCount uint8
+
+const (
+	// quotaNotCounted means nowhere yet, or that the call was given back.
+	quotaNotCounted quotaCount = iota
+	// quotaCountedByControl means at a control host, which may have been lost since.
+	quotaCountedByControl
+	// quotaCountedLocally means at this host.
+	quotaCountedLocally
+)
+
+// newLocalQuota returns the quotas of an entry host that decides alone, or nil when the
+// settings have no window of quotas.
+func newLocalQuota(s *setup.Fleet) *quota.Local {
+	if s.QuotaWindow <= 0 {
+		return nil
+	}
+	return quota.NewLocal(s.QuotaWindow.Std())
+}
+
+// setQuotas puts the quotas of a plan in force.
+func (f *fleet) setQuotas(p *plan.Plan) {
+	if f.quota != nil {
+		f.quota.SetAccounts(p.Accounts)
+	}
+}
+
+// setQuotaState stores what the control hosts tell of quotas. It is called by f.state.
+func (f *fleet) setQuotaState(entries int, limited []string) {
+	if f.quota != nil {
+		f.quota.SetEntries(entries)
+		f.quota.SetLimited(limited)
+	}
+}
+
+// checkLocalQuota counts a call that this host decides about against the quota of its
+// account. If the account has no room, it returns the refusal and true. A call that a
+// control host has admitted before it was lost is not counted again.
+func (h *Host) checkLocalQuota(c *call, now time.Time) (engine.Refuse, bool) {
+	if h.fleet == nil || h.fleet.quota == nil || c.class.Account == "" || c.quota != quotaNotCounted {
+		return engine.Refuse{}, false
+	}
+	retryAfter, ok := h.fleet.quota.Admit(c.class.Account, now)
+	if !ok {
+		return engine.Refuse{Call: c.id, Reason: engine.OverQuota, NotRun: true, RetryAfter: retryAfter}, true
+	}
+	c.quota = quotaCountedLocally
+	return engine.Refuse{}, false
+}
+
+// returnToLocalQuota gives a call that was certainly not run back to the quota of its
+// account, if it was counted at this host.
+func (h *Host) returnToLocalQuota(c *call) {
+	if c.quota == quotaCountedLocally {
+		c.quota = quotaNotCounted
+		h.fleet.quota.Return(c.class.Account, time.Now())
+	}
+}
+
+// recordAdmission records that a decision of a control host shows that the call was
+// admitted there.
+func (c *call) recordAdmission(action engine.Action) {
+	if c.control == nil {
+		return
+	}
+	switch action.(type) {
+	case engine.Send, engine.Hold:
+		c.quota = quotaCountedByControl
+	}
+}
+
+// withoutCountedAccount returns the arrival of a call for another control host: without
+// the account if the call counts against its quota already. The call then waits among the
+// calls without an account.
+func withoutCountedAccount(c *call, e engine.Arrive) engine.Arrive {
+	if c.quota == quotaCountedByControl {
+		e.Class.Account = ""
+	}
+	return e
+}
