Name short times to callers of hosts with a part of the quota

Callers of a restricted control host, or of an entry host that decides alone, were told to come back after up to 5 s, although the account had room at other hosts: they gave up. They are told 150 to 300 ms now, and one to two windows for limited accounts.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -272,7 +272,7 @@
 
 // capacity returns the capacity of an account's bucket. The caller holds mu.
 func (l *Ledger) capacity(a *account) float64 {
-	return max(a.burst*l.share+l.cfg.Slack/headroomDivisor, 1)
+	return max((a.burst+l.cfg.Slack/headroomDivisor)*l.share, 1)
 }
 
 // refill brings the bucket of an account up to date. The caller holds mu.
@@ -311,7 +311,7 @@
 		a.refusals.add(1, l.cfg.Window, now)
 		a.lowAt = now
 		if restricted {
-			return l.retryAfterAlone(a), false
+			return l.retryAfterAlone(a, now), false
 		}
 		return l.retryAfter(a, now), false
 	}
@@ -344,12 +344,15 @@
 	return float64(l.entries)
 }
 
-// retryAfterAlone is retryAfter for a restricted ledger. Callers may come back before the
-// part of the quota has room: by then, a majority is probably heard. The caller holds mu.
-func (l *Ledger) retryAfterAlone(a *account) time.Duration {
+// retryAfterAlone is retryAfter for a restricted ledger. An account that had room when
+// the restriction began probably has some again as soon as a majority is heard. The caller
+// holds mu.
+func (l *Ledger) retryAfterAlone(a *account, now time.Time) time.Duration {
+	if a.bucket.level < 1 {
+		return l.retryAfter(a, now)
+	}
 	l.spreads++
-	wait := min(a.alone.wait(a.rate/l.aloneParts(), usableWait), usableWait)
-	return roundUp(max(wait, l.cfg.Window/windowParts)/2 + spread(l.spreads, wait))
+	return roundUp(aloneWait + spread(l.spreads, aloneWait))
 }
 
 // count counts n calls that were admitted here. The caller holds mu.
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -72,10 +72,15 @@
 	l.entries = n
 }
 
+// aloneWait is the shortest time after which a caller may come back that a host with a part
+// of the quota has refused; the longest is twice that. The account has room at other hosts,
+// or here once a control host that hears a majority decides again. It is short enough for
+// an answer within the aims of the deployments with quotas.
+const aloneWait = 150 * time.Millisecond
+
 // Admit counts a call of an account and reports true if its part of the quota has room.
-// Otherwise it returns the time after which the caller may come back, at most one
-// window and a half: control hosts will probably decide again by then. An account
-// without a quota has no limit.
+// Otherwise it returns the time after which the caller may come back, which is that of
+// accounts without room for limited ones. An account without a quota has no limit.
 func (l *Local) Admit(name string, now time.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -83,25 +88,25 @@
 	if !ok {
 		return 0, true
 	}
-	rate := l.refill(a, now)
-	if !l.limited[name] && a.bucket.take() {
+	l.refill(a, now)
+	limited := l.limited[name]
+	if !limited && a.bucket.take() {
 		return 0, true
 	}
 	l.refused++
-	wait := a.bucket.wait(rate, l.window)
-	return roundUp(wait + spread(l.refused, max(wait, l.window/windowParts)/2)), false
+	if limited {
+		return roundUp(l.window + spread(l.refused, l.window)), false
+	}
+	return roundUp(aloneWait + spread(l.refused, aloneWait)), false
 }
 
-// refill brings the bucket of an account up to date and returns its rate. The caller
-// holds mu.
-func (l *Local) refill(a *localAccount, now time.Time) float64 {
+// refill brings the bucket of an account up to date. The caller holds mu.
+func (l *Local) refill(a *localAccount, now time.Time) {
 	n := l.entries
 	if n <= 0 {
 		n = unknownEntries
 	}
-	rate := a.rate / float64(n)
-	a.bucket.refill(rate, l.capacity(a), now)
-	return rate
+	a.bucket.refill(a.rate/float64(n), l.capacity(a), now)
 }
 
 // capacity returns the capacity of an account's bucket. The caller holds mu.
