--- a/io/ctrl/operators.go
+++ b/io/ctrl/operators.go
@@ -11,11 +11,11 @@
 func (h *Host) operatorsHandler() http.Handler {
 	fleet := admin.NewFleet(h.cfg.Entries)
 	shown := []consol.Option{consol.WithToken(h.token), consol.WithFleet(fleet), consol.WithLogger(h.log)}
-	var opts []admin.Option
+	opts := []admin.Option{admin.WithFleet(fleet), admin.WithAccounts(h.Accounts)}
 	if h.fleet != nil {
 		shown = append(shown, consol.WithEvacuation(h.Evacuation))
 		opts = append(opts, admin.WithEvacuator(h))
 	}
-	opts = append(opts, admin.WithFleet(fleet), admin.WithPages(consol.New(h, h.cfg.Host, shown...)))
+	opts = append(opts, admin.WithPages(consol.New(h, h.cfg.Host, shown...)))
 	return admin.NewControl(h, h.token, h.metrics, h.log, opts...)
 }
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/quota"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
@@ -40,6 +41,9 @@
 		entryHosts atomic.Int64
 		coldSeed   uint64
 		coldLimits sync.Map
+		// quota limits the calls of client accounts that this host decides about alone;
+		// nil without quotas.
+		quota *quota.Local
 
 		// lateUndecided has room for the late calls that may wait for a decision.
 		lateUndecided chan struct{}
@@ -126,9 +130,10 @@
 	f := &fleet{
 		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}), coldSeed: newColdSeed(),
 		lateUndecided: make(chan struct{}, maxLateUndecided), splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		quota: newLocalQuota(&h.cfg.Fleet),
 	}
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
-		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan))
+		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan), feed.OnAccounts(f.setQuotaState))
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress,
 	}, f.seeds.List, trafficOf(h.metrics, "feed"))
@@ -175,6 +180,7 @@
 		next = next.with(s)
 	}
 	f.splits.Retain(p)
+	f.setQuotas(p)
 	h.services.Store(next)
 	f.limitCold(p)
 	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p)}) == nil {
@@ -404,7 +410,7 @@
 		},
 		OnStreamLost: func() { close(streamLost) },
 	}
-	if !client.StartCall(c.service.doc.Name, f.host.arriveEvent(c), callbacks, now) {
+	if !client.StartCall(c.service.doc.Name, withoutCountedAccount(c, f.host.arriveEvent(c)), callbacks, now) {
 		return false
 	}
 	c.control, c.decisions, c.controlLost = client, decisions, streamLost
