Keep the state of an attempt apart from that of its call

What callers saw: nothing; this prepares second attempts.

Cause: what an attempt revealed (feedback, carrier, its outcome, a lost link, an answer that is held) stood in the call, so two attempts of one call could not run at the same time without overwriting each other's results.

Change: io/entry has a type for one attempt, which holds these fields and refers to its call. The call takes over the lost link and the held answer when the attempt has ended.

Result: no change of behaviour; go test ./io/entry passes.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -9,7 +9,6 @@
 
 	"cardamomspool/core/crash"
 	"cardamomspool/core/engine"
-	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/broker"
@@ -37,12 +36,8 @@
 	mayHaveRun        bool               // An attempt may have run the call.
 	maxConnections    int                // Limit of connections to one target.
 	trustedProxies    []netip.Prefix     // Networks of proxies whose forwarding fields are kept.
-	feedback          route.Feedback     // What the last attempt says about its target.
 	carriedID         crash.ID           // What the other entry host knows the call by; with carriedIn.
 	carriedIn         bool               // This host is a carrier: the call comes from another entry host.
-	carrier           netip.AddrPort     // Where the attempt is sent instead of to its target; invalid for none.
-	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
-	targetAnswered    bool               // The last attempt got an answer of its target.
 	held              *heldAnswer        // The last answer of a target, not passed on yet; nil for none.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 }
@@ -302,15 +297,15 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
-		c.feedback = route.Feedback{}
+		a := newAttempt(c)
 		if rest := h.restLeft(c, action); rest > 0 {
 			h.metrics.Counter("attempts_withheld").Add(1)
 			if h.sampled() {
 				h.log.Info("target rests", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
 					"rest", rest.String(), "decided_by", c.decidedBy())
 			}
-			c.feedback.Rest = rest
-			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
+			a.feedback.Rest = rest
+			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
 		}
 		if h.hasDeparted(c, action) {
 			h.metrics.Counter("decisions_outdated").Add(1)
@@ -318,7 +313,7 @@
 				h.log.Info("decision outdated", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
 					"incarnation", action.Incarnation, "decided_by", c.decidedBy())
 			}
-			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
+			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
 		}
 		if left, blocked := h.blockLeft(c, r); blocked {
 			h.cancelCall(c, false)
@@ -328,11 +323,11 @@
 		c.attempted = true
 		start := time.Now()
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
-		result := h.forwarder.attempt(ctx, w, r, c, action)
-		h.observeLimit(c, action.Target, c.feedback, time.Since(start))
-		h.observeRest(c, action.Target, c.feedback)
+		result := h.forwarder.attempt(ctx, w, r, a, action)
+		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
+		h.observeRest(c, action.Target, a.feedback)
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
-		return h.finishAttempt(ctx, w, r, c, result)
+		return h.finishAttempt(ctx, w, r, a, result)
 	case engine.Refuse:
 		h.logRefuse(c, action)
 		if h.passHeld(w, c) {
@@ -356,7 +351,14 @@
 // has passed or the caller has disconnected, it ends the call instead. It returns
 // whether the call has ended; otherwise a further decision follows. After a Broken
 // result it panics, as abortResponse does.
-func (h *Host) finishAttempt(ctx context.Context, w responseWriter, r *http.Request, c *call, result engine.Result) bool {
+func (h *Host) finishAttempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, result engine.Result) bool {
+	c := a.call
+	if result != engine.NotSent {
+		c.linkLost = a.linkLost
+	}
+	if a.failure != nil {
+		c.held = a.failure
+	}
 	c.mayHaveRun = c.mayHaveRun || result == engine.Unknown
 	if !result.EndsCall() {
 		if err := c.body.sourceError(); err != nil {
@@ -370,7 +372,7 @@
 		}
 	}
 	replayable := !result.EndsCall() && c.body.replayable()
-	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Result: result, Replayable: replayable, Feedback: c.feedback})
+	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Result: result, Replayable: replayable, Feedback: a.feedback})
 	switch result {
 	case engine.Answered:
 		h.metrics.Counter("calls_answered").Add(1)
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -101,9 +101,10 @@
 		return
 	}
 	start := time.Now()
-	result := h.forwarder.attempt(ctx, w, r, c, send)
-	h.observeLimit(c, send.Target, c.feedback, time.Since(start))
-	h.observeRest(c, send.Target, c.feedback)
+	a := newAttempt(c)
+	result := h.forwarder.attempt(ctx, w, r, a, send)
+	h.observeLimit(c, send.Target, a.feedback, time.Since(start))
+	h.observeRest(c, send.Target, a.feedback)
 	switch result {
 	case engine.Answered:
 	case engine.Broken:
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -25,87 +25,87 @@
 )
 
 // carry makes an attempt through another entry host, and reports false when none has
-// taken it, in which case the target has not got the call. c.linkLost is then set unless a
+// taken it, in which case the target has not got the call. a.linkLost is then set unless a
 // carrier that reaches other targets does not reach this one either.
-func (f *forwarder) carry(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) (engine.Result, bool) {
-	if c.carriedIn {
-		c.linkLost = f.ways.cutOff()
+func (f *forwarder) carry(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) (engine.Result, bool) {
+	if a.carriedIn {
+		a.linkLost = f.ways.cutOff()
 		return 0, false
 	}
-	defer func() { c.carrier = netip.AddrPort{} }()
+	defer func() { a.carrier = netip.AddrPort{} }()
 	var tried []netip.AddrPort
 	confirmed := false
-	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && c.body.replayable(); {
+	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && a.body.replayable(); {
 		var ok bool
-		if c.carrier, ok = f.ways.beginCarry(s.Address, tried, time.Now()); !ok {
+		if a.carrier, ok = f.ways.beginCarry(s.Address, tried, time.Now()); !ok {
 			break
 		}
-		tried = append(tried, c.carrier)
-		result, carried := f.attemptThroughCarrier(ctx, w, r, c, s)
+		tried = append(tried, a.carrier)
+		result, carried := f.attemptThroughCarrier(ctx, w, r, a, s)
 		if carried {
 			f.metrics.Counter("calls_carried_out").Add(1)
 			return result, true
 		}
-		confirmed = confirmed || c.carryOutcome == wire.CarryUnreachable
+		confirmed = confirmed || a.carryOutcome == wire.CarryUnreachable
 	}
-	c.linkLost = !confirmed && len(tried) > 0
+	a.linkLost = !confirmed && len(tried) > 0
 	return 0, false
 }
 
-// attemptThroughCarrier makes an attempt through c.carrier, and reports false when the
+// attemptThroughCarrier makes an attempt through a.carrier, and reports false when the
 // carrier has not sent the call to the target.
-func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) (engine.Result, bool) {
+func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) (engine.Result, bool) {
 	carriage := reach.NotTaken
-	defer func() { f.ways.endCarry(c.carrier, s.Address, carriage, time.Now()) }()
-	c.carryOutcome, c.targetAnswered = "", false
-	conn := f.pool.reuse(c.carrier, trustedSince(c.class.Idempotent, time.Now()))
+	defer func() { f.ways.endCarry(a.carrier, s.Address, carriage, time.Now()) }()
+	a.carryOutcome, a.targetAnswered = "", false
+	conn := f.pool.reuse(a.carrier, trustedSince(a.class.Idempotent, time.Now()))
 	if conn == nil {
 		dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
 		defer cancel()
 		var err error
-		if conn, err = f.pool.dial(dialCtx, c.carrier); err != nil {
-			f.log.Info("carrier not reached", "call", c.name, "target", s.Target, "carrier", c.carrier.String(), "error", err)
+		if conn, err = f.pool.dial(dialCtx, a.carrier); err != nil {
+			f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
 			return 0, false
 		}
 	}
-	result := f.exchange(ctx, w, r, c, s, conn)
+	result := f.exchange(ctx, w, r, a, s, conn)
 	switch {
-	case c.targetAnswered || c.carryOutcome == wire.CarryUnknown:
+	case a.targetAnswered || a.carryOutcome == wire.CarryUnknown:
 		carriage = reach.Carried
-	case c.carryOutcome == wire.CarryUnreachable || c.carryOutcome == wire.CarryRefused:
+	case a.carryOutcome == wire.CarryUnreachable || a.carryOutcome == wire.CarryRefused:
 		carriage = reach.NotReached
 	}
-	if c.host.sampled() {
-		f.log.Info("carried", "call", c.name, "target", s.Target, "carrier", c.carrier.String(),
-			"result", result.String(), "outcome", string(c.carryOutcome))
+	if a.host.sampled() {
+		f.log.Info("carried", "call", a.name, "target", s.Target, "carrier", a.carrier.String(),
+			"result", result.String(), "outcome", string(a.carryOutcome))
 	}
-	return result, c.targetAnswered || result != engine.NotRun
+	return result, a.targetAnswered || result != engine.NotRun
 }
 
 // endCarried ends an attempt for which the carrier has no answer of the target, and sets
-// c.feedback.
-func (f *forwarder) endCarried(r *http.Request, conn *targetConn, resp *http.Response, c *call) engine.Result {
+// a.feedback.
+func (f *forwarder) endCarried(r *http.Request, conn *targetConn, resp *http.Response, a *attempt) engine.Result {
 	f.discardResponse(conn, resp)
 	result := engine.NotRun
-	if c.carryOutcome == wire.CarryUnknown {
+	if a.carryOutcome == wire.CarryUnknown {
 		result = engine.Unknown
 	}
-	c.feedback = c.feedbackWithoutResponse(r.Context(), result)
+	a.feedback = a.feedbackWithoutResponse(r.Context(), result)
 	return result
 }
 
-// prepareCarry changes the request of an attempt into one to c.carrier. The body of a call
+// prepareCarry changes the request of an attempt into one to a.carrier. The body of a call
 // that could not be sent again is sent once the carrier asks for it, which it does when it
 // has reached the target.
-func prepareCarry(req *http.Request, c *call, s engine.Send, id crash.ID) error {
+func prepareCarry(req *http.Request, a *attempt, s engine.Send, id crash.ID) error {
 	if req.ContentLength < 0 || req.ContentLength > maxReplayBytes {
 		req.Header.Set("Expect", "100-continue")
 		req.Close = true
 	}
 	return wire.SetCarry(req.Header, wire.Carry{
 		Head: id.Head, Content: id.Content, Caller: id.Caller,
-		Call: c.name, Service: c.service.doc.Name, Target: s.Target, Incarnation: s.Incarnation,
-		TimeLeft: strict.Duration(time.Until(c.deadline)), Aim: strict.Duration(c.class.Aim), Idempotent: c.class.Idempotent,
+		Call: a.name, Service: a.service.doc.Name, Target: s.Target, Incarnation: s.Incarnation,
+		TimeLeft: strict.Duration(time.Until(a.deadline)), Aim: strict.Duration(a.class.Aim), Idempotent: a.class.Idempotent,
 	})
 }
 
--- a/io/entry/feedback.go
+++ b/io/entry/feedback.go
@@ -14,9 +14,9 @@
 // feedbackWithoutResponse returns the feedback about a target after an attempt
 // without a response. It is empty when the caller has disconnected, or when this host has
 // lost its link to the target, which says nothing about the target.
-func (c *call) feedbackWithoutResponse(caller context.Context, result engine.Result) route.Feedback {
+func (a *attempt) feedbackWithoutResponse(caller context.Context, result engine.Result) route.Feedback {
 	switch {
-	case caller.Err() != nil || c.linkLost:
+	case caller.Err() != nil || a.linkLost:
 		return route.Feedback{}
 	case result == engine.NotRun:
 		return route.Feedback{Outcome: route.Unreachable}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -88,30 +88,30 @@
 }
 
 // attempt sends the call to one target, over this host's own link or through a carrier,
-// streams the target's response to the caller and sets c.feedback. It returns NotRun only
+// streams the target's response to the caller and sets a.feedback. It returns NotRun only
 // when no byte of the request can have reached the target or when the target reports that
 // it did not run the call.
-func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) engine.Result {
-	c.linkLost = false
-	conn, err := f.connect(ctx, c, s.Address)
+func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) engine.Result {
+	a.linkLost = false
+	conn, err := f.connect(ctx, a, s.Address)
 	if err == nil {
-		return f.exchange(ctx, w, r, c, s, conn)
+		return f.exchange(ctx, w, r, a, s, conn)
 	}
-	if result, carried := f.carry(ctx, w, r, c, s); carried {
+	if result, carried := f.carry(ctx, w, r, a, s); carried {
 		return result
 	}
-	f.log.Info("target not reached", "call", c.name, "target", s.Target, "link_lost", c.linkLost, "error", err)
-	f.activity.recordFailure(c.service.doc.Name, s.Target)
-	c.feedback = c.feedbackWithoutResponse(r.Context(), engine.NotRun)
+	f.log.Info("target not reached", "call", a.name, "target", s.Target, "link_lost", a.linkLost, "error", err)
+	f.activity.recordFailure(a.service.doc.Name, s.Target)
+	a.feedback = a.feedbackWithoutResponse(r.Context(), engine.NotRun)
 	return engine.NotRun
 }
 
 // exchange sends the call on conn, a connection to the target or to a carrier, as attempt
 // does.
-func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send, conn *targetConn) engine.Result {
-	c.carryOutcome, c.targetAnswered = "", false
-	f.pool.trim(conn.address, c.maxConnections)
-	view := c.body.newView()
+func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *targetConn) engine.Result {
+	a.carryOutcome, a.targetAnswered = "", false
+	f.pool.trim(conn.address, a.maxConnections)
+	view := a.body.newView()
 	defer view.release()
 	conn.setOnLost(view.abort)
 	var (
@@ -122,10 +122,10 @@
 	)
 	hints := earlyHints{w: w}
 	defer hints.end()
-	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, hints.trace()), r, c, s, view); err != nil {
-		return f.failAttempt(ctx, r, conn, c, s, err)
+	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, hints.trace()), r, a, s, view); err != nil {
+		return f.failAttempt(ctx, r, conn, a, s, err)
 	}
-	stopWatch := f.watchSilence(conn, c, s)
+	stopWatch := f.watchSilence(conn, a, s)
 	defer stopWatch()
 	resp, err = conn.client.RoundTrip(req)
 	hints.end()
@@ -133,35 +133,35 @@
 		outcome := wire.TakeCarryOutcome(resp.Header)
 		if conn.address == s.Address {
 			f.ways.heard(s.Address, time.Now())
-		} else if c.carryOutcome = outcome; outcome != "" {
-			return f.endCarried(r, conn, resp, c)
+		} else if a.carryOutcome = outcome; outcome != "" {
+			return f.endCarried(r, conn, resp, a)
 		}
-		targetInfo = f.dialect.ParseAnswer(resp.StatusCode, resp.Header, c.name)
+		targetInfo = f.dialect.ParseAnswer(resp.StatusCode, resp.Header, a.name)
 		err = checkFinalResponse(resp, targetInfo)
 	}
 	if err != nil {
-		return f.failAttempt(ctx, r, conn, c, s, err)
+		return f.failAttempt(ctx, r, conn, a, s, err)
 	}
-	c.targetAnswered = true
-	f.activity.recordResponse(c.service.doc.Name, s.Target, targetInfo)
-	c.host.observeLeaving(c, s, targetInfo)
-	c.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
-	if targetInfo.NotRun && !c.carriedIn {
+	a.targetAnswered = true
+	f.activity.recordResponse(a.service.doc.Name, s.Target, targetInfo)
+	a.host.observeLeaving(a.call, s, targetInfo)
+	a.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
+	if targetInfo.NotRun && !a.carriedIn {
 		f.discardResponse(conn, resp)
 		return engine.NotRun
 	}
-	result, err := f.receiveAnswer(w, resp, c, s)
+	result, err := f.receiveAnswer(w, resp, a, s)
 	if err == nil && !targetInfo.NotRun {
-		c.host.callAnswered(c, r)
+		a.host.callAnswered(a.call, r)
 	}
 	if err != nil {
 		f.pool.discard(conn)
-		f.activity.recordFailure(c.service.doc.Name, s.Target)
-		f.log.Warn("answer cut short", "call", c.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
+		f.activity.recordFailure(a.service.doc.Name, s.Target)
+		f.log.Warn("answer cut short", "call", a.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
 		if r.Context().Err() == nil && !errors.As(err, new(callerError)) {
-			c.feedback.Outcome = route.Failed
+			a.feedback.Outcome = route.Failed
 		}
-		f.observeLoss(r, c, s, conn)
+		f.observeLoss(r, a, s, conn)
 		return result
 	}
 	conn.endResponse()
@@ -169,24 +169,24 @@
 }
 
 // failAttempt closes the connection of an attempt that got no response, and sets
-// c.feedback. It returns Unknown if a byte of the request may have reached the target,
+// a.feedback. It returns Unknown if a byte of the request may have reached the target,
 // else NotRun.
-func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *targetConn, c *call, s engine.Send, err error) engine.Result {
+func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *targetConn, a *attempt, s engine.Send, err error) engine.Result {
 	result := engine.NotRun
 	if f.pool.discard(conn) {
 		result = engine.Unknown
 	}
 	if conn.address == s.Address {
-		c.linkLost = f.linkLost(ctx, conn, c)
+		a.linkLost = f.linkLost(ctx, conn, a)
 	} else {
-		c.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
+		a.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
 	}
-	f.log.Info("attempt failed", "call", c.name, "target", s.Target, "fresh_connection", conn.fresh,
-		"may_have_run", result == engine.Unknown, "carrier", carrierName(c.carrier), "link_lost", c.linkLost, "error", err)
-	f.activity.recordFailure(c.service.doc.Name, s.Target)
-	c.feedback = c.feedbackWithoutResponse(r.Context(), result)
+	f.log.Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.fresh,
+		"may_have_run", result == engine.Unknown, "carrier", carrierName(a.carrier), "link_lost", a.linkLost, "error", err)
+	f.activity.recordFailure(a.service.doc.Name, s.Target)
+	a.feedback = a.feedbackWithoutResponse(r.Context(), result)
 	if result == engine.Unknown {
-		f.observeLoss(r, c, s, conn)
+		f.observeLoss(r, a, s, conn)
 	}
 	return result
 }
@@ -212,12 +212,12 @@
 // abandons conn, that is, seals it.
 // Otherwise the call keeps waiting, because its target may just be slow. The
 // returned function ends the watch.
-func (f *forwarder) watchSilence(conn *targetConn, c *call, s engine.Send) func() {
+func (f *forwarder) watchSilence(conn *targetConn, a *attempt, s engine.Send) func() {
 	if conn.fresh {
 		return func() {}
 	}
 	stale := conn.lastReadBefore(conn.requestStart.Add(-maxTrustedSilence))
-	timeout := silenceTimeoutFor(c.class)
+	timeout := silenceTimeoutFor(a.class)
 	var timer *time.Timer
 	timer = time.AfterFunc(timeout, func() {
 		since, silent := conn.lastProgress()
@@ -229,11 +229,11 @@
 			return
 		}
 		n := f.pool.retire(conn.address, since)
-		lost := f.silentLinkLost(conn, c, s)
-		abandoned := (stale || lost) && c.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
+		lost := f.silentLinkLost(conn, a, s)
+		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
-		f.log.Warn("connection silent", "call", c.name, "target", s.Target, "retired", n, "abandoned", abandoned,
-			"carrier", carrierName(c.carrier), "link_lost", lost)
+		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "abandoned", abandoned,
+			"carrier", carrierName(a.carrier), "link_lost", lost)
 	})
 	return func() { timer.Stop() }
 }
@@ -257,8 +257,8 @@
 }
 
 // newRequest returns the request for one attempt at a target, to be sent to the target or
-// to c.carrier.
-func (f *forwarder) newRequest(ctx context.Context, r *http.Request, c *call, s engine.Send, view *bodyView) (*http.Request, error) {
+// to a.carrier.
+func (f *forwarder) newRequest(ctx context.Context, r *http.Request, a *attempt, s engine.Send, view *bodyView) (*http.Request, error) {
 	req := r.Clone(ctx)
 	req.RequestURI = ""
 	req.URL.Scheme = "http"
@@ -273,18 +273,18 @@
 		req.Body = view
 	}
 	stripHeader(req.Header)
-	if !f.dialect.OmitForwarded && !c.carriedIn {
-		setForwarded(req.Header, r, c.trustedProxies)
+	if !f.dialect.OmitForwarded && !a.carriedIn {
+		setForwarded(req.Header, r, a.trustedProxies)
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
-	f.dialect.PrepareAttempt(req.Header, wire.AttemptInfo{Call: c.name, Target: s.Target, TimeLeft: time.Until(c.deadline)})
-	if !c.carrier.IsValid() {
+	f.dialect.PrepareAttempt(req.Header, wire.AttemptInfo{Call: a.name, Target: s.Target, TimeLeft: time.Until(a.deadline)})
+	if !a.carrier.IsValid() {
 		return req, nil
 	}
-	id, _ := c.identify(r)
-	return req, prepareCarry(req, c, s, id)
+	id, _ := a.identify(r)
+	return req, prepareCarry(req, a, s, id)
 }
 
 // expectsContinue reports whether the caller sends its body only after a 100
--- a/io/entry/held.go
+++ b/io/entry/held.go
@@ -28,19 +28,19 @@
 
 // mayHold reports whether another attempt may follow this one although the target has
 // answered: the call may run more than once and its body can be sent again.
-func (c *call) mayHold(s engine.Send) bool {
-	return c.class.Idempotent && !c.carriedIn && !c.carrier.IsValid() && c.body.replayable() &&
-		(c.class.Attempts == 0 || s.Attempt < c.class.Attempts)
+func (a *attempt) mayHold(s engine.Send) bool {
+	return a.class.Idempotent && !a.carriedIn && !a.carrier.IsValid() && a.body.replayable() &&
+		(a.class.Attempts == 0 || s.Attempt < a.class.Attempts)
 }
 
 // receiveAnswer passes a target's answer to the caller. If another attempt may follow, a
 // short answer is read whole first. One that breaks off is then a failed attempt. One with
-// which the target says that it failed is kept in c.held, to be passed on unless another
+// which the target says that it failed is kept in a.failure, to be passed on unless another
 // target answers.
-func (f *forwarder) receiveAnswer(w responseWriter, resp *http.Response, c *call, s engine.Send) (engine.Result, error) {
+func (f *forwarder) receiveAnswer(w responseWriter, resp *http.Response, a *attempt, s engine.Send) (engine.Result, error) {
 	failed := slices.Contains(failureStatuses, resp.StatusCode)
-	if !c.mayHold(s) || resp.ContentLength < 0 || resp.ContentLength > maxHeldBytes || len(resp.Trailer) > 0 {
-		if err := f.streamResponse(w, resp, c.carriedIn); err != nil {
+	if !a.mayHold(s) || resp.ContentLength < 0 || resp.ContentLength > maxHeldBytes || len(resp.Trailer) > 0 {
+		if err := f.streamResponse(w, resp, a.carriedIn); err != nil {
 			return engine.Broken, err
 		}
 		return engine.Answered, nil
@@ -50,13 +50,13 @@
 		return engine.Unknown, err
 	}
 	resp.Body.Close()
-	a := &heldAnswer{target: s.Target, status: resp.StatusCode, header: resp.Header, body: body}
+	answer := &heldAnswer{target: s.Target, status: resp.StatusCode, header: resp.Header, body: body}
 	if failed {
-		c.held = a
+		a.failure = answer
 		f.metrics.Counter("answers_held").Add(1)
 		return engine.Unknown, nil
 	}
-	if err = f.writeAnswer(w, a); err != nil {
+	if err = f.writeAnswer(w, answer); err != nil {
 		return engine.Broken, err
 	}
 	return engine.Answered, nil
--- a/io/entry/losses.go
+++ b/io/entry/losses.go
@@ -156,13 +156,13 @@
 
 // observeLoss watches the target of an attempt on conn, which got no whole answer, if the
 // target has closed the connection and was not about to leave.
-func (f *forwarder) observeLoss(r *http.Request, c *call, s engine.Send, conn *targetConn) {
-	id, known := c.identify(r)
-	if !known || conn.address != s.Address || !conn.wasClosedByTarget() || c.host.hasDeparted(c, s) {
+func (f *forwarder) observeLoss(r *http.Request, a *attempt, s engine.Send, conn *targetConn) {
+	id, known := a.identify(r)
+	if !known || conn.address != s.Address || !conn.wasClosedByTarget() || a.host.hasDeparted(a.call, s) {
 		return
 	}
 	f.losses.observe(f.work, lostCall{
-		call: c.name, id: id, target: member.Key{Service: c.service.doc.Name, Target: s.Target},
+		call: a.name, id: id, target: member.Key{Service: a.service.doc.Name, Target: s.Target},
 		incarnation: s.Incarnation, address: s.Address, method: r.Method, path: r.URL.EscapedPath(),
 		remote: r.RemoteAddr, sent: conn.began(), lost: time.Now(),
 	})
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -137,10 +137,10 @@
 
 // connect returns a connection to a target over this host's own link, marked as carrying
 // a request, as beginRequest does. It returns an error when the link is lost.
-func (f *forwarder) connect(ctx context.Context, c *call, address netip.AddrPort) (*targetConn, error) {
+func (f *forwarder) connect(ctx context.Context, a *attempt, address netip.AddrPort) (*targetConn, error) {
 	now := time.Now()
 	way := f.ways.way(address)
-	heardAfter := trustedSince(c.class.Idempotent, now)
+	heardAfter := trustedSince(a.class.Idempotent, now)
 	if way.HeardAfter.After(heardAfter) {
 		heardAfter = way.HeardAfter
 	}
@@ -151,15 +151,15 @@
 		f.checkLink(address, now)
 		return nil, errLinkLost
 	}
-	return f.dialLink(ctx, c, address)
+	return f.dialLink(ctx, a, address)
 }
 
 // dialLink opens a connection to a target within the patience of the call, and records
 // whether the link works.
-func (f *forwarder) dialLink(ctx context.Context, c *call, address netip.AddrPort) (*targetConn, error) {
+func (f *forwarder) dialLink(ctx context.Context, a *attempt, address netip.AddrPort) (*targetConn, error) {
 	patience := dialTimeout
-	if c.carriedIn || f.ways.hasCarriers() {
-		patience = linkPatience + c.host.uploads.queueDelay()
+	if a.carriedIn || f.ways.hasCarriers() {
+		patience = linkPatience + a.host.uploads.queueDelay()
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
@@ -234,7 +234,7 @@
 // linkLost reports whether an attempt on conn got no response because this host has lost
 // its link to the target, and not because of the target. A link that was not known to be lost
 // is tried, unless the call has ended or another connection was heard since it began.
-func (f *forwarder) linkLost(ctx context.Context, conn *targetConn, c *call) bool {
+func (f *forwarder) linkLost(ctx context.Context, conn *targetConn, a *attempt) bool {
 	address := conn.address
 	if f.ways.lost(address) {
 		return true
@@ -242,7 +242,7 @@
 	if ctx.Err() != nil || !f.ways.hasCarriers() || f.pool.heardSince(address, conn.began()) {
 		return false
 	}
-	another, err := f.dialLink(ctx, c, address)
+	another, err := f.dialLink(ctx, a, address)
 	if err != nil {
 		return f.ways.lost(address)
 	}
@@ -252,10 +252,10 @@
 
 // silentLinkLost reports whether conn is silent because this host has lost its link to
 // the target. If conn leads to a carrier, the carrier is avoided.
-func (f *forwarder) silentLinkLost(conn *targetConn, c *call, s engine.Send) bool {
+func (f *forwarder) silentLinkLost(conn *targetConn, a *attempt, s engine.Send) bool {
 	if conn.address != s.Address {
 		f.ways.avoidCarrier(conn.address, time.Now())
 		return false
 	}
-	return f.linkLost(f.work, conn, c)
+	return f.linkLost(f.work, conn, a)
 }
