Let the scheduler give idempotent calls a second attempt beside the first

What callers saw: a call at a target that had turned slow or silent waited there until the target answered or the deadline passed.

Cause: the scheduler sends a call again only after an attempt has ended.

Change: a Send names the time after which the entry host may ask for a second attempt (the 75th percentile of the latencies of the class). On an Extra the scheduler sends the call to another target if the first one is slow by its reports, silent, or has taken longer than 95 of 100 calls, within the route's attempts, the retry budget and the limit, and if slots are free. A call can be at two targets; slots at both are counted and freed. Each control host has the share of the limit that it has of the retry slack.

Result: off by default; with the limit 0 the decisions are as before (tests of core/engine and golden files unchanged).

--- a/core/admit/budget.go
+++ b/core/admit/budget.go
@@ -41,17 +41,25 @@
 	if b.Window <= 0 {
 		return true
 	}
-	i := b.advance(now)
+	if !b.HasRoom(now) {
+		return false
+	}
+	b.retries[b.advance(now)]++
+	return true
+}
+
+// HasRoom reports whether the budget allows a retry at now, without counting it.
+func (b *Budget) HasRoom(now time.Time) bool {
+	if b.Window <= 0 {
+		return true
+	}
+	b.advance(now)
 	calls, retries := 0, 0
 	for k := range b.calls {
 		calls += b.calls[k]
 		retries += b.retries[k]
 	}
-	if float64(retries+1) > b.Ratio*float64(calls)+b.Slack {
-		return false
-	}
-	b.retries[i]++
-	return true
+	return float64(retries+1) <= b.Ratio*float64(calls)+b.Slack
 }
 
 // Retries returns the number of retries that count against the budget at now:
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -25,6 +25,8 @@
 		// retryBudget limits retries when the document sets a retry window.
 		retryBudget admit.Budget
 		latencies   latencies
+		// extras is for second attempts beside the first.
+		extras extras
 		rng         *rand.Rand
 		// reportHolds says that a Hold is returned for each queued call.
 		reportHolds bool
@@ -65,6 +67,8 @@
 		target       string    // Where the call is in flight; empty when it is queued.
 		incarnation  uint64    // That of the target.
 		sent         time.Time // The start of the last attempt.
+		number       int       // The number of that attempt.
+		second       flight    // Another attempt in progress; its target is empty for none.
 		tried        []string  // The targets of the ended attempts.
 		attempts     int       // The number of attempts so far.
 		sheds        int       // The number of attempts that targets have shed.
@@ -146,6 +150,10 @@
 		return s.finish(dst, e, now)
 	case Cancel:
 		return s.cancel(dst, e, now)
+	case Extra:
+		return s.extra(dst, e, now)
+	case LimitExtras:
+		s.limitExtras(e)
 	case SetTargets:
 		s.records = e.Records
 		return s.updateTargets(dst, now)
@@ -194,6 +202,7 @@
 	c := &call{class: e.Class, dataCentre: e.DataCentre, host: e.Host, arrived: now, waitingSince: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
 	s.retryBudget.CountCall(now)
+	s.extras.budget.CountCall(now)
 	s.retryCredit = min(s.retryCredit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
 	if s.queue.Len() > 0 {
 		return s.dispatchQueued(s.queueOrRefuse(dst, e.Call, c, now), now)
@@ -205,9 +214,12 @@
 // refused. It then sends queued calls to the freed slot.
 func (s *Scheduler) finish(dst []Action, e Finish, now time.Time) []Action {
 	c, ok := s.calls[e.Call]
-	if !ok || c.target == "" {
+	if !ok || c.target == "" || !c.isCurrent(e.Attempt) {
 		return dst
 	}
+	if c.second.target != "" {
+		return s.finishOneOfTwo(dst, e, c, now)
+	}
 	s.targets.Rest(c.target, c.host, e.Feedback.Rest, now)
 	if e.Result == NotSent {
 		if e.Feedback.Rest == 0 {
@@ -215,16 +227,10 @@
 		}
 		return s.dispatchQueued(s.redirect(dst, e.Call, c, now), now)
 	}
-	s.targets.Finish(c.target, e.Feedback, now.Sub(c.sent), now)
-	if e.Result == Answered || e.Feedback.Outcome == route.Shed {
-		s.targets.ReturnConn(c.target, c.host, now)
-	}
-	if e.Result == Answered && e.Feedback.Outcome == route.Served {
-		s.latencies.observe(c.class.Aim, now.Sub(c.sent))
-	}
+	s.recordEnd(c, c.current(), e, now)
 	c.tried = append(c.tried, c.target)
 	c.target = ""
-	c.mayHaveRun = c.mayHaveRun || e.Result == Unknown
+	c.mayHaveRun = c.mayHaveRun || e.Result == Unknown || e.Result == Withdrawn
 	shed := e.Result == NotRun && e.Feedback.Outcome == route.Shed
 	if shed {
 		c.sheds++
@@ -300,7 +306,7 @@
 	return e.Replayable && s.doc.Retry.Attempts > 1 && now.Before(c.deadline)
 }
 
-// cancel ends a call. An attempt in flight counts as a failure of its target when
+// cancel ends a call. Each attempt in flight counts as a failure of its target when
 // the deadline has passed and the attempt has lasted long enough for the target to
 // be the cause, see overdueFactor.
 func (s *Scheduler) cancel(dst []Action, e Cancel, now time.Time) []Action {
@@ -309,11 +315,14 @@
 		return dst
 	}
 	s.queue.Remove(e.Call)
-	var f route.Feedback
-	if e.DeadlinePassed && now.Sub(c.sent) > overdueFactor*s.targets.MeanLatency() {
-		f.Outcome = route.Failed
+	limit := overdueFactor * s.targets.MeanLatency()
+	for _, attempt := range [...]flight{c.current(), c.second} {
+		var f route.Feedback
+		if e.DeadlinePassed && now.Sub(attempt.sent) > limit {
+			f.Outcome = route.Failed
+		}
+		s.targets.Finish(attempt.target, f, now.Sub(attempt.sent), now)
 	}
-	s.targets.Finish(c.target, f, now.Sub(c.sent), now)
 	delete(s.calls, e.Call)
 	return s.dispatchQueued(dst, now)
 }
@@ -346,6 +355,7 @@
 	for _, id := range overdue {
 		c := s.calls[id]
 		s.targets.Finish(c.target, route.Feedback{}, now.Sub(c.sent), now)
+		s.targets.Finish(c.second.target, route.Feedback{}, now.Sub(c.second.sent), now)
 		c.mayHaveRun = true
 		dst = s.refuse(dst, id, c, Unreported, now)
 	}
@@ -407,10 +417,11 @@
 	c.target, c.incarnation = pick.Name, pick.Incarnation
 	c.sent = now
 	c.attempts++
+	c.number = c.attempts
 	return append(dst, Send{
 		Call: id, Target: pick.Name, Address: pick.Address, Incarnation: pick.Incarnation, Attempt: c.attempts,
 		Candidates: pick.Candidates, Why: pick.Why, InFlight: pick.InFlight, ReportAge: pick.ReportAge,
-		HeldFor: now.Sub(c.arrived),
+		HeldFor: now.Sub(c.arrived), ExtraAfter: s.extraAfter(c, now),
 	})
 }
 
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -141,6 +141,8 @@
 		b.count(action)
 	case engine.Hold:
 		call = action.Call
+	case engine.ExtraRefused:
+		call = action.Call
 	case engine.Refuse:
 		call = action.Call
 		if action.Reason == engine.Unreported {
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -86,6 +86,13 @@
 	// another one when a stream is lost, and those by which a platform tests which
 	// configuration is in force, one in eight on a fleet of 130 entry hosts.
 	retryRatioFactor = 0.75
+	// extraWindow is the sliding window in which the limit of second attempts holds. It
+	// is long enough for a service of a few calls a second to have one, and as long as
+	// the windows in which users count repeated calls.
+	extraWindow = 10 * time.Second
+	// extrasLogOneIn is the share of refused second attempts that are logged: under
+	// shortage most are refused.
+	extrasLogOneIn = 64
 )
 
 // newFleet returns the fleet part of h. The caller sets h.fleet to it.
@@ -103,6 +110,7 @@
 	return place.Config{
 		ServiceTemplate: h.placementDocument(), ProbeInterval: h.cfg.Fleet.ProbeInterval.Std(), HoldCheckInterval: placementCheckInterval,
 		Self: h.cfg.PeerAddress, Controls: controls,
+		ExtraAttempts: h.cfg.Fleet.ExtraAttempts, ExtraWindow: extraWindow, LogOneIn: extrasLogOneIn,
 	}
 }
 
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -40,6 +41,8 @@
 		started  time.Time
 		nextCall uint64 // The last ID given to a call.
 		streams  uint64 // The number of streams that were opened.
+
+		extrasRefused atomic.Uint64 // The number of second attempts that were refused.
 	}
 
 	// Config configures a Server.
@@ -58,6 +61,13 @@
 		// retry budget; without Controls this host has all of it.
 		Self     netip.AddrPort
 		Controls func() []netip.AddrPort
+		// ExtraAttempts is the largest share of the calls of a service that may get a
+		// second attempt beside the first, over all control hosts that decide for it; 0
+		// for none. It holds in a sliding window of ExtraWindow.
+		ExtraAttempts float64
+		ExtraWindow   time.Duration
+		// LogOneIn logs one in this many refused second attempts; 0 logs none.
+		LogOneIn int
 	}
 
 	// service is one service for which this host decides or has decided.
@@ -66,6 +76,7 @@
 		prober   *probe.Prober // nil while the targets are not probed.
 		lastCall time.Time     // When the last call arrived.
 		slack    int           // Of the retry budget, in the document in force.
+		extras   engine.LimitExtras
 	}
 
 	// entryStream is the control host's side of one entry host's stream: it passes
@@ -145,6 +156,10 @@
 			s.log.Info("share of retry budget", "service", name, "slack", doc.Retry.Slack, "before", v.slack, "control_hosts", len(controls))
 			s.configure(v, doc)
 		}
+		if limit := s.cfg.LimitExtras(name, controls); limit != v.extras {
+			v.extras = limit
+			s.system.Root.Send(v.pid, limit)
+		}
 	}
 }
 
@@ -280,7 +295,9 @@
 			return nil, 0, false
 		}
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		v = &service{pid: broker.Spawn(s.system, name, engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare)), s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack}
+		extras := s.cfg.LimitExtras(name, s.controls)
+		scheduler := engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare), engine.WithExtras(extras))
+		v = &service{pid: broker.Spawn(s.system, name, scheduler, s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack, extras: extras}
 		s.services[name] = v
 		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targets[name]})
 	}
@@ -371,6 +388,8 @@
 		if ok {
 			st.server.system.Root.Send(c.pid, finish)
 		}
+	case *peerpb.CallEvent_Extra:
+		st.askExtra(e.GetCall())
 	case *peerpb.CallEvent_Cancel:
 		st.mu.Lock()
 		c, ok := st.callsByRemoteID[e.GetCall()]
@@ -397,6 +416,10 @@
 	st.server.system.Root.Send(pid, &broker.Arrival{
 		Event: toArrive(localID, st.number, m, now), Received: now,
 		Deliver: func(a engine.Action) {
+			if refused, isExtra := a.(engine.ExtraRefused); isExtra {
+				st.server.recordExtraRefused(e.GetService(), st.number, remoteID, refused)
+				return
+			}
 			if _, final := a.(engine.Refuse); final {
 				st.mu.Lock()
 				delete(st.callsByRemoteID, remoteID)
