Run a second attempt of a call beside the first at the entry host

What callers saw: with fleet.extra_attempts set, nothing changed, as no host asked for second attempts.

Cause: an entry host made one attempt of a call at a time.

Change: if a decision names a time for it, the entry host runs the attempt in a goroutine of its own and asks the control host for a second one while no answer header has arrived. The first answer that is no failure wins; the other attempt is cancelled, its connection is closed and it is reported as withdrawn. Nothing, 103 Early Hints included, reaches the caller before an attempt has won. Hosts that decide alone make no second attempts.

--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -27,7 +27,7 @@
 		latencies   latencies
 		// extras is for second attempts beside the first.
 		extras extras
-		rng         *rand.Rand
+		rng    *rand.Rand
 		// reportHolds says that a Hold is returned for each queued call.
 		reportHolds bool
 		// records are those of the last SetTargets.
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"cardamomspool/core/engine"
 	"cardamomspool/core/route"
 	"cardamomspool/core/wire"
 )
@@ -10,15 +11,25 @@
 // attempt is the state of one sending of a call to a target.
 type attempt struct {
 	*call
+	number         int               // Names the attempt to the control host; 0 for one that runs alone.
+	extra          bool              // It was sent beside another attempt of the call.
 	feedback       route.Feedback    // What the attempt says about its target.
 	carrier        netip.AddrPort    // Where the attempt is sent instead of to its target; invalid for none.
 	carryOutcome   wire.CarryOutcome // What the carrier said of the attempt.
 	targetAnswered bool              // The attempt got an answer of its target.
 	linkLost       bool              // The attempt failed because this host's link to the target is lost.
 	failure        *heldAnswer       // The answer with which the target says that it failed, not passed on; nil for none.
+	hints          *earlyHints       // The informational responses of the target.
+	racer          *racer            // Its part in a race; nil for an attempt that runs alone.
 }
 
-// newAttempt returns the state of an attempt that has not begun.
-func newAttempt(c *call) *attempt {
-	return &attempt{call: c}
+// newAttempt returns the state of an attempt that has not begun. It is numbered only if
+// the decision allows more than one at a time, so that reports without second attempts
+// stay as they are.
+func newAttempt(c *call, s engine.Send) *attempt {
+	a := &attempt{call: c, extra: s.Extra}
+	if s.Extra || s.ExtraAfter > 0 {
+		a.number = s.Attempt
+	}
+	return a
 }
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -153,6 +153,17 @@
 	return b.bytesRead == int64(len(b.replayBuffer)) && b.sourceErrorLocked() == nil
 }
 
+// buffered reports whether the whole body is buffered, so that two attempts can read it at
+// the same time. It does not wait for the caller.
+func (b *body) buffered() bool {
+	if !b.complete() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytesRead == int64(len(b.replayBuffer)) && b.sourceErrorLocked() == nil
+}
+
 // newView returns a view for one attempt, which must release it.
 func (b *body) newView() *bodyView {
 	return &bodyView{body: b}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -297,22 +297,8 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
-		a := newAttempt(c)
-		if rest := h.restLeft(c, action); rest > 0 {
-			h.metrics.Counter("attempts_withheld").Add(1)
-			if h.sampled() {
-				h.log.Info("target rests", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
-					"rest", rest.String(), "decided_by", c.decidedBy())
-			}
-			a.feedback.Rest = rest
-			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
-		}
-		if h.hasDeparted(c, action) {
-			h.metrics.Counter("decisions_outdated").Add(1)
-			if h.sampled() {
-				h.log.Info("decision outdated", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
-					"incarnation", action.Incarnation, "decided_by", c.decidedBy())
-			}
+		a := newAttempt(c, action)
+		if h.mustWithhold(a, action) {
 			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
 		}
 		if left, blocked := h.blockLeft(c, r); blocked {
@@ -323,6 +309,12 @@
 		c.attempted = true
 		start := time.Now()
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
+		if action.Extra {
+			h.metrics.Counter("extra_attempts").Add(1) // The attempt beside which it was decided has ended.
+		}
+		if c.mayRace(r, action) {
+			return h.runRace(ctx, w, r, c, action)
+		}
 		result := h.forwarder.attempt(ctx, w, r, a, action)
 		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
 		h.observeRest(c, action.Target, a.feedback)
@@ -346,6 +338,30 @@
 	return false
 }
 
+// mustWithhold reports whether this host must not make an attempt, because it knows that the
+// target wants no calls from it, is draining or has left. The feedback of the attempt says
+// which.
+func (h *Host) mustWithhold(a *attempt, s engine.Send) bool {
+	if rest := h.restLeft(a.call, s); rest > 0 {
+		h.metrics.Counter("attempts_withheld").Add(1)
+		if h.sampled() {
+			h.log.Info("target rests", "call", a.name, "service", a.service.doc.Name, "target", s.Target,
+				"rest", rest.String(), "decided_by", a.decidedBy())
+		}
+		a.feedback.Rest = rest
+		return true
+	}
+	if !h.hasDeparted(a.call, s) {
+		return false
+	}
+	h.metrics.Counter("decisions_outdated").Add(1)
+	if h.sampled() {
+		h.log.Info("decision outdated", "call", a.name, "service", a.service.doc.Name, "target", s.Target,
+			"incarnation", s.Incarnation, "decided_by", a.decidedBy())
+	}
+	return true
+}
+
 // finishAttempt reports the result of an attempt to the control host or engine. If
 // the result does not end the call but the caller's body has failed, the deadline
 // has passed or the caller has disconnected, it ends the call instead. It returns
@@ -372,9 +388,12 @@
 		}
 	}
 	replayable := !result.EndsCall() && c.body.replayable()
-	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Result: result, Replayable: replayable, Feedback: a.feedback})
+	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Attempt: a.number, Result: result, Replayable: replayable, Feedback: a.feedback})
 	switch result {
 	case engine.Answered:
+		if a.extra {
+			h.metrics.Counter("extra_attempts_won").Add(1)
+		}
 		h.metrics.Counter("calls_answered").Add(1)
 		return true
 	case engine.Broken:
@@ -480,7 +499,11 @@
 	if !h.sampled() {
 		return
 	}
-	h.log.Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
+	var attrs []any
+	if s.Extra {
+		attrs = []any{"extra", true}
+	}
+	h.log.With(attrs...).Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
 		"candidates", s.Candidates, "decided_by", c.decidedBy(), "why", string(s.Why),
 		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.HeldFor.Microseconds(),
 		"decided_after_us", time.Since(c.decisionRequested).Microseconds(), "asked_after_us", c.decisionRequested.Sub(c.arrived).Microseconds(), "body_bytes", c.bodyBytes)
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -101,7 +101,7 @@
 		return
 	}
 	start := time.Now()
-	a := newAttempt(c)
+	a := newAttempt(c, send)
 	result := h.forwarder.attempt(ctx, w, r, a, send)
 	h.observeLimit(c, send.Target, a.feedback, time.Since(start))
 	h.observeRest(c, send.Target, a.feedback)
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -70,7 +70,7 @@
 	}
 	result := f.exchange(ctx, w, r, a, s, conn)
 	switch {
-	case a.targetAnswered || a.carryOutcome == wire.CarryUnknown:
+	case a.targetAnswered || a.carryOutcome == wire.CarryUnknown || result == engine.Withdrawn:
 		carriage = reach.Carried
 	case a.carryOutcome == wire.CarryUnreachable || a.carryOutcome == wire.CarryRefused:
 		carriage = reach.NotReached
--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -75,6 +75,12 @@
 
 // newPlannedControl starts a control host that decides for p with the given targets.
 func newPlannedControl(t *testing.T, p *plan.Plan, targets ...roster.Target) *staleControl {
+	return newConfiguredControl(t, p, func(*place.Config) {}, targets...)
+}
+
+// newConfiguredControl starts a control host that decides for p with the given targets.
+// configure may change its settings.
+func newConfiguredControl(t *testing.T, p *plan.Plan, configure func(*place.Config), targets ...roster.Target) *staleControl {
 	g := gomega.NewWithT(t)
 	table := roster.NewTable()
 	for _, target := range targets {
@@ -85,8 +91,9 @@
 	doc.Route = spec.Route{Policy: spec.PolicyFastest}
 	doc.Retry = spec.Retry{Attempts: 2, Window: strict.Duration(10 * time.Second)}
 	log, metrics := slog.New(slog.DiscardHandler), telem.NewRegistry()
-	decider := place.NewServer(place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond},
-		nil, log, metrics)
+	cfg := place.Config{ServiceTemplate: doc, HoldCheckInterval: time.Millisecond}
+	configure(&cfg)
+	decider := place.NewServer(cfg, nil, log, metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go decider.Run(ctx)
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -41,6 +41,9 @@
 		w     responseWriter
 		mu    sync.Mutex
 		ended bool
+		// withhold says that they are passed on only once the attempt has won.
+		withhold bool
+		withheld [][]string // The Link fields of those that wait for that.
 	}
 
 	// callerError is an error in writing to the caller.
@@ -100,6 +103,9 @@
 	if result, carried := f.carry(ctx, w, r, a, s); carried {
 		return result
 	}
+	if a.withdrawn() {
+		return engine.Withdrawn
+	}
 	f.log.Info("target not reached", "call", a.name, "target", s.Target, "link_lost", a.linkLost, "error", err)
 	f.activity.recordFailure(a.service.doc.Name, s.Target)
 	a.feedback = a.feedbackWithoutResponse(r.Context(), engine.NotRun)
@@ -120,7 +126,8 @@
 		targetInfo wire.AnswerInfo
 		err        error
 	)
-	hints := earlyHints{w: w}
+	hints := earlyHints{w: w, withhold: a.racer != nil}
+	a.hints = &hints
 	defer hints.end()
 	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, hints.trace()), r, a, s, view); err != nil {
 		return f.failAttempt(ctx, r, conn, a, s, err)
@@ -143,6 +150,7 @@
 		return f.failAttempt(ctx, r, conn, a, s, err)
 	}
 	a.targetAnswered = true
+	a.noteAnswer()
 	f.activity.recordResponse(a.service.doc.Name, s.Target, targetInfo)
 	a.host.observeLeaving(a.call, s, targetInfo)
 	a.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
@@ -150,10 +158,13 @@
 		f.discardResponse(conn, resp)
 		return engine.NotRun
 	}
-	result, err := f.receiveAnswer(w, resp, a, s)
+	result, err := f.receiveAnswer(ctx, w, resp, a, s)
 	if err == nil && !targetInfo.NotRun {
 		a.host.callAnswered(a.call, r)
 	}
+	if err != nil && a.withdrawn() {
+		return f.endWithdrawn(conn, a)
+	}
 	if err != nil {
 		f.pool.discard(conn)
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
@@ -172,6 +183,9 @@
 // a.feedback. It returns Unknown if a byte of the request may have reached the target,
 // else NotRun.
 func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *targetConn, a *attempt, s engine.Send, err error) engine.Result {
+	if a.withdrawn() && !conn.wasClosedByTarget() {
+		return f.endWithdrawn(conn, a)
+	}
 	result := engine.NotRun
 	if f.pool.discard(conn) {
 		result = engine.Unknown
@@ -302,13 +316,32 @@
 		if code != http.StatusEarlyHints || e.ended {
 			return nil
 		}
-		e.w.Header()["Link"] = header["Link"]
-		e.w.WriteHeader(code)
-		e.w.Header().Del("Link")
+		if !e.withhold {
+			e.pass(header["Link"])
+		} else if len(e.withheld) < maxWithheldHints {
+			e.withheld = append(e.withheld, header["Link"])
+		}
 		return nil
 	}}
 }
 
+// pass writes 103 Early Hints with the given Link fields. The caller holds mu.
+func (e *earlyHints) pass(links []string) {
+	e.w.Header()["Link"] = links
+	e.w.WriteHeader(http.StatusEarlyHints)
+	e.w.Header().Del("Link")
+}
+
+// passWithheld passes on what was withheld, as the attempt has won.
+func (e *earlyHints) passWithheld() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, links := range e.withheld {
+		e.pass(links)
+	}
+	e.withheld = nil
+}
+
 // end makes the trace pass nothing on any more, as net/http may call it after the round trip
 // has been given up, while the final response is written.
 func (e *earlyHints) end() {
--- a/io/entry/held.go
+++ b/io/entry/held.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"slices"
@@ -26,20 +27,27 @@
 	http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable,
 }
 
-// mayHold reports whether another attempt may follow this one although the target has
-// answered: the call may run more than once and its body can be sent again.
+// mayHold reports whether another attempt may follow this one, or is running beside it,
+// although the target has answered: the call may run more than once and its body can be
+// sent again.
 func (a *attempt) mayHold(s engine.Send) bool {
 	return a.class.Idempotent && !a.carriedIn && !a.carrier.IsValid() && a.body.replayable() &&
-		(a.class.Attempts == 0 || s.Attempt < a.class.Attempts)
+		(a.class.Attempts == 0 || s.Attempt < a.class.Attempts || a.mayYield())
 }
 
 // receiveAnswer passes a target's answer to the caller. If another attempt may follow, a
 // short answer is read whole first. One that breaks off is then a failed attempt. One with
 // which the target says that it failed is kept in a.failure, to be passed on unless another
-// target answers.
-func (f *forwarder) receiveAnswer(w responseWriter, resp *http.Response, a *attempt, s engine.Send) (engine.Result, error) {
+// target answers. It returns Withdrawn if another attempt has won.
+func (f *forwarder) receiveAnswer(ctx context.Context, w responseWriter, resp *http.Response, a *attempt, s engine.Send) (engine.Result, error) {
 	failed := slices.Contains(failureStatuses, resp.StatusCode)
+	if !failed && !a.claim(ctx, failed) {
+		return a.notClaimed(ctx)
+	}
 	if !a.mayHold(s) || resp.ContentLength < 0 || resp.ContentLength > maxHeldBytes || len(resp.Trailer) > 0 {
+		if failed && !a.claim(ctx, failed) {
+			return a.notClaimed(ctx)
+		}
 		if err := f.streamResponse(w, resp, a.carriedIn); err != nil {
 			return engine.Broken, err
 		}
