--- a/core/engine/extra_test.go
+++ b/core/engine/extra_test.go
@@ -371,4 +371,3 @@
 	g.Expect(after.Targets.Failing).To(gomega.BeZero())
 	g.Expect(after.MeanLatency).To(gomega.BeNumerically("~", before.MeanLatency, before.MeanLatency/10))
 }
-
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -93,7 +93,7 @@
 				continue
 			}
 			h.logAsk(c, s)
-			decisions = c.decisions
+			c.decisionRequested, decisions = time.Now(), c.decisions
 			if asks++; asks < maxExtraAsks {
 				timer.Reset(time.Since(begin) / extraAskDivisor)
 			}
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -14,11 +14,12 @@
 )
 
 // TestExplainFailedCalls explains a call that was refused under load, one that was
-// lost when its target failed, and one that a partitioned host answered. The logs
-// come from runs on the test bench.
+// lost when its target failed, one that a partitioned host answered, and one whose second
+// attempt won. The logs come from runs on the test bench, the last one from a test of
+// io/entry.
 func TestExplainFailedCalls(t *testing.T) {
 	for name, call := range map[string]string{
-		"refused": "29d9d215dee5f52b", "lost": "aa01", "cut_off": "bb02",
+		"refused": "29d9d215dee5f52b", "lost": "aa01", "cut_off": "bb02", "second_attempt": "cc03",
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
