Read the carrier of an attempt before its timer runs

What callers saw: nothing; the race detector named two places in io/entry.

Cause: the timer that finds silent connections read the carrier of the attempt while the attempt cleared it. The load of the tests of hosts that are cut off counted the calls of two paths under a mutex for each.

Change: the name of the carrier is taken before the timer starts; one mutex guards the counts of a host.

Result: both were seen in a run of go test -race ./io/entry before the change.

--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -132,8 +132,8 @@
 	var callers sync.WaitGroup
 	begin := time.Now()
 	for i, url := range b.urls {
+		var mu sync.Mutex // Guards counts[i].
 		for _, prefix := range []string{"/a/", "/u/"} {
-			var mu sync.Mutex
 			callers.Go(func() {
 				for n := 0; time.Since(begin) < duration; n++ {
 					path := fmt.Sprintf("%s%s-%d-%d", prefix, name, i, n)
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -231,7 +231,7 @@
 		return func() {}
 	}
 	stale := conn.lastReadBefore(conn.requestStart.Add(-maxTrustedSilence))
-	timeout := silenceTimeoutFor(a.class)
+	timeout, carrier := silenceTimeoutFor(a.class), carrierName(a.carrier)
 	var timer *time.Timer
 	timer = time.AfterFunc(timeout, func() {
 		since, silent := conn.lastProgress()
@@ -247,7 +247,7 @@
 		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
 		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "abandoned", abandoned,
-			"carrier", carrierName(a.carrier), "link_lost", lost)
+			"carrier", carrier, "link_lost", lost)
 	})
 	return func() { timer.Stop() }
 }
