Add ctl check, which finds faults of a configuration before it is sent

What callers saw: routes that never matched, and limits that contradicted each other, were found by their effect only; operators saw no difference from the version in force before they sent a new one.

Cause: control hosts refuse what is invalid and accept everything else.

Change: core/check decides about a plan; platform exports its decoder and reads the version in force; ctl check prints text or JSON and exits with 0, 1 or 2.

--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -83,6 +83,7 @@
 		ctlTargetsCommand(o),
 		ctlExplainCommand(o),
 		ctlTimelineCommand(o),
+		ctlCheckCommand(),
 	}
 	for _, c := range commands {
 		ctl.AttachSubcommand(c.parser, 1)
@@ -183,13 +184,16 @@
 	var (
 		status *client.StatusError
 		faults strict.Faults
+		found  checkError
 	)
 	switch {
 	case err == nil:
 		return 0
 	case errors.Is(err, errUsage):
 		return exitUsage
-	case errors.Is(err, client.ErrNoAnswer):
+	case errors.As(err, &found):
+		return found.code
+	case errors.Is(err, client.ErrNoAnswer), errors.Is(err, errNotCompared):
 		return exitUnknown
 	case errors.As(err, &faults):
 		return exitInvalid
