Send second attempts away from a data centre in trouble

What callers saw: with half of the targets near them slow, a second attempt could go to another target of the same data centre.

Cause: the data centre was only no longer preferred.

Change: the second attempt goes to another data centre if a target there serves well.

--- a/core/engine/extra.go
+++ b/core/engine/extra.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"cardamomspool/core/hedge"
@@ -153,10 +154,10 @@
 	case !s.extras.budget.HasRoom(now):
 		return none, ExtraLimit
 	}
-	if s.targets.InTrouble(c.dataCentre, now) {
-		q.DataCentre = "" // Targets of all data centres compare by their own state then.
+	pick, ok := s.chooseElsewhere(q)
+	if !ok {
+		pick, ok = s.targets.Choose(s.policy, q, s.rng)
 	}
-	pick, ok := s.targets.Choose(s.policy, q, s.rng)
 	if !ok || pick.Why == route.WhyAllFailing || pick.Why == route.WhyCrowded {
 		return none, ExtraNoTarget
 	}
@@ -168,6 +169,18 @@
 	return pick, ""
 }
 
+// chooseElsewhere picks a target in another data centre than that of q if this one is in
+// trouble. It reports false if it is not, and if no other one has a target that serves well.
+func (s *Scheduler) chooseElsewhere(q route.Query) (route.Pick, bool) {
+	if !s.targets.InTrouble(q.DataCentre, q.Now) {
+		return route.Pick{}, false
+	}
+	q.Exclude = s.targets.AppendNames(slices.Clip(q.Exclude), q.DataCentre)
+	q.DataCentre = ""
+	pick, ok := s.targets.Choose(s.policy, q, s.rng)
+	return pick, ok && pick.Why != route.WhyAllFailing && pick.Why != route.WhyCrowded
+}
+
 // extraWorthwhile reports whether a second attempt of a call probably ends before the one in
 // progress, and before the deadline: the target has turned slow by its reports since, or is
 // silent, or the call has taken longer than most of its class.
--- a/core/route/extra.go
+++ b/core/route/extra.go
@@ -42,6 +42,16 @@
 	return n > 0 && float64(bad) >= troubledShare*float64(n)
 }
 
+// AppendNames appends the names of the ready targets in a data centre to dst.
+func (t *Table) AppendNames(dst []string, dataCentre string) []string {
+	for _, i := range t.readyRows {
+		if t.dataCentres[i] == dataCentre {
+			dst = append(dst, t.names[i])
+		}
+	}
+	return dst
+}
+
 // FreeSlots returns the number of free slots of the ready targets and of all their slots,
 // for a call with the conditions of q.
 func (t *Table) FreeSlots(q Query) (free, slots int) {
