--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -86,6 +86,7 @@
 		ctlCommand(o, "accounts", "print the use of client accounts and their quotas", ctlAccounts),
 		ctlExplainCommand(o),
 		ctlTimelineCommand(o),
+		ctlCheckCommand(),
 	}
 	for _, c := range commands {
 		ctl.AttachSubcommand(c.parser, 1)
@@ -186,13 +187,16 @@
 	var (
 		status *client.StatusError
 		faults strict.Faults
+		found  checkError
 	)
 	switch {
 	case err == nil:
 		return 0
 	case errors.Is(err, errUsage):
 		return exitUsage
-	case errors.Is(err, client.ErrNoAnswer):
+	case errors.As(err, &found):
+		return found.code
+	case errors.Is(err, client.ErrNoAnswer), errors.Is(err, errNotCompared):
 		return exitUnknown
 	case errors.As(err, &faults):
 		return exitInvalid
--- a/core/admit/budget.go
+++ b/core/admit/budget.go
@@ -47,17 +47,28 @@
 	if b.Window <= 0 {
 		return true
 	}
-	i := b.advance(now)
+	if !b.hasRoom(now, share) {
+		return false
+	}
+	b.retries[b.advance(now)]++
+	return true
+}
+
+// HasRoom reports whether the budget allows a retry at now, without counting it.
+func (b *Budget) HasRoom(now time.Time) bool {
+	return b.Window <= 0 || b.hasRoom(now, 1)
+}
+
+// hasRoom reports whether the given share of the budget allows a retry at now. The Window
+// must be above 0.
+func (b *Budget) hasRoom(now time.Time, share float64) bool {
+	b.advance(now)
 	calls, retries := 0, 0
 	for k := range b.calls {
 		calls += b.calls[k]
 		retries += b.retries[k]
 	}
-	if float64(retries+1) > share*(b.Ratio*float64(calls)+b.Slack) {
-		return false
-	}
-	b.retries[i]++
-	return true
+	return float64(retries+1) <= share*(b.Ratio*float64(calls)+b.Slack)
 }
 
 // Retries returns the number of retries that count against the budget at now:
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -9,7 +9,6 @@
 
 	"cardamomspool/core/crash"
 	"cardamomspool/core/engine"
-	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/broker"
@@ -37,12 +36,8 @@
 	mayHaveRun        bool               // An attempt may have run the call.
 	maxConnections    int                // Limit of connections to one target.
 	trustedProxies    []netip.Prefix     // Networks of proxies whose forwarding fields are kept.
-	feedback          route.Feedback     // What the last attempt says about its target.
 	carriedID         crash.ID           // What the other entry host knows the call by; with carriedIn.
 	carriedIn         bool               // This host is a carrier: the call comes from another entry host.
-	carrier           netip.AddrPort     // Where the attempt is sent instead of to its target; invalid for none.
-	carryOutcome      wire.CarryOutcome  // What the carrier said of the attempt.
-	targetAnswered    bool               // The last attempt got an answer of its target.
 	held              *heldAnswer        // The last answer of a target, not passed on yet; nil for none.
 	endTurn           func()             // Lets another late call be decided; nil outside a fleet.
 	quota             quotaCount         // Where the call counts against its account's quota.
@@ -320,31 +315,9 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
-		c.feedback = route.Feedback{}
-		if rest := h.restLeft(c, action); rest > 0 {
-			h.metrics.Counter("attempts_withheld").Add(1)
-			if h.sampled() {
-				h.log.Info("target rests", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
-					"rest", rest.String(), "decided_by", c.decidedBy())
-			}
-			c.feedback.Rest = rest
-			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
-		}
-		if h.isEvacuated(action) {
-			h.metrics.Counter("decisions_evacuated").Add(1)
-			if h.sampled() {
-				h.log.Info("target is evacuated", "call", c.name, "service", c.service.doc.Name, "target", action.Target, "decided_by", c.decidedBy())
-			}
-			c.feedback.Rest = evacuatedRest
-			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
-		}
-		if h.hasDeparted(c, action) {
-			h.metrics.Counter("decisions_outdated").Add(1)
-			if h.sampled() {
-				h.log.Info("decision outdated", "call", c.name, "service", c.service.doc.Name, "target", action.Target,
-					"incarnation", action.Incarnation, "decided_by", c.decidedBy())
-			}
-			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
+		a := newAttempt(c, action)
+		if h.mustWithhold(a, action) {
+			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
 		}
 		if left, blocked := h.blockLeft(c, r); blocked {
 			h.cancelCall(c, false)
@@ -354,11 +327,17 @@
 		c.attempted = true
 		start := time.Now()
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
-		result := h.forwarder.attempt(ctx, w, r, c, action)
-		h.observeLimit(c, action.Target, c.feedback, time.Since(start))
-		h.observeRest(c, action.Target, c.feedback)
+		if action.Extra {
+			h.metrics.Counter("extra_attempts").Add(1) // The attempt beside which it was decided has ended.
+		}
+		if c.mayRace(r, action) {
+			return h.runRace(ctx, w, r, c, action)
+		}
+		result := h.forwarder.attempt(ctx, w, r, a, action)
+		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
+		h.observeRest(c, action.Target, a.feedback)
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
-		return h.finishAttempt(ctx, w, r, c, result)
+		return h.finishAttempt(ctx, w, r, a, result)
 	case engine.Refuse:
 		h.logRefuse(c, action)
 		if h.passHeld(w, c) {
@@ -386,12 +365,51 @@
 	return false
 }
 
+// mustWithhold reports whether this host must not make an attempt, because it knows that the
+// target wants no calls from it, is draining or has left. The feedback of the attempt says
+// which.
+func (h *Host) mustWithhold(a *attempt, s engine.Send) bool {
+	if rest := h.restLeft(a.call, s); rest > 0 {
+		h.metrics.Counter("attempts_withheld").Add(1)
+		if h.sampled() {
+			h.log.Info("target rests", "call", a.name, "service", a.service.doc.Name, "target", s.Target,
+				"rest", rest.String(), "decided_by", a.decidedBy())
+		}
+		a.feedback.Rest = rest
+		return true
+	}
+	if h.isEvacuated(s) {
+		h.metrics.Counter("decisions_evacuated").Add(1)
+		if h.sampled() {
+			h.log.Info("target is evacuated", "call", a.name, "service", a.service.doc.Name, "target", s.Target, "decided_by", a.decidedBy())
+		}
+		a.feedback.Rest = evacuatedRest
+		return true
+	}
+	if !h.hasDeparted(a.call, s) {
+		return false
+	}
+	h.metrics.Counter("decisions_outdated").Add(1)
+	if h.sampled() {
+		h.log.Info("decision outdated", "call", a.name, "service", a.service.doc.Name, "target", s.Target,
+			"incarnation", s.Incarnation, "decided_by", a.decidedBy())
+	}
+	return true
+}
+
 // finishAttempt reports the result of an attempt to the control host or engine. If
 // the result does not end the call but the caller's body has failed, the deadline
 // has passed or the caller has disconnected, it ends the call instead. It returns
 // whether the call has ended; otherwise a further decision follows. After a Broken
 // result it panics, as abortResponse does.
-func (h *Host) finishAttempt(ctx context.Context, w responseWriter, r *http.Request, c *call, result engine.Result) bool {
+func (h *Host) finishAttempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, result engine.Result) bool {
+	c := a.call
+	if result != engine.NotSent {
+		c.linkLost = a.linkLost
+	}
+	if a.failure != nil {
+		c.held = a.failure
+	}
 	c.mayHaveRun = c.mayHaveRun || result == engine.Unknown
 	if !result.EndsCall() {
 		if err := c.body.sourceError(); err != nil {
@@ -405,9 +423,12 @@
 		}
 	}
 	replayable := !result.EndsCall() && c.body.replayable()
-	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Result: result, Replayable: replayable, Feedback: c.feedback})
+	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Attempt: a.number, Result: result, Replayable: replayable, Feedback: a.feedback})
 	switch result {
 	case engine.Answered:
+		if a.extra {
+			h.metrics.Counter("extra_attempts_won").Add(1)
+		}
 		h.metrics.Counter("calls_answered").Add(1)
 		return true
 	case engine.Broken:
@@ -516,7 +537,11 @@
 	if !h.sampled() {
 		return
 	}
-	h.log.Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
+	var attrs []any
+	if s.Extra {
+		attrs = []any{"extra", true}
+	}
+	h.log.With(attrs...).Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
 		"candidates", s.Candidates, "decided_by", c.decidedBy(), "why", string(s.Why),
 		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.HeldFor.Microseconds(),
 		"decided_after_us", time.Since(c.decisionRequested).Microseconds(), "asked_after_us", c.decisionRequested.Sub(c.arrived).Microseconds(), "body_bytes", c.bodyBytes)
