Order the calls of accounts by start-time fair queueing

No caller sees a change yet: nothing assigns start tags.

The queue holds indexes in place of calls: with 1,000 queued calls, a call moved 100 bytes for each of them.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -27,16 +27,25 @@
 		// Start orders the calls of one rank among client accounts, lower ones first.
 		// It is equal for all calls when there are no accounts.
 		Start float64
+		// Flow is the flow of the call's account, see Fair; nil when there are no accounts.
+		Flow *Flow
 	}
 
 	// Queue is a priority queue: by rank, then by start tag, then urgent before others, then prompt
+	// Queue is a priority queue: by rank, then by start tag, then urgent before others, then prompt
+	// before patient, then by order of arrival. The zero value accepts no call of a
 	// before patient, then by order of arrival. The zero value accepts no call of a
 	// weight above 0; set MaxWeight before use.
+	// weight above 0; set MaxWeight before use.
 	Queue struct {
 		// MaxWeight limits the total weight of the calls that Push accepts.
 		MaxWeight int
 
-		list   []QueuedCall
+		// order holds the calls in the order in which they are served, as indexes into
+		// slots, so that an insertion moves four bytes for each call behind it.
+		order  []int32
+		slots  []QueuedCall
+		free   []int32 // The indexes of the unused slots.
 		weight int
 	}
 )
@@ -50,14 +59,14 @@
 	if q.weight+c.Weight > q.MaxWeight {
 		return ErrFull
 	}
-	q.insert(q.insertionIndex(c, 0), c)
+	q.insert(q.insertionIndex(&c, 0), c)
 	return nil
 }
 
 // Requeue queues a call that was popped, or whose attempt failed, ahead of all
 // others of its priority, even when the queue is full.
 func (q *Queue) Requeue(c QueuedCall) {
-	q.insert(q.insertionIndex(c, -1), c)
+	q.insert(q.insertionIndex(&c, -1), c)
 }
 
 // comparePriority returns a negative number when c is served before o, a
@@ -83,54 +92,102 @@
 // insertionIndex returns the index at which to insert c: behind the calls o for
 // which o.comparePriority(&c) is at most maxOrder. A maxOrder of 0 puts c behind
 // the calls of equal priority, -1 ahead of them.
-func (q *Queue) insertionIndex(c QueuedCall, maxOrder int) int {
-	i, _ := slices.BinarySearchFunc(q.list, c, func(o, c QueuedCall) int {
-		if o.comparePriority(&c) <= maxOrder {
-			return -1
+func (q *Queue) insertionIndex(c *QueuedCall, maxOrder int) int {
+	low, high := 0, len(q.order)
+	for low < high {
+		middle := (low + high) / 2
+		if q.at(middle).comparePriority(c) <= maxOrder {
+			low = middle + 1
+		} else {
+			high = middle
 		}
-		return 1
-	})
-	return i
+	}
+	return low
+}
+
+// at returns the call at index i of the order. It is valid until the queue changes.
+func (q *Queue) at(i int) *QueuedCall {
+	return &q.slots[q.order[i]]
 }
 
 // insert inserts c at index i.
 func (q *Queue) insert(i int, c QueuedCall) {
 	q.weight += c.Weight
-	q.list = slices.Insert(q.list, i, c)
+	slot := int32(len(q.slots))
+	if n := len(q.free); n > 0 {
+		slot = q.free[n-1]
+		q.free = q.free[:n-1]
+		q.slots[slot] = c
+	} else {
+		q.slots = append(q.slots, c)
+	}
+	q.order = slices.Insert(q.order, i, slot)
+	if c.Flow != nil {
+		c.Flow.addQueued(1)
+	}
 }
 
 // Peek returns the call that Pop would return, without removing it. It reports
 // false when the queue is empty.
 func (q *Queue) Peek() (QueuedCall, bool) {
-	if len(q.list) == 0 {
+	if len(q.order) == 0 {
 		return QueuedCall{}, false
 	}
-	return q.list[0], true
+	return *q.at(0), true
+}
+
+// Last returns the call that would be served last, without removing it. It reports
+// false when the queue is empty.
+func (q *Queue) Last() (QueuedCall, bool) {
+	if len(q.order) == 0 {
+		return QueuedCall{}, false
+	}
+	return *q.at(len(q.order) - 1), true
+}
+
+// At returns the call that is served after i others; i must be at least 0 and below Len.
+func (q *Queue) At(i int) QueuedCall {
+	return *q.at(i)
 }
 
 // Ahead returns the number of queued calls that would be served before c.
 func (q *Queue) Ahead(c QueuedCall) int {
-	return q.insertionIndex(c, 0)
+	return q.insertionIndex(&c, 0)
+}
+
+// AheadOfRank returns the number of queued calls that are served before all calls of a
+// rank.
+func (q *Queue) AheadOfRank(rank int) int {
+	low, high := 0, len(q.order)
+	for low < high {
+		middle := (low + high) / 2
+		if q.at(middle).Rank < rank {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
 }
 
 // Pop removes and returns the next call to serve. It reports false when the
 // queue is empty.
 func (q *Queue) Pop() (QueuedCall, bool) {
-	if len(q.list) == 0 {
+	if len(q.order) == 0 {
 		return QueuedCall{}, false
 	}
-	return q.removeAt(0), true
+	return q.RemoveAt(0), true
 }
 
 // Expire removes the calls whose Until is not after now, appends them to dst
 // and returns it.
 func (q *Queue) Expire(dst []QueuedCall, now time.Time) []QueuedCall {
-	for i := 0; i < len(q.list); {
-		if q.list[i].Until.After(now) {
+	for i := 0; i < len(q.order); {
+		if q.at(i).Until.After(now) {
 			i++
 			continue
 		}
-		dst = append(dst, q.removeAt(i))
+		dst = append(dst, q.RemoveAt(i))
 	}
 	return dst
 }
@@ -138,16 +195,39 @@
 // Remove removes the call with the given identifier and reports whether it was
 // queued.
 func (q *Queue) Remove(call uint64) bool {
-	i := slices.IndexFunc(q.list, func(c QueuedCall) bool { return c.Call == call })
-	if i >= 0 {
-		q.removeAt(i)
+	_, ok := q.Take(call)
+	return ok
+}
+
+// Take removes and returns the call with the given identifier. It reports false when the
+// call is not queued.
+func (q *Queue) Take(call uint64) (QueuedCall, bool) {
+	i := slices.IndexFunc(q.order, func(slot int32) bool { return q.slots[slot].Call == call })
+	if i < 0 {
+		return QueuedCall{}, false
+	}
+	return q.RemoveAt(i), true
+}
+
+// Advance lowers the start tags of the queued calls of a flow that are above start by
+// work, because a call of the flow with that much work and the tag start has left the
+// queue without being served.
+func (q *Queue) Advance(flow *Flow, start, work float64) {
+	for i := range q.order {
+		slot := q.order[i]
+		c := &q.slots[slot]
+		if c.Flow != flow || c.Start <= start {
+			continue
+		}
+		q.order = slices.Delete(q.order, i, i+1)
+		c.Start -= work
+		q.order = slices.Insert(q.order, q.insertionIndex(c, 0), slot)
 	}
-	return i >= 0
 }
 
 // Len returns the number of queued calls.
 func (q *Queue) Len() int {
-	return len(q.list)
+	return len(q.order)
 }
 
 // Weight returns the total weight of the queued calls.
@@ -155,10 +235,17 @@
 	return q.weight
 }
 
-// removeAt removes and returns the call at index i.
-func (q *Queue) removeAt(i int) QueuedCall {
-	c := q.list[i]
-	q.list = slices.Delete(q.list, i, i+1)
+// RemoveAt removes and returns the call that is served after i others; i must be at
+// least 0 and below Len.
+func (q *Queue) RemoveAt(i int) QueuedCall {
+	slot := q.order[i]
+	c := q.slots[slot]
+	q.slots[slot] = QueuedCall{}
+	q.free = append(q.free, slot)
+	q.order = slices.Delete(q.order, i, i+1)
 	q.weight -= c.Weight
+	if c.Flow != nil {
+		c.Flow.addQueued(-1)
+	}
 	return c
 }
