Share the slots of a service among client accounts

Causes: the queue knew no accounts; ranks were strict; the wait was estimated for all calls by the longest queue that any class allows; and calls waited until the mean call time was left to their aim, so that those slower than the mean were late.

For calls with accounts, the scheduler now orders by start tag, refuses at once what can not be in time behind its own account or behind what is served before it, also later when other calls displace it, guarantees every account, class and rank a part of the share that is served, leaves the spread of the latencies to the aim, makes room in a full queue for another account, and spreads Retry-After. Repeated attempts count as work. Calls are decided as before until one has an account.

--- a/core/engine/latency.go
+++ b/core/engine/latency.go
@@ -13,10 +13,11 @@
 		byAim map[int]latency
 	}
 
-	// latency is a moving average over n answers.
+	// latency holds the moving averages, over n answers, of the latency and of its absolute
+	// deviation from the mean.
 	latency struct {
-		mean time.Duration
-		n    int
+		mean, deviation time.Duration
+		n               int
 	}
 )
 
@@ -40,6 +41,9 @@
 	key := aimKey(aim)
 	v := l.byAim[key]
 	weight := max(latencyWeight, 1/float64(v.n+1))
+	if v.n > 0 {
+		v.deviation += time.Duration(float64((d-v.mean).Abs()-v.deviation) * weight)
+	}
 	v.mean += time.Duration(float64(d-v.mean) * weight)
 	v.n = min(v.n+1, minLatencySamples)
 	l.byAim[key] = v
@@ -54,6 +58,15 @@
 	return other
 }
 
+// spread returns the mean absolute deviation of the latencies of calls with an aim, or 0 if
+// too few of its kind were answered.
+func (l *latencies) spread(aim time.Duration) time.Duration {
+	if v := l.byAim[aimKey(aim)]; aim > 0 && v.n >= minLatencySamples {
+		return v.deviation
+	}
+	return 0
+}
+
 // aimKey returns the number of the class of aims that aim, which is above 0, falls into.
 func aimKey(aim time.Duration) int {
 	return int(math.Round(math.Log(float64(max(aim, time.Millisecond))/float64(time.Millisecond)) / math.Log(aimRatio)))
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -25,7 +25,9 @@
 		// retryBudget limits retries when the document sets a retry window.
 		retryBudget admit.Budget
 		latencies   latencies
-		rng         *rand.Rand
+		// fair shares the slots among client accounts.
+		fair fairness
+		rng  *rand.Rand
 		// reportHolds says that a Hold is returned for each queued call.
 		reportHolds bool
 		// records are those of the last SetTargets.
@@ -69,6 +71,7 @@
 		attempts     int       // The number of attempts so far.
 		sheds        int       // The number of attempts that targets have shed.
 		mayHaveRun   bool      // Some attempt may have run the call.
+		fair         fairCall
 	}
 )
 
@@ -139,6 +142,7 @@
 // Handle processes one event at now, appends the resulting actions to dst and
 // returns it. The time must not decrease from one call to the next.
 func (s *Scheduler) Handle(dst []Action, e Event, now time.Time) []Action {
+	s.observeLoad(now)
 	switch e := e.(type) {
 	case Arrive:
 		return s.arrive(dst, e, now)
@@ -189,10 +193,15 @@
 // as it can; otherwise it sends the call if it can.
 func (s *Scheduler) arrive(dst []Action, e Arrive, now time.Time) []Action {
 	if len(s.calls) >= s.doc.Refuse.OpenCalls {
-		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: s.retryAfter(e.Host, now)})
+		wait := s.retryAfter(e.Host, now)
+		if s.fair.active {
+			wait = s.spread(wait)
+		}
+		return append(dst, Refuse{Call: e.Call, Reason: TooManyOpen, NotRun: true, RetryAfter: wait})
 	}
 	c := &call{class: e.Class, dataCentre: e.DataCentre, host: e.Host, arrived: now, waitingSince: now, deadline: e.Deadline}
 	s.calls[e.Call] = c
+	s.joinFlow(c, now)
 	s.retryBudget.CountCall(now)
 	s.retryCredit = min(s.retryCredit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
 	if s.queue.Len() > 0 {
@@ -232,6 +241,7 @@
 	switch {
 	case e.Result.EndsCall():
 		delete(s.calls, e.Call)
+		s.leaveFlow(c)
 	case shed && s.mayReroute(c, e, now):
 		dst = s.resendOrRequeue(dst, e.Call, c, now)
 	case s.mayRetry(c, e, now):
@@ -308,13 +318,16 @@
 	if !ok {
 		return dst
 	}
-	s.queue.Remove(e.Call)
+	if h, queued := s.queue.Take(e.Call); queued {
+		c.fair.unqueued(h)
+	}
 	var f route.Feedback
 	if e.DeadlinePassed && now.Sub(c.sent) > overdueFactor*s.targets.MeanLatency() {
 		f.Outcome = route.Failed
 	}
 	s.targets.Finish(c.target, f, now.Sub(c.sent), now)
 	delete(s.calls, e.Call)
+	s.leaveFlow(c)
 	return s.dispatchQueued(dst, now)
 }
 
@@ -323,13 +336,15 @@
 func (s *Scheduler) tick(dst []Action, now time.Time) []Action {
 	s.expired = s.queue.Expire(s.expired[:0], now)
 	for _, h := range s.expired {
-		dst = s.refuse(dst, h.Call, s.calls[h.Call], WaitedTooLong, now)
+		c := s.calls[h.Call]
+		c.fair.unqueued(h)
+		dst = s.refuse(dst, h.Call, c, WaitedTooLong, now)
 	}
 	if !now.Before(s.nextRelease) {
 		s.nextRelease = now.Add(releasePeriod)
 		dst = s.releaseOverdue(dst, now)
 	}
-	return s.dispatchQueued(dst, now)
+	return s.refuseDisplaced(s.dispatchQueued(dst, now), now)
 }
 
 // releaseOverdue ends the calls at targets whose results are overdue, in the order of
@@ -407,6 +422,7 @@
 	c.target, c.incarnation = pick.Name, pick.Incarnation
 	c.sent = now
 	c.attempts++
+	s.chargeSend(c)
 	return append(dst, Send{
 		Call: id, Target: pick.Name, Address: pick.Address, Incarnation: pick.Incarnation, Attempt: c.attempts,
 		Candidates: pick.Candidates, Why: pick.Why, InFlight: pick.InFlight, ReportAge: pick.ReportAge,
@@ -420,6 +436,9 @@
 	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
 		return s.refuse(dst, id, c, NoTarget, now)
 	}
+	if c.fair.flow != nil {
+		return s.queueFairly(dst, id, c, now)
+	}
 	h := s.queuedCall(id, c)
 	if now.Add(s.estimateWait(s.queue.Ahead(h), c.host, now)).After(h.Until) {
 		return s.refuse(dst, id, c, NoProspect, now)
@@ -455,7 +474,7 @@
 	case c.class.Late:
 		wait, rank = min(wait, aim/lateWaitDivisor), rank+lateRankOffset
 	case aim > 0:
-		wait = min(wait, max(aim-expected, aim/minWaitDivisor))
+		wait = min(wait, max(s.longestWait(c, expected), aim/minWaitDivisor))
 	}
 	until := c.waitingSince.Add(wait)
 	urgent := false
@@ -466,7 +485,9 @@
 			until = shortest
 		}
 	}
-	return admit.QueuedCall{Call: id, Weight: c.class.Weight, Until: until, Rank: rank, Urgent: urgent, Patient: c.class.Patient}
+	h := admit.QueuedCall{Call: id, Weight: c.class.Weight, Until: until, Rank: rank, Urgent: urgent, Patient: c.class.Patient}
+	c.fair.orderFairly(&h)
+	return h
 }
 
 // estimateWait estimates how long a call that has ahead calls before it in the
@@ -493,6 +514,7 @@
 			s.skipped = append(s.skipped, h)
 			continue
 		}
+		c.fair.unqueued(h)
 		dst = s.send(dst, h.Call, c, pick, now)
 	}
 	for _, h := range slices.Backward(s.skipped) {
@@ -513,7 +535,8 @@
 // refuse ends a call that is neither queued nor at a target and appends a Refuse.
 func (s *Scheduler) refuse(dst []Action, id uint64, c *call, reason Reason, now time.Time) []Action {
 	delete(s.calls, id)
-	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfter(c.host, now)})
+	s.leaveFlow(c)
+	return append(dst, Refuse{Call: id, Reason: reason, NotRun: !c.mayHaveRun, RetryAfter: s.retryAfterCall(c, now)})
 }
 
 // retryAfter returns the estimated time until the calls queued now have left
--- a/core/engine/stats.go
+++ b/core/engine/stats.go
@@ -20,6 +20,11 @@
 	Targets route.Occupancy
 	// MeanLatency is the moving average latency of all targets.
 	MeanLatency time.Duration
+	// AccountsWaiting is the number of client accounts that have queued calls, counted once
+	// for each rank, and LargestShare the largest share of the open calls that one has, from
+	// 0 to 1. Both are 0 until the first call with an account.
+	AccountsWaiting int
+	LargestShare    float64
 }
 
 // maxReportAge is the age up to which a load report counts in Stats.Targets.
@@ -37,6 +42,7 @@
 			stats.OverdueCalls++
 		}
 	}
+	s.fair.accountStats(&stats)
 	stats.Targets = s.targets.Occupancy(route.Query{Slots: s.doc.Targets.Slots, Now: now}, maxReportAge)
 	return stats
 }
