Log how many accounts wait, and the largest share of one

Operators could not see whether one account fills a service. The service state line now has accounts_waiting and largest_share (of the open calls), two numbers whatever the number of accounts.

--- a/core/engine/rules_test.go
+++ b/core/engine/rules_test.go
@@ -34,6 +34,7 @@
 	running   map[string]int
 	records   []member.Record
 	retries   int
+	accounts  bool // Calls have client accounts, ranks and aims.
 }
 
 // TestRulesHoldOverRandomRuns checks these rules over random events: a call that may
@@ -42,8 +43,19 @@
 // deadline; targets get no more calls than their slots and
 // none while draining; retries after failures stay within the budget.
 func TestRulesHoldOverRandomRuns(t *testing.T) {
+	checkRules(t, false)
+}
+
+// TestRulesHoldOverRandomRunsWithAccounts checks the same rules for calls of accounts, and
+// that no account counts as waiting after all calls have ended.
+func TestRulesHoldOverRandomRunsWithAccounts(t *testing.T) {
+	checkRules(t, true)
+}
+
+func checkRules(t *testing.T, accounts bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRulesRun(t)
+		r.accounts = accounts
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			r.now = r.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
 			r.step()
@@ -56,6 +68,9 @@
 		if len(r.open) > 0 || r.scheduler.OpenCalls() > 0 {
 			t.Fatalf("the engine has %d open calls, and %d have not ended", r.scheduler.OpenCalls(), len(r.open))
 		}
+		if stats := r.scheduler.Stats(r.now); stats.AccountsWaiting != 0 || stats.LargestShare != 0 {
+			t.Fatalf("%d accounts wait, and one has %.2f of the open calls, after all calls have ended", stats.AccountsWaiting, stats.LargestShare)
+		}
 		r.checkSlotsFree()
 		allowed := 10 + len(r.calls)*r.doc.Retry.BudgetPercent/100
 		if r.retries > allowed {
@@ -122,6 +137,12 @@
 	id := uint64(len(r.calls) + 1)
 	class := spec.Class{Weight: rapid.IntRange(1, 3).Draw(r.t, "weight"), Idempotent: rapid.Bool().Draw(r.t, "idempotent")}
 	class.Patient = rapid.Bool().Draw(r.t, "patient")
+	if r.accounts {
+		class.Account = rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(r.t, "account")
+		class.Rank = rapid.IntRange(0, 2).Draw(r.t, "rank")
+		class.Aim = time.Duration(rapid.IntRange(0, 500).Draw(r.t, "aim")) * time.Millisecond
+		class.Late = rapid.IntRange(0, 4).Draw(r.t, "late") == 0
+	}
 	deadline := r.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(r.t, "deadline")) * time.Millisecond)
 	r.calls[id] = &ruleCall{class: class, deadline: deadline}
 	r.open = append(r.open, id)
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -177,7 +178,7 @@
 			s.log.Info("service state", "service", name, "open", b.Stats.OpenCalls, "queued", b.Stats.QueuedCalls,
 				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.Targets.ReportedCalls,
 				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "limited", b.Stats.Targets.Limited, "mean_latency", b.Stats.MeanLatency.String(),
-				"longest_lag", b.LongestLag.String())
+				"longest_lag", b.LongestLag.String(), "accounts_waiting", b.Stats.AccountsWaiting, "largest_share", math.Round(b.Stats.LargestShare*100)/100)
 		}})
 	}
 }
