Estimate waits of accounts that call rarely, at no cost without accounts

With 5,000 accounts that each call every few seconds, calls were refused although only some 30 waited: the virtual time went on by one call each round, so that a tag one call ahead of it looked like a queue of several seconds. Such a tag no longer counts as a queue of the account, and the virtual time is taken to advance at least as fast as it does when all accounts wait.

Each open call had grown by 32 bytes also without accounts. What fairness knows of a call is now held apart, and reused.

--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -25,8 +25,8 @@
 	Flow struct {
 		key   flowKey
 		clock *clock
-		// finish is the finish tag of the last call.
-		finish float64
+		// finish is the finish tag of the last call, work the work of that call.
+		finish, work float64
 		// Floor guarantees the account its part of the calls that are served.
 		Floor Floor
 		// open is the number of open calls, queued that of the queued ones.
@@ -44,8 +44,8 @@
 		virtual float64
 		// maxFinish is the largest finish tag of any flow.
 		maxFinish float64
-		// waiting is the number of flows with queued calls.
-		waiting int
+		// flows is the number of flows of the rank, waiting that of those with queued calls.
+		flows, waiting int
 		// progress measures how fast the rank is served while calls of it wait.
 		progress progress
 		busy     *Busy // That of Fair.
@@ -98,6 +98,7 @@
 		f.unused = f.unused[:n-1]
 	}
 	*flow = Flow{key: key, clock: c}
+	c.flows++
 	return flow
 }
 
@@ -112,6 +113,7 @@
 	for key, flow := range f.flows {
 		if flow.open == 0 && flow.finish <= flow.clock.virtual && now.Sub(flow.lastUse) >= flowMemory {
 			delete(f.flows, key)
+			flow.clock.flows--
 			f.unused = append(f.unused, flow)
 		}
 	}
@@ -165,7 +167,7 @@
 // Charge adds the work of a call, or of a repeated attempt of one, to what the account
 // has used.
 func (flow *Flow) Charge(work float64) {
-	flow.finish = flow.Start() + work
+	flow.finish, flow.work = flow.Start()+work, work
 	flow.clock.maxFinish = max(flow.clock.maxFinish, flow.finish)
 }
 
@@ -188,13 +190,16 @@
 
 // Wait estimates how long a call of the flow waits that has the given start tag and
 // aheadInRank calls of its rank before it: until the rank has been served that often, and
-// until the virtual time has reached the tag. Both go on as they have lately while calls of
-// the rank waited, so that calls of other accounts and ranks that arrive later are allowed
-// for.
+// until the calls of its own account before it have been served. Both go on as they have
+// lately while calls of the rank waited, so that calls of other accounts and ranks that
+// arrive later are allowed for.
+//
+// The virtual time goes on by the work of one call while each of many accounts has one, so
+// a tag that is one call ahead of it says nothing of a queue of the account.
 func (flow *Flow) Wait(start float64, aheadInRank int) time.Duration {
 	c := flow.clock
 	c.advance()
-	return c.progress.wait(float64(aheadInRank+1), start-c.virtual, c.busy, c.waiting)
+	return c.progress.wait(float64(aheadInRank+1), start-c.virtual-flow.work, c, flow.work)
 }
 
 // advance brings the measurement of the rank's progress up to the last Observe.
--- a/core/admit/fair_test.go
+++ b/core/admit/fair_test.go
@@ -166,6 +166,8 @@
 	flow := f.Join(1, "a", now)
 	g.Expect(flow.Wait(0, 9)).To(gomega.Equal(100*time.Millisecond), "10 calls at 100 a second")
 	g.Expect(flow.Wait(20, 0)).To(gomega.Equal(2*time.Second), "20 s of work in 10 slots")
+	flow.Charge(0.1)
+	g.Expect(flow.Wait(flow.Start(), 0)).To(gomega.Equal(10*time.Millisecond), "no other call of the account waits")
 	g.Expect(q.Push(admit.QueuedCall{Call: 1, Weight: 1, Rank: 1, Flow: flow})).To(gomega.Succeed())
 	busy.Waited += 5 * time.Second
 	f.Observe(busy)
--- a/core/admit/floor.go
+++ b/core/admit/floor.go
@@ -10,14 +10,14 @@
 
 const (
 	// floorPart is the part of the share of all calls that is guaranteed. The requirement
-	// is a quarter; the rest covers calls that are served too late and the delay of Share.
-	floorPart = 0.32
+	// is a quarter; the rest covers accounts with few calls and the delay of Share.
+	floorPart = 0.34
 	// maxCredit and minCredit limit the credit, so that neither a long starvation nor
 	// good service of long ago decides what is owed now. A call is owed from owedCredit on,
 	// that is, when it is nearer to the guarantee to serve it than not to.
 	maxCredit  = 2
 	owedCredit = 0.5
-	minCredit  = -3
+	minCredit  = -2
 )
 
 // Earn counts a call that was served or refused while the given share of all calls is
--- a/core/admit/progress.go
+++ b/core/admit/progress.go
@@ -84,16 +84,18 @@
 	p.virtual += gain
 }
 
-// wait returns the time in which the given number of calls is sent and the virtual time
-// advances by distance, at most maxWait. waiting is the number of flows that wait. The
+// wait returns the time in which the given number of calls of the rank of c is sent and the
+// virtual time advances by distance, at most maxWait. work is that of one call. The
 // expectation is that all slots in use serve the rank, and the waiting flows equally: by
-// Little's law, InFlight/CallTime calls a second end.
-func (p *progress) wait(calls, distance float64, busy *Busy, waiting int) time.Duration {
-	seconds := p.seconds + p.expected
-	slots := float64(busy.InFlight) * p.expected
-	wait := calls * seconds / max(p.calls+slots/max(busy.CallTime.Seconds(), minCallTime), minServed)
+// Little's law, InFlight/CallTime calls a second end. The virtual time advances at least as
+// fast as it does when all flows wait.
+func (p *progress) wait(calls, distance float64, c *clock, work float64) time.Duration {
+	slots := float64(c.busy.InFlight) * p.expected
+	served := p.calls + slots/max(c.busy.CallTime.Seconds(), minCallTime)
+	wait := calls / max(served, minServed)
 	if distance > 0 {
-		wait = max(wait, distance*seconds/max(p.virtual+slots/float64(max(waiting, 1)), minServed))
+		virtual := max(p.virtual+slots/float64(max(c.waiting, 1)), served*work/float64(max(c.flows, 1)))
+		wait = max(wait, distance/max(virtual, minServed))
 	}
-	return time.Duration(min(wait, maxWait.Seconds()) * float64(time.Second))
+	return time.Duration(min(wait*(p.seconds+p.expected), maxWait.Seconds()) * float64(time.Second))
 }
--- a/core/engine/fair.go
+++ b/core/engine/fair.go
@@ -23,12 +23,14 @@
 		// busy is the load as of seenAt.
 		busy   admit.Busy
 		seenAt time.Time
-		// displaced is a buffer that refuseDisplaced reuses.
+		// displaced is a buffer that refuseDisplaced reuses, unused holds the fairCalls of
+		// ended calls for reuse.
 		displaced []uint64
+		unused    []*fairCall
 	}
 
-	// fairCall is what fairness knows of an open call. The zero value is a call that it
-	// does not apply to.
+	// fairCall is what fairness knows of an open call. It is nil for calls that fairness does
+	// not apply to.
 	fairCall struct {
 		flow        *admit.Flow
 		rank, class *admit.Floor
@@ -90,7 +92,8 @@
 		f.repeats = newRepeats(now)
 		s.observeLoad(now)
 	}
-	c.fair = fairCall{
+	c.fair = f.newCall()
+	*c.fair = fairCall{
 		flow: f.flows.Join(c.class.Rank, c.class.Account, now),
 		work: max(s.latencies.expect(c.class.Aim, s.targets.MeanLatency()).Seconds(), minWork),
 	}
@@ -100,6 +103,17 @@
 	c.fair.rank, c.fair.class = floorOf(f.ranks, c.class.Rank), floorOf(f.classes, aimKey(c.class.Aim))
 }
 
+// newCall returns a fairCall of any content.
+func (f *fairness) newCall() *fairCall {
+	n := len(f.unused)
+	if n == 0 {
+		return &fairCall{}
+	}
+	c := f.unused[n-1]
+	f.unused = f.unused[:n-1]
+	return c
+}
+
 // floorOf returns the Floor of key in floors, and adds it if needed.
 func floorOf(floors map[int]*admit.Floor, key int) *admit.Floor {
 	floor := floors[key]
@@ -120,7 +134,7 @@
 // account, or for its rank to be served, or when the queue is full of calls that are
 // served before it.
 func (s *Scheduler) queueFairly(dst []Action, id uint64, c *call, now time.Time) []Action {
-	f := &c.fair
+	f := c.fair
 	f.start = f.flow.Start()
 	if f.rank != nil {
 		f.claimOwed()
@@ -161,7 +175,7 @@
 // With accounts, this allows for the spread of the latencies: under overload all calls are
 // sent at the end of this time, and those that take longer than expected would be late.
 func (s *Scheduler) longestWait(c *call, expected time.Duration) time.Duration {
-	if c.fair.flow == nil {
+	if c.fair == nil {
 		return c.class.Aim - expected
 	}
 	return c.class.Aim - expected - spreadFactor*s.latencies.spread(c.class.Aim)
@@ -170,10 +184,10 @@
 // orderFairly sets the fields of a queued call that depend on its account. A call that is
 // sent again keeps its tag.
 func (f *fairCall) orderFairly(h *admit.QueuedCall) {
-	if h.Flow = f.flow; f.flow == nil {
+	if f == nil {
 		return
 	}
-	h.Start = f.start
+	h.Flow, h.Start = f.flow, f.start
 	if f.owed && h.Rank < lateRankOffset {
 		h.Rank, h.Start = owedRank, 0
 	}
@@ -195,8 +209,8 @@
 // one counts for the account; that of one after a shed doesn't, since the target did not
 // run the call.
 func (s *Scheduler) chargeSend(c *call) {
-	f := &c.fair
-	if f.flow == nil {
+	f := c.fair
+	if f == nil {
 		return
 	}
 	runs := c.attempts - c.sheds
@@ -242,8 +256,8 @@
 // leaveFlow removes a call that has ended and is not queued from the flow of its account.
 // What a call that was never sent counted for is taken back.
 func (s *Scheduler) leaveFlow(c *call) {
-	f := &c.fair
-	if f.flow == nil {
+	f := c.fair
+	if f == nil {
 		return
 	}
 	if f.paidRuns == 0 {
@@ -254,6 +268,7 @@
 		}
 	}
 	s.fair.flows.Leave(f.flow)
+	s.fair.unused = append(s.fair.unused, f) // Its content holds until the next arrival.
 	if len(s.calls) == 0 {
 		s.fair.flows.EndBusyPeriod()
 	}
@@ -304,7 +319,7 @@
 // unqueued records the start tag of a call that has left the queue as h. It may be lower
 // than the tag with which the call was queued, see admit.Queue.Advance.
 func (f *fairCall) unqueued(h admit.QueuedCall) {
-	if f.flow != nil && !f.owed {
+	if f != nil && !f.owed {
 		f.start = h.Start
 	}
 }
@@ -313,10 +328,10 @@
 // call of an account, it is the estimated time until a call of the account that arrives now
 // is served, and at least that of the document, spread.
 func (s *Scheduler) retryAfterCall(c *call, now time.Time) time.Duration {
-	flow := c.fair.flow
-	if flow == nil {
+	if c.fair == nil {
 		return s.retryAfter(c.host, now)
 	}
+	flow := c.fair.flow
 	h := admit.QueuedCall{Rank: c.class.Rank, Start: flow.Start(), Flow: flow}
 	ahead := s.queue.Ahead(h)
 	wait := s.estimateWait(ahead, c.host, now)
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -71,7 +71,7 @@
 		attempts     int       // The number of attempts so far.
 		sheds        int       // The number of attempts that targets have shed.
 		mayHaveRun   bool      // Some attempt may have run the call.
-		fair         fairCall
+		fair         *fairCall // The share of the account; nil when there is none.
 	}
 )
 
@@ -436,7 +436,7 @@
 	if s.targets.ReadyCount()+s.targets.ColdCount() == 0 {
 		return s.refuse(dst, id, c, NoTarget, now)
 	}
-	if c.fair.flow != nil {
+	if c.fair != nil {
 		return s.queueFairly(dst, id, c, now)
 	}
 	h := s.queuedCall(id, c)
