Keep queued calls of accounts while few calls are at targets for a moment

Calls of accounts were refused at once while targets started, and all that waited were refused when the targets shed at the same moment: the estimates divided by the calls at targets, which were few or none. They now use the largest recent number, and make no estimate without any. Calls without accounts wait in these cases too. Golden files are unchanged.

--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -196,9 +196,15 @@
 //
 // The virtual time goes on by the work of one call while each of many accounts has one, so
 // a tag that is one call ahead of it says nothing of a queue of the account.
+//
+// Wait returns 0 when no call was at a target lately, as EstimateWait does: how long targets take to
+// start or to become usable again says nothing of the shares.
 func (flow *Flow) Wait(start float64, aheadInRank int) time.Duration {
 	c := flow.clock
 	c.advance()
+	if c.busy.InFlight <= 0 {
+		return 0
+	}
 	return c.progress.wait(float64(aheadInRank+1), start-c.virtual-flow.work, c, flow.work)
 }
 
--- a/core/admit/progress.go
+++ b/core/admit/progress.go
@@ -11,7 +11,7 @@
 		// Waited and Idle are how long, since some fixed time, calls were queued and none
 		// was.
 		Waited, Idle time.Duration
-		// InFlight is the number of calls at targets.
+		// InFlight is the number of calls at targets, without short gaps.
 		InFlight int
 		// CallTime is the mean time that targets take for a call.
 		CallTime time.Duration
--- a/core/engine/fair.go
+++ b/core/engine/fair.go
@@ -20,9 +20,11 @@
 		ranks   map[int]*admit.Floor
 		classes map[int]*admit.Floor
 		repeats repeats
-		// busy is the load as of seenAt.
-		busy   admit.Busy
-		seenAt time.Time
+		// busy is the load as of seenAt. recentInFlight is the largest recent number of calls
+		// at targets, which falls slowly, see inFlightMemory.
+		busy           admit.Busy
+		seenAt         time.Time
+		recentInFlight float64
 		// displaced is a buffer that refuseDisplaced reuses, unused holds the fairCalls of
 		// ended calls for reuse.
 		displaced []uint64
@@ -58,6 +60,10 @@
 	// refused that was queued a moment ago.
 	admitMargin    = 8
 	displaceMargin = 8
+	// inFlightMemory is the time in which recentInFlight falls to about 1/e. While targets
+	// pause after sheds or change over, few calls are at targets for a moment, by which the
+	// whole queue would seem to be too long.
+	inFlightMemory = time.Second
 	// maxFairRetryAfter limits the estimated time after which a refused caller of an account
 	// may retry. The estimate for a rank that more urgent ones keep from being served has
 	// no bound, but the overload may end at any time.
@@ -75,8 +81,10 @@
 	} else {
 		f.busy.Idle += d
 	}
+	f.recentInFlight *= 1 - min(float64(now.Sub(f.seenAt))/float64(inFlightMemory), 1)
 	f.seenAt = now
-	f.busy.InFlight, f.busy.CallTime = s.targets.InFlight(), s.targets.MeanLatency()
+	f.recentInFlight = max(f.recentInFlight, float64(s.targets.InFlight()))
+	f.busy.InFlight, f.busy.CallTime = int(f.recentInFlight), s.targets.MeanLatency()
 	f.flows.Observe(f.busy)
 }
 
--- a/core/engine/fair_share_test.go
+++ b/core/engine/fair_share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/member"
 	"cardamomspool/core/route"
 	"cardamomspool/internal/golden"
 )
@@ -394,3 +396,54 @@
 func answered(id uint64) engine.Finish {
 	return engine.Finish{Call: id, Result: engine.Answered, Feedback: route.Feedback{Outcome: route.Served}}
 }
+
+// Guards against calls of accounts that are refused while targets start: calls without
+// accounts wait then.
+func TestCallsOfAccountsWaitForTargetsThatStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := engine.NewScheduler(fairDocument(), rand.New(rand.NewPCG(1, 1)))
+	starting := targets(2)
+	for i := range starting.Records {
+		starting.Records[i].State = member.Cold
+	}
+	s.Handle(nil, starting, start)
+	for id := uint64(1); id <= 4; id++ {
+		g.Expect(s.Handle(nil, arriveOf(id, "a", 1), start)).To(gomega.BeEmpty())
+	}
+	g.Expect(s.Handle(nil, engine.Tick{}, start.Add(20*time.Millisecond))).To(gomega.BeEmpty())
+	g.Expect(sentCalls(s.Handle(nil, targets(2), start.Add(40*time.Millisecond)))).To(gomega.HaveLen(4))
+}
+
+// Guards against a queue that is refused because few calls are at targets for a moment, as
+// when all targets shed.
+func TestShedsDoNotHaveTheQueueRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slots = 8
+	now, handle := newFairPair(slots)
+	var refused []engine.Refuse
+	for id := uint64(1); id <= 3*slots; id++ {
+		refused = append(refused, refusals(handle(arriveOf(id, "a", 1)))...)
+	}
+	g.Expect(refused).To(gomega.BeEmpty())
+	*now = now.Add(10 * time.Millisecond)
+	for id := uint64(1); id <= slots; id++ {
+		refused = append(refused, refusals(handle(turnedAway(id, 0)))...)
+		refused = append(refused, refusals(handle(engine.Tick{}))...)
+	}
+	g.Expect(refused).To(gomega.BeEmpty())
+}
+
+func TestStatsDescribeTheAccounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := engine.NewScheduler(fairDocument(), rand.New(rand.NewPCG(1, 1)))
+	one := targets(1)
+	one.Records[0].Slots = 2
+	s.Handle(nil, one, start)
+	g.Expect(s.Stats(start).LargestShare).To(gomega.BeZero())
+	for id, account := range []string{"a", "a", "a", "b", "c"} {
+		s.Handle(nil, arriveOf(uint64(id), account, 1), start)
+	}
+	stats := s.Stats(start)
+	g.Expect(stats.AccountsWaiting).To(gomega.Equal(3))
+	g.Expect(stats.LargestShare).To(gomega.Equal(0.6))
+}
