--- a/core/engine/fair.go
+++ b/core/engine/fair.go
@@ -15,10 +15,10 @@
 		active bool
 		flows  admit.Fair
 		// share is the share of all calls that are served. ranks and classes hold the parts
-		// of it that are guaranteed to ranks and to classes, by aimKey.
+		// of it that are guaranteed to ranks and to classes.
 		share   admit.Share
 		ranks   map[int]*admit.Floor
-		classes map[int]*admit.Floor
+		classes map[classKey]*admit.Floor
 		repeats repeats
 		// busy is the load as of seenAt. recentInFlight is the largest recent number of calls
 		// at targets, which falls slowly, see inFlightMemory.
@@ -31,6 +31,10 @@
 		unused    []*fairCall
 	}
 
+	// classKey tells classes apart by aim and by the time left before the deadline, each as
+	// aimKey gives it: either may limit how long a call can wait.
+	classKey struct{ aim, left int }
+
 	// fairCall is what fairness knows of an open call. It is nil for calls that fairness does
 	// not apply to.
 	fairCall struct {
@@ -96,7 +100,7 @@
 			return
 		}
 		f.active, f.seenAt = true, now
-		f.ranks, f.classes = make(map[int]*admit.Floor), make(map[int]*admit.Floor)
+		f.ranks, f.classes = make(map[int]*admit.Floor), make(map[classKey]*admit.Floor)
 		f.repeats = newRepeats(now)
 		s.observeLoad(now)
 	}
@@ -105,10 +109,11 @@
 		flow: f.flows.Join(c.class.Rank, c.class.Account, now),
 		work: max(s.latencies.expect(c.class.Aim, s.targets.MeanLatency()).Seconds(), minWork),
 	}
-	if f.repeats.isRepeat(c.class.Aim, c.deadline.Sub(now), now) || c.class.Late {
+	left := c.deadline.Sub(now)
+	if f.repeats.isRepeat(c.class.Aim, left, now) || c.class.Late {
 		return // Callers that repeat their calls often must not earn more by it.
 	}
-	c.fair.rank, c.fair.class = floorOf(f.ranks, c.class.Rank), floorOf(f.classes, aimKey(c.class.Aim))
+	c.fair.rank, c.fair.class = floorOf(f.ranks, c.class.Rank), floorOf(f.classes, classKey{aim: aimKey(c.class.Aim), left: aimKey(left)})
 }
 
 // newCall returns a fairCall of any content.
@@ -123,7 +128,7 @@
 }
 
 // floorOf returns the Floor of key in floors, and adds it if needed.
-func floorOf(floors map[int]*admit.Floor, key int) *admit.Floor {
+func floorOf[K comparable](floors map[K]*admit.Floor, key K) *admit.Floor {
 	floor := floors[key]
 	if floor == nil {
 		floor = &admit.Floor{}
--- a/core/engine/fair_share_test.go
+++ b/core/engine/fair_share_test.go
@@ -201,6 +201,35 @@
 		gomega.BeNumerically(">=", all.servedShare()/4), gomega.BeNumerically("<=", all.servedShare()/2)))
 }
 
+// Guards against classes whose calls are all refused because other calls of the same
+// accounts may wait longer, by their aim or by their deadline.
+func TestNoClassOfAnAccountStarves(t *testing.T) {
+	brief := fairClass{work: quickClass.work, aim: quickClass.aim, deadline: 220 * time.Millisecond}
+	t.Run("aim", func(t *testing.T) { expectNoClassStarves(t, slowClass, quickClass) })
+	t.Run("deadline", func(t *testing.T) { expectNoClassStarves(t, quickClass, brief) })
+}
+
+// expectNoClassStarves checks that the calls of two classes of the same accounts are served
+// at least a quarter as often as all.
+func expectNoClassStarves(t *testing.T, classes ...fairClass) {
+	g := gomega.NewWithT(t)
+	var list []*fairAccount
+	for i, class := range classes {
+		for _, a := range smallAccounts(4, 1, 300/float64(1+2*i)) {
+			a.class = class
+			list = append(list, a)
+		}
+	}
+	r := newFairRun(list...)
+	r.run()
+	all := sumOf(list)
+	for i := range classes {
+		class := sumOf(list[4*i : 4*i+4])
+		t.Logf("class %d: %.3f served, %.3f in time, of all calls %.3f", i, class.servedShare(), class.inTimeShare(), all.servedShare())
+		g.Expect(class.servedShare()).To(gomega.BeNumerically(">=", all.servedShare()/4), "class %d", i)
+	}
+}
+
 // Goodput under overload. With fair shares, calls answered within the aim must not fall as
 // demand rises, also when some callers come back at once and often. The figures without
 // fair shares are in the golden file only: docs/design/fairness.md has the cause.
