--- a/core/engine/extra.go
+++ b/core/engine/extra.go
@@ -248,6 +248,7 @@
 			s.targets.Withdraw(ended.target, ended.incarnation)
 		}
 		s.targets.Finish(ended.target, route.Feedback{}, 0, now)
+		s.targets.TakeBack(ended.target)
 		c.attempts--
 		if s.quota != nil && c.class.Account != "" {
 			s.quota.Return(c.class.Account, now)
@@ -263,6 +264,7 @@
 	if e.Result.EndsCall() {
 		s.recordEnd(c, c.current(), Finish{Result: Withdrawn}, now)
 		delete(s.calls, e.Call)
+		s.leaveFlow(c)
 	}
 	return s.dispatchQueued(dst, now)
 }
--- a/core/engine/quota_test.go
+++ b/core/engine/quota_test.go
@@ -48,7 +48,7 @@
 	return s
 }
 
-func arriveOf(call uint64, account string) engine.Arrive {
+func arriveWithQuota(call uint64, account string) engine.Arrive {
 	class := spec.Class{Weight: 1, Idempotent: true, Account: account}
 	return engine.Arrive{Call: call, Class: class, Deadline: start.Add(time.Minute)}
 }
@@ -60,10 +60,10 @@
 	q := &fakeQuota{}
 	s := newQuotaScheduler(q, 1, 10)
 	refusal := engine.Refuse{Call: 1, Reason: engine.OverQuota, NotRun: true, RetryAfter: quotaRetryAfter}
-	g.Expect(s.Handle(nil, arriveOf(1, "a"), start)).To(gomega.Equal([]engine.Action{refusal}))
+	g.Expect(s.Handle(nil, arriveWithQuota(1, "a"), start)).To(gomega.Equal([]engine.Action{refusal}))
 	g.Expect(s.OpenCalls()).To(gomega.BeZero())
 	q.room = 1
-	g.Expect(s.Handle(nil, arriveOf(2, "b"), start)).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})))
+	g.Expect(s.Handle(nil, arriveWithQuota(2, "b"), start)).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})))
 	g.Expect(q.admitted).To(gomega.Equal([]string{"b"}))
 	g.Expect(q.returned).To(gomega.BeEmpty(), "what was not admitted is not given back")
 }
@@ -74,7 +74,7 @@
 	g := gomega.NewWithT(t)
 	q := &fakeQuota{}
 	s := newQuotaScheduler(q, 1, 10)
-	g.Expect(s.Handle(nil, arriveOf(1, ""), start)).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})))
+	g.Expect(s.Handle(nil, arriveWithQuota(1, ""), start)).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})))
 	s.Handle(nil, engine.Finish{Call: 1, Result: engine.NotRun}, start)
 	g.Expect(q.returned).To(gomega.BeEmpty())
 }
@@ -85,7 +85,7 @@
 	g := gomega.NewWithT(t)
 	q := &fakeQuota{room: 1}
 	s := newQuotaScheduler(q, 2, 10)
-	g.Expect(s.Handle(nil, arriveOf(1, "a"), start)).To(gomega.HaveLen(1))
+	g.Expect(s.Handle(nil, arriveWithQuota(1, "a"), start)).To(gomega.HaveLen(1))
 	f := route.Feedback{Outcome: route.Failed}
 	again := s.Handle(nil, engine.Finish{Call: 1, Result: engine.Unknown, Replayable: true, Feedback: f}, start)
 	g.Expect(again).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})))
@@ -103,14 +103,14 @@
 		},
 		"cancelled in the queue": func(s *engine.Scheduler) { s.Handle(nil, engine.Cancel{Call: 2}, start) },
 		"waited too long":        func(s *engine.Scheduler) { s.Handle(nil, engine.Tick{}, start.Add(2*time.Second)) },
-		"queue full":             func(s *engine.Scheduler) { s.Handle(nil, arriveOf(3, "a"), start) },
+		"queue full":             func(s *engine.Scheduler) { s.Handle(nil, arriveWithQuota(3, "a"), start) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			q := &fakeQuota{room: 3}
 			s := newQuotaScheduler(q, 1, 10)
-			s.Handle(nil, arriveOf(1, "a"), start)
-			s.Handle(nil, arriveOf(2, "a"), start)
+			s.Handle(nil, arriveWithQuota(1, "a"), start)
+			s.Handle(nil, arriveWithQuota(2, "a"), start)
 			g.Expect(s.QueuedCalls()).To(gomega.Equal(1))
 			end(s)
 			g.Expect(q.returned).To(gomega.Equal([]string{"a"}))
@@ -124,7 +124,7 @@
 	g := gomega.NewWithT(t)
 	q := &fakeQuota{room: 1}
 	s := newQuotaScheduler(q, 1, 10)
-	s.Handle(nil, arriveOf(1, "a"), start)
+	s.Handle(nil, arriveWithQuota(1, "a"), start)
 	s.Handle(nil, engine.Cancel{Call: 1}, start)
 	g.Expect(q.returned).To(gomega.BeEmpty())
 }
@@ -135,8 +135,8 @@
 	g := gomega.NewWithT(t)
 	q := &fakeQuota{room: 2}
 	s := newQuotaScheduler(q, 1, 1)
-	s.Handle(nil, arriveOf(1, "a"), start)
-	actions := s.Handle(nil, arriveOf(2, "a"), start)
+	s.Handle(nil, arriveWithQuota(1, "a"), start)
+	actions := s.Handle(nil, arriveWithQuota(2, "a"), start)
 	g.Expect(actions).To(gomega.ConsistOf(gomega.HaveField("Reason", engine.TooManyOpen)))
 	g.Expect(q.returned).To(gomega.Equal([]string{"a"}))
 }
