--- a/core/keys/digest.go
+++ b/core/keys/digest.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"log/slog"
 
 	"github.com/pkg/errors"
 )
@@ -10,11 +11,24 @@
 // Digest is the SHA-256 digest of a key. Its text form is base64 without padding.
 type Digest [sha256.Size]byte
 
+// hidden stands for a digest in messages and log lines.
+const hidden = "[digest of a key]"
+
 // Of returns the digest of a key.
 func Of(key string) Digest {
 	return sha256.Sum256([]byte(key))
 }
 
+// String returns a text that does not show the digest.
+func (Digest) String() string {
+	return hidden
+}
+
+// LogValue keeps digests out of log lines, into which MarshalText would put them.
+func (Digest) LogValue() slog.Value {
+	return slog.StringValue(hidden)
+}
+
 // MarshalText returns the digest in base64.
 func (d Digest) MarshalText() ([]byte, error) {
 	return base64.RawStdEncoding.AppendEncode(nil, d[:]), nil
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -409,6 +409,17 @@
 	return n.acceptor.Chosen(nil)
 }
 
+// Accepted returns the value that this host has accepted for the document called name,
+// whether it is chosen or not, and false while the host does not vote. If a majority of the
+// voting hosts has accepted no newer value, none had been chosen when the first of them was
+// asked.
+func (n *Node) Accepted(name string) (Value, bool) {
+	if n.identity.Stage != StageVoting {
+		return Value{}, false
+	}
+	return n.acceptor.Register(name).Value, true
+}
+
 // Learnt returns the learner state of the document called name, empty if there
 // is none.
 func (n *Node) Learnt(name string) Learnt {
