Have voting control hosts tell which plan they have accepted

Callers saw nothing yet: an entry host could not find out whether a newer plan than its own had been acknowledged, so that it could not know for how long a withdrawn key may still be accepted.

Fleet.Confirm answers from a copy of the accepted register, in the view in which the host votes. The copy is renewed after the records of a step are on disk and before any message or result of the step leaves, so that an acceptance that counts for a change is never missing, and no question waits for a disk. Follower.Confirm asks all voting hosts in parallel, on the connections of its streams.

--- a/io/ctrl/enter.go
+++ b/io/ctrl/enter.go
@@ -104,6 +104,7 @@
 	h.failWaiting(quorum.ErrNoMajority)
 	f.closeVoteFolder()
 	h.node, h.voteFolder, f.view, f.enteredAt = node, folder, view, time.Now()
+	f.publishVote()
 }
 
 // close closes the vote folder of the current view.
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,6 +51,8 @@
 		enteredAt time.Time
 		seeds     *feed.Seeds
 		saves     *targetSaves
+		// vote is what this host has accepted, on disk; see Confirm.
+		vote atomic.Pointer[vote]
 	}
 
 	// diskIdentity is a random number that is stored in the data folder. It is
--- a/io/ctrl/step.go
+++ b/io/ctrl/step.go
@@ -42,6 +42,9 @@
 			return nil
 		}
 	}
+	if h.fleet != nil {
+		h.fleet.publishVote()
+	}
 	h.logEvents(out.Events)
 	h.publishChosen(out.Learnt)
 	for _, r := range out.Results {
--- /dev/null
+++ b/io/feed/confirm.go
@@ -0,0 +1,48 @@
+package feed
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"cardamomspool/core/keys"
+	"cardamomspool/io/peer/peerpb"
+)
+
+// Confirm asks all voting hosts that this host follows which plan they have accepted. It
+// does not block: answered is called for each answer that arrives within timeout, by
+// several goroutines.
+func (f *Follower) Confirm(ctx context.Context, timeout time.Duration, answered func(host netip.Addr, a keys.Answer)) {
+	view := f.state.View()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, client := range f.clients {
+		if !view.Has(address.Addr()) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			reply, err := client.Confirm(ctx, &peerpb.ConfirmRequest{Host: f.self.Host})
+			if err != nil {
+				f.state.log.Debug("plan not confirmed", "address", address.String(), "error", err)
+				return
+			}
+			answered(address.Addr(), keys.Answer{Epoch: reply.GetEpoch(), Version: reply.GetPlanVersion(), Ended: reply.GetEnded()})
+		}()
+	}
+}
+
+// Outdated reports whether a control host has announced a newer plan than the one in
+// force.
+func (f *Follower) Outdated() bool {
+	held := f.state.planVersion()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.streams {
+		if s.newestPlan > held {
+			return true
+		}
+	}
+	return false
+}
