Serve calls of client accounts at entry hosts

Callers of a fleet with accounts were served without a key, and targets could not tell them apart.

A call now passes its checks in one function, io/entry gate.go: request, plan, route, key, part, body, calls that crash targets, scheduler. The checks that existed keep their statuses, log lines and metrics. Without a valid key a call is answered 401, by a host without a lease or with an old plan 503. The rank of the account replaces that of the route. Key and lease are checked again before each attempt is written, and by carriers, which get the digest. The Authorization field goes to no target; Spool-Account and X-Tenant name the account and are removed from callers' headers and trailers, if the plan has accounts. Errors of a carried call no longer quote its header, which holds the digest.

--- a/core/wire/carry.go
+++ b/core/wire/carry.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"cardamomspool/core/keys"
 	"cardamomspool/core/strict"
 )
 
@@ -32,6 +33,9 @@
 		Head    uint64 `json:"head,omitempty"`
 		Content uint64 `json:"content,omitempty"`
 		Caller  uint64 `json:"caller,omitempty"`
+		// Key is the digest of the key with which the caller made the call; nil for a call
+		// without a client account. A carrier checks it by its own plan.
+		Key *keys.Digest `json:"key,omitempty"`
 	}
 
 	// CarryOutcome is what a carrier says of an attempt for which it has no answer of
@@ -73,16 +77,16 @@
 
 // TakeCarry removes the fields that SetCarry sets from the header of a request and returns
 // what they hold. It fails when they are missing or malformed, name no call, service or
-// target, or leave no time.
+// target, or leave no time. No error holds the digest of a key.
 func TakeCarry(header http.Header) (Carry, error) {
 	var c Carry
 	text := header.Get(HeaderCarry)
 	header.Del(HeaderCarry)
 	if err := json.Unmarshal([]byte(text), &c); err != nil {
-		return c, errors.Wrapf(err, "wire: carry %q", text)
+		return c, errors.Wrapf(err, "wire: carry of %d bytes", len(text))
 	}
 	if c.Call == "" || c.Service == "" || c.Target == "" || c.TimeLeft <= 0 {
-		return c, errors.Errorf("wire: carry %q lacks a call, a service, a target or time", text)
+		return c, errors.Errorf("wire: carry of call %q lacks a call, a service, a target or time", c.Call)
 	}
 	return c, nil
 }
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -28,6 +27,9 @@
 		// PrepareAnswer changes the header, or the trailer, of a target's answer
 		// into the header or trailer of the answer to the caller.
 		PrepareAnswer func(header http.Header)
+		// FilterTrailer removes from the trailer of a caller's request the field for the
+		// account; it is called when the deployment has client accounts. nil removes none.
+		FilterTrailer func(trailer http.Header)
 		// WriteRefusal sets the header fields of an answer that the entry host
 		// gives because there is none from a target.
 		WriteRefusal func(header http.Header, r Refusal)
@@ -133,7 +135,7 @@
 
 // Spool returns the dialect that uses the header fields of this package.
 func Spool() Dialect {
-	return Dialect{ParseCall: parseCall, PrepareAttempt: prepareAttempt, ParseAnswer: parseAnswer, ParseHealth: parseHealth, PrepareAnswer: stripSystemFields, WriteRefusal: writeRefusal, PromisesNotRun: promisesNotRun}
+	return Dialect{ParseCall: parseCall, PrepareAttempt: prepareAttempt, ParseAnswer: parseAnswer, ParseHealth: parseHealth, PrepareAnswer: stripSystemFields, FilterTrailer: stripSystemFields, WriteRefusal: writeRefusal, PromisesNotRun: promisesNotRun}
 }
 
 // Reported reports whether the answer carried a valid load report.
@@ -157,6 +159,9 @@
 	stripSystemFields(header)
 	header.Set(HeaderCall, a.Call)
 	header.Set(HeaderDeadline, strconv.FormatInt(max(a.TimeLeft.Milliseconds(), 1), 10))
+	if a.Account != "" {
+		header.Set(HeaderAccount, a.Account)
+	}
 }
 
 // parseAnswer keeps a state that comes without a valid incarnation; Incarnation is
@@ -203,7 +208,7 @@
 // when they are written with underscores, which some targets treat as hyphens.
 func stripSystemFields(header http.Header) {
 	for name := range header {
-		if strings.HasPrefix(textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-")), Prefix) {
+		if strings.HasPrefix(canonicalName(name), Prefix) {
 			delete(header, name)
 		}
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -1,6 +1,11 @@
 package wire
 
-import "time"
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+)
 
 // The header fields of the system. Entry hosts remove them from callers'
 // requests.
@@ -27,6 +32,8 @@
 	// HeaderIncarnation holds the incarnation that HeaderState belongs to. A
 	// state without it applies only at the entry host that receives it.
 	HeaderIncarnation = "Spool-Incarnation"
+	// HeaderAccount names the client account that makes a call, for targets.
+	HeaderAccount = "Spool-Account"
 )
 
 // Values of HeaderOutcome.
@@ -37,6 +44,22 @@
 	OutcomeUnknown = "unknown"
 )
 
+// DeleteField removes the fields called name, in canonical form, from header, also those
+// written with underscores, which some targets treat as hyphens.
+func DeleteField(header http.Header, name string) {
+	for other := range header {
+		if canonicalName(other) == name {
+			delete(header, other)
+		}
+	}
+}
+
+// canonicalName returns the canonical form of the name of a field, with hyphens in place of
+// underscores.
+func canonicalName(name string) string {
+	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-"))
+}
+
 // RetryAfterSeconds returns d in the form of the Retry-After header: in whole
 // seconds, rounded up, at least 1.
 func RetryAfterSeconds(d time.Duration) int {
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cardamomspool/core/keys"
+	"cardamomspool/core/wire"
 )
 
 type (
@@ -27,6 +30,8 @@
 		replayBuffer []byte
 		bytesRead    int64
 		err          error // The error that ended source: io.EOF when it was read whole, nil before its end.
+		// onEnd, if not nil, is called when source was read to its end.
+		onEnd func()
 	}
 
 	// bodyView reads a body from its start for one attempt. Once closed it reads
@@ -94,11 +99,33 @@
 		b.err = errInterrupted
 	}
 	if errors.Is(b.err, io.EOF) {
+		if b.onEnd != nil {
+			b.onEnd()
+		}
 		b.whole.Store(true)
 	}
 	return n
 }
 
+// filterTrailer has the key and the account removed from the trailer of a call at a
+// deployment with client accounts. net/http adds all fields of a trailer to r.Trailer at
+// the end of the body, also those that the caller has not named before.
+func (b *body) filterTrailer(c *call, r *http.Request) {
+	if c.admission.plan == nil || c.admission.plan.accounts == nil || r.Trailer == nil {
+		return
+	}
+	filter := func() {
+		wire.DeleteField(r.Trailer, keys.Field)
+		if c.host.dialect.FilterTrailer != nil {
+			c.host.dialect.FilterTrailer(r.Trailer)
+		}
+	}
+	filter()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onEnd = filter
+}
+
 // fetchBeginning reads until limit bytes, at most maxReplayBytes, or the whole body are
 // buffered. It returns the error with which the body ended early. No view may be open.
 func (b *body) fetchBeginning(limit int) error {
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -45,6 +45,8 @@
 	targetAnswered    bool               // The last attempt got an answer of its target.
 	held              *heldAnswer        // The last answer of a target, not passed on yet; nil for none.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
+	admission         admission          // By what the call was admitted.
+	keyProblem        *problem           // Why the last attempt was not sent: the key is not accepted any more; nil for none.
 }
 
 const (
@@ -71,47 +73,16 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if p := checkRequest(r, h.callers.MaxBodyBytes); p != nil {
-		abandonBody(w, r, r.ContentLength == 0)
-		h.rejectRequest(w, r, p, true)
-		return
-	}
-	callInfo := h.dialect.ParseCall(r.Header)
-	s, class, p := h.find(r, callInfo)
-	if p != nil {
-		h.metrics.Counter("calls_without_service").Add(1)
-		abandonBody(w, r, r.ContentLength == 0)
-		h.log.Warn("no service", "call", h.callName(callInfo, h.nextCall.Add(1)), "authority", r.Host, "path", r.URL.EscapedPath(),
-			"reason", p.reason, "status", p.status, "detail", p.detail)
-		retryAfter := time.Duration(0)
-		if p.status == http.StatusServiceUnavailable {
-			retryAfter = planRetryAfter
-		}
-		h.writeRefusal(w, p.status, p.reason, true, retryAfter)
-		return
-	}
-	c := h.newCall(w, r, s, class, callInfo)
-	w.body = c.body
-	defer h.uploads.addUpload(c.bodyBytes)()
-	defer func() { h.metrics.Histogram("call_latency", s.doc.Name).Observe(time.Since(c.arrived)) }()
-	defer func() { abandonBody(w, r, c.body.complete()) }()
-	h.metrics.Counter("calls").Add(1)
-	if err := h.prepareBody(w, r, c); err != nil {
-		h.rejectRequest(w, r, bodyProblem(err), true)
-		return
-	}
-	if err := h.awaitIdentity(w, r, c); err != nil {
-		h.rejectRequest(w, r, bodyProblem(err), true)
+	a := &arrival{host: h, w: w, r: r}
+	defer a.end()
+	if !a.pass() {
 		return
 	}
+	w, c := a.w, a.call
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	if left, blocked := h.blockLeft(c, r); blocked {
-		h.executeDecision(ctx, w, r, c, h.refuseBlocked(c, left))
-		return
-	}
 	if h.fleet == nil {
-		h.members.awaitTargets(ctx, s.doc.Name, time.Until(c.deadline))
+		h.members.awaitTargets(ctx, c.service.doc.Name, time.Until(c.deadline))
 	}
 	if h.fleet == nil || !h.fleet.delegate(c, time.Now()) {
 		h.decideLocally(c)
@@ -119,12 +90,9 @@
 	h.awaitDecisions(ctx, w, r, c)
 }
 
-// find returns the service and the class of a call, or the problem to answer
-// with when there is no service.
-func (h *Host) find(r *http.Request, callInfo wire.CallerInfo) (*service, spec.Class, *problem) {
-	if h.fleet != nil {
-		return h.fleet.find(r, callInfo)
-	}
+// findService returns the service and the class of a call at a host outside a fleet, or the
+// problem to answer with when there is no service.
+func (h *Host) findService(r *http.Request, callInfo wire.CallerInfo) (*service, spec.Class, *problem) {
 	s := h.services.Load().find(r.Host, r.URL.Path)
 	if s == nil {
 		// The documents of a host that has just started may be on their way.
@@ -320,6 +288,9 @@
 			}
 			return h.finishAttempt(ctx, w, r, c, engine.NotSent)
 		}
+		if p := h.checkKey(c, r); p != nil {
+			return h.endUnkeyed(w, r, c, p)
+		}
 		if left, blocked := h.blockLeft(c, r); blocked {
 			h.cancelCall(c, false)
 			return h.executeDecision(ctx, w, r, c, h.refuseBlocked(c, left))
@@ -332,6 +303,9 @@
 		h.observeLimit(c, action.Target, c.feedback, time.Since(start))
 		h.observeRest(c, action.Target, c.feedback)
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
+		if c.keyProblem != nil {
+			return h.endUnkeyed(w, r, c, c.keyProblem)
+		}
 		return h.finishAttempt(ctx, w, r, c, result)
 	case engine.Refuse:
 		h.logRefuse(c, action)
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -44,6 +44,7 @@
 	class := spec.Class{Weight: 1, Deadline: info.TimeLeft.Std(), Idempotent: info.Idempotent, Aim: info.Aim.Std()}
 	c := h.newCall(w, r, s, class, wire.CallerInfo{Call: info.Call})
 	c.carriedIn, c.carriedID = true, crash.ID{Head: info.Head, Content: info.Content, Caller: info.Caller}
+	c.admission.digest = info.Key
 	w.body = c.body
 	defer func() { abandonBody(w, r, c.body.complete()) }()
 	if err = k.prepareConnection(w, r, c); err != nil {
@@ -100,8 +101,17 @@
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryRefused)
 		return
 	}
+	if p := h.checkKey(c, r); p != nil {
+		k.refuseKey(w, c, p)
+		return
+	}
+	c.body.filterTrailer(c, r)
 	start := time.Now()
 	result := h.forwarder.attempt(ctx, w, r, c, send)
+	if c.keyProblem != nil {
+		k.refuseKey(w, c, c.keyProblem)
+		return
+	}
 	h.observeLimit(c, send.Target, c.feedback, time.Since(start))
 	h.observeRest(c, send.Target, c.feedback)
 	switch result {
@@ -119,6 +129,15 @@
 	}
 }
 
+// refuseKey tells the other host that this one does not accept the key of a call. The
+// other host decides by its own plan whether the caller is told so: the plan of this one
+// may be older.
+func (k carrierHandler) refuseKey(w http.ResponseWriter, c *call, p *problem) {
+	k.host.metrics.Counter("keys_unchecked").Add(1)
+	k.host.log.Info("carried call refused", "call", c.name, "service", c.service.doc.Name, "reason", p.reason, "detail", p.detail)
+	k.refuse(w, http.StatusServiceUnavailable, wire.CarryUnavailable)
+}
+
 // refuse writes an answer without one of the target.
 func (k carrierHandler) refuse(w http.ResponseWriter, status int, outcome wire.CarryOutcome) {
 	w.Header().Set(wire.HeaderCarryOutcome, string(outcome))
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -8,6 +8,7 @@
 
 	"cardamomspool/core/crash"
 	"cardamomspool/core/engine"
+	"cardamomspool/core/keys"
 	"cardamomspool/core/reach"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
@@ -35,7 +36,7 @@
 	defer func() { c.carrier = netip.AddrPort{} }()
 	var tried []netip.AddrPort
 	confirmed := false
-	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && c.body.replayable(); {
+	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && c.keyProblem == nil && c.body.replayable(); {
 		var ok bool
 		if c.carrier, ok = f.ways.beginCarry(s.Address, tried, time.Now()); !ok {
 			break
@@ -96,8 +97,8 @@
 
 // prepareCarry changes the request of an attempt into one to c.carrier. The body of a call
 // that could not be sent again is sent once the carrier asks for it, which it does when it
-// has reached the target.
-func prepareCarry(req *http.Request, c *call, s engine.Send, id crash.ID) error {
+// has reached the target. key is the digest of the caller's key, nil for none.
+func prepareCarry(req *http.Request, c *call, s engine.Send, id crash.ID, key *keys.Digest) error {
 	if req.ContentLength < 0 || req.ContentLength > maxReplayBytes {
 		req.Header.Set("Expect", "100-continue")
 		req.Close = true
@@ -106,6 +107,7 @@
 		Head: id.Head, Content: id.Content, Caller: id.Caller,
 		Call: c.name, Service: c.service.doc.Name, Target: s.Target, Incarnation: s.Incarnation,
 		TimeLeft: strict.Duration(time.Until(c.deadline)), Aim: strict.Duration(c.class.Aim), Idempotent: c.class.Idempotent,
+		Key: key,
 	})
 }
 
--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
@@ -34,7 +36,15 @@
 		address netip.AddrPort
 		state   *feed.State
 		decider *place.Server
-		stop    func() // Ends its server.
+		stop    func()                              // Ends its server.
+		confirm atomic.Pointer[peerpb.ConfirmReply] // What it says of the plan it has accepted; nil for no answer.
+		noPlan  atomic.Bool                         // It announces its plan and does not send it.
+	}
+
+	// staleServer is the server of a staleControl.
+	staleServer struct {
+		*feed.Server
+		control *staleControl
 	}
 
 	// countingTarget is a target that counts its requests.
@@ -67,6 +77,22 @@
 	}
 }
 
+// Confirm answers as the control host is set to.
+func (s *staleServer) Confirm(ctx context.Context, r *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
+	if reply := s.control.confirm.Load(); reply != nil {
+		return proto.Clone(reply).(*peerpb.ConfirmReply), nil
+	}
+	return s.Server.Confirm(ctx, r)
+}
+
+// Plan fails if the control host is set so.
+func (s *staleServer) Plan(ctx context.Context, r *peerpb.PlanRequest) (*peerpb.PlanReply, error) {
+	if s.control.noPlan.Load() {
+		return nil, errors.New("no plan is sent")
+	}
+	return s.Server.Plan(ctx, r)
+}
+
 // newStaleControl starts a control host that decides for the plan of testPlan with the
 // given targets.
 func newStaleControl(t *testing.T, targets ...roster.Target) *staleControl {
@@ -100,7 +126,7 @@
 	c.state.SetPlan(p)
 	c.state.SetView(feed.View{Epoch: 1, Members: []feed.Member{{Host: c.address.Addr()}}})
 	server := peer.NewServer()
-	peerpb.RegisterFleetServer(server, feed.NewServer(ctx, c.state, decider.Serve))
+	peerpb.RegisterFleetServer(server, &staleServer{Server: feed.NewServer(ctx, c.state, decider.Serve), control: c})
 	go server.Serve(l)
 	c.stop = server.Stop
 	t.Cleanup(server.Stop)
@@ -110,6 +136,11 @@
 // newFleetHost starts an entry host of the fleet of a control host, and returns it with
 // the URL of the route of testPlan. configure functions may change its settings.
 func newFleetHost(t *testing.T, control netip.AddrPort, configure ...func(*setup.Entry)) (*Host, string) {
+	return newFleetHostWith(t, control, nil, configure...)
+}
+
+// newFleetHostWith is newFleetHost with options of the host.
+func newFleetHostWith(t *testing.T, control netip.AddrPort, opts []Option, configure ...func(*setup.Entry)) (*Host, string) {
 	g := gomega.NewWithT(t)
 	cfg := setup.DefaultEntry()
 	cfg.Host, cfg.DataCentre, cfg.Tick = "entry-1", "lab", strict.Duration(5*time.Millisecond)
@@ -119,7 +150,7 @@
 	for _, change := range configure {
 		change(&cfg)
 	}
-	h := New(cfg)
+	h := New(cfg, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- h.Run(ctx) }()
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/keys"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/spec"
@@ -35,12 +36,15 @@
 		// planConfirmed is feed.Follower.Confirmed.
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
+		lease         *keyLease
 	}
 
 	// activePlan is the plan in force.
 	activePlan struct {
 		plan  *plan.Plan
 		table *plan.Table
+		// accounts finds the account of a key; nil when the plan has none.
+		accounts *keys.Table
 		// longestTimeouts holds the longest timeout that any caller has sent, by
 		// route. A retrying caller sends a shorter one.
 		longestTimeouts sync.Map // *plan.Route to time.Duration
@@ -98,6 +102,7 @@
 		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}),
 		splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	f.lease = newKeyLease(h.cfg.Fleet.KeyLease.Std(), h.log, h.metrics)
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
 		feed.OnTargets(f.setTargets), feed.OnPlan(f.setPlan))
 	f.follower = feed.NewFollower(f.state, feed.Self{
@@ -115,6 +120,7 @@
 	group.Go(func() { f.follower.Run(ctx) })
 	group.Go(func() { f.controls.Run(ctx) })
 	group.Go(func() { f.listCarriers(ctx) })
+	group.Go(func() { f.lease.run(ctx, func(asked time.Duration) { f.askVoters(ctx, asked) }) })
 }
 
 // SetSeeds replaces the addresses from which the host discovers control hosts. It
@@ -147,9 +153,10 @@
 	}
 	f.splits.Retain(p)
 	h.services.Store(next)
-	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p)}) == nil {
+	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p), accounts: newAccounts(p)}) == nil {
 		close(f.planKnown)
 	}
+	f.lease.setPlan(p)
 	for name, old := range current.byName {
 		if next.byName[name] == nil {
 			h.system.Root.Stop(old.pid)
@@ -183,30 +190,28 @@
 	f.host.setTargets(service, records)
 }
 
-// find returns the service and the class of a call, or the problem to answer
-// with when there is no service.
-func (f *fleet) find(r *http.Request, callInfo wire.CallerInfo) (*service, spec.Class, *problem) {
-	var class spec.Class
-	v, waited := f.awaitPlan(r.Context(), callInfo.Timeout)
-	if callInfo.Timeout > 0 {
-		callInfo.Timeout = max(callInfo.Timeout-waited, time.Millisecond)
-	}
-	if v == nil {
-		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "no plan is known and confirmed yet"}
-	}
+// findRoute returns the route of a call by the plan v, or the problem to answer with when
+// there is none.
+func (f *fleet) findRoute(v *activePlan, r *http.Request) (*plan.Route, *problem) {
 	route := v.table.Find(withoutPort(r.Host), r.URL.Path)
 	switch {
 	case route == nil && !f.follower.Synced():
-		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoPlan, "the plan may be out of date"}
+		return nil, &problem{http.StatusServiceUnavailable, reasonNoPlan, detailPlanOutdated}
 	case route == nil:
-		return nil, class, &problem{http.StatusNotFound, reasonNoService, "no route"}
+		return nil, &problem{http.StatusNotFound, reasonNoService, "no route"}
 	}
+	return route, nil
+}
+
+// selectPart returns the service and the class of a call of a route, or the problem to
+// answer with when no part of the route takes calls.
+func (f *fleet) selectPart(v *activePlan, route *plan.Route, callInfo wire.CallerInfo) (*service, spec.Class, *problem) {
 	name, ok := f.splits.Pick(route)
 	s := f.host.services.Load().byName[name]
 	if !ok || s == nil {
-		return nil, class, &problem{http.StatusServiceUnavailable, reasonNoRouteService, "no part of the route takes calls"}
+		return nil, spec.Class{}, &problem{http.StatusServiceUnavailable, reasonNoRouteService, "no part of the route takes calls"}
 	}
-	class = spec.Class{
+	class := spec.Class{
 		Weight: 1, Deadline: route.Timeout.Std(), Idempotent: route.Idempotent,
 		Rank: route.Rank, Aim: route.Aim.Std(), Attempts: route.Attempts,
 	}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/keys"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
@@ -92,7 +93,7 @@
 // when no byte of the request can have reached the target or when the target reports that
 // it did not run the call.
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) engine.Result {
-	c.linkLost = false
+	c.linkLost, c.keyProblem = false, nil
 	conn, err := f.connect(ctx, c, s.Address)
 	if err == nil {
 		return f.exchange(ctx, w, r, c, s, conn)
@@ -100,6 +101,9 @@
 	if result, carried := f.carry(ctx, w, r, c, s); carried {
 		return result
 	}
+	if c.keyProblem != nil {
+		return engine.NotRun
+	}
 	f.log.Info("target not reached", "call", c.name, "target", s.Target, "link_lost", c.linkLost, "error", err)
 	f.activity.recordFailure(c.service.doc.Name, s.Target)
 	c.feedback = c.feedbackWithoutResponse(r.Context(), engine.NotRun)
@@ -110,6 +114,10 @@
 // does.
 func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send, conn *targetConn) engine.Result {
 	c.carryOutcome, c.targetAnswered = "", false
+	if c.keyProblem = c.host.checkKey(c, r); c.keyProblem != nil { // The connection may have taken long.
+		f.pool.discard(conn)
+		return engine.NotRun
+	}
 	f.pool.trim(conn.address, c.maxConnections)
 	view := c.body.newView()
 	defer view.release()
@@ -279,12 +287,17 @@
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
-	f.dialect.PrepareAttempt(req.Header, wire.AttemptInfo{Call: c.name, Target: s.Target, TimeLeft: time.Until(c.deadline)})
+	info := wire.AttemptInfo{Call: c.name, Target: s.Target, TimeLeft: time.Until(c.deadline)}
+	c.admission.describe(&info)
+	if info.Accounts {
+		wire.DeleteField(req.Header, keys.Field) // The key is for this host alone.
+	}
+	f.dialect.PrepareAttempt(req.Header, info)
 	if !c.carrier.IsValid() {
 		return req, nil
 	}
 	id, _ := c.identify(r)
-	return req, prepareCarry(req, c, s, id)
+	return req, prepareCarry(req, c, s, id, c.keyDigest(r))
 }
 
 // expectsContinue reports whether the caller sends its body only after a 100
