--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -1,15 +1,19 @@
 package plan_test
 
 import (
+	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"cardamomspool/core/keys"
 	"cardamomspool/core/plan"
 	"cardamomspool/core/strict"
+	"cardamomspool/internal/golden"
 )
 
 func TestPlans(t *testing.T) {
@@ -46,8 +50,31 @@
 	ginkgo.Entry("without attempts", func(p *plan.Plan) { p.Routes[0].Attempts = 0 }),
 	ginkgo.Entry("without a host", func(p *plan.Plan) { p.Routes[0].Host = "" }),
 	ginkgo.Entry("without a part", func(p *plan.Plan) { p.Routes[0].Parts = nil }),
+	ginkgo.Entry("with a key of two accounts", func(p *plan.Plan) {
+		p.Accounts = []plan.Account{{Name: "a", Keys: []keys.Digest{keys.Of("k-1"), keys.Of("k-2")}}, {Name: "b", Keys: []keys.Digest{keys.Of("k-2")}}}
+	}),
+	ginkgo.Entry("with an account twice", func(p *plan.Plan) { p.Accounts = []plan.Account{{Name: "a"}, {Name: "a"}} }),
+	ginkgo.Entry("with an account without a name", func(p *plan.Plan) { p.Accounts = []plan.Account{{}} }),
+	ginkgo.Entry("with a line break in the name of an account", func(p *plan.Plan) { p.Accounts = []plan.Account{{Name: "a\nb"}} }),
+	ginkgo.Entry("with a negative rate", func(p *plan.Plan) { p.Accounts = []plan.Account{{Name: "a", Rate: -1}} }),
 )
 
+// Hosts of other versions must read the plans that this one sends, and a plan without
+// accounts keeps its bytes.
+func TestPlanKeepsItsForm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var text strings.Builder
+	p, rank := validPlan(), 1
+	for range 2 {
+		data, err := json.MarshalIndent(p, "", " ")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		text.Write(append(data, '\n'))
+		p.Routes[0].Open = true
+		p.Accounts = []plan.Account{{Name: "a", Keys: []keys.Digest{keys.Of("k-1")}, Rank: &rank, Rate: 12.5, Burst: 30}, {Name: "b", Keys: []keys.Digest{keys.Of("k-2")}}}
+	}
+	golden.Compare(t, "plans", text.String())
+}
+
 var _ = ginkgo.Describe("A table of routes", func() {
 	p := plan.Plan{Routes: []plan.Route{
 		route("short", "shop.example", "/a/"), route("long", "shop.example", "/a/b/"), route("other", "desk.example", "/a/b/"),
