--- a/io/entry/account.go
+++ b/io/entry/account.go
@@ -44,9 +44,10 @@
 }
 
 // findAccount returns the account of a key by the plan v, which has accounts, or the
-// problem to answer with. digest and err are what keys.Read has returned.
-func (f *fleet) findAccount(v *activePlan, digest keys.Digest, err error) (*keys.Account, *problem) {
-	if !f.lease.holds() {
+// problem to answer with. digest and err are what keys.Read has returned, and held says
+// whether the lease was held before v was looked up.
+func (f *fleet) findAccount(v *activePlan, digest keys.Digest, err error, held bool) (*keys.Account, *problem) {
+	if !held {
 		return nil, &problem{http.StatusServiceUnavailable, reasonKeyLeaseEnded, "no majority of control hosts has confirmed the plan lately"}
 	}
 	detail := "unknown"
@@ -76,11 +77,14 @@
 		return nil
 	}
 	v, admitted := h.fleet.active.Load(), &c.admission
-	if v == nil || v.accounts == nil {
+	held := v != nil && v.accounts != nil && h.fleet.lease.holds()
+	// The plan is looked up after the lease: a lease that is renewed for a newer plan says
+	// nothing about an older one.
+	if v = h.fleet.active.Load(); v == nil || v.accounts == nil {
 		return nil // What was admitted by a plan with accounts is still sent without its key.
 	}
 	if v == admitted.plan {
-		if admitted.account != nil && !h.fleet.lease.holds() {
+		if admitted.account != nil && !held {
 			return &problem{http.StatusServiceUnavailable, reasonKeyLeaseEnded, "the lease has ended while the call waited"}
 		}
 		return nil
@@ -105,7 +109,7 @@
 	default:
 		digest, err = keys.Read(r.Header[keys.Field])
 	}
-	account, p := h.fleet.findAccount(v, digest, err)
+	account, p := h.fleet.findAccount(v, digest, err, held)
 	if p == nil {
 		admitted.plan, admitted.account = v, account
 	}
--- a/io/entry/account_test.go
+++ b/io/entry/account_test.go
@@ -37,7 +37,7 @@
 
 func newHeaderTarget(t *testing.T) *headerTarget {
 	target := &headerTarget{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -156,7 +156,7 @@
 	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p), accounts: newAccounts(p)}) == nil {
 		close(f.planKnown)
 	}
-	f.lease.setPlan(p)
+	f.lease.setPlan(p) // After the plan is in force; see Host.checkKey.
 	for name, old := range current.byName {
 		if next.byName[name] == nil {
 			h.system.Root.Stop(old.pid)
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -104,7 +104,7 @@
 }
 
 // checkKey finds the client account. A host that has just started waits for its first
-// lease, as it does for the plan.
+// lease, as it does for the plan. Host.checkKey checks the key again before it is relied on.
 func (a *arrival) checkKey() *problem {
 	f := a.host.fleet
 	if f == nil || a.plan.accounts == nil || a.route.Open {
@@ -114,7 +114,7 @@
 	a.deductWait(waited)
 	digest, err := keys.Read(a.r.Header[keys.Field])
 	var p *problem
-	a.account, p = f.findAccount(a.plan, digest, err)
+	a.account, p = f.findAccount(a.plan, digest, err, f.lease.holds())
 	return p
 }
 
