--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,6 +52,8 @@
 		seeds     *feed.Seeds
 		saves     *targetSaves
 		usage     *usageExchange // nil without quotas.
+		// vote is what this host has accepted, on disk; see Confirm.
+		vote atomic.Pointer[vote]
 	}
 
 	// diskIdentity is a random number that is stored in the data folder. It is
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -18,6 +18,7 @@
 	carryOutcome   wire.CarryOutcome // What the carrier said of the attempt.
 	targetAnswered bool              // The attempt got an answer of its target.
 	linkLost       bool              // The attempt failed because this host's link to the target is lost.
+	keyProblem     *problem          // Why it was not sent: the key is not accepted any more; nil for none.
 	failure        *heldAnswer       // The answer with which the target says that it failed, not passed on; nil for none.
 	hints          *earlyHints       // The informational responses of the target.
 	racer          *racer            // Its part in a race; nil for an attempt that runs alone.
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/engine"
+	"cardamomspool/core/keys"
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
@@ -95,7 +96,7 @@
 // when no byte of the request can have reached the target or when the target reports that
 // it did not run the call.
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) engine.Result {
-	a.linkLost = false
+	a.linkLost, a.keyProblem = false, nil
 	conn, err := f.connect(ctx, a, s.Address)
 	if err == nil {
 		return f.exchange(ctx, w, r, a, s, conn)
@@ -103,6 +104,9 @@
 	if result, carried := f.carry(ctx, w, r, a, s); carried {
 		return result
 	}
+	if a.keyProblem != nil {
+		return engine.NotRun
+	}
 	if a.withdrawn() {
 		return engine.Withdrawn
 	}
@@ -116,6 +120,10 @@
 // does.
 func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *targetConn) engine.Result {
 	a.carryOutcome, a.targetAnswered = "", false
+	if a.keyProblem = a.host.checkKey(a.call, r); a.keyProblem != nil { // The connection may have taken long.
+		f.pool.discard(conn)
+		return engine.NotRun
+	}
 	f.pool.trim(conn.address, a.maxConnections)
 	view := a.body.newView()
 	defer view.release()
@@ -293,12 +301,17 @@
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
-	f.dialect.PrepareAttempt(req.Header, wire.AttemptInfo{Call: a.name, Target: s.Target, TimeLeft: time.Until(a.deadline)})
+	info := wire.AttemptInfo{Call: a.name, Target: s.Target, TimeLeft: time.Until(a.deadline)}
+	a.admission.describe(&info)
+	if info.Accounts {
+		wire.DeleteField(req.Header, keys.Field) // The key is for this host alone.
+	}
+	f.dialect.PrepareAttempt(req.Header, info)
 	if !a.carrier.IsValid() {
 		return req, nil
 	}
 	id, _ := a.identify(r)
-	return req, prepareCarry(req, a, s, id)
+	return req, prepareCarry(req, a, s, id, a.keyDigest(r))
 }
 
 // expectsContinue reports whether the caller sends its body only after a 100
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -172,6 +172,9 @@
 // finishRaced ends the race by the attempt that decides about the call; see finishAttempt.
 func (h *Host) finishRaced(ctx context.Context, w responseWriter, r *http.Request, a *attempt) bool {
 	h.observeRaced(a)
+	if a.keyProblem != nil {
+		return h.endUnkeyed(w, r, a.call, a.keyProblem)
+	}
 	return h.finishAttempt(ctx, w, r, a, a.racer.result)
 }
 
