Keep the quota of a busy account for calls that can be in time

An account at its quota used a part of it up for callers who came back after a 429 and were answered late, and refused as many calls that could have been in time. A late call is now admitted only while a quarter of the account's bucket is full.

--- a/core/engine/quota.go
+++ b/core/engine/quota.go
@@ -9,6 +9,9 @@
 	if s.quota == nil || e.Class.Account == "" {
 		return 0, true
 	}
+	if e.Class.Late {
+		return s.quota.AdmitLate(e.Class.Account, now)
+	}
 	return s.quota.Admit(e.Class.Account, now)
 }
 
--- a/core/engine/quota_test.go
+++ b/core/engine/quota_test.go
@@ -17,6 +17,7 @@
 // and got back.
 type fakeQuota struct {
 	room               int
+	late               int
 	admitted, returned []string
 }
 
@@ -31,6 +32,11 @@
 	return 0, true
 }
 
+func (q *fakeQuota) AdmitLate(account string, now time.Time) (time.Duration, bool) {
+	q.late++
+	return q.Admit(account, now)
+}
+
 func (q *fakeQuota) Return(account string, _ time.Time) {
 	q.returned = append(q.returned, account)
 }
@@ -140,3 +146,17 @@
 	g.Expect(actions).To(gomega.ConsistOf(gomega.HaveField("Reason", engine.TooManyOpen)))
 	g.Expect(q.returned).To(gomega.Equal([]string{"a"}))
 }
+
+// Guards against late calls that are admitted like others and use up the quota of calls that
+// can be in time.
+func TestLateCallsAreAdmittedAsSuch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := &fakeQuota{room: 2}
+	s := newQuotaScheduler(q, 2, 10)
+	for id, late := range []bool{false, true} {
+		class := spec.Class{Weight: 1, Account: "a", Late: late}
+		s.Handle(nil, engine.Arrive{Call: uint64(id), Class: class, Deadline: start.Add(time.Second)}, start)
+	}
+	g.Expect(q.admitted).To(gomega.HaveLen(2))
+	g.Expect(q.late).To(gomega.Equal(1))
+}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -107,6 +107,9 @@
 	// burst: calls of an account within its burst do not reach the deciding hosts at the
 	// intervals at which they were sent.
 	headroomDivisor = 4
+	// lateReserve is the part of an account's bucket that is kept for calls that can be in
+	// time.
+	lateReserve = 0.25
 	// lowTime is how long an account is listed as limited after it had no room.
 	lowTime = time.Second
 	// usableWait is the longest time after which a caller is expected to come back. It is
@@ -288,6 +291,19 @@
 // for one more call after all calls that were told to come back before. An account that
 // the plan does not name has no limit.
 func (l *Ledger) Admit(name string, now time.Time) (time.Duration, bool) {
+	return l.admit(name, 0, now)
+}
+
+// AdmitLate is Admit for a late call, which is admitted only while a quarter of the
+// account's bucket is full. An account at its quota would otherwise use it up for callers
+// who come back after a refusal, and refuse as many calls that could be in time.
+func (l *Ledger) AdmitLate(name string, now time.Time) (time.Duration, bool) {
+	return l.admit(name, lateReserve, now)
+}
+
+// admit implements Admit and AdmitLate. reserve is the part of the bucket that must be full
+// when this host knows the use of all hosts.
+func (l *Ledger) admit(name string, reserve float64, now time.Time) (time.Duration, bool) {
 	clock := l.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -304,7 +320,7 @@
 		ok = l.takeAlone(a, now)
 	} else {
 		l.refill(a, now)
-		ok = a.bucket.take()
+		ok = a.bucket.level >= reserve*l.capacity(a) && a.bucket.take()
 	}
 	if !ok {
 		a.refusedCalls++
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -100,6 +100,12 @@
 	return roundUp(aloneWait + spread(l.refused, aloneWait)), false
 }
 
+// AdmitLate is Admit: a host that decides alone has too small a part of the quota to keep
+// some of it.
+func (l *Local) AdmitLate(name string, now time.Time) (time.Duration, bool) {
+	return l.Admit(name, now)
+}
+
 // refill brings the bucket of an account up to date. The caller holds mu.
 func (l *Local) refill(a *localAccount, now time.Time) {
 	n := l.entries
