Keep the quota of a busy account for its most urgent calls

Now calls also leave room to those whose route has the most urgent rank, and only while their account is at its quota. The rank of the route is kept beside that of the account and sent for calls of accounts.

--- a/core/engine/quota.go
+++ b/core/engine/quota.go
@@ -9,8 +9,8 @@
 	if s.quota == nil || e.Class.Account == "" {
 		return 0, true
 	}
-	if e.Class.Late {
-		return s.quota.AdmitLate(e.Class.Account, now)
+	if e.Class.Late || e.Class.RouteRank > 0 {
+		return s.quota.AdmitYielding(e.Class.Account, now)
 	}
 	return s.quota.Admit(e.Class.Account, now)
 }
--- a/core/engine/quota_test.go
+++ b/core/engine/quota_test.go
@@ -17,7 +17,7 @@
 // and got back.
 type fakeQuota struct {
 	room               int
-	late               int
+	yielding           int
 	admitted, returned []string
 }
 
@@ -32,8 +32,8 @@
 	return 0, true
 }
 
-func (q *fakeQuota) AdmitLate(account string, now time.Time) (time.Duration, bool) {
-	q.late++
+func (q *fakeQuota) AdmitYielding(account string, now time.Time) (time.Duration, bool) {
+	q.yielding++
 	return q.Admit(account, now)
 }
 
@@ -147,16 +147,16 @@
 	g.Expect(q.returned).To(gomega.Equal([]string{"a"}))
 }
 
-// Guards against late calls that are admitted like others and use up the quota of calls that
-// can be in time.
-func TestLateCallsAreAdmittedAsSuch(t *testing.T) {
+// Guards against late calls and calls of less urgent routes that are admitted like others and
+// use up the quota of their account.
+func TestCallsYieldToOthersOfTheirAccount(t *testing.T) {
 	g := gomega.NewWithT(t)
-	q := &fakeQuota{room: 2}
-	s := newQuotaScheduler(q, 2, 10)
-	for id, late := range []bool{false, true} {
-		class := spec.Class{Weight: 1, Account: "a", Late: late}
+	q := &fakeQuota{room: 3}
+	s := newQuotaScheduler(q, 3, 10)
+	for id, class := range []spec.Class{{Rank: 5}, {Late: true}, {RouteRank: 1}} {
+		class.Weight, class.Account = 1, "a"
 		s.Handle(nil, engine.Arrive{Call: uint64(id), Class: class, Deadline: start.Add(time.Second)}, start)
 	}
-	g.Expect(q.admitted).To(gomega.HaveLen(2))
-	g.Expect(q.late).To(gomega.Equal(1))
+	g.Expect(q.admitted).To(gomega.HaveLen(3))
+	g.Expect(q.yielding).To(gomega.Equal(2))
 }
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -49,8 +49,9 @@
 		// Admit counts a call of the account. It reports false when the account has
 		// no room, and the time after which the caller may come back.
 		Admit(account string, now time.Time) (retryAfter time.Duration, ok bool)
-		// AdmitLate is Admit for a call that can no longer be answered within its aim.
-		AdmitLate(account string, now time.Time) (retryAfter time.Duration, ok bool)
+		// AdmitYielding is Admit for a call that leaves room to other calls of its
+		// account, since it is late or its route is not of the most urgent rank.
+		AdmitYielding(account string, now time.Time) (retryAfter time.Duration, ok bool)
 		// Return takes back the count of a call that was certainly not run.
 		Return(account string, now time.Time)
 	}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -107,9 +107,9 @@
 	// burst: calls of an account within its burst do not reach the deciding hosts at the
 	// intervals at which they were sent.
 	headroomDivisor = 4
-	// lateReserve is the part of an account's bucket that is kept for calls that can be in
-	// time.
-	lateReserve = 0.25
+	// yieldReserve is the part of the bucket of an account at its quota that is kept for
+	// calls which do not yield.
+	yieldReserve = 0.25
 	// lowTime is how long an account is listed as limited after it had no room.
 	lowTime = time.Second
 	// usableWait is the longest time after which a caller is expected to come back. It is
@@ -294,15 +294,17 @@
 	return l.admit(name, 0, now)
 }
 
-// AdmitLate is Admit for a late call, which is admitted only while a quarter of the
-// account's bucket is full. An account at its quota would otherwise use it up for callers
-// who come back after a refusal, and refuse as many calls that could be in time.
-func (l *Ledger) AdmitLate(name string, now time.Time) (time.Duration, bool) {
-	return l.admit(name, lateReserve, now)
+// AdmitYielding is Admit for a call that leaves room to others of its account: while the
+// account is at its quota, it is admitted only if a quarter of the bucket is full. The quota
+// would otherwise go to callers who come back after a refusal, and to whichever kind of
+// call is made most often. Source: F. Kelly, "Loss Networks", The Annals of Applied
+// Probability 1(3), 1991, on trunk reservation.
+func (l *Ledger) AdmitYielding(name string, now time.Time) (time.Duration, bool) {
+	return l.admit(name, yieldReserve, now)
 }
 
-// admit implements Admit and AdmitLate. reserve is the part of the bucket that must be full
-// when this host knows the use of all hosts.
+// admit implements Admit and AdmitYielding. reserve is the part of the bucket that must be full
+// when the account is at its quota and this host knows the use of all hosts.
 func (l *Ledger) admit(name string, reserve float64, now time.Time) (time.Duration, bool) {
 	clock := l.clock()
 	l.mu.Lock()
@@ -320,6 +322,9 @@
 		ok = l.takeAlone(a, now)
 	} else {
 		l.refill(a, now)
+		if now.Sub(a.lowAt) > lowTime {
+			reserve = 0
+		}
 		ok = a.bucket.level >= reserve*l.capacity(a) && a.bucket.take()
 	}
 	if !ok {
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -367,19 +367,19 @@
 	g.Expect(admitAll(l, later)).To(gomega.BeZero(), "nothing was spilled since")
 }
 
-// Guards against an account at its quota whose tokens go to callers that come back after a
-// refusal and can no longer be answered in time, while as many other calls are refused.
-func TestLateCallsGetNoTokensOfAnAccountAtItsQuota(t *testing.T) {
+// Guards against an account at its quota whose tokens go to late or less urgent calls, while
+// as many others are refused.
+func TestYieldingCallsGetNoTokensOfAnAccountAtItsQuota(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := newLedger(10, 20)
-	_, ok := l.AdmitLate("a", simStart)
+	_, ok := l.AdmitYielding("a", simStart)
 	g.Expect(ok).To(gomega.BeTrue(), "an account with room")
 	admitAll(l, simStart)
-	inTime, late := 0, 0
+	inTime, yielding := 0, 0
 	for ms := range 5000 {
 		now := simStart.Add(time.Duration(ms) * time.Millisecond)
-		if _, ok = l.AdmitLate("a", now); ok {
-			late++
+		if _, ok = l.AdmitYielding("a", now); ok {
+			yielding++
 		}
 		if ms%20 != 0 {
 			continue
@@ -388,6 +388,6 @@
 			inTime++
 		}
 	}
-	g.Expect(late).To(gomega.BeZero())
+	g.Expect(yielding).To(gomega.BeZero())
 	g.Expect(inTime).To(gomega.BeNumerically(">=", 49), "all of the rate")
 }
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -100,9 +100,9 @@
 	return roundUp(aloneWait + spread(l.refused, aloneWait)), false
 }
 
-// AdmitLate is Admit: a host that decides alone has too small a part of the quota to keep
+// AdmitYielding is Admit: a host that decides alone has too small a part of the quota to keep
 // some of it.
-func (l *Local) AdmitLate(name string, now time.Time) (time.Duration, bool) {
+func (l *Local) AdmitYielding(name string, now time.Time) (time.Duration, bool) {
 	return l.Admit(name, now)
 }
 
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -162,6 +162,9 @@
 		// Late says that an answer within Aim is no longer possible, as when the
 		// caller has retried the call.
 		Late bool
+		// RouteRank is the rank of the route, which Rank is not if the client account
+		// has one of its own.
+		RouteRank int
 		// Returned says that the caller has made the call before, and so will probably
 		// not make it again.
 		Returned bool
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -250,7 +250,7 @@
 	}
 	class := spec.Class{
 		Weight: 1, Deadline: route.Timeout.Std(), Idempotent: route.Idempotent,
-		Rank: route.Rank, Aim: route.Aim.Std(), Attempts: route.Attempts,
+		Rank: route.Rank, RouteRank: route.Rank, Aim: route.Aim.Std(), Attempts: route.Attempts,
 	}
 	if callInfo.Timeout > 0 {
 		class.Deadline = min(class.Deadline, callInfo.Timeout)
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -18,10 +18,14 @@
 
 // fromArrive encodes the arrival of a call, with the time left until its deadline.
 func fromArrive(service string, e engine.Arrive, now time.Time) *peerpb.CallEvent {
+	routeRank := 0
+	if e.Class.Account != "" {
+		routeRank = max(e.Class.RouteRank, 0)
+	}
 	return &peerpb.CallEvent{Call: e.Call, Service: service, Event: &peerpb.CallEvent_Arrive{Arrive: &peerpb.CallArrive{
 		LeftMs: uint32(max(e.Deadline.Sub(now), 0).Milliseconds()), AimMs: uint32(e.Class.Aim.Milliseconds()),
 		Rank: uint32(max(e.Class.Rank, 0)), Attempts: uint32(max(e.Class.Attempts, 0)), Idempotent: e.Class.Idempotent,
-		Weight: uint32(max(e.Class.Weight, 0)), DataCentre: e.DataCentre, Late: e.Class.Late, Account: e.Class.Account, Returned: e.Class.Returned,
+		Weight: uint32(max(e.Class.Weight, 0)), DataCentre: e.DataCentre, Late: e.Class.Late, Account: e.Class.Account, Returned: e.Class.Returned, RouteRank: uint32(routeRank),
 	}}}
 }
 
@@ -34,7 +38,7 @@
 		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(), Host: host,
 		Class: spec.Class{
 			Weight: int(m.GetWeight()), Deadline: left, Idempotent: m.GetIdempotent(), Rank: int(m.GetRank()),
-			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()), Late: m.GetLate(), Account: m.GetAccount(), Returned: m.GetReturned(),
+			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()), Late: m.GetLate(), Account: m.GetAccount(), Returned: m.GetReturned(), RouteRank: int(m.GetRouteRank()),
 		},
 	}
 }
