--- a/core/engine/quota_test.go
+++ b/core/engine/quota_test.go
@@ -17,6 +17,7 @@
 // and got back.
 type fakeQuota struct {
 	room               int
+	yielding           int
 	admitted, returned []string
 }
 
@@ -31,6 +32,11 @@
 	return 0, true
 }
 
+func (q *fakeQuota) AdmitYielding(account string, now time.Time) (time.Duration, bool) {
+	q.yielding++
+	return q.Admit(account, now)
+}
+
 func (q *fakeQuota) Return(account string, _ time.Time) {
 	q.returned = append(q.returned, account)
 }
@@ -140,3 +146,17 @@
 	g.Expect(actions).To(gomega.ConsistOf(gomega.HaveField("Reason", engine.TooManyOpen)))
 	g.Expect(q.returned).To(gomega.Equal([]string{"a"}))
 }
+
+// Guards against late calls and calls of less urgent routes that are admitted like others and
+// use up the quota of their account.
+func TestCallsYieldToOthersOfTheirAccount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := &fakeQuota{room: 3}
+	s := newQuotaScheduler(q, 3, 10)
+	for id, class := range []spec.Class{{Rank: 5}, {Late: true}, {RouteRank: 1}} {
+		class.Weight, class.Account = 1, "a"
+		s.Handle(nil, engine.Arrive{Call: uint64(id), Class: class, Deadline: start.Add(time.Second)}, start)
+	}
+	g.Expect(q.admitted).To(gomega.HaveLen(3))
+	g.Expect(q.yielding).To(gomega.Equal(2))
+}
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -366,3 +366,28 @@
 	l.Observe("b", ownStart+1, usage(30), later)
 	g.Expect(admitAll(l, later)).To(gomega.BeZero(), "nothing was spilled since")
 }
+
+// Guards against an account at its quota whose tokens go to late or less urgent calls, while
+// as many others are refused.
+func TestYieldingCallsGetNoTokensOfAnAccountAtItsQuota(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLedger(10, 20)
+	_, ok := l.AdmitYielding("a", simStart)
+	g.Expect(ok).To(gomega.BeTrue(), "an account with room")
+	admitAll(l, simStart)
+	inTime, yielding := 0, 0
+	for ms := range 5000 {
+		now := simStart.Add(time.Duration(ms) * time.Millisecond)
+		if _, ok = l.AdmitYielding("a", now); ok {
+			yielding++
+		}
+		if ms%20 != 0 {
+			continue
+		}
+		if _, ok = l.Admit("a", now); ok {
+			inTime++
+		}
+	}
+	g.Expect(yielding).To(gomega.BeZero())
+	g.Expect(inTime).To(gomega.BeNumerically(">=", 49), "all of the rate")
+}
