--- a/io/ctrl/usage.go
+++ b/io/ctrl/usage.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -15,6 +14,7 @@
 	"cardamomspool/core/plan"
 	"cardamomspool/core/quota"
 	"cardamomspool/io/admin"
+	"cardamomspool/io/clock"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 )
@@ -73,21 +73,11 @@
 	cfg := quota.Config{Window: s.QuotaWindow.Std(), Overshoot: s.QuotaOvershoot, Slack: float64(s.QuotaSlack)}
 	start := uint64(time.Now().UnixNano())
 	return &usageExchange{
-		fleet: f, ledger: quota.NewLedger(cfg, f.self().String(), start, quota.WithClock(bootTime)),
+		fleet: f, ledger: quota.NewLedger(cfg, f.self().String(), start, quota.WithClock(clock.SinceBoot)),
 		peers: make(map[netip.AddrPort]bool), planSet: make(chan struct{}, 1),
 	}
 }
 
-// bootTime returns the time since the boot of the machine, including the time for which
-// it was suspended.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(err) // All kernels since Linux 2.6.39 have this clock.
-	}
-	return time.Duration(t.Nano())
-}
-
 // setPlan puts the accounts of a plan in force.
 func (u *usageExchange) setPlan(p *plan.Plan) {
 	u.ledger.SetAccounts(p.Accounts, time.Now())
@@ -224,7 +214,7 @@
 		return
 	}
 	p.idleTicks = 0
-	sent := bootTime()
+	sent := clock.SinceBoot()
 	err := p.dial()
 	if err == nil && !p.told {
 		err = p.ask(ctx)
