Share one ring of buckets between the budgets of retries and second attempts

core/hedge had written the buckets of core/admit again. Both budgets now use admit.Ring; what each counts, and so every decision, is as before: the tests of core/admit, core/hedge and core/engine pass unchanged.

--- a/core/admit/budget.go
+++ b/core/admit/budget.go
@@ -14,24 +14,13 @@
 	// Slack is the number of retries allowed in addition, even without any calls.
 	Slack float64
 
-	// epoch is the start of bucket 0, and currentBucket the number of the current
-	// bucket.
-	epoch         time.Time
-	currentBucket int64
-	// calls and retries hold the counts of the last buckets; bucket k is at index
-	// k modulo the length.
-	calls   [budgetBuckets + 1]int
-	retries [budgetBuckets + 1]int
+	ring Ring // Of calls and retries.
 }
 
-// budgetBuckets is the number of buckets per window. One more bucket is kept,
-// so that the counts always cover at least a whole window.
-const budgetBuckets = 20
-
 // CountCall counts a call that arrives at now.
 func (b *Budget) CountCall(now time.Time) {
 	if b.Window > 0 {
-		b.calls[b.advance(now)]++
+		b.ring.First[b.ring.Advance(b.Window, now)]++
 	}
 }
 
@@ -50,7 +39,7 @@
 	if !b.hasRoom(now, share) {
 		return false
 	}
-	b.retries[b.advance(now)]++
+	b.ring.Second[b.ring.Advance(b.Window, now)]++
 	return true
 }
 
@@ -62,11 +51,11 @@
 // hasRoom reports whether the given share of the budget allows a retry at now. The Window
 // must be above 0.
 func (b *Budget) hasRoom(now time.Time, share float64) bool {
-	b.advance(now)
+	b.ring.Advance(b.Window, now)
 	calls, retries := 0, 0
-	for k := range b.calls {
-		calls += b.calls[k]
-		retries += b.retries[k]
+	for k := range b.ring.First {
+		calls += b.ring.First[k]
+		retries += b.ring.Second[k]
 	}
 	return float64(retries+1) <= share*(b.Ratio*float64(calls)+b.Slack)
 }
@@ -77,25 +66,10 @@
 	if b.Window <= 0 {
 		return 0
 	}
-	b.advance(now)
+	b.ring.Advance(b.Window, now)
 	n := 0
-	for _, r := range b.retries {
+	for _, r := range b.ring.Second {
 		n += r
 	}
 	return n
 }
-
-// advance clears the buckets that have left the window and returns the index of
-// the bucket of now.
-func (b *Budget) advance(now time.Time) int {
-	if b.epoch.IsZero() {
-		b.epoch = now
-	}
-	n := int64(len(b.calls))
-	bucket := int64(now.Sub(b.epoch) / max(b.Window/budgetBuckets, 1))
-	for k := max(b.currentBucket+1, bucket-n+1); k <= bucket; k++ {
-		b.calls[k%n], b.retries[k%n] = 0, 0
-	}
-	b.currentBucket = max(b.currentBucket, bucket)
-	return int(b.currentBucket % n)
-}
--- a/core/hedge/budget.go
+++ b/core/hedge/budget.go
@@ -1,6 +1,10 @@
 package hedge
 
-import "time"
+import (
+	"time"
+
+	"cardamomspool/core/admit"
+)
 
 // Budget limits the extra attempts in a sliding window to Share times the calls in it. At
 // every extra attempt, those in the window that ends with it are at most Share times the
@@ -14,23 +18,13 @@
 	// Share is the number of extra attempts allowed per call, 0.05 for one in 20.
 	Share float64
 
-	// epoch is the start of bucket 0, and current the number of the current bucket.
-	epoch   time.Time
-	current int64
-	// calls and extras hold the counts of the last buckets; bucket k is at index k
-	// modulo the length.
-	calls  [buckets + 1]int
-	extras [buckets + 1]int
+	ring admit.Ring // Of calls and extra attempts.
 }
 
-// buckets is the number of buckets per window. One more is kept, so that the counts of
-// extra attempts cover at least a whole window.
-const buckets = 20
-
 // CountCall counts a call that arrives at now.
 func (b *Budget) CountCall(now time.Time) {
 	if b.Window > 0 {
-		b.calls[b.advance(now)]++
+		b.ring.First[b.ring.Advance(b.Window, now)]++
 	}
 }
 
@@ -39,12 +33,12 @@
 	if b.Window <= 0 || b.Share <= 0 {
 		return false
 	}
-	oldest := (b.advance(now) + 1) % len(b.calls)
+	oldest := (b.ring.Advance(b.Window, now) + 1) % len(b.ring.First)
 	calls, extras := 0, 0
-	for k := range b.calls {
-		extras += b.extras[k]
+	for k := range b.ring.First {
+		extras += b.ring.Second[k]
 		if k != oldest {
-			calls += b.calls[k]
+			calls += b.ring.First[k]
 		}
 	}
 	return float64(extras+1) <= b.Share*float64(calls)
@@ -53,21 +47,6 @@
 // Take counts an extra attempt at now, which HasRoom has allowed.
 func (b *Budget) Take(now time.Time) {
 	if b.Window > 0 {
-		b.extras[b.advance(now)]++
-	}
-}
-
-// advance clears the buckets that have left the window and returns the index of the bucket
-// of now.
-func (b *Budget) advance(now time.Time) int {
-	if b.epoch.IsZero() {
-		b.epoch = now
-	}
-	n := int64(len(b.calls))
-	bucket := int64(now.Sub(b.epoch) / max(b.Window/buckets, 1))
-	for k := max(b.current+1, bucket-n+1); k <= bucket; k++ {
-		b.calls[k%n], b.extras[k%n] = 0, 0
+		b.ring.Second[b.ring.Advance(b.Window, now)]++
 	}
-	b.current = max(b.current, bucket)
-	return int(b.current % n)
 }
