Use what entry hosts know of repeats and of their number; name what orders mean in logs

The read of the whole change found: - core/engine told repeats from shortened aims, although entry hosts send whether a caller has come back (Returned). The second way is removed; the golden runs of fair shares stay as they are. - cold limits guessed the number of entry hosts that control hosts tell for quotas.

--- a/core/engine/fair.go
+++ b/core/engine/fair.go
@@ -19,7 +19,6 @@
 		share   admit.Share
 		ranks   map[int]*admit.Floor
 		classes map[classKey]*admit.Floor
-		repeats repeats
 		// busy is the load as of seenAt. recentInFlight is the largest recent number of calls
 		// at targets, which falls slowly, see inFlightMemory.
 		busy           admit.Busy
@@ -101,7 +100,6 @@
 		}
 		f.active, f.seenAt = true, now
 		f.ranks, f.classes = make(map[int]*admit.Floor), make(map[classKey]*admit.Floor)
-		f.repeats = newRepeats(now)
 		s.observeLoad(now)
 	}
 	c.fair = f.newCall()
@@ -110,7 +108,7 @@
 		work: max(s.latencies.expect(c.class.Aim, s.targets.MeanLatency()).Seconds(), minWork),
 	}
 	left := c.deadline.Sub(now)
-	if f.repeats.isRepeat(c.class.Aim, left, now) || c.class.Late {
+	if c.class.Returned || c.class.Late {
 		return // Callers that repeat their calls often must not earn more by it.
 	}
 	c.fair.rank, c.fair.class = floorOf(f.ranks, c.class.Rank), floorOf(f.classes, classKey{aim: aimKey(c.class.Aim), left: aimKey(left)})
--- a/core/engine/fair_test.go
+++ b/core/engine/fair_test.go
@@ -205,7 +205,7 @@
 		class.aim -= elapsed
 	}
 	r.handle(engine.Arrive{Call: r.lastCall, Deadline: c.asked.Add(class.deadline), Class: spec.Class{
-		Weight: 1, Deadline: class.deadline, Aim: class.aim, Rank: c.account.rank, Account: name, Late: late,
+		Weight: 1, Deadline: class.deadline, Aim: class.aim, Rank: c.account.rank, Account: name, Late: late, Returned: c.repeats > 0,
 	}})
 }
 
--- a/core/plan/evacuated.go
+++ b/core/plan/evacuated.go
@@ -20,11 +20,11 @@
 // too long or has control characters.
 var ErrDataCentreName = errors.New("plan: the name of the data centre is empty, too long or has control characters")
 
-// ValidDataCentre returns ErrDataCentreName unless name can be that of a data centre in
+// ValidDataCentre returns an error that wraps ErrDataCentreName unless name can be that of a data centre in
 // an order.
 func ValidDataCentre(name string) error {
 	if name == "" || len(name) > MaxDataCentreName || strings.ContainsFunc(name, unicode.IsControl) {
-		return ErrDataCentreName
+		return errors.Wrapf(ErrDataCentreName, "data centre %.*q", MaxDataCentreName, name)
 	}
 	return nil
 }
--- a/io/ctrl/evacuate.go
+++ b/io/ctrl/evacuate.go
@@ -38,7 +38,7 @@
 		return plan.WithOrder(current, dataCentre, evacuated)
 	}}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
-	h.log.Info("evacuation ordered", "data_centre", dataCentre, "evacuated", evacuated, "epoch", h.fleet.state.View().Epoch,
+	h.log.Info("evacuation ordered", "evacuated_data_centre", dataCentre, "evacuated", evacuated, "epoch", h.fleet.state.View().Epoch,
 		"revision", r.Value.Revision, "took", time.Since(begin).String(), "error", errorText(r.Err))
 	if r.Err == nil {
 		h.metrics.Counter("evacuation_orders").Add(1)
--- a/io/entry/cold.go
+++ b/io/entry/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/plan"
@@ -26,7 +27,9 @@
 // service.
 func (f *fleet) coldLimit(v *plan.Service) route.ColdLimit {
 	hosts := int(f.entryHosts.Load())
-	if hosts == 0 || hosts > maxListedHosts {
+	if told := int(f.toldHosts.Load()); told > 0 {
+		hosts = told
+	} else if hosts == 0 || hosts > maxListedHosts {
 		hosts = assumedHosts
 	}
 	cfg := &f.host.cfg.Fleet
@@ -53,7 +56,18 @@
 
 // countEntryHosts adapts the limits for calls to cold targets to a number of entry hosts.
 func (f *fleet) countEntryHosts(n int) {
-	if f.entryHosts.Swap(int64(n)) == int64(n) {
+	f.adaptColdLimits(&f.entryHosts, n)
+}
+
+// tellEntryHosts is countEntryHosts for the number that control hosts tell, which they do
+// only when the plan has accounts.
+func (f *fleet) tellEntryHosts(n int) {
+	f.adaptColdLimits(&f.toldHosts, n)
+}
+
+// adaptColdLimits stores a number of entry hosts, and adapts the limits if it has changed.
+func (f *fleet) adaptColdLimits(count *atomic.Int64, n int) {
+	if count.Swap(int64(n)) == int64(n) {
 		return
 	}
 	if active := f.active.Load(); active != nil {
--- a/io/entry/evacuated_test.go
+++ b/io/entry/evacuated_test.go
@@ -86,6 +86,8 @@
 	g.Expect(f.coldLimit(&p.Services[0]).Share).To(gomega.BeEquivalentTo(1))
 	f.countEntryHosts(41)
 	g.Expect(f.coldLimit(&p.Services[0]).Share).To(gomega.BeNumerically("~", 0.25/41, 1e-9))
+	f.tellEntryHosts(82)
+	g.Expect(f.coldLimit(&p.Services[0]).Share).To(gomega.BeNumerically("~", 0.25/82, 1e-9), "control hosts know the number")
 	f.host.cfg.Fleet.WarmOvershoot, f.host.cfg.Fleet.WarmSlack = 0, 0
 	g.Expect(f.coldLimit(&p.Services[0]).Alone).To(gomega.BeFalse(), "no bound in the settings")
 }
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -38,9 +38,11 @@
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
 		lease         *keyLease
-		// entryHosts is the number of entry hosts as last listed, 0 when unknown. coldSeed
+		// entryHosts is the number of entry hosts as last listed, and toldHosts that as told
+		// by control hosts, which know it exactly; 0 when unknown. coldSeed
 		// and coldLimits, by service, are those of coldLimit.
 		entryHosts atomic.Int64
+		toldHosts  atomic.Int64
 		coldSeed   uint64
 		coldLimits sync.Map
 		// quota limits the calls of client accounts that this host decides about alone;
@@ -371,9 +373,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxPlanWait)
 	defer cancel()
+	end := sync.OnceFunc(func() { <-f.lateUndecided })
 	select {
 	case f.lateUndecided <- struct{}{}:
-		return sync.OnceFunc(func() { <-f.lateUndecided })
+		return end
+	default:
+		f.host.metrics.Counter("late_calls_delayed").Add(1)
+	}
+	select {
+	case f.lateUndecided <- struct{}{}:
+		return end
 	case <-ctx.Done():
 		return func() {}
 	}
@@ -389,8 +398,13 @@
 	if c.class.Late {
 		wait = maxPlanWait
 	}
-	for begin := time.Now(); time.Since(begin) < wait; {
-		if !f.controls.Settling(c.service.doc.Name, time.Now()) || !sleep(ctx, settleCheckInterval) {
+	service := c.service.doc.Name
+	if !f.controls.Settling(service, time.Now()) {
+		return
+	}
+	f.host.metrics.Counter("calls_before_decider").Add(1)
+	for begin := time.Now(); time.Since(begin) < wait && sleep(ctx, settleCheckInterval); {
+		if !f.controls.Settling(service, time.Now()) {
 			return
 		}
 	}
--- a/io/entry/quota.go
+++ b/io/entry/quota.go
@@ -39,6 +39,7 @@
 
 // setQuotaState stores what the control hosts tell of quotas. It is called by f.state.
 func (f *fleet) setQuotaState(entries int, limited []string) {
+	f.tellEntryHosts(entries)
 	if f.quota != nil {
 		f.quota.SetEntries(entries)
 		f.quota.SetLimited(limited)
--- a/io/entry/start_test.go
+++ b/io/entry/start_test.go
@@ -38,7 +38,7 @@
 // that can still be in time wait for its decisions.
 func TestFewLateCallsWaitForADecision(t *testing.T) {
 	g := gomega.NewWithT(t)
-	f := &fleet{lateUndecided: make(chan struct{}, maxLateUndecided)}
+	f := newTestFleet()
 	late, fresh := &call{class: spec.Class{Late: true}}, &call{}
 	ends := make([]func(), 0, maxLateUndecided)
 	for range maxLateUndecided {
