Start the node of a view before anything else reaches it

A control host under load ended with "assignment to entry in nil map" while it entered a view (seen once in eight runs of the test of large plans beside six busy loops).

Cause: the node of the view was in place before it was started with its saved state. A message of the view that arrived in between met a node that knew nothing, and a tick made it take its disk for blank.

Change: setNode puts the node in place and starts it under one lock. Chosen values are applied outside of the lock of the copies for API handlers.

--- a/io/ctrl/enter.go
+++ b/io/ctrl/enter.go
@@ -24,7 +24,7 @@
 	}
 	if !view.Has(f.self()) {
 		h.log.Info("control host does not vote in this view", "epoch", view.Epoch)
-		f.setNode(nil, nil, view)
+		f.setNode(nil, quorum.Saved{}, nil, view)
 		return nil
 	}
 	var (
@@ -56,9 +56,8 @@
 	if saved, err = f.initialState(folder, view, saved); err != nil {
 		return err
 	}
-	f.setNode(node, folder, view)
 	h.log.Info("control host enters view", "epoch", view.Epoch, "members", view.Names(), "registers", len(saved.Registers))
-	h.runAndSend(func(now time.Time) quorum.Output { return node.Start(now, saved) })
+	h.sendAll(f.setNode(node, saved, folder, view))
 	h.stepMu.Lock()
 	defer h.stepMu.Unlock()
 	for _, l := range saved.Learnt {
@@ -97,11 +96,13 @@
 	return saved, nil
 }
 
-// setNode replaces the host's node, its vote folder and its view. With a nil node
-// the host takes no part in the consensus protocol.
+// setNode replaces the host's node, its vote folder and its view, starts the node with
+// what was saved and returns the messages to send. No other step runs before the start:
+// messages of the view may have arrived already, and would find the node blank. With a nil
+// node the host takes no part in the consensus protocol.
 // Callers that wait for a result of the old node get quorum.ErrNoMajority, as the
 // outcome is unknown.
-func (f *fleet) setNode(node *quorum.Node, folder *disk.Folder, view feed.View) {
+func (f *fleet) setNode(node *quorum.Node, saved quorum.Saved, folder *disk.Folder, view feed.View) []quorum.Envelope {
 	h := f.host
 	h.stepMu.Lock()
 	defer h.stepMu.Unlock()
@@ -109,6 +110,7 @@
 	f.closeVoteFolder()
 	h.node, h.voteFolder, f.view, f.enteredAt = node, folder, view, time.Now()
 	f.publishVote()
+	return h.runLockedStep(func(now time.Time) quorum.Output { return node.Start(now, saved) })
 }
 
 // close closes the vote folder of the current view.
--- a/io/ctrl/step.go
+++ b/io/ctrl/step.go
@@ -30,6 +30,11 @@
 func (h *Host) runStep(step func(now time.Time) quorum.Output) []quorum.Envelope {
 	h.stepMu.Lock()
 	defer h.stepMu.Unlock()
+	return h.runLockedStep(step)
+}
+
+// runLockedStep is runStep for a caller that holds stepMu.
+func (h *Host) runLockedStep(step func(now time.Time) quorum.Output) []quorum.Envelope {
 	if h.stopped || h.node == nil {
 		return nil
 	}
@@ -58,7 +63,12 @@
 
 // runAndSend runs a step and sends all its messages.
 func (h *Host) runAndSend(step func(now time.Time) quorum.Output) {
-	for _, e := range h.runStep(step) {
+	h.sendAll(h.runStep(step))
+}
+
+// sendAll sends messages.
+func (h *Host) sendAll(list []quorum.Envelope) {
+	for _, e := range list {
 		h.send(e)
 	}
 }
@@ -151,13 +161,13 @@
 		return
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	for _, v := range values {
 		h.learnt[v.Name] = h.node.Learnt(v.Name)
 		h.log.Info("document chosen", "service", v.Name, "revision", v.Revision, "deleted", v.Deleted)
 	}
 	close(h.changed)
 	h.changed = make(chan struct{})
+	h.mu.Unlock()
 	if h.fleet != nil {
 		h.fleet.applyChosen(values)
 	}
