Acknowledge a plan once a higher version is known to be chosen

Beside heavy load a plan was answered 700 ms after its host had learnt that a higher version was chosen, as it still confirmed that with a majority, and one of eight such plans missed its 4 s.

Change: PutPlan returns once its host knows that the version or a higher one was chosen, and withdraws its proposal. That value is on disk at a majority already, which is all that the acknowledgement says.

--- a/io/ctrl/plan.go
+++ b/io/ctrl/plan.go
@@ -25,8 +25,9 @@
 var ErrNotMember = errors.New("control: this host does not vote")
 
 // PutPlan proposes a plan and returns nil once a majority has written it, or a
-// plan with a higher version, to disk. The orders to evacuate data centres stay in
-// force. It returns ErrNotMember, quorum.ErrRecovering
+// plan with a higher version, to disk. It need not propose the plan for that, or can stop
+// proposing it, once this host knows that such a version was chosen. The orders to evacuate
+// data centres stay in force. It returns ErrNotMember, quorum.ErrRecovering
 // while this host is a member that does not vote yet, and quorum.ErrNoMajority when
 // the outcome is unknown. The host must be part of a fleet, as for ReadPlan and
 // Voters.
@@ -41,12 +42,45 @@
 	c := quorum.Change{Name: planName, Version: d.Plan.Version, At: begin, Body: body, Edit: func(current json.RawMessage) (json.RawMessage, error) {
 		return plan.WithOrdersOf(current, body)
 	}}
+	go func() {
+		if h.waitChosen(ctx, d.Plan.Version) {
+			cancel() // The proposal has nothing left to do.
+		}
+	}()
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
+	held := r.Value.Version
+	if chosen, _ := h.chosenVersion(); errors.Is(r.Err, quorum.ErrNoMajority) && chosen >= d.Plan.Version {
+		held, r.Err = chosen, nil
+	}
 	h.log.Info("plan proposed", "version", d.Plan.Version, "epoch", h.fleet.state.View().Epoch,
-		"held", r.Value.Version, "took", time.Since(begin).String(), "error", errorText(r.Err))
+		"held", held, "took", time.Since(begin).String(), "error", errorText(r.Err))
 	return frontError(r.Err)
 }
 
+// chosenVersion returns the highest version of the plan that this host knows to be chosen,
+// and a channel that is closed when it may have risen.
+func (h *Host) chosenVersion() (uint64, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.learnt[planName].Chosen.Version, h.changed
+}
+
+// waitChosen waits until this host knows that a plan of the given version or a higher one
+// was chosen. It returns false when ctx ends first.
+func (h *Host) waitChosen(ctx context.Context, version uint64) bool {
+	for {
+		chosen, changed := h.chosenVersion()
+		if chosen >= version {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
 // ReadPlan returns the newest plan that a majority holds, and false when there
 // is none. It returns ErrNotMember, quorum.ErrRecovering while this host is a member
 // that does not vote yet, and quorum.ErrNoMajority when too few hosts answer or the
