--- a/io/ctrl/step.go
+++ b/io/ctrl/step.go
@@ -30,6 +30,11 @@
 func (h *Host) runStep(step func(now time.Time) quorum.Output) []quorum.Envelope {
 	h.stepMu.Lock()
 	defer h.stepMu.Unlock()
+	return h.runLockedStep(step)
+}
+
+// runLockedStep is runStep for a caller that holds stepMu.
+func (h *Host) runLockedStep(step func(now time.Time) quorum.Output) []quorum.Envelope {
 	if h.stopped || h.node == nil {
 		return nil
 	}
@@ -58,7 +63,12 @@
 
 // runAndSend runs a step and sends all its messages.
 func (h *Host) runAndSend(step func(now time.Time) quorum.Output) {
-	for _, e := range h.runStep(step) {
+	h.sendAll(h.runStep(step))
+}
+
+// sendAll sends messages.
+func (h *Host) sendAll(list []quorum.Envelope) {
+	for _, e := range list {
 		h.send(e)
 	}
 }
@@ -109,14 +119,21 @@
 
 // propose starts a change or read with begin, which returns the node's ticket for
 // it, and waits for the result. The result's Err is errNotTakingPart when the host
-// has stopped or has no node, and quorum.ErrNoMajority when ctx ends first.
+// has stopped or has no node, and quorum.ErrNoMajority when ctx ends first. The change
+// or read is then withdrawn as far as it has not begun: its caller sends it again to
+// another host, and would compete with it.
 func (h *Host) propose(ctx context.Context, begin func(now time.Time) (uint64, quorum.Output)) quorum.Result {
 	result := make(chan quorum.Result, 1)
 	started := false
+	var (
+		ticket uint64
+		node   *quorum.Node
+	)
 	h.runAndSend(func(now time.Time) quorum.Output {
-		ticket, out := begin(now)
+		var out quorum.Output
+		ticket, out = begin(now)
 		h.waiting[ticket] = result
-		started = true
+		node, started = h.node, true
 		return out
 	})
 	if !started {
@@ -126,6 +143,13 @@
 	case r := <-result:
 		return r
 	case <-ctx.Done():
+		h.runAndSend(func(now time.Time) quorum.Output {
+			if h.node != node {
+				return quorum.Output{} // The view has changed; tickets of the former node mean nothing.
+			}
+			delete(h.waiting, ticket)
+			return h.node.Cancel(now, ticket)
+		})
 		return quorum.Result{Err: quorum.ErrNoMajority}
 	}
 }
@@ -137,13 +161,13 @@
 		return
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	for _, v := range values {
 		h.learnt[v.Name] = h.node.Learnt(v.Name)
 		h.log.Info("document chosen", "service", v.Name, "revision", v.Revision, "deleted", v.Deleted)
 	}
 	close(h.changed)
 	h.changed = make(chan struct{})
+	h.mu.Unlock()
 	if h.fleet != nil {
 		h.fleet.applyChosen(values)
 	}
