Tell full targets that reset connections from failing ones

Callers of services whose targets reset connections when they are full lost calls in bursts: each reset counted as a failure, targets that failed left their calls to the others, which were overfilled in turn, and hosts that decide alone filled targets that others had filled.

core/route full.go learns it by service: three resets of written calls within 10 s of each other, at targets whose slots are all in use by the calls in flight or by the last report, each followed by an answer or a report which shows that the target lives on. A learnt service is forgotten after five minutes without such a reset. While it is learnt, a reset at full slots pauses the target for the time in which a slot becomes free, and is no failure unless there are more than five in a row without an answer. Calls that must not run twice go where a slot is free (calls in flight, calls given up since the last report, and those of others); the others may also use a queue of half the slots. A host that decides alone uses its share of the slots. Services that have not shown this are decided as before: golden files are unchanged.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -108,6 +108,17 @@
 		Limit route.ColdLimit
 	}
 
+	// LearnResets reports that another host has learnt that the targets reset connections
+	// when they are full.
+	LearnResets struct{}
+
+	// SetSlotShare sets the share of the slots that this host may use at targets that reset
+	// connections when they are full, see route.Table.SetSlotShare.
+	SetSlotShare struct {
+		// Share is the new share.
+		Share float64
+	}
+
 	// Tick reports that time has passed: queued calls that have waited too long
 	// are refused, calls at targets whose results are overdue are ended, and queued
 	// calls are sent if targets have become available.
@@ -145,6 +156,9 @@
 		ExtraAfter time.Duration
 		// Extra marks a second attempt beside one in progress.
 		Extra bool
+		// ResetsWhenFull says that the targets of the service reset connections when
+		// they are full.
+		ResetsWhenFull bool
 	}
 
 	// Hold tells the entry host that a call is queued until a target is available.
@@ -223,6 +237,8 @@
 	_ Event  = ProbeReport{}
 	_ Event  = LimitReport{}
 	_ Event  = SetColdLimit{}
+	_ Event  = LearnResets{}
+	_ Event  = SetSlotShare{}
 	_ Event  = Tick{}
 	_ Action = Send{}
 	_ Action = Hold{}
@@ -263,6 +279,8 @@
 func (ProbeReport) isEvent()  {}
 func (LimitReport) isEvent()  {}
 func (SetColdLimit) isEvent() {}
+func (LearnResets) isEvent()  {}
+func (SetSlotShare) isEvent() {}
 func (Tick) isEvent()         {}
 func (Send) isAction()        {}
 func (Hold) isAction()        {}
--- a/core/engine/extra.go
+++ b/core/engine/extra.go
@@ -276,9 +276,13 @@
 	elapsed := now.Sub(f.sent)
 	if e.Result == Withdrawn {
 		s.targets.Finish(f.target, route.Feedback{}, elapsed, now)
+		s.targets.Abandon(f.target, now)
 		s.extras.latencies.ObserveAtLeast(extraClass(c), elapsed)
 		return
 	}
+	if e.Feedback.Reset && s.targets.ObserveReset(f.target, s.doc.Targets.Slots, e.Result == Unknown, now) {
+		e.Feedback.Outcome = route.Full
+	}
 	s.targets.Finish(f.target, e.Feedback, elapsed, now)
 	if e.Result == Answered || e.Feedback.Outcome == route.Shed {
 		s.targets.ReturnConn(f.target, c.host, now)
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -128,6 +128,12 @@
 	return func(s *Scheduler) { s.targets.SetLimitShare(share) }
 }
 
+// WithSlotShare sets the share of the slots that this host may use at targets that reset
+// connections when they are full; the default is 1.
+func WithSlotShare(share float64) Option {
+	return func(s *Scheduler) { s.targets.SetSlotShare(share) }
+}
+
 // WithHolds makes the Scheduler return a Hold for every call that it queues.
 func WithHolds() Option {
 	return func(s *Scheduler) { s.reportHolds = true }
@@ -180,6 +186,10 @@
 	case SetColdLimit:
 		s.targets.SetColdLimit(e.Limit)
 		return s.dispatchQueued(dst, now)
+	case LearnResets:
+		s.targets.LearnResets(now)
+	case SetSlotShare:
+		s.targets.SetSlotShare(e.Share)
 	case Tick:
 		return s.tick(dst, now)
 	}
@@ -196,6 +206,12 @@
 	return s.queue.Len()
 }
 
+// ResetsWhenFull reports whether the targets have shown that they reset connections when they
+// are full, and how many resets were taken as a sign of that since the start.
+func (s *Scheduler) ResetsWhenFull(now time.Time) (learnt bool, taken uint64) {
+	return s.targets.ResetsWhenFull(now), s.targets.FullResets()
+}
+
 // configure applies a service document. Open calls keep their classes.
 func (s *Scheduler) configure(doc spec.Service) {
 	s.doc = doc
@@ -354,6 +370,7 @@
 			f.Outcome = route.Failed
 		}
 		s.targets.Finish(attempt.target, f, now.Sub(attempt.sent), now)
+		s.targets.Abandon(attempt.target, now)
 	}
 	if c.target == "" && c.second.target == "" && !c.mayHaveRun {
 		s.returnToQuota(c.class.Account, now)
@@ -443,7 +460,7 @@
 // choose picks a target for a call. It reports false when no target can accept
 // the call now.
 func (s *Scheduler) choose(c *call, now time.Time) (route.Pick, bool) {
-	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: s.excludedTargets(c), Now: now, DataCentre: c.dataCentre, Host: c.host}
+	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: s.excludedTargets(c), Now: now, DataCentre: c.dataCentre, Host: c.host, Once: !c.class.Idempotent}
 	q.Relaxed = c.class.Aim > relaxedAimFactor*s.targets.MeanLatency()
 	return s.targets.Choose(s.policy, q, s.rng)
 }
@@ -460,7 +477,7 @@
 	return append(dst, Send{
 		Call: id, Target: pick.Name, Address: pick.Address, Incarnation: pick.Incarnation, Attempt: c.attempts,
 		Candidates: pick.Candidates, Why: pick.Why, InFlight: pick.InFlight, ReportAge: pick.ReportAge,
-		HeldFor: now.Sub(c.arrived), ExtraAfter: s.extraAfter(c, now),
+		HeldFor: now.Sub(c.arrived), ExtraAfter: s.extraAfter(c, now), ResetsWhenFull: s.targets.ResetsWhenFull(now),
 	})
 }
 
@@ -534,15 +551,23 @@
 
 // dispatchQueued sends queued calls while targets have free slots. A call that has
 // already tried all targets with free slots, or whose host they want no calls from, stays
-// queued, and the calls behind it may be sent before it.
+// queued, and the calls behind it may be sent before it. So does a call that must not run
+// twice while no slot is certainly free.
 func (s *Scheduler) dispatchQueued(dst []Action, now time.Time) []Action {
 	s.skipped = s.skipped[:0]
+	noneFree := false // No slot is certainly free.
 	for h, ok := s.queue.Peek(); ok; h, ok = s.queue.Peek() {
 		c := s.calls[h.Call]
-		pick, found := s.choose(c, now)
-		if !found && len(c.tried) == 0 && !s.targets.HasRests(now) {
+		once := !c.class.Idempotent && s.targets.ResetsWhenFull(now)
+		var pick route.Pick
+		found := false
+		if !once || !noneFree {
+			pick, found = s.choose(c, now)
+		}
+		if !found && len(c.tried) == 0 && !s.targets.HasRests(now) && !once {
 			break
 		}
+		noneFree = noneFree || once && !found && len(c.tried) == 0 && !s.targets.HasRests(now)
 		s.queue.Pop()
 		if !found {
 			s.skipped = append(s.skipped, h)
--- a/core/engine/stats.go
+++ b/core/engine/stats.go
@@ -20,6 +20,9 @@
 	Targets route.Occupancy
 	// MeanLatency is the moving average latency of all targets.
 	MeanLatency time.Duration
+	// ResetsWhenFull says that the targets have shown that they reset connections when they
+	// are full.
+	ResetsWhenFull bool
 	// AccountsWaiting is the number of client accounts that have queued calls, counted once
 	// for each rank, and LargestShare the largest share of the open calls that one has, from
 	// 0 to 1. Both are 0 until the first call with an account.
@@ -35,7 +38,7 @@
 func (s *Scheduler) Stats(now time.Time) Stats {
 	stats := Stats{
 		OpenCalls: len(s.calls), QueuedCalls: s.queue.Len(),
-		InFlight: s.targets.InFlight(), MeanLatency: s.targets.MeanLatency(),
+		InFlight: s.targets.InFlight(), MeanLatency: s.targets.MeanLatency(), ResetsWhenFull: s.targets.ResetsWhenFull(now),
 	}
 	for _, c := range s.calls {
 		if now.After(c.deadline) {
--- a/core/route/fastest.go
+++ b/core/route/fastest.go
@@ -210,6 +210,7 @@
 	case ProbeLost:
 		s.lostProbes++
 		s.probeLostAt = at
+		s.resetOpen = false
 	case ProbeUnhealthy, ProbeHealthy:
 		s.unhealthy = p.Result == ProbeUnhealthy
 		s.lostProbes, s.probed, s.probedAt = 0, true, at
--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -31,6 +31,9 @@
 		Rest time.Duration
 		// AddressTaken says that another target answered at the address.
 		AddressTaken bool
+		// Reset says that the target has reset the connection before a byte of the
+		// answer. Outcome is Failed or Unreachable then.
+		Reset bool
 	}
 )
 
@@ -48,6 +51,10 @@
 	Failed
 	// Unreachable means that no connection to the target could be opened.
 	Unreachable
+	// Full means that the target has reset the connection because it is full, which is no
+	// failure. Only hosts that decide draw this conclusion, see Table.ObserveReset; it is
+	// not sent.
+	Full
 )
 
 const (
@@ -130,6 +137,11 @@
 		t.recordFailure(s, failureWeight, at)
 	case Unreachable:
 		t.recordFailure(s, s.unreachableWeight(at), at)
+		s.resetOpen = s.resetOpen && f.Reset
+	}
+	if f.Answered || f.Outcome == Served || f.Outcome == Shed {
+		s.resetsInRow = 0
+		t.showReset(s, at-elapsed, at, false)
 	}
 	if f.Reported {
 		t.applyLoadReport(s, f.Load, at)
@@ -256,6 +268,8 @@
 		t.excessPace += (max(float64(l.Pace)-normalPace, 0) - t.excessPace) * meanPaceWeight
 	}
 	s.otherCalls, s.otherCallsAt = l.Running+l.Queued-s.inFlight, at
+	s.abandoned = 0
+	t.showReset(s, at, at, l.FreeSlots() <= 0)
 	if l.FreeSlots() > 0 {
 		s.fullUntil = 0
 		return
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -30,6 +30,12 @@
 		// Host identifies the host that sends the call, for the rests that targets have
 		// asked it for; 0 for this host.
 		Host uint64
+		// Once says that the call must not run twice: it is sent only where a slot is
+		// certainly free if the targets reset connections when they are full.
+		Once bool
+		// shareUsed says that this host uses its share of all slots; see
+		// Table.SetSlotShare.
+		shareUsed bool
 		// warmReady says that calls need not go to cold targets; see Table.warmReady.
 		warmReady bool
 	}
@@ -100,7 +106,7 @@
 // host. It reports false when there is none at q.Now.
 func (t *Table) Choose(p Policy, q Query, rng *rand.Rand) (Pick, bool) {
 	at := t.offset(q.Now)
-	q.warmReady = t.warmReady(q, at)
+	q.warmReady, q.shareUsed = t.warmReady(q, at), t.shareUsed(q, at)
 	switch p := p.(type) {
 	case TwoChoices:
 		return t.twoChoices(p, q, at, rng)
@@ -116,7 +122,8 @@
 
 // usable reports whether the target of row i has a free slot as far as this entry
 // host's calls show, is not excluded, is not paused after a shed, has named no limit
-// that is reached and does not get all calls that it may get while it is cold.
+// that is reached, does not get all calls that it may get while it is cold and would not
+// reset the call since it is full.
 func (t *Table) usable(i int, q Query, at time.Duration) bool {
 	s := &t.states[i]
 	if s.inFlight >= t.callLimit(i, q) || s.shedUntil > at || t.limitReached(s, at) || s.restLeft(q.Host, at) > 0 || t.coldLimitReached(i, at, q.warmReady) {
@@ -127,7 +134,7 @@
 			return false
 		}
 	}
-	return true
+	return !t.learntAt(at) || !t.overfilled(i, q, at)
 }
 
 // callLimit returns the most calls in flight that this entry host may have at
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -17,7 +17,9 @@
 		epoch      time.Time
 		dataCentre string
 		limitShare float64 // See SetLimitShare.
+		slotShare  float64 // See SetSlotShare.
 		cold       ColdLimit
+		resets     resetSigns
 		index      map[string]int
 		readyRows  []int // The rows of the targets that accept new calls.
 		coldCount  int   // The number of targets in state member.Cold.
@@ -132,6 +134,16 @@
 		cold coldState
 		// rests are the rests that the target has asked hosts for.
 		rests []hostRest
+		// resetOpen says that it is not shown yet whether the target lives on after the
+		// reset at resetAt.
+		resetOpen bool
+		resetAt   time.Duration
+		// resetsInRow is the number of resets at full slots since the last answer.
+		resetsInRow int
+		// abandoned is the number of calls that were given up since the last load report,
+		// the latest of them at abandonedAt.
+		abandoned   int
+		abandonedAt time.Duration
 		// conns holds the hosts that have used the target lately.
 		conns []hostConns
 	}
