Report resets of targets to the hosts that decide

Control hosts could not tell a reset from other failures, and entry hosts that decide alone did not know what control hosts had learnt about targets that reset connections when they are full.

CallFinish.connection_reset says that a target reset the connection before a byte of the answer; CallSend.resets_when_full says that the service was learnt. Both are left out while they are false, so that bytes between hosts stay the same for other services. Entry hosts pass what they are told on to their own engines, whose share of the slots follows the number of entry hosts. At a target of a learnt service, a reset is neither evidence against the target nor a lost link, no connection is opened to check it, and the call is not offered to a carrier; the call does not count as lost with the target if that has answered others before it ends. A connection that is reset before a byte of the call was written is still not_run. Brokers count resets_when_full and services_learnt_to_reset and log when a service is learnt; entry hosts count connections_reset.

If resets_when_full stays 0 while connections_reset grows, targets reset whatever their load, and this changes nothing.

--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -47,6 +48,9 @@
 		timer        *time.Timer
 		nextTick     time.Time     // Time of the next Tick; zero when none is scheduled.
 		longestLag   time.Duration // As in State.
+		log          *slog.Logger
+		resets       bool // The last results of Scheduler.ResetsWhenFull.
+		resetsTaken  uint64
 	}
 )
 
@@ -55,8 +59,8 @@
 // Spawn starts the broker of the service called name in system and returns its
 // address for messages. While calls are queued, the scheduler gets a Tick at least
 // every interval.
-func Spawn(system *actor.ActorSystem, name string, scheduler *engine.Scheduler, interval time.Duration, metrics *telem.Registry) *actor.PID {
-	b := &Broker{scheduler: scheduler, name: name, deliverFuncs: make(map[uint64]func(engine.Action)), metrics: metrics, interval: interval}
+func Spawn(system *actor.ActorSystem, name string, scheduler *engine.Scheduler, interval time.Duration, metrics *telem.Registry, log *slog.Logger) *actor.PID {
+	b := &Broker{scheduler: scheduler, name: name, deliverFuncs: make(map[uint64]func(engine.Action)), metrics: metrics, interval: interval, log: log}
 	return system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return b }))
 }
 
@@ -129,6 +133,27 @@
 	for _, action := range b.actions {
 		b.deliver(action)
 	}
+	b.reportResets(now)
+}
+
+// reportResets counts the resets that were taken as a sign of a full target, and logs when the
+// service is learnt to reset connections or is no longer taken to do so.
+func (b *Broker) reportResets(now time.Time) {
+	learnt, taken := b.scheduler.ResetsWhenFull(now)
+	if taken > b.resetsTaken {
+		b.metrics.Counter("resets_when_full").Add(int64(taken - b.resetsTaken))
+		b.resetsTaken = taken
+	}
+	if learnt == b.resets {
+		return
+	}
+	b.resets = learnt
+	if learnt {
+		b.metrics.Counter("services_learnt_to_reset").Add(1)
+		b.log.Warn("targets reset connections when full", "service", b.name)
+		return
+	}
+	b.log.Info("targets no longer reset connections when full", "service", b.name)
 }
 
 // deliver passes an action to the Deliver function of its call, if the call is
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -17,6 +17,7 @@
 	carrier        netip.AddrPort    // Where the attempt is sent instead of to its target; invalid for none.
 	carryOutcome   wire.CarryOutcome // What the carrier said of the attempt.
 	targetAnswered bool              // The attempt got an answer of its target.
+	resetsWhenFull bool              // The targets of the service reset connections when they are full.
 	linkLost       bool              // The attempt failed because this host's link to the target is lost.
 	keyProblem     *problem          // Why it was not sent: the key is not accepted any more; nil for none.
 	failure        *heldAnswer       // The answer with which the target says that it failed, not passed on; nil for none.
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -282,6 +282,7 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
+		h.noteResets(c, action)
 		a := newAttempt(c, action)
 		if h.mustWithhold(a, action) {
 			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -91,7 +91,7 @@
 	if a.carryOutcome == wire.CarryUnknown {
 		result = engine.Unknown
 	}
-	a.feedback = a.feedbackWithoutResponse(r.Context(), result)
+	a.feedback = a.feedbackWithoutResponse(r.Context(), result, false)
 	return result
 }
 
--- a/io/entry/cold.go
+++ b/io/entry/cold.go
@@ -26,14 +26,19 @@
 // coldLimit returns the limit for this host's own decisions for calls to cold targets of a
 // service.
 func (f *fleet) coldLimit(v *plan.Service) route.ColdLimit {
+	cfg := &f.host.cfg.Fleet
+	return route.NewAloneColdLimit(v.WarmRate, cfg.WarmOvershoot, cfg.WarmSlack, f.hostCount(), f.coldSeed)
+}
+
+// hostCount returns the number of entry hosts as far as known here.
+func (f *fleet) hostCount() int {
 	hosts := int(f.entryHosts.Load())
 	if told := int(f.toldHosts.Load()); told > 0 {
 		hosts = told
 	} else if hosts == 0 || hosts > maxListedHosts {
 		hosts = assumedHosts
 	}
-	cfg := &f.host.cfg.Fleet
-	return route.NewAloneColdLimit(v.WarmRate, cfg.WarmOvershoot, cfg.WarmSlack, hosts, f.coldSeed)
+	return hosts
 }
 
 // limitCold puts the limits for calls to cold targets in force at the engines of the services
@@ -54,7 +59,7 @@
 	}
 }
 
-// countEntryHosts adapts the limits for calls to cold targets to a number of entry hosts.
+// countEntryHosts adapts the limits for calls to cold and to full targets to a number of entry hosts.
 func (f *fleet) countEntryHosts(n int) {
 	f.adaptColdLimits(&f.entryHosts, n)
 }
@@ -72,5 +77,6 @@
 	}
 	if active := f.active.Load(); active != nil {
 		f.limitCold(active.plan)
+		f.shareSlots()
 	}
 }
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -39,6 +39,7 @@
 		awaitingBytes    bool  // net/http has consumed all bytes and waits for more.
 		sealed           bool  // No more requests: closed, or about to be.
 		closedByTarget   bool  // The target's side has closed or reset the connection.
+		resetByTarget    bool  // The target's side has reset the connection.
 		sentBytes        int64 // Bytes of the request that the kernel accepted.
 		requestStart     time.Time
 		lastRead         time.Time
@@ -59,7 +60,11 @@
 func (c *targetConn) beginRequest(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sealed || hasUnread(c.raw) {
+	if c.sealed {
+		return false
+	}
+	if unread, err := peek(c.raw); unread {
+		c.recordClose(err)
 		return false
 	}
 	c.inRequest, c.requestStarted, c.responseComplete = true, false, false
@@ -222,6 +227,7 @@
 func (c *targetConn) recordClose(err error) {
 	closed := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	c.closedByTarget = c.closedByTarget || closed && !c.sealed
+	c.resetByTarget = c.resetByTarget || errors.Is(err, syscall.ECONNRESET) && !c.sealed
 }
 
 // wasClosedByTarget reports whether the target's side closed the connection before this
@@ -232,6 +238,14 @@
 	return c.closedByTarget
 }
 
+// wasReset reports whether the target's side reset the connection, before this host closed it
+// and before a byte of the response to the current request.
+func (c *targetConn) wasReset() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resetByTarget && !c.lastRead.After(c.requestStart)
+}
+
 // setOnLost sets the function that is called when the connection closes before
 // the current request has ended.
 func (c *targetConn) setOnLost(onLost func()) {
--- a/io/entry/dial.go
+++ b/io/entry/dial.go
@@ -64,17 +64,22 @@
 // side or has failed. It also detects what a goroutine that waits to read from the
 // socket has not been woken up for yet.
 func hasUnread(raw syscall.RawConn) bool {
-	waiting := false
-	peek := func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting = !errors.Is(err, unix.EAGAIN)
-	}
+	waiting, _ := peek(raw)
+	return waiting
+}
+
+// peek implements hasUnread and returns the error of the socket, if it has one, which is
+// then gone from the socket.
+func peek(raw syscall.RawConn) (bool, error) {
+	var err error
 	// Control, unlike Read, does not wait for a pending reader.
-	if err := raw.Control(peek); err != nil {
-		return true
+	if controlErr := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); controlErr != nil {
+		return true, controlErr
 	}
-	return waiting
+	return !errors.Is(err, unix.EAGAIN), err
 }
 
 // readNonBlocking reads from a non-blocking socket. It returns EAGAIN when there
--- a/io/entry/feedback.go
+++ b/io/entry/feedback.go
@@ -13,15 +13,16 @@
 
 // feedbackWithoutResponse returns the feedback about a target after an attempt
 // without a response. It is empty when the caller has disconnected, or when this host has
-// lost its link to the target, which says nothing about the target.
-func (a *attempt) feedbackWithoutResponse(caller context.Context, result engine.Result) route.Feedback {
+// lost its link to the target, which says nothing about the target. reset says that the target
+// has reset the connection.
+func (a *attempt) feedbackWithoutResponse(caller context.Context, result engine.Result, reset bool) route.Feedback {
 	switch {
 	case caller.Err() != nil || a.linkLost:
 		return route.Feedback{}
 	case result == engine.NotRun:
-		return route.Feedback{Outcome: route.Unreachable}
+		return route.Feedback{Outcome: route.Unreachable, Reset: reset}
 	default:
-		return route.Feedback{Outcome: route.Failed}
+		return route.Feedback{Outcome: route.Failed, Reset: reset}
 	}
 }
 
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -191,6 +191,7 @@
 	f.setQuotas(p)
 	h.services.Store(next)
 	f.limitCold(p)
+	f.shareSlots()
 	if f.active.Swap(&activePlan{plan: p, table: plan.NewTable(p), accounts: newAccounts(p)}) == nil {
 		close(f.planKnown)
 	}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,12 +98,16 @@
 // it did not run the call.
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) engine.Result {
 	a.linkLost, a.keyProblem = false, nil
+	a.resetsWhenFull = a.host.resets.learnt(a.service.doc.Name, time.Now())
 	conn, err := f.connect(ctx, a, s.Address)
 	if err == nil {
 		return f.exchange(ctx, w, r, a, s, conn)
 	}
-	if result, carried := f.carry(ctx, w, r, a, s); carried {
-		return result
+	full := a.resetsWhenFull && errors.Is(err, syscall.ECONNRESET)
+	if !full { // Another host would find the target full too.
+		if result, carried := f.carry(ctx, w, r, a, s); carried {
+			return result
+		}
 	}
 	if a.keyProblem != nil {
 		return engine.NotRun
@@ -111,8 +116,10 @@
 		return engine.Withdrawn
 	}
 	f.log.Info("target not reached", "call", a.name, "target", s.Target, "link_lost", a.linkLost, "error", err)
-	f.activity.recordFailure(a.service.doc.Name, s.Target)
-	a.feedback = a.feedbackWithoutResponse(r.Context(), engine.NotRun)
+	if !full {
+		f.activity.recordFailure(a.service.doc.Name, s.Target)
+	}
+	a.feedback = a.feedbackWithoutResponse(r.Context(), engine.NotRun, full)
 	return engine.NotRun
 }
 
@@ -198,15 +205,26 @@
 	if f.pool.discard(conn) {
 		result = engine.Unknown
 	}
-	if conn.address == s.Address {
+	reset := conn.address == s.Address && conn.wasReset()
+	switch {
+	case reset && a.resetsWhenFull:
+		// The link works: the target is probably full.
+	case conn.address == s.Address:
 		a.linkLost = f.linkLost(ctx, conn, a)
-	} else {
+	default:
 		a.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
 	}
-	f.log.Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.fresh,
+	var attrs []any
+	if reset {
+		f.metrics.Counter("connections_reset").Add(1)
+		attrs = []any{"reset", true}
+	}
+	f.log.With(attrs...).Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.fresh,
 		"may_have_run", result == engine.Unknown, "carrier", carrierName(a.carrier), "link_lost", a.linkLost, "error", err)
-	f.activity.recordFailure(a.service.doc.Name, s.Target)
-	a.feedback = a.feedbackWithoutResponse(r.Context(), result)
+	if !reset || !a.resetsWhenFull {
+		f.activity.recordFailure(a.service.doc.Name, s.Target)
+	}
+	a.feedback = a.feedbackWithoutResponse(r.Context(), result, reset)
 	if result == engine.Unknown {
 		f.observeLoss(r, a, s, conn)
 	}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -35,6 +35,7 @@
 		uploads       *uploadBacklog
 		limits        limitTracker
 		rests         restTracker
+		resets        resetTracker
 		leavers       leaverTracker
 		crashes       *crash.Table // Calls that were at targets as these ended.
 		dialect       wire.Dialect
@@ -104,7 +105,7 @@
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
 	h.forwarder = newForwarder(&h.cfg, h.dialect, h.log, h.metrics)
-	h.forwarder.losses = lossWatcher{ended: h.callsLost, dial: h.forwarder.dialOnce, replaced: h.targetReplaced}
+	h.forwarder.losses = lossWatcher{ended: h.callsLost, dial: h.forwarder.dialOnce, replaced: h.targetReplaced, answered: h.forwarder.answeredSince}
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
--- a/io/entry/losses.go
+++ b/io/entry/losses.go
@@ -30,6 +30,9 @@
 		remote      string
 		sent        time.Time // When the request began on the connection.
 		lost        time.Time // When the connection was found closed.
+		// mayBeFull says that the target has reset the connection, and that targets of
+		// its service do so when they are full.
+		mayBeFull bool
 	}
 
 	// lossWatcher finds out whether targets that closed connections during calls have
@@ -42,6 +45,8 @@
 		// replaced reports whether a later incarnation than the given one, of any target,
 		// uses the address.
 		replaced func(uint64, netip.AddrPort) bool
+		// answered reports whether a target has answered a call since a time.
+		answered func(member.Key, time.Time) bool
 
 		mu      sync.Mutex
 		watches map[incarnationKey]*lossWatch
@@ -129,6 +134,9 @@
 			ended = true
 			l.finish(key)
 		}
+		if !ended {
+			l.spare(key)
+		}
 		if !sleep(ctx, replacedPeriod) {
 			return
 		}
@@ -154,6 +162,20 @@
 	}
 }
 
+// spare drops the calls that a full target has reset which has answered others since: they are
+// not lost with it if it ends later.
+func (l *lossWatcher) spare(key incarnationKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	watch := l.watches[key]
+	watch.calls = slices.DeleteFunc(watch.calls, func(c lostCall) bool { return c.mayBeFull && l.answered(key.Key, c.lost) })
+}
+
+// answeredSince reports whether a target has answered a call of this host since t.
+func (f *forwarder) answeredSince(target member.Key, t time.Time) bool {
+	return f.activity.evidenceFor(target).Answered.After(t)
+}
+
 // observeLoss watches the target of an attempt on conn, which got no whole answer, if the
 // target has closed the connection and was not about to leave.
 func (f *forwarder) observeLoss(r *http.Request, a *attempt, s engine.Send, conn *targetConn) {
@@ -165,6 +187,7 @@
 		call: a.name, id: id, target: member.Key{Service: a.service.doc.Name, Target: s.Target},
 		incarnation: s.Incarnation, address: s.Address, method: r.Method, path: r.URL.EscapedPath(),
 		remote: r.RemoteAddr, sent: conn.began(), lost: time.Now(),
+		mayBeFull: a.resetsWhenFull && conn.wasReset(),
 	})
 }
 
--- a/io/entry/losses_test.go
+++ b/io/entry/losses_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -97,6 +98,25 @@
 	g.Expect(e.list()).To(gomega.Equal([]string{"1", "2"}))
 }
 
+// Guards against callers that are blocked since a full target, which was started again soon
+// after, had reset their calls.
+func TestCallsResetByFullTargetsAreNotLostWithThem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var (
+		e       endRecorder
+		started atomic.Bool
+	)
+	w := e.watcher(false)
+	w.replaced = func(uint64, netip.AddrPort) bool { return started.Load() }
+	w.answered = func(member.Key, time.Time) bool { return !started.Load() }
+	time.AfterFunc(replacedPeriod/2, func() { started.Store(true) })
+	w.observe(t.Context(), lostCall{call: "reset", incarnation: 1, mayBeFull: true})
+	w.observe(t.Context(), lostCall{call: "lost", incarnation: 1})
+	g.Eventually(e.list, 3*replacedPeriod).Should(gomega.Equal([]string{"lost"}))
+	w.observe(t.Context(), lostCall{call: "reset as it ended", incarnation: 1, mayBeFull: true})
+	g.Expect(e.list()).To(gomega.Equal([]string{"lost", "reset as it ended"}))
+}
+
 func TestCallerAddressIsTheLastOneThatIsNotAProxy(t *testing.T) {
 	g := gomega.NewWithT(t)
 	trusted := []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -139,6 +139,9 @@
 	p.mu.Unlock()
 	if !c.beginRequest(c.opened) {
 		c.Close()
+		if c.wasReset() {
+			return nil, errors.Wrap(syscall.ECONNRESET, errDial.Error())
+		}
 		return nil, errors.Wrap(errStray, errDial.Error())
 	}
 	ctx = context.WithValue(ctx, dialedKey{}, dialed{conn: c})
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -71,8 +71,8 @@
 // spawnEngine starts the actor that owns the engine of a service.
 func (h *Host) spawnEngine(doc spec.Service) *actor.PID {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	scheduler := engine.NewScheduler(doc, rng, engine.WithDataCentre(h.cfg.DataCentre), engine.WithLimitShare(h.localLimitShare()))
-	return broker.Spawn(h.system, doc.Name, scheduler, h.cfg.Tick.Std(), h.metrics)
+	scheduler := engine.NewScheduler(doc, rng, engine.WithDataCentre(h.cfg.DataCentre), engine.WithLimitShare(h.localLimitShare()), engine.WithSlotShare(h.localSlotShare()))
+	return broker.Spawn(h.system, doc.Name, scheduler, h.cfg.Tick.Std(), h.metrics, h.log)
 }
 
 // setTargets passes the targets of a service to the service's actor, if the service is
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -167,6 +167,8 @@
 	switch {
 	case err == nil:
 		f.ways.opened(address, time.Now())
+	case a.resetsWhenFull && errors.Is(err, syscall.ECONNRESET):
+		// The link works: the target is full.
 	case ctx.Err() == nil:
 		f.recordDialFailure(address, err)
 	}
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -49,6 +49,7 @@
 		Result: uint32(e.Result), Replayable: e.Replayable, Ending: uint32(e.Feedback.Outcome),
 		Drains: e.Feedback.Draining, Gone: e.Feedback.AddressTaken,
 		RestMs: uint32(e.Feedback.Rest.Round(time.Millisecond).Milliseconds()), Attempt: uint32(max(e.Attempt, 0)),
+		ConnectionReset: e.Feedback.Reset,
 	}
 	if e.Feedback.Reported {
 		l := e.Feedback.Load
@@ -63,7 +64,7 @@
 // toFinish decodes the result of an attempt; call is the control host's ID of the
 // call.
 func toFinish(call uint64, m *peerpb.CallFinish) engine.Finish {
-	f := route.Feedback{Outcome: route.Outcome(m.GetEnding()), Draining: m.GetDrains(), AddressTaken: m.GetGone(), Answered: m.GetAnswered()}
+	f := route.Feedback{Outcome: route.Outcome(m.GetEnding()), Draining: m.GetDrains(), AddressTaken: m.GetGone(), Answered: m.GetAnswered(), Reset: m.GetConnectionReset()}
 	f.Rest = time.Duration(m.GetRestMs()) * time.Millisecond
 	if m.Limit != nil {
 		f.Limit = wire.Limit{Named: true, Rate: m.GetLimit()}
@@ -83,7 +84,7 @@
 		m.Decision = &peerpb.CallDecision_Send{Send: &peerpb.CallSend{
 			Target: a.Target, Address: a.Address.String(), Attempt: uint32(a.Attempt), Candidates: uint32(a.Candidates),
 			Why: string(a.Why), InFlight: uint32(a.InFlight), ReportAgeUs: a.ReportAge.Microseconds(), HeldUs: a.HeldFor.Microseconds(),
-			Incarnation: a.Incarnation, ExtraAfterMs: uint32(a.ExtraAfter.Milliseconds()), Extra: a.Extra,
+			Incarnation: a.Incarnation, ExtraAfterMs: uint32(a.ExtraAfter.Milliseconds()), Extra: a.Extra, ResetsWhenFull: a.ResetsWhenFull,
 		}}
 	case engine.Refuse:
 		m.Decision = &peerpb.CallDecision_Refuse{Refuse: &peerpb.CallRefuse{
@@ -110,6 +111,7 @@
 			ReportAge: time.Duration(d.Send.GetReportAgeUs()) * time.Microsecond,
 			HeldFor:   time.Duration(d.Send.GetHeldUs()) * time.Microsecond, Incarnation: d.Send.GetIncarnation(),
 			ExtraAfter: time.Duration(d.Send.GetExtraAfterMs()) * time.Millisecond, Extra: d.Send.GetExtra(),
+			ResetsWhenFull: d.Send.GetResetsWhenFull(),
 		}, nil
 	case *peerpb.CallDecision_Refuse:
 		return engine.Refuse{
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -202,7 +202,7 @@
 		s.system.Root.Send(v.pid, broker.Inspect{Deliver: func(b broker.State) {
 			s.log.Info("service state", "service", name, "open", b.Stats.OpenCalls, "queued", b.Stats.QueuedCalls,
 				"overdue", b.Stats.OverdueCalls, "in_flight", b.Stats.InFlight, "reported", b.Stats.Targets.ReportedCalls,
-				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "limited", b.Stats.Targets.Limited, "cold", b.Stats.Targets.Cold, "mean_latency", b.Stats.MeanLatency.String(),
+				"targets", b.Stats.Targets.Ready, "full", b.Stats.Targets.Full, "failing", b.Stats.Targets.Failing, "limited", b.Stats.Targets.Limited, "resets_when_full", b.Stats.ResetsWhenFull, "cold", b.Stats.Targets.Cold, "mean_latency", b.Stats.MeanLatency.String(),
 				"longest_lag", b.LongestLag.String(), "accounts_waiting", b.Stats.AccountsWaiting, "largest_share", math.Round(b.Stats.LargestShare*100)/100)
 		}})
 	}
@@ -309,7 +309,7 @@
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		extras := s.cfg.LimitExtras(name, s.controls)
 		scheduler := engine.NewScheduler(doc, rng, engine.WithHolds(), engine.WithLimitShare(LimitShare), engine.WithQuota(s.cfg.Quota), engine.WithExtras(extras))
-		v = &service{pid: broker.Spawn(s.system, name, scheduler, s.cfg.HoldCheckInterval, s.metrics), slack: doc.Retry.Slack, extras: extras}
+		v = &service{pid: broker.Spawn(s.system, name, scheduler, s.cfg.HoldCheckInterval, s.metrics, s.log), slack: doc.Retry.Slack, extras: extras}
 		s.services[name] = v
 		s.limitCold(name, v)
 		s.system.Root.Send(v.pid, engine.SetTargets{Records: s.targets[name]})
