Keep quotas whole at control hosts that are busy

Cause: a control host asks each other one a question at a time. It counts from when the question was sent, so that an answer after 200 ms leaves a gap of more than 300 ms, in which it admits only the part of one entry host of 119. The refusals then made the accounts "limited" at all entry hosts, although they had room.

Change: while an answer is due, a report without numbers follows every 50 ms; the limit is 500 ms; refusals of a restricted host do not make an account limited. New: a log line and a counter for restrictions.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -101,8 +101,9 @@
 
 const (
 	// maxSilence is how long a host may not have heard a majority and still admit calls
-	// by the buckets of all hosts. It is six reports.
-	maxSilence = 300 * time.Millisecond
+	// by the buckets of all hosts. Answers of busy hosts take up to 250 ms. What the hosts
+	// on both sides of a cut admit during this time must fit into the overshoot.
+	maxSilence = 500 * time.Millisecond
 	// headroomDivisor is the part of the slack by which a bucket is larger than the
 	// burst: calls of an account within its burst do not reach the deciding hosts at the
 	// intervals at which they were sent.
@@ -330,10 +331,11 @@
 	if !ok {
 		a.refusedCalls++
 		a.refusals.add(1, l.cfg.Window, now)
-		a.lowAt = now
 		if restricted {
+			// The account has room elsewhere, so that it does not count as limited.
 			return l.retryAfterAlone(a, now), false
 		}
+		a.lowAt = now
 		return l.retryAfter(a, now), false
 	}
 	l.count(a, 1, now)
--- a/io/ctrl/usage.go
+++ b/io/ctrl/usage.go
@@ -36,7 +36,7 @@
 	}
 
 	// usagePeer is the connection to another control host. It belongs to one goroutine,
-	// so that one request at most is in flight.
+	// so that one report at most is in flight. Questions are asked beside it.
 	usagePeer struct {
 		exchange   *usageExchange
 		address    netip.AddrPort
@@ -46,6 +46,7 @@
 		unanswered int  // Consecutive requests without an answer in time.
 		idleTicks  int  // Ticks since the last request.
 		batch      []quota.Usage
+		questions  sync.WaitGroup
 	}
 )
 
@@ -53,11 +54,11 @@
 	// usagePeriod is the time between two reports while numbers change.
 	usagePeriod = 50 * time.Millisecond
 	// maxIdleTicks is the number of ticks after which a report without numbers is sent:
-	// a host that has not heard a majority for 300 ms restricts itself.
+	// a host that has not heard a majority for 500 ms restricts itself.
 	maxIdleTicks = 2
 	// usageTimeout bounds a report. It is longer than the stalls of a busy host, and
 	// shorter than the time after which a host restricts itself.
-	usageTimeout = 250 * time.Millisecond
+	usageTimeout = 450 * time.Millisecond
 	// usageCheckPeriod is the time between two looks for control hosts, voters, entry
 	// hosts and limited accounts.
 	usageCheckPeriod = 100 * time.Millisecond
@@ -99,10 +100,11 @@
 	defer group.Wait()
 	ticker := time.NewTicker(usageCheckPeriod)
 	defer ticker.Stop()
-	logged := time.Now()
+	logged, restricted := time.Now(), false
 	for {
 		now := time.Now()
 		u.updateVoters()
+		restricted = u.noteRestriction(restricted)
 		following, lost := entryHosts(now)
 		u.ledger.SetEntries(following, lost, now)
 		u.fleet.state.SetLimited(u.ledger.Limited(now))
@@ -122,6 +124,20 @@
 	}
 }
 
+// noteRestriction logs a change of the ledger between restricted and not restricted, and
+// returns which it is. Hosts without quotas log nothing.
+func (u *usageExchange) noteRestriction(former bool) bool {
+	restricted := u.limited.Load() && u.ledger.Restricted()
+	if restricted == former {
+		return former
+	}
+	if restricted {
+		u.fleet.host.metrics.Counter("quota_restrictions").Add(1)
+	}
+	u.fleet.host.log.Info("quotas restricted to the part of an entry host", "restricted", restricted)
+	return restricted
+}
+
 // updateVoters tells the ledger which hosts vote.
 func (u *usageExchange) updateVoters() {
 	var voters []string
@@ -173,6 +189,7 @@
 	p := &usagePeer{exchange: u, address: address}
 	defer func() {
 		p.close()
+		p.questions.Wait()
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		delete(u.peers, address)
@@ -180,7 +197,7 @@
 	ticker := time.NewTicker(usagePeriod)
 	defer ticker.Stop()
 	for u.wants(address) {
-		p.report(ctx)
+		p.reportAndAsk(ctx, ticker.C)
 		select {
 		case <-ctx.Done():
 			return
@@ -202,6 +219,42 @@
 	return false
 }
 
+// reportAndAsk calls report. While its answer is due, it asks a question at each tick: a
+// busy host answers late, but its answers show that it was reached lately.
+func (p *usagePeer) reportAndAsk(ctx context.Context, ticks <-chan time.Time) {
+	if err := p.dial(); err != nil {
+		p.fail(err)
+		return
+	}
+	client := peerpb.NewFleetClient(p.conn)
+	reported := make(chan struct{})
+	go func() {
+		defer close(reported)
+		p.report(ctx)
+	}()
+	for {
+		select {
+		case <-reported:
+			return
+		case <-ticks:
+			p.questions.Go(func() { p.question(ctx, client) })
+		}
+	}
+}
+
+// question sends a report without numbers.
+func (p *usagePeer) question(ctx context.Context, client peerpb.FleetClient) {
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	ledger, sent := p.exchange.ledger, clock.SinceBoot()
+	request := &peerpb.UsageRequest{Control: p.exchange.fleet.host.cfg.PeerAddress.String(), Start: ledger.Start()}
+	if _, err := client.Usage(ctx, request); err != nil {
+		p.exchange.fleet.host.log.Debug("control host does not answer a question", "address", p.address.String(), "error", err)
+		return
+	}
+	ledger.Heard(p.address.Addr().String(), sent)
+}
+
 // report sends the numbers that the host has not confirmed. If there are none, it sends
 // an empty report after maxIdleTicks. Before the first report it asks for what the
 // buckets of the host miss. After a request without an answer, the next report has all
@@ -215,8 +268,8 @@
 	}
 	p.idleTicks = 0
 	sent := clock.SinceBoot()
-	err := p.dial()
-	if err == nil && !p.told {
+	var err error
+	if !p.told {
 		err = p.ask(ctx)
 	}
 	if err == nil {
--- a/io/ctrl/usage_test.go
+++ b/io/ctrl/usage_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -17,6 +19,7 @@
 	"cardamomspool/core/strict"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/peer"
+	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/place"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
@@ -112,7 +115,43 @@
 	return refused
 }
 
+// lateControl is a control host that answers reports of use late.
+type lateControl struct {
+	peerpb.UnimplementedFleetServer
+	answered atomic.Int64
+}
+
+func (c *lateControl) Usage(ctx context.Context, _ *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
+	select {
+	case <-time.After(300 * time.Millisecond):
+		c.answered.Add(1)
+	case <-ctx.Done():
+	}
+	return &peerpb.UsageReply{Start: 1}, nil
+}
+
 var _ = ginkgo.Describe("The control hosts of a fleet with quotas", func() {
+	// Guards against a host that refuses nearly all calls with accounts since the others are
+	// too busy to answer each question before the next one is asked.
+	ginkgo.It("are not restricted by busy hosts that answer late", func() {
+		s := newQuotaFleet()
+		s.stopHost(1)
+		s.stopHost(2)
+		l, err := net.Listen("tcp", netip.AddrPortFrom(s.address(2), s.ports[0].Port()).String())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		server := peer.NewServer()
+		late := &lateControl{}
+		peerpb.RegisterFleetServer(server, late)
+		go server.Serve(l)
+		ginkgo.DeferCleanup(server.Stop)
+		restricted := func() bool {
+			a, _ := s.shop(0)
+			return a.Restricted
+		}
+		gomega.Eventually(late.answered.Load, planTimeout, pollPeriod).Should(gomega.BeNumerically(">=", 5))
+		gomega.Consistently(restricted, time.Second, pollPeriod).Should(gomega.BeFalse())
+	})
+
 	// Guards against an account that gets its quota once for each service or each
 	// deciding host.
 	ginkgo.It("count the calls of an account over all services and hosts", func() {
