Let a plan go before orders that are in progress at other hosts

A plan sent while eight orders to evacuate were in progress at other control hosts waited for one order after the other, behind an order in the queue of its own host too.

A version goes before orders that wait at its host.

--- a/core/quorum/contend.go
+++ b/core/quorum/contend.go
@@ -15,6 +15,13 @@
 	heardAt time.Time
 }
 
+// announcement is the highest version that another host is known to propose.
+type announcement struct {
+	version uint64
+	// heardAt is when the last Prepare for the version arrived.
+	heardAt time.Time
+}
+
 // rivalTimeout is the time since the last message of a rival after which proposals no longer
 // wait for it. A rival that works sends a message at least once per phase.
 const rivalTimeout = phaseTimeout
@@ -26,8 +33,13 @@
 
 // mustWait reports whether p waits for a rival. A change with a higher version than that of
 // a rival does not wait while the rival's value has not been sent: it makes the value of a
-// lower version superfluous, and changes without a version can follow it.
+// lower version superfluous, and changes without a version can follow it. For the same
+// reason a change waits until an announced higher version is chosen.
 func (n *Node) mustWait(now time.Time, p *proposal) bool {
+	a := n.announced[p.change.Name]
+	if !p.read && now.Sub(a.heardAt) < rivalTimeout && a.version > max(p.change.Version, n.acceptor.Learnt(p.change.Name).Chosen.Version) {
+		return true
+	}
 	r, ok := n.rivals[p.change.Name]
 	if !ok {
 		return false
@@ -44,17 +56,17 @@
 // without a version or with a lower one, it abandons its own ballot: the sender is about to
 // try a higher one.
 func (n *Node) trackPrepare(now time.Time, m *Prepare, promised bool) {
-	r := rival{ballot: m.Ballot, version: m.Version, heardAt: now}
+	if a := n.announced[m.Name]; m.Version >= a.version && m.Version > 0 || now.Sub(a.heardAt) >= rivalTimeout {
+		n.announced[m.Name] = announcement{version: m.Version, heardAt: now}
+	}
 	if promised {
-		n.rivals[m.Name] = r
+		n.rivals[m.Name] = rival{ballot: m.Ballot, version: m.Version, heardAt: now}
 		return
 	}
 	p := n.activeProposal(m.Name, phasePrepare)
-	if p == nil || p.read || p.change.Version >= m.Version {
-		return
+	if p != nil && !p.read && p.change.Version < m.Version {
+		n.preempt(now, p, m.Ballot)
 	}
-	n.rivals[m.Name] = r
-	n.preempt(now, p, m.Ballot)
 }
 
 // trackAccept records the sender of an Accept as a rival.
@@ -71,10 +83,10 @@
 }
 
 // promoteHighest makes p, the active proposal of its document, carry the highest version
-// that waits at this host if p is a change with a version. The change that p carried before
-// takes the place of that version in the queue.
+// that waits at this host, unless p is a read or its change is based on a revision. The
+// change that p carried before takes the place of that version in the queue.
 func (n *Node) promoteHighest(p *proposal) {
-	if p.change.Version == 0 {
+	if p.read || p.change.isBased() {
 		return
 	}
 	for _, q := range n.queues[p.change.Name][1:] {
--- a/core/quorum/contend_test.go
+++ b/core/quorum/contend_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 )
 
@@ -115,6 +116,20 @@
 	}
 }
 
+// putPlan sends a plan that keeps the orders to a host.
+func (c *contention) putPlan(host string, version uint64) submission {
+	body := json.RawMessage(fmt.Sprintf(`{"plan":{"version":%d}}`, version))
+	change := quorum.Change{Name: document, Version: version, Body: body, Edit: func(current json.RawMessage) (json.RawMessage, error) {
+		return plan.WithOrdersOf(current, body)
+	}}
+	return submission{host: host, ticket: c.apply(host, change), version: version}
+}
+
+// order sends an order to evacuate a data centre to a host.
+func (c *contention) order(host, dataCentre string) submission {
+	return submission{host: host, ticket: c.apply(host, edit(host+dataCentre, dataCentre, true))}
+}
+
 // forSeeds runs a test with several seeds.
 func forSeeds(t *testing.T, run func(g *gomega.WithT, c *contention)) {
 	t.Helper()
@@ -205,6 +220,32 @@
 	c.unfreeze(host)
 }
 
+// Guards against a configuration that waits for one order after the other: eight orders are
+// in progress at other hosts.
+func TestVersionGoesBeforeOrders(t *testing.T) {
+	forSeeds(t, func(g *gomega.WithT, c *contention) {
+		var orders []submission
+		for i := range contentionHosts + 1 {
+			orders = append(orders, c.order(c.names[i%len(c.names)], strconv.Itoa(i)))
+			c.run(time.Duration(c.rng.IntN(40)) * time.Millisecond)
+		}
+		version := c.putPlan(c.names[c.rng.IntN(len(c.names))], 1)
+		c.run(answerTimeout)
+		c.expectAnswers(g, version)
+		before := c.answers[version.host][version.ticket].Value.Revision
+		g.Expect(before).To(gomega.BeNumerically("<=", 3), "orders that the configuration waited for")
+		c.run(answerTimeout)
+		for _, s := range orders {
+			a, ok := c.answers[s.host][s.ticket]
+			g.Expect(ok).To(gomega.BeTrue(), s.host)
+			g.Expect(a.Err).NotTo(gomega.HaveOccurred(), s.host)
+		}
+		list, err := plan.EvacuatedIn(c.hosts["a"].node.Learnt(document).Chosen.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(list).To(gomega.HaveLen(len(orders)))
+	})
+}
+
 // Guards against changes that run on after their callers have gone and compete with the same
 // change, sent again at another host.
 func TestCancelledChangesDoNotRun(t *testing.T) {
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -106,6 +106,8 @@
 		queues map[string][]*proposal
 		// rivals holds, by document, the proposer of another host that proposals wait for.
 		rivals map[string]rival
+		// announced holds, by document, the highest version that another host proposes.
+		announced map[string]announcement
 		// lastReceived is when the last message of each peer arrived.
 		lastReceived map[string]time.Time
 		// confirmedAt holds the start of the latest fetch that each peer has
@@ -208,6 +210,7 @@
 		registerNames: make(map[string]bool),
 		queues:        make(map[string][]*proposal),
 		rivals:        make(map[string]rival),
+		announced:     make(map[string]announcement),
 		lastReceived:  make(map[string]time.Time),
 		confirmedAt:   make(map[string]time.Time),
 		unlearntSince: make(map[string]time.Time),
