--- a/core/quorum/contend_test.go
+++ b/core/quorum/contend_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 )
 
@@ -115,6 +116,20 @@
 	}
 }
 
+// putPlan sends a plan that keeps the orders to a host.
+func (c *contention) putPlan(host string, version uint64) submission {
+	body := json.RawMessage(fmt.Sprintf(`{"plan":{"version":%d}}`, version))
+	change := quorum.Change{Name: document, Version: version, Body: body, Edit: func(current json.RawMessage) (json.RawMessage, error) {
+		return plan.WithOrdersOf(current, body)
+	}}
+	return submission{host: host, ticket: c.apply(host, change), version: version}
+}
+
+// order sends an order to evacuate a data centre to a host.
+func (c *contention) order(host, dataCentre string) submission {
+	return submission{host: host, ticket: c.apply(host, edit(host+dataCentre, dataCentre, true))}
+}
+
 // forSeeds runs a test with several seeds.
 func forSeeds(t *testing.T, run func(g *gomega.WithT, c *contention)) {
 	t.Helper()
@@ -205,6 +220,64 @@
 	c.unfreeze(host)
 }
 
+// Guards against a configuration that waits for one order after the other: eight orders are
+// in progress at other hosts.
+func TestVersionGoesBeforeOrders(t *testing.T) {
+	forSeeds(t, func(g *gomega.WithT, c *contention) {
+		var orders []submission
+		for i := range contentionHosts + 1 {
+			orders = append(orders, c.order(c.names[i%len(c.names)], strconv.Itoa(i)))
+			c.run(time.Duration(c.rng.IntN(40)) * time.Millisecond)
+		}
+		version := c.putPlan(c.names[c.rng.IntN(len(c.names))], 1)
+		c.run(answerTimeout)
+		c.expectAnswers(g, version)
+		before := c.answers[version.host][version.ticket].Value.Revision
+		g.Expect(before).To(gomega.BeNumerically("<=", 3), "orders that the configuration waited for")
+		c.run(answerTimeout)
+		for _, s := range orders {
+			a, ok := c.answers[s.host][s.ticket]
+			g.Expect(ok).To(gomega.BeTrue(), s.host)
+			g.Expect(a.Err).NotTo(gomega.HaveOccurred(), s.host)
+		}
+		list, err := plan.EvacuatedIn(c.hosts["a"].node.Learnt(document).Chosen.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(list).To(gomega.HaveLen(len(orders)))
+	})
+}
+
+// Guards against changes that are lost or stuck when the view ends while they wait for each
+// other: operators send those without an answer again, to hosts of the next view.
+func TestChangesGoOnInTheNextView(t *testing.T) {
+	for seed := range uint64(contentionSeeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newViewCluster(seed, 5)
+			f.run(settleTime)
+			f.lastVersion = 5
+			for i, version := range f.rng.Perm(5) {
+				f.submit(f.names[i], uint64(version+1))
+			}
+			f.run(time.Duration(f.rng.IntN(20)) * time.Millisecond)
+			f.endView("a", "b/1", "c/1", "d/1", "f/1", "g/1")
+			f.run(answerTimeout)
+			for _, host := range f.newestView().hosts() {
+				f.shareView("b", host)
+			}
+			f.run(time.Second) // The new hosts start.
+			g.Expect(f.newestView().epoch).To(gomega.BeEquivalentTo(1))
+			for i, host := range f.newestView().hosts() {
+				f.submit(host, uint64(i+1))
+			}
+			answers := f.answers
+			f.run(answerTimeout)
+			g.Expect(f.fault).NotTo(gomega.HaveOccurred())
+			g.Expect(f.answers - answers).To(gomega.Equal(5))
+			g.Expect(f.agreedVersion).To(gomega.BeEquivalentTo(5))
+		})
+	}
+}
+
 // Guards against changes that run on after their callers have gone and compete with the same
 // change, sent again at another host.
 func TestCancelledChangesDoNotRun(t *testing.T) {
