Teach control hosts by resets of calls that entry hosts decide about

A control host that probes the targets avoids full ones, so that its own calls meet no resets, while entry hosts that decide about some calls alone, as decisions are late, fill targets and lose calls; each of them learnt it slowly by itself.

CallArrive.reset_targets names the targets that have reset connections of calls that the entry host decided about alone, since its arrival before. What a control host has learnt is now told by CallDecision.resets_when_full, with refusals and held calls too: when all targets are full, it sends none for seconds.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -35,6 +35,9 @@
 		// Host identifies the entry host that sends the call to targets; 0 for the host
 		// of the Scheduler.
 		Host uint64
+		// Resets holds the targets that have reset connections of calls which the entry
+		// host has decided about alone, since its Arrive before.
+		Resets []string
 	}
 
 	// Finish reports the end of an attempt. The call has ended when Result is
@@ -165,6 +168,8 @@
 	Hold struct {
 		// Call identifies the call.
 		Call uint64
+		// ResetsWhenFull is as in Send.
+		ResetsWhenFull bool
 	}
 
 	// Refuse tells the entry host to refuse a call, which ends it.
@@ -177,6 +182,8 @@
 		NotRun bool
 		// RetryAfter is the length of time after which the caller may retry.
 		RetryAfter time.Duration
+		// ResetsWhenFull is as in Send.
+		ResetsWhenFull bool
 	}
 )
 
--- a/core/engine/full_test.go
+++ b/core/engine/full_test.go
@@ -32,7 +32,10 @@
 		calls      map[uint64]*fullCall
 		// hideResets leaves resets out of what is reported of attempts.
 		hideResets bool
+		told       bool     // The hosts that decide alone know of resets.
+		control    int      // The number of Schedulers of control hosts, which come first.
 		sent       []string // The target of each attempt.
+		untold     []string // The targets of resets that control hosts do not know.
 		// Calls that arrived, that were answered, also within their aim, that targets reset at
 		// least once, and that were lost though they must not run twice.
 		arrived, answered, inTime, reset, lost int
@@ -68,12 +71,12 @@
 	fullCapacity = int(fullTargets * fullSlots * time.Second / fullWork)
 )
 
-// newFullRun returns a run in which n Schedulers decide, and learn the state of the targets
-// from probes if probed is true, else from answers only.
-func newFullRun(n int, policy string, probed bool, share float64) *fullRun {
+// newFullRun returns a run in which control hosts decide for half of the calls or, without hosts
+// that decide alone, for all. Control hosts probe the targets; the others learn their state from
+// answers only, and are told what the first control host has learnt.
+func newFullRun(control, alone int, policy string) *fullRun {
 	doc := spec.Default()
 	doc.Name = "s"
-	doc.Route = spec.Route{Policy: policy}
 	doc.Hold = spec.Hold{Length: 4096, LongestWait: strict.Duration(2 * time.Second)}
 	doc.Retry = spec.Retry{Attempts: 2, Window: strict.Duration(10 * time.Second), BudgetPercent: 20}
 	doc.Refuse.OpenCalls = 100_000
@@ -87,12 +90,18 @@
 			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+i)),
 		})
 	}
-	for i := range n {
-		s := engine.NewScheduler(doc, rand.New(rand.NewPCG(uint64(i), 1)), engine.WithSlotShare(share))
+	r.control = control
+	for i := range control + alone {
+		var opts []engine.Option
+		if doc.Route = (spec.Route{Policy: policy}); i >= control {
+			doc.Route.Policy = spec.PolicyHotCold
+			opts = append(opts, engine.WithSlotShare(1/float64(alone)))
+		}
+		s := engine.NewScheduler(doc, rand.New(rand.NewPCG(uint64(i), 1)), opts...)
 		s.Handle(nil, engine.SetTargets{Records: records}, r.now)
 		r.schedulers = append(r.schedulers, s)
 		r.every(5*time.Millisecond, func() { r.handle(i, engine.Tick{}) })
-		if probed {
+		if i < control {
 			r.every(100*time.Millisecond, func() { r.probe(i) })
 		}
 	}
@@ -143,13 +152,30 @@
 	}
 }
 
+// decider returns the number of the Scheduler that decides about the next call.
+func (r *fullRun) decider() int {
+	alone := len(r.schedulers) - r.control
+	if alone == 0 || r.control > 0 && r.rng.IntN(2) == 0 {
+		return r.rng.IntN(r.control)
+	}
+	return r.control + r.rng.IntN(alone)
+}
+
+// tell tells the hosts that decide alone that the targets reset connections when they are full.
+func (r *fullRun) tell() {
+	r.told = true
+	for i := r.control; i < len(r.schedulers); i++ {
+		r.handle(i, engine.LearnResets{})
+	}
+}
+
 // offer schedules calls for the next duration. A quarter of them must not run twice.
 func (r *fullRun) offer(perSecond int, d time.Duration) {
 	for n := range int(d.Seconds() * float64(perSecond)) {
 		r.after(time.Duration(n)*time.Second/time.Duration(perSecond), func() {
 			c := &fullCall{
 				class: spec.Class{Weight: 1, Aim: 800 * time.Millisecond, Idempotent: n%4 > 0, Deadline: 4 * time.Second},
-				work:  fullWork, deadline: r.now.Add(4 * time.Second), decider: r.rng.IntN(len(r.schedulers)),
+				work:  fullWork, deadline: r.now.Add(4 * time.Second), decider: r.decider(),
 			}
 			if r.rng.IntN(100) < 3 {
 				c.work *= 7
@@ -158,7 +184,11 @@
 			r.arrived++
 			id := r.lastCall
 			r.calls[id] = c
-			r.handle(c.decider, engine.Arrive{Call: id, Class: c.class, Deadline: c.deadline})
+			arrive := engine.Arrive{Call: id, Class: c.class, Deadline: c.deadline}
+			if c.decider < r.control {
+				arrive.Resets, r.untold = r.untold, nil
+			}
+			r.handle(c.decider, arrive)
 			r.after(c.class.Deadline, func() {
 				if !c.ended {
 					c.ended = true
@@ -170,7 +200,11 @@
 }
 
 func (r *fullRun) handle(decider int, e engine.Event) {
-	for _, action := range r.schedulers[decider].Handle(nil, e, r.now) {
+	actions := r.schedulers[decider].Handle(nil, e, r.now)
+	if learnt, _ := r.schedulers[decider].ResetsWhenFull(r.now); learnt && decider < r.control && len(actions) > 0 && !r.told {
+		r.tell() // As each action says so.
+	}
+	for _, action := range actions {
 		switch a := action.(type) {
 		case engine.Send:
 			r.sent = append(r.sent, a.Target)
@@ -194,6 +228,9 @@
 			r.reset++
 		}
 		f := route.Feedback{Outcome: route.Failed, Reset: !r.hideResets}
+		if c.decider >= r.control {
+			r.untold = append(r.untold, t.name)
+		}
 		r.after(fullTravel, func() {
 			r.handle(c.decider, engine.Finish{Call: a.Call, Attempt: a.Attempt, Result: engine.Unknown, Replayable: true, Feedback: f})
 		})
@@ -238,29 +275,26 @@
 // not run twice are lost, and targets that count as failing leave their calls to the others.
 func TestTargetsThatResetWhenFullAreNotOverfilled(t *testing.T) {
 	for _, row := range []struct {
-		name       string
-		schedulers int
-		policy     string
-		probed     bool
-		share      float64
-		told       bool // By a control host that has learnt it before.
-		resets     int  // The largest number of reset calls of 100.
-		inTime     int  // The least number of calls of 100 that are answered in time.
+		name           string
+		control, alone int
+		told           bool // By a control host that has learnt it before.
+		load           int  // The usual load is the capacity divided by this.
+		resets         int  // The largest number of reset calls of 100.
+		inTime         int  // The least number of calls of 100 that are answered in time.
 	}{
-		{"one host decides", 1, spec.PolicyFastest, true, 1, false, 1, 50},
-		{"four hosts decide", 4, spec.PolicyFastest, true, 1, false, 1, 50},
-		{"twelve hosts decide alone", 12, spec.PolicyHotCold, false, 1.0 / 12, true, 1, 30},
-		{"twelve hosts decide alone and were not told", 12, spec.PolicyHotCold, false, 1.0 / 12, false, 15, 22},
+		{"one control host decides", 1, 0, false, 4, 1, 50},
+		{"four control hosts decide", 4, 0, false, 4, 1, 50},
+		{"twelve hosts decide alone", 0, 12, true, 4, 1, 30},
+		{"twelve hosts decide alone and were not told", 0, 12, false, 4, 15, 22},
+		{"a control host and twelve hosts that decide alone", 1, 12, false, 2, 1, 15},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			r := newFullRun(row.schedulers, row.policy, row.probed, row.share)
-			for i := range r.schedulers {
-				if row.told {
-					r.handle(i, engine.LearnResets{})
-				}
+			r := newFullRun(row.control, row.alone, spec.PolicyFastest)
+			if row.told {
+				r.tell()
 			}
-			usual := fullCapacity / 4 // Near what slow targets leave.
+			usual := fullCapacity / row.load
 			r.offer(usual, 5*time.Second)
 			r.run(5 * time.Second)
 			r.offer(usual*17/10, 10*time.Second)
@@ -280,7 +314,7 @@
 func TestTargetThatResetsAllCallsStillCountsAsFailing(t *testing.T) {
 	for _, told := range []bool{false, true} {
 		g := gomega.NewWithT(t)
-		r := newFullRun(1, spec.PolicyFastest, true, 1)
+		r := newFullRun(1, 0, spec.PolicyFastest)
 		if told {
 			r.handle(0, engine.LearnResets{})
 		}
@@ -304,7 +338,7 @@
 	for _, policy := range spec.Policies {
 		var sent [2][]string
 		for i := range sent {
-			r := newFullRun(1, policy, true, 1.0/12)
+			r := newFullRun(1, 0, policy)
 			r.hideResets = i == 0
 			r.targets[3].broken, r.targets[7].broken = true, true
 			r.offer(fullCapacity/3, 20*time.Second)
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -159,6 +159,34 @@
 // Handle processes one event at now, appends the resulting actions to dst and
 // returns it. The time must not decrease from one call to the next.
 func (s *Scheduler) Handle(dst []Action, e Event, now time.Time) []Action {
+	former := len(dst)
+	dst = s.handle(dst, e, now)
+	if s.targets.ResetsWhenFull(now) {
+		for i := former; i < len(dst); i++ {
+			dst[i] = withResets(dst[i])
+		}
+	}
+	return dst
+}
+
+// withResets returns an action that says that targets reset connections when they are full.
+func withResets(a Action) Action {
+	switch a := a.(type) {
+	case Send:
+		a.ResetsWhenFull = true
+		return a
+	case Hold:
+		a.ResetsWhenFull = true
+		return a
+	case Refuse:
+		a.ResetsWhenFull = true
+		return a
+	}
+	return a
+}
+
+// handle implements Handle.
+func (s *Scheduler) handle(dst []Action, e Event, now time.Time) []Action {
 	s.observeLoad(now)
 	switch e := e.(type) {
 	case Arrive:
@@ -227,6 +255,9 @@
 // other calls are queued, it queues the call too and then sends as many queued calls
 // as it can; otherwise it sends the call if it can.
 func (s *Scheduler) arrive(dst []Action, e Arrive, now time.Time) []Action {
+	for _, name := range e.Resets {
+		s.targets.ObserveReset(name, s.doc.Targets.Slots, true, now)
+	}
 	if retryAfter, ok := s.admitToQuota(e, now); !ok {
 		return append(dst, Refuse{Call: e.Call, Reason: OverQuota, NotRun: true, RetryAfter: retryAfter})
 	}
@@ -491,7 +522,7 @@
 	return append(dst, Send{
 		Call: id, Target: pick.Name, Address: pick.Address, Incarnation: pick.Incarnation, Attempt: c.attempts,
 		Candidates: pick.Candidates, Why: pick.Why, InFlight: pick.InFlight, ReportAge: pick.ReportAge,
-		HeldFor: now.Sub(c.arrived), ExtraAfter: s.extraAfter(c, now), ResetsWhenFull: s.targets.ResetsWhenFull(now),
+		HeldFor: now.Sub(c.arrived), ExtraAfter: s.extraAfter(c, now),
 	})
 }
 
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -276,13 +276,13 @@
 // hold needs no action: a further decision follows.
 func (h *Host) executeDecision(ctx context.Context, w responseWriter, r *http.Request, c *call, action engine.Action) bool {
 	c.recordAdmission(action)
+	h.noteResets(c, action)
 	switch action := action.(type) {
 	case engine.Send:
 		if ctx.Err() != nil {
 			h.abandonCall(w, r, c)
 			return true
 		}
-		h.noteResets(c, action)
 		a := newAttempt(c, action)
 		if h.mustWithhold(a, action) {
 			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
@@ -307,6 +307,9 @@
 		result := h.forwarder.attempt(ctx, w, r, a, action)
 		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
 		h.observeRest(c, action.Target, a.feedback)
+		if h.fleet != nil && c.control == nil && a.feedback.Reset && result == engine.Unknown {
+			h.resets.add(c.service.doc.Name, action.Target)
+		}
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
 		if a.keyProblem != nil {
 			return h.endUnkeyed(w, r, c, a.keyProblem)
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -430,7 +430,9 @@
 		},
 		OnStreamLost: func() { close(streamLost) },
 	}
-	if !client.StartCall(c.service.doc.Name, withoutCountedAccount(c, f.host.arriveEvent(c)), callbacks, now) {
+	arrive := withoutCountedAccount(c, f.host.arriveEvent(c))
+	arrive.Resets = f.host.resets.take(c.service.doc.Name)
+	if !client.StartCall(c.service.doc.Name, arrive, callbacks, now) {
 		return false
 	}
 	c.control, c.decisions, c.controlLost = client, decisions, streamLost
--- a/io/entry/full.go
+++ b/io/entry/full.go
@@ -8,9 +8,15 @@
 )
 
 // resetTracker holds when control hosts have told last that the targets of a service reset
-// connections when they are full. Its zero value is empty. It is safe for concurrent use.
+// connections when they are full, and what they are not told yet of resets. Its zero value is
+// empty. It is safe for concurrent use.
 type resetTracker struct {
 	told sync.Map // Name of the service to time.Time.
+
+	mu sync.Mutex
+	// untold holds, by service, the targets that have reset connections of calls that this
+	// host has decided about alone.
+	untold map[string][]string
 }
 
 const (
@@ -19,6 +25,9 @@
 	toldMemory = time.Minute
 	// toldInterval is the time between two reports of that to this host's own engine.
 	toldInterval = 10 * time.Second
+	// maxUntoldResets bounds the targets of a service that control hosts are to be told of;
+	// a few teach it.
+	maxUntoldResets = 8
 )
 
 // observe records that a control host has told so. It reports whether the engine is to be told.
@@ -37,10 +46,42 @@
 	return ok && now.Sub(last.(time.Time)) < toldMemory
 }
 
+// add records that a target has reset the connection of a call that this host has decided about
+// alone.
+func (t *resetTracker) add(service, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.untold[service]) >= maxUntoldResets {
+		return
+	}
+	if t.untold == nil {
+		t.untold = make(map[string][]string)
+	}
+	t.untold[service] = append(t.untold[service], target)
+}
+
+// take returns the targets that control hosts are to be told of, and forgets them.
+func (t *resetTracker) take(service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.untold[service]
+	delete(t.untold, service)
+	return list
+}
+
 // noteResets records what a decision tells of the service: a host that decides alone later, or
 // carries calls of others, then knows it.
-func (h *Host) noteResets(c *call, s engine.Send) {
-	if s.ResetsWhenFull && h.resets.observe(c.service.doc.Name, time.Now()) && c.control != nil {
+func (h *Host) noteResets(c *call, action engine.Action) {
+	told := false
+	switch a := action.(type) {
+	case engine.Send:
+		told = a.ResetsWhenFull
+	case engine.Hold:
+		told = a.ResetsWhenFull
+	case engine.Refuse:
+		told = a.ResetsWhenFull
+	}
+	if told && h.resets.observe(c.service.doc.Name, time.Now()) && c.control != nil {
 		h.system.Root.Send(c.service.pid, engine.LearnResets{})
 	}
 }
--- a/io/place/convert.go
+++ b/io/place/convert.go
@@ -26,6 +26,7 @@
 		LeftMs: uint32(max(e.Deadline.Sub(now), 0).Milliseconds()), AimMs: uint32(e.Class.Aim.Milliseconds()),
 		Rank: uint32(max(e.Class.Rank, 0)), Attempts: uint32(max(e.Class.Attempts, 0)), Idempotent: e.Class.Idempotent,
 		Weight: uint32(max(e.Class.Weight, 0)), DataCentre: e.DataCentre, Late: e.Class.Late, Account: e.Class.Account, Returned: e.Class.Returned, RouteRank: uint32(routeRank),
+		ResetTargets: e.Resets,
 	}}}
 }
 
@@ -35,7 +36,7 @@
 func toArrive(call, host uint64, m *peerpb.CallArrive, now time.Time) engine.Arrive {
 	left := time.Duration(m.GetLeftMs()) * time.Millisecond
 	return engine.Arrive{
-		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(), Host: host,
+		Call: call, Deadline: now.Add(left), DataCentre: m.GetDataCentre(), Host: host, Resets: m.GetResetTargets(),
 		Class: spec.Class{
 			Weight: int(m.GetWeight()), Deadline: left, Idempotent: m.GetIdempotent(), Rank: int(m.GetRank()),
 			Aim: time.Duration(m.GetAimMs()) * time.Millisecond, Attempts: int(m.GetAttempts()), Late: m.GetLate(), Account: m.GetAccount(), Returned: m.GetReturned(), RouteRank: int(m.GetRouteRank()),
@@ -81,16 +82,19 @@
 	m := &peerpb.CallDecision{Call: call}
 	switch a := a.(type) {
 	case engine.Send:
+		m.ResetsWhenFull = a.ResetsWhenFull
 		m.Decision = &peerpb.CallDecision_Send{Send: &peerpb.CallSend{
 			Target: a.Target, Address: a.Address.String(), Attempt: uint32(a.Attempt), Candidates: uint32(a.Candidates),
 			Why: string(a.Why), InFlight: uint32(a.InFlight), ReportAgeUs: a.ReportAge.Microseconds(), HeldUs: a.HeldFor.Microseconds(),
-			Incarnation: a.Incarnation, ExtraAfterMs: uint32(a.ExtraAfter.Milliseconds()), Extra: a.Extra, ResetsWhenFull: a.ResetsWhenFull,
+			Incarnation: a.Incarnation, ExtraAfterMs: uint32(a.ExtraAfter.Milliseconds()), Extra: a.Extra,
 		}}
 	case engine.Refuse:
+		m.ResetsWhenFull = a.ResetsWhenFull
 		m.Decision = &peerpb.CallDecision_Refuse{Refuse: &peerpb.CallRefuse{
 			Reason: string(a.Reason), NotRun: a.NotRun, RetryAfterMs: uint32(a.RetryAfter.Milliseconds()),
 		}}
 	case engine.Hold:
+		m.ResetsWhenFull = a.ResetsWhenFull
 		m.Decision = &peerpb.CallDecision_Hold{Hold: &peerpb.CallHold{}}
 	}
 	return m
@@ -111,15 +115,15 @@
 			ReportAge: time.Duration(d.Send.GetReportAgeUs()) * time.Microsecond,
 			HeldFor:   time.Duration(d.Send.GetHeldUs()) * time.Microsecond, Incarnation: d.Send.GetIncarnation(),
 			ExtraAfter: time.Duration(d.Send.GetExtraAfterMs()) * time.Millisecond, Extra: d.Send.GetExtra(),
-			ResetsWhenFull: d.Send.GetResetsWhenFull(),
+			ResetsWhenFull: m.GetResetsWhenFull(),
 		}, nil
 	case *peerpb.CallDecision_Refuse:
 		return engine.Refuse{
 			Call: m.GetCall(), Reason: engine.Reason(d.Refuse.GetReason()), NotRun: d.Refuse.GetNotRun(),
-			RetryAfter: time.Duration(d.Refuse.GetRetryAfterMs()) * time.Millisecond,
+			RetryAfter: time.Duration(d.Refuse.GetRetryAfterMs()) * time.Millisecond, ResetsWhenFull: m.GetResetsWhenFull(),
 		}, nil
 	case *peerpb.CallDecision_Hold:
-		return engine.Hold{Call: m.GetCall()}, nil
+		return engine.Hold{Call: m.GetCall(), ResetsWhenFull: m.GetResetsWhenFull()}, nil
 	}
 	return nil, errUnknownDecision
 }
