Report resets of carried calls

A reset that a carrier met counted as any other failure at the host that decides. The carrier tells of it in Spool-Carry-Reset, beside the outcome of an attempt without an answer; carriers of earlier versions do not, and earlier hosts ignore the field.

--- a/core/wire/carry.go
+++ b/core/wire/carry.go
@@ -48,6 +48,9 @@
 	HeaderCarry = "Spool-Carry"
 	// HeaderCarryOutcome holds the CarryOutcome of a carrier's answer.
 	HeaderCarryOutcome = "Spool-Carry-Outcome"
+	// HeaderCarryReset is in a carrier's answer when the target reset the connection before a
+	// byte of its answer.
+	HeaderCarryReset = "Spool-Carry-Reset"
 )
 
 // The outcomes of an attempt without an answer of the target.
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -115,6 +115,9 @@
 	}
 	h.observeLimit(c, send.Target, a.feedback, time.Since(start))
 	h.observeRest(c, send.Target, a.feedback)
+	if a.feedback.Reset {
+		w.Header().Set(wire.HeaderCarryReset, "1")
+	}
 	switch result {
 	case engine.Answered:
 	case engine.Broken:
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -91,7 +91,11 @@
 	if a.carryOutcome == wire.CarryUnknown {
 		result = engine.Unknown
 	}
-	a.feedback = a.feedbackWithoutResponse(r.Context(), result, false)
+	reset := resp.Header.Get(wire.HeaderCarryReset) != ""
+	if reset {
+		f.metrics.Counter("connections_reset").Add(1)
+	}
+	a.feedback = a.feedbackWithoutResponse(r.Context(), result, reset)
 	return result
 }
 
--- a/io/entry/full_test.go
+++ b/io/entry/full_test.go
@@ -79,3 +79,25 @@
 	g.Expect(b.host.metrics.Counter("connections_opened").Value()-opened).To(gomega.BeNumerically("<=", 3), "connections are kept")
 	g.Expect(b.host.forwarder.ways.lost(target.address)).To(gomega.BeFalse())
 }
+
+// Guards against resets that control hosts do not learn of, since another entry host has carried
+// the call.
+func TestResetThroughACarrierIsReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := newRawTarget(t, func(c *rawConn) { c.readRequest(); c.reset() })
+	p := testPlan()
+	p.Routes[0].Attempts = 1
+	report := rosterTarget("t", target.address, member.Ready)
+	control := newPlannedControl(t, p, report)
+	control.state.UpdateTargets(true, report)
+	h, url := newFleetHost(t, control.address)
+	newFleetHost(t, control.address)
+	g.Eventually(func() int { return len(listEntries(h)) }, testTimeout, time.Millisecond).Should(gomega.Equal(1))
+	h.forwarder.ways.addCarriers(listEntries(h))
+	links := newTargetLinks(t, h)
+	links.add(target.address)
+	links.begin(cutMode{refuses: true})
+	g.Expect(callRoute(t, http.MethodGet, url, nil)).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(h.metrics.Counter("calls_carried_out").Value()).To(gomega.BeEquivalentTo(1))
+	g.Expect(h.metrics.Counter("connections_reset").Value()).To(gomega.BeEquivalentTo(1))
+}
