Take back what second attempts that no target ran cost their account

Callers of an account whose second attempt was not sent, was shed or found a closed port paid for it: its work stayed in the account's finish tag, and only attempts that were not sent were given back to the quota.

An attempt of two that no target has run is now taken back from the fair share and the quota alike, and calls of the account that wait move up.

TestSecondAttemptThatWasNotRunCountsAsNoWork and the case 'shed' of TestSecondAttemptThatWasNotRunIsGivenBackToTheQuota failed before. TestSecondAttemptsCountAsWork passed before; it fails if second attempts are not charged. core/engine and core/admit pass, golden files unchanged.

The comment of admit.Queue had each line twice.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -31,11 +31,8 @@
 		Flow *Flow
 	}
 
-	// Queue is a priority queue: by rank, then by start tag, then urgent before others, then prompt
-	// Queue is a priority queue: by rank, then by start tag, then urgent before others, then prompt
-	// before patient, then by order of arrival. The zero value accepts no call of a
-	// before patient, then by order of arrival. The zero value accepts no call of a
-	// weight above 0; set MaxWeight before use.
+	// Queue is a priority queue: by rank, then by start tag, then urgent before others, then
+	// prompt before patient, then by order of arrival. The zero value accepts no call of a
 	// weight above 0; set MaxWeight before use.
 	Queue struct {
 		// MaxWeight limits the total weight of the calls that Push accepts.
--- a/core/engine/extra.go
+++ b/core/engine/extra.go
@@ -250,9 +250,7 @@
 		s.targets.Finish(ended.target, route.Feedback{}, 0, now)
 		s.targets.TakeBack(ended.target)
 		c.attempts--
-		if s.quota != nil && c.class.Account != "" {
-			s.quota.Return(c.class.Account, now)
-		}
+		s.returnAttempt(c, now)
 		return s.dispatchQueued(dst, now)
 	}
 	s.recordEnd(c, ended, e, now)
@@ -261,6 +259,9 @@
 	if e.Result == NotRun && e.Feedback.Outcome == route.Shed {
 		c.sheds++
 	}
+	if e.Result == NotRun {
+		s.returnAttempt(c, now)
+	}
 	if e.Result.EndsCall() {
 		s.recordEnd(c, c.current(), Finish{Result: Withdrawn}, now)
 		delete(s.calls, e.Call)
@@ -269,6 +270,13 @@
 	return s.dispatchQueued(dst, now)
 }
 
+// returnAttempt takes back what one of two attempts of a call counted for, in the quota and
+// in the fair share of its account, since no target has run it.
+func (s *Scheduler) returnAttempt(c *call, now time.Time) {
+	s.returnToQuota(c.class.Account, now)
+	s.refundAttempt(c)
+}
+
 // recordEnd records the end of an attempt that was made: the slot is free, and the result
 // counts for the target. Withdrawn says nothing against the target, and that the attempt
 // would have taken at least as long as it did.
--- a/core/engine/fair.go
+++ b/core/engine/fair.go
@@ -45,6 +45,7 @@
 		charged     bool    // The flow was charged when the call was queued.
 		owed        bool    // A Floor has the call served ahead of others.
 		paidRuns    int     // The number of attempts charged, without sheds; 0 before the first.
+		lastCharge  float64 // The flow's start tag when an attempt after the first was last charged.
 	}
 )
 
@@ -227,6 +228,7 @@
 	runs := c.attempts - c.sheds
 	if f.paidRuns > 0 {
 		if runs > f.paidRuns {
+			f.lastCharge = f.flow.Start()
 			f.flow.Charge(f.work)
 			f.paidRuns = runs
 		}
@@ -246,6 +248,17 @@
 	}
 }
 
+// refundAttempt takes back the work of one of two attempts, which no target has run.
+func (s *Scheduler) refundAttempt(c *call) {
+	f := c.fair
+	if f == nil || f.paidRuns < 2 {
+		return
+	}
+	f.paidRuns--
+	f.flow.Refund(f.work)
+	s.queue.Advance(f.flow, f.lastCharge, f.work)
+}
+
 // countOutcome counts a call that is sent for the first time, or that ends without that. It
 // does nothing for repeats. claimOwed has counted an owed call as served.
 func (f *fairness) countOutcome(c *fairCall, served bool) {
