Leave room for lost entry hosts in the quota of an account that goes over it

While half of 119 entry hosts decided alone and an account with a quota of 10 calls a second went to 7.5 times its usual load, up to 95 of its calls ran in a window of 5 s where 86.8 are allowed: each of 59 hosts admits one call at least, which is twice their part of the quota, beside the part of the control hosts.

A ledger now counts each lost entry host with the most that it can admit in a window, and gives an account whose bucket is nearly empty only what the bound leaves beside that; so too for half a window after the hosts are back. The tokens of a bucket are divided with the entry hosts. Entry hosts that decide alone admit the same calls as before.

The rest of core/quota passes.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -42,6 +42,12 @@
 		// share is the part of them that asks this host.
 		entries int
 		share   float64
+		// absent is the number of entry hosts for whose calls room is left to accounts at
+		// their quotas: those that do not follow this host, or did not until lately, see
+		// backPart. Then backSince is when they were back, else it is zero. lost is the number
+		// of those that do not follow now.
+		lost, absent int
+		backSince    time.Time
 		// version counts the changes of published numbers.
 		version uint64
 		spreads uint64 // The number of results of spread that were used.
@@ -73,8 +79,9 @@
 		comeBack       time.Time
 		lowAt          time.Time // When the account last had no room.
 		use, refusals  window
-		refusedCalls   int64 // Since the start.
-		loggedRefusals int64 // The value of refusedCalls at the last result of Refused.
+		spent          window // As use, over spentWindow.
+		refusedCalls   int64  // Since the start.
+		loggedRefusals int64  // The value of refusedCalls at the last result of Refused.
 	}
 
 	// host is what is known of another control host.
@@ -110,6 +117,14 @@
 	// yieldReserve is the part of the bucket of an account at its quota that is kept for
 	// calls which do not yield.
 	yieldReserve = 0.25
+	// shortLevel is the level below which an account counts as asking for more than its
+	// quota. The bucket of one that asks for more at several hosts is between 0 and 1,
+	// and fills while it has no calls; that of one within its quota is rarely below 2.
+	shortLevel = 2
+	// backPart is the part of a window for which the calls count that entry hosts admitted
+	// alone before they were back. Accounts within their quotas then use the whole bucket,
+	// of which they would be refused a part if it were longer.
+	backPart = 0.5
 	// lowTime is how long an account is listed as limited after it had no room.
 	lowTime = time.Second
 	// usableWait is the longest time after which a caller is expected to come back. It is
@@ -211,14 +226,39 @@
 		for _, a := range l.list {
 			l.refill(a, now)
 		}
+		kept := min(share/l.share, 1)
 		l.share = share
 		for _, a := range l.list {
-			a.bucket.level = min(a.bucket.level, l.capacity(a))
+			if a.bucket.level > 0 {
+				a.bucket.level *= kept // The rest is the lost hosts' part.
+			}
 		}
 	}
 	if n := following + lost; n > 0 {
 		l.entries = n
 	}
+	l.setAbsent(lost, now)
+}
+
+// setAbsent sets the number of entry hosts that do not follow this host. The calls that they
+// have admitted alone count for some time after they are back, see backPart. The caller holds mu.
+func (l *Ledger) setAbsent(lost int, now time.Time) {
+	l.expireAbsent(now)
+	l.lost = lost
+	switch {
+	case lost >= l.absent:
+		l.absent, l.backSince = lost, time.Time{}
+	case l.backSince.IsZero():
+		l.backSince = now
+	}
+}
+
+// expireAbsent sets absent to the hosts that do not follow now if the others have been back
+// for long enough. The caller holds mu.
+func (l *Ledger) expireAbsent(now time.Time) {
+	if !l.backSince.IsZero() && now.Sub(l.backSince) >= time.Duration(backPart*float64(l.cfg.Window)) {
+		l.absent, l.backSince = l.lost, time.Time{}
+	}
 }
 
 // Heard records that another host has answered a question that was sent at the given
@@ -325,7 +365,7 @@
 		if now.Sub(a.lowAt) > lowTime {
 			reserve = 0
 		}
-		ok = a.bucket.level >= reserve*l.capacity(a) && a.bucket.take()
+		ok = a.bucket.level >= reserve*l.capacity(a) && !l.leavesRoom(a, now) && a.bucket.take()
 	}
 	if !ok {
 		a.refusedCalls++
@@ -340,6 +380,42 @@
 	return 0, true
 }
 
+// leavesRoom reports whether an account that is short of room must leave the rest of what
+// the bound allows it to entry hosts that decide alone. These admit one call at least in a
+// window, each for itself, which is more than their part of the quota of an account with few
+// calls. An account within its quota asks each of them for less. The bucket of an account
+// that leaves room does not fill. The caller holds mu.
+func (l *Ledger) leavesRoom(a *account, now time.Time) bool {
+	l.expireAbsent(now)
+	if l.absent == 0 || a.bucket.level >= shortLevel || float64(a.spent.sum(l.spentWindow(), now)) < l.allowedBesideAbsent(a, now) {
+		return false
+	}
+	a.bucket.level = min(a.bucket.level, 0)
+	return true
+}
+
+// allowedBesideAbsent returns the number of calls of an account in a window that the bound
+// leaves to hosts which exchange their numbers, when each absent entry host admits as many
+// as it can. A part of the slack is for calls that other hosts report late. Entry hosts that
+// are back have their part of the quota decided here again. The caller holds mu.
+func (l *Ledger) allowedBesideAbsent(a *account, now time.Time) float64 {
+	window := l.cfg.Window.Seconds()
+	bound := (a.rate*window+a.burst)*(1+l.cfg.Overshoot) + l.cfg.Slack
+	n := l.aloneParts()
+	each := math.Floor(max(a.burst/n, 1) + a.rate/n*window)
+	allowed := bound - float64(l.absent)*each - l.cfg.Slack/headroomDivisor
+	if !l.backSince.IsZero() {
+		allowed += a.rate * float64(l.absent-l.lost) / n * now.Sub(l.backSince).Seconds()
+	}
+	return allowed
+}
+
+// spentWindow returns a time whose count by a window includes all calls of the last
+// cfg.Window, although the earliest part of the count is of up to a tenth less.
+func (l *Ledger) spentWindow() time.Duration {
+	return l.cfg.Window * windowParts / (windowParts - 1)
+}
+
 // takeAlone takes a call from the part of the quota that an entry host has which decides
 // alone. The bucket of all hosts is not refilled: what others have admitted in the
 // meantime is not known yet. The caller holds mu.
@@ -382,6 +458,7 @@
 	a.admitted += n
 	a.version = l.version
 	a.use.add(int32(n), l.cfg.Window, now)
+	a.spent.add(int32(n), l.spentWindow(), now)
 }
 
 // retryAfter returns the time after which the caller of a refused call may come back.
@@ -476,6 +553,7 @@
 	}
 	n := u.Calls - before
 	a.use.add(int32(min(n, math.MaxInt32)), l.cfg.Window, now)
+	a.spent.add(int32(min(n, math.MaxInt32)), l.spentWindow(), now)
 	if !restricted || a.bucket.updated.IsZero() {
 		l.refill(a, now)
 	}
--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -129,9 +129,12 @@
 	return last
 }
 
-func newFleet() *fleet {
+func newFleet() *fleet { return newFleetOf(5, 6) }
+
+// newFleetOf returns a fleet with the given seed.
+func newFleetOf(seed1, seed2 uint64) *fleet {
 	f := &fleet{
-		now: simStart, rng: rand.New(rand.NewPCG(5, 6)), usual: make(map[string]float64), factor: make(map[string]float64),
+		now: simStart, rng: rand.New(rand.NewPCG(seed1, seed2)), usual: make(map[string]float64), factor: make(map[string]float64),
 		shape: make(map[string]*shaper), runs: make(map[string][]time.Time), refused: make(map[string]int), alone: make(map[string]int), local: make(map[string]int), localRefused: make(map[string]int), asked: make(map[string]int),
 	}
 	for i := range largeAccounts {
@@ -603,6 +606,31 @@
 	f.expectServedAlone(t, "large-0", "small-00", "large-1", "small-01")
 }
 
+// Guards against the calls that many entry hosts each admit at once, of an account that goes
+// over its quota only while they decide alone: when hosts learn of the cut, later, and shortly
+// before its end.
+func TestAccountGoesHotWhileHalfTheEntryHostsDecideAlone(t *testing.T) {
+	const cut = 10 * time.Second
+	for seed := range uint64(12) {
+		for _, hotAt := range []time.Duration{0, 2 * time.Second, cut - 2*time.Second} {
+			t.Run(fmt.Sprintf("seed %d, %v after the cut", seed, hotAt), func(t *testing.T) {
+				f := newFleetOf(seed, 9)
+				f.run(3 * time.Second)
+				f.after(300*time.Millisecond+hotAt, func() {
+					f.factor["large-1"], f.factor["small-01"], f.factor["small-02"] = 7.5, 7.5, 4.7
+				})
+				f.run(300 * time.Millisecond)
+				f.setCut(simEntries / 2)
+				f.run(cut)
+				f.setCut(0)
+				f.run(6 * time.Second)
+				f.expectBound(t, "large-1", "small-01", "small-02")
+				f.expectServedAlone(t, "large-1", "small-01", "small-02")
+			})
+		}
+	}
+}
+
 // expectServedAlone checks which share of the calls within their quotas hosts that
 // decide alone have refused. An entry host admits one call at a time of an account, which
 // refuses a part r/(1+r) of calls at random times that take the part r of its quota. A
