Do not let repeats with unchanged timeouts earn what is guaranteed to accounts

One account among ten whose callers repeat refused calls 50 times, 10 ms apart, and ask for five times its fair share got 3.2 times its max-min share, and the others 0.75 of theirs. Each repeat looked like a new call and earned credit for the guarantee of a quarter of the share of calls served.

What an account asks for is now measured only while none of its calls has been refused lately. From the first refusal on, calls earn at that rate, or at the account's part of all calls that are served. Others earn nothing and are not counted in the share of calls served; if they are served, they use credit.

'a third' of the accounts repeating passed before. Files of runs without accounts are unchanged. core/engine and core/admit pass.

--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -28,7 +28,8 @@
 		// finish is the finish tag of the last call, work the work of that call.
 		finish, work float64
 		// Floor guarantees the account its part of the calls that are served.
-		Floor Floor
+		Floor  Floor
+		demand demand
 		// open is the number of open calls, queued that of the queued ones.
 		open, queued int
 		lastUse      time.Time
--- a/core/admit/fair_test.go
+++ b/core/admit/fair_test.go
@@ -233,6 +233,7 @@
 					name = names[0]
 				}
 				flow := f.Join(int(next%3), name, now)
+				flow.Arrive(f.FairRate(), now)
 				c := admit.QueuedCall{Call: next, Weight: 1, Until: now, Rank: int(next % 3), Start: flow.Start(), Flow: flow}
 				ahead := q.Ahead(c)
 				flow.Wait(c.Start, ahead-q.AheadOfRank(c.Rank))
--- a/core/engine/fair.go
+++ b/core/engine/fair.go
@@ -44,6 +44,7 @@
 		queued      bool    // The call has been queued.
 		charged     bool    // The flow was charged when the call was queued.
 		owed        bool    // A Floor has the call served ahead of others.
+		repeat      bool    // Taken for the repeat of a refused call, so that it earns nothing.
 		paidRuns    int     // The number of attempts charged, without sheds; 0 before the first.
 		lastCharge  float64 // The flow's start tag when an attempt after the first was last charged.
 	}
@@ -109,6 +110,7 @@
 		work: max(s.latencies.expect(c.class.Aim, s.targets.MeanLatency()).Seconds(), minWork),
 	}
 	left := c.deadline.Sub(now)
+	c.fair.repeat = !c.fair.flow.Arrive(f.flows.FairRate(), now)
 	if c.class.Returned || c.class.Late {
 		return // Callers that repeat their calls often must not earn more by it.
 	}
@@ -148,7 +150,7 @@
 func (s *Scheduler) queueFairly(dst []Action, id uint64, c *call, now time.Time) []Action {
 	f := c.fair
 	f.start = f.flow.Start()
-	if f.rank != nil {
+	if f.rank != nil && !f.repeat {
 		f.claimOwed()
 	}
 	h := s.queuedCall(id, c)
@@ -260,11 +262,21 @@
 }
 
 // countOutcome counts a call that is sent for the first time, or that ends without that. It
-// does nothing for repeats. claimOwed has counted an owed call as served.
+// does nothing for calls that are known to be repeats. A call that is taken for one earns
+// nothing, but when it is served it uses what the call that was refused has earned.
+// claimOwed has counted an owed call as served.
 func (f *fairness) countOutcome(c *fairCall, served bool) {
 	if c.rank == nil {
 		return
 	}
+	if c.repeat {
+		for _, floor := range c.floors() {
+			if served {
+				floor.Serve()
+			}
+		}
+		return
+	}
 	f.share.Observe(served)
 	for _, floor := range c.floors() {
 		floor.Earn(f.share.Value())
@@ -285,6 +297,7 @@
 		return
 	}
 	if f.paidRuns == 0 {
+		f.flow.Refused(s.fair.seenAt)
 		s.fair.countOutcome(f, false)
 		if f.charged {
 			f.flow.Refund(f.work)
--- a/core/engine/fair_share_test.go
+++ b/core/engine/fair_share_test.go
@@ -177,6 +177,39 @@
 	expectServedShares(g, accounts)
 }
 
+// Guards against callers that get more, at the cost of others, because they repeat calls at
+// once with unchanged timeouts, so that repeats look like new calls.
+func TestRepeatsWithUnchangedTimeoutsTakeNothingFromOthers(t *testing.T) {
+	for name, accounts := range map[string]func() []*fairAccount{
+		"one of ten": func() []*fairAccount {
+			return append(smallAccounts(9, 1, 60),
+				&fairAccount{name: "repeats", rank: 1, perSecond: 300, class: quickClass, repeats: 50, repeatAfter: 10 * time.Millisecond, unchanged: true})
+		},
+		"a third": func() []*fairAccount {
+			accounts := smallAccounts(12, 1, 1.4*fairCapacity/12)
+			for _, a := range accounts[:4] {
+				a.repeats, a.repeatAfter, a.unchanged = 20, 20*time.Millisecond, true
+			}
+			return accounts
+		},
+	} {
+		for seed := uint64(4); seed < 8; seed++ {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				r := newFairRun(accounts()...)
+				r.rng = rand.New(rand.NewPCG(seed, seed))
+				r.run()
+				t.Log("\n" + r.String())
+				for i, share := range maxMinShares(r.accounts) {
+					if a := r.accounts[i]; !a.unchanged {
+						g.Expect(a.work.Seconds()).To(gomega.BeNumerically(">=", (1-shareTolerance)*share), a.name)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against an account so large that its max-min share is less than what is guaranteed,
 // and against a guarantee that gives it much more.
 func TestLargestAccountIsServedAQuarterAsOften(t *testing.T) {
--- a/core/engine/fair_test.go
+++ b/core/engine/fair_test.go
@@ -47,6 +47,8 @@
 		// that the refusal names when repeatAfter is 0.
 		repeats     int
 		repeatAfter time.Duration
+		// unchanged has repeats look like new calls: with the aim and the deadline of these.
+		unchanged bool
 		fairCounts
 	}
 
@@ -204,8 +206,12 @@
 	if !late {
 		class.aim -= elapsed
 	}
-	r.handle(engine.Arrive{Call: r.lastCall, Deadline: c.asked.Add(class.deadline), Class: spec.Class{
-		Weight: 1, Deadline: class.deadline, Aim: class.aim, Rank: c.account.rank, Account: name, Late: late, Returned: c.repeats > 0,
+	deadline, returned := c.asked.Add(class.deadline), c.repeats > 0
+	if c.account.unchanged {
+		class, deadline, late, returned = c.account.class, r.now.Add(class.deadline), false, false
+	}
+	r.handle(engine.Arrive{Call: r.lastCall, Deadline: deadline, Class: spec.Class{
+		Weight: 1, Deadline: class.deadline, Aim: class.aim, Rank: c.account.rank, Account: name, Late: late, Returned: returned,
 	}})
 }
 
