Keep the load of the test of failing targets even

What was seen: TestFailingTargetsGetFewCalls failed beside load, each time with calls that came late and in bursts. Beside 6 busy loops it failed in 3 of 3 runs, in 19 to 50 of its 80 subtests; calls began up to 370 ms after they were due, and refusals show that the retries of the service were used up. Cause: the test started all calls at fixed times. When its process got no processor for some time, the calls of that time came at once. A burst of 25 calls meets failing targets before a failure is known, and the retries that are allowed (10, and a tenth of the calls) are used up. The limits of the test are those of an even load of 100 calls/s. Change: a call begins 10 ms after the one before it, and only while fewer calls are open than the sound targets have slots. The number of calls and the allowed numbers of failed calls are the same; the seconds count in calls.

--- a/io/entry/failing_test.go
+++ b/io/entry/failing_test.go
@@ -47,12 +47,17 @@
 }
 
 // TestFailingTargetsGetFewCalls sends calls that may repeat while some of four targets
-// fail at once, which makes them look idle.
+// fail at once, which makes them look idle. The calls come at an even rate, and no more of
+// them are open than the sound targets have slots. Otherwise the calls that fall due while
+// this process does not get a processor would come all at once, and a burst uses up the
+// retries that are allowed before a failure is known.
 func TestFailingTargetsGetFewCalls(t *testing.T) {
 	const (
-		targets, rate = 4, 100
-		measured      = 2 * time.Second
-		// Failed calls that are allowed of 100, in the first second and after it.
+		targets, slots = 4, 4
+		rate           = 100 // Calls per second.
+		measured       = 2 * time.Second
+		// Failed calls that are allowed of 100, in the first second and after it. The
+		// seconds count in calls.
 		firstSecond, later = 3, 1
 	)
 	policies := spec.Policies
@@ -73,24 +78,26 @@
 					b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
 						doc.Route.Policy = policy
 						doc.Hold.LongestWait = strict.Duration(time.Second)
+						doc.Targets.Slots = slots
 						cfg.DecisionLogOneIn = 1000
 					}, addresses...)
 					var (
 						group  sync.WaitGroup
 						mu     sync.Mutex
 						failed [2]int
+						open   = make(chan struct{}, (targets-failing)*slots)
 					)
-					begin := time.Now()
 					for i := range int(measured.Seconds() * rate) {
+						open <- struct{}{}
 						group.Go(func() {
-							at := time.Duration(i) * time.Second / rate
-							time.Sleep(time.Until(begin.Add(at)))
+							defer func() { <-open }()
 							if !served("http://" + b.address + "/x") {
 								mu.Lock()
 								defer mu.Unlock()
-								failed[min(int(at/time.Second), 1)]++
+								failed[min(i/rate, 1)]++
 							}
 						})
+						time.Sleep(time.Second / rate)
 					}
 					group.Wait()
 					t.Logf("failed: %d in the first second, %d in the %s after it", failed[0], failed[1], measured-time.Second)
