Check a lost link while open connections serve its calls

What was seen: TestHostUsesItsLinksAgainAfterEachCut failed at times with one call carried though the links worked, after a cut in which open connections live on and new ones are refused. Cause: a lost link was checked only by a call that needed a new connection. While calls found an open connection free, nothing checked the link, so it stayed lost after the cut for any time, and the next call that needed another connection was carried by another host. Change: each call over a lost link starts the check if it is due, also when an open connection serves it. The delays between checks are the same.

--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -273,6 +273,41 @@
 	b.checkRuns()
 }
 
+// Guards against a link that stays lost after a cut since calls use the connections that
+// stayed open, so that a later call which needs another connection is carried.
+func TestLinkIsFoundAgainWhileOpenConnectionsServe(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	target := newTracedTarget(t)
+	report := rosterTarget("t", target.address, member.Ready)
+	control := newPlannedControl(t, cutPlan(), report)
+	control.state.UpdateTargets(true, report)
+	h, _ := newFleetHost(t, control.address)
+	url := "http://" + h.cfg.CallAddress.String()
+	newFleetHost(t, control.address)
+	g.Eventually(func() int { return len(listEntries(h)) }, testTimeout, time.Millisecond).Should(gomega.Equal(1))
+	h.forwarder.ways.addCarriers(listEntries(h))
+	links := newTargetLinks(t, h)
+	links.add(target.address)
+	b := &cutBed{t: t}
+	g.Expect(b.call(url, "/a/first")).To(gomega.BeTrue())
+	links.begin(cutMode{refuses: true})
+	g.Eventually(func() bool {
+		var calls sync.WaitGroup
+		for i := range 2 {
+			calls.Go(func() { b.call(url, fmt.Sprintf("/a/both-%d", i)) })
+		}
+		calls.Wait()
+		return h.forwarder.ways.lost(target.address)
+	}, testTimeout, time.Millisecond).Should(gomega.BeTrue())
+	links.end()
+	carried := h.metrics.Counter("calls_carried_out").Value()
+	g.Eventually(func() bool {
+		return b.call(url, "/a/after") && !h.forwarder.ways.lost(target.address)
+	}, testTimeout, time.Millisecond).Should(gomega.BeTrue())
+	g.Expect(h.metrics.Counter("calls_carried_out").Value()).To(gomega.Equal(carried))
+}
+
 // Guards against callers that are not served because a host with a fixed list of entry
 // hosts has lost its links to the targets.
 func TestCallersOfListedHostsCutOffFromTargetsAreServed(t *testing.T) {
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -144,11 +144,15 @@
 	if way.HeardAfter.After(heardAfter) {
 		heardAfter = way.HeardAfter
 	}
-	if conn := f.pool.reuse(address, heardAfter); conn != nil {
-		return conn, nil
-	}
+	conn := f.pool.reuse(address, heardAfter)
 	if !way.Dial {
+		// Also if an open connection serves: the next call may need another one.
 		f.checkLink(address, now)
+	}
+	switch {
+	case conn != nil:
+		return conn, nil
+	case !way.Dial:
 		return nil, errLinkLost
 	}
 	return f.dialLink(ctx, a, address)
