--- a/cmd/cardamomspool/print.go
+++ b/cmd/cardamomspool/print.go
@@ -60,21 +60,21 @@
 	var rows []string
 	for _, s := range list {
 		if s.Problem != "" {
-			rows = append(rows, fmt.Sprintf("%s\t-\t-\t-\t-\t%s", s.Address, s.Problem))
+			rows = append(rows, fmt.Sprintf("%s\t-\t-\t-\t-\t-\t%s", s.Address, s.Problem))
 			continue
 		}
 		state := "votes"
 		if !s.Voting {
 			state = "recovers: " + s.Recovery
 		}
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%s", s.Address, s.Host, s.Registers, s.Reachable, s.Majority, state))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s", s.Address, s.Host, orDash(s.Version), s.Registers, s.Reachable, s.Majority, state))
 	}
 	for _, s := range list {
 		if len(s.Evacuated) > 0 {
-			rows = append(rows, fmt.Sprintf("%s\t%s\t-\t-\t-\tevacuated: %s", s.Address, s.Host, strings.Join(s.Evacuated, ", ")))
+			rows = append(rows, fmt.Sprintf("%s\t%s\t-\t-\t-\t-\tevacuated: %s", s.Address, s.Host, strings.Join(s.Evacuated, ", ")))
 		}
 	}
-	return printRows(w, output, list, "ADDRESS\tHOST\tDOCUMENTS\tHEARD\tNEEDED\tSTATE", rows)
+	return printRows(w, output, list, "ADDRESS\tHOST\tVERSION\tDOCUMENTS\tHEARD\tNEEDED\tSTATE", rows)
 }
 
 func printTargets(w io.Writer, output string, list []admin.EntryAnswer) error {
--- /dev/null
+++ b/internal/build/doc.go
@@ -0,0 +1,2 @@
+// Package build tells which build of the program runs.
+package build
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -18,6 +18,7 @@
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
+	"cardamomspool/internal/build"
 	"cardamomspool/io/telem"
 )
 
@@ -258,7 +259,7 @@
 }
 
 func (c *control) status(w http.ResponseWriter, _ *http.Request) {
-	s := StatusView{Status: c.store.Status()}
+	s := StatusView{Status: c.store.Status(), Version: build.Version()}
 	if c.evacuator != nil {
 		_, s.Evacuated = c.evacuator.Evacuation()
 	}
--- a/io/admin/evacuate.go
+++ b/io/admin/evacuate.go
@@ -25,6 +25,8 @@
 	// StatusView is the status of a control host with the orders in force.
 	StatusView struct {
 		quorum.Status
+		// Version is that of the program; empty for builds that do not tell it.
+		Version string `json:"version,omitempty"`
 		// Evacuated lists the evacuated data centres.
 		Evacuated []string `json:"evacuated,omitempty"`
 	}
--- a/io/admin/view.go
+++ b/io/admin/view.go
@@ -42,6 +42,9 @@
 		Host string `json:"host"`
 		// DataCentre is the data centre that it runs in.
 		DataCentre string `json:"data_centre"`
+		// Version is that of the entry host's program; empty for builds that do not
+		// tell it.
+		Version string `json:"version,omitempty"`
 		// Ready is true when the entry host accepts calls.
 		Ready bool `json:"ready"`
 		// Services lists the documents in force on it.
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"cardamomspool/core/member"
+	"cardamomspool/internal/build"
 	"cardamomspool/io/admin"
 )
 
@@ -31,7 +32,7 @@
 // of all when service is empty.
 func (h *Host) entryView(service string) admin.EntryView {
 	v := admin.EntryView{
-		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Ready: h.isReady(),
+		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Version: build.Version(), Ready: h.isReady(),
 		Services: []admin.ServiceView{}, Targets: []admin.TargetView{},
 	}
 	services := h.services.Load()
--- a/io/telem/telem.go
+++ b/io/telem/telem.go
@@ -9,6 +9,8 @@
 	"runtime"
 	"strings"
 	"sync"
+
+	"cardamomspool/internal/build"
 )
 
 // Registry holds metrics that are served as one JSON object. Use NewRegistry.
@@ -17,10 +19,11 @@
 	mu   sync.Mutex // Serialises the creation of histograms.
 }
 
-// NewRegistry returns a Registry with one metric, the memory statistics of the
-// process.
+// NewRegistry returns a Registry with two metrics, the version of the program and the
+// memory statistics of the process.
 func NewRegistry() *Registry {
 	r := &Registry{vars: new(expvar.Map).Init()}
+	r.vars.Set("version", expvar.Func(func() any { return build.Version() }))
 	r.vars.Set("memstats", expvar.Func(memstats))
 	return r
 }
