Add the document of client accounts, and public services

Client accounts could only be part of the plan of a fleet.

spec.Accounts is the document for hosts without a fleet: accounts with keys in clear or digests, rank, rate and burst. Its name among documents, _accounts, is that of no service, so that it collides with no document of today. Validation is that of plans (plan.CheckAccounts) and adds ranks, characters of keys, lengths and an empty list. Digested returns the form for entry hosts, which the same function parses. Services have receive.public, which is left out of the stored form while false: old entry hosts refuse unknown fields.

core/keys imported core/quorum, which imports core/spec, for the size of a majority. That size is in core/voter now, which core/follow uses too instead of a formula of its own. The masked form of a key has moved from core/check to keys.Digest.

--- a/core/check/change.go
+++ b/core/check/change.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 
-	"cardamomspool/core/keys"
 	"cardamomspool/core/plan"
 )
 
@@ -18,9 +17,6 @@
 	Text string `json:"text"`
 }
 
-// maskedDigits is the number of digits by which a digest of a key is named.
-const maskedDigits = 8
-
 // Changes returns what differs in next from the plan in force: routes, services, accounts
 // and limits, each by name, in this order and sorted by name.
 func Changes(inForce, next *plan.Plan) []Change {
@@ -96,7 +92,7 @@
 		}{a.Rank, a.Rate, a.Burst})
 		masked := make([]string, len(a.Keys))
 		for i, k := range a.Keys {
-			masked[i] = maskedKey(k)
+			masked[i] = k.Masked()
 		}
 		slices.Sort(masked)
 		fields["keys"] = "[" + strings.Join(masked, " ") + "]"
@@ -124,12 +120,3 @@
 	}
 	return text
 }
-
-// maskedKey names a key without showing it, or the whole of its digest.
-func maskedKey(k keys.Digest) string {
-	text, err := k.MarshalText()
-	if err != nil || len(text) < maskedDigits {
-		return "?"
-	}
-	return string(text[:maskedDigits]) + "..."
-}
--- a/core/check/check.go
+++ b/core/check/check.go
@@ -152,7 +152,7 @@
 		seen := make(map[keys.Digest]bool)
 		for _, k := range a.Keys {
 			if seen[k] {
-				r.warn(at, "lists the key %s twice", maskedKey(k))
+				r.warn(at, "lists the key %s twice", k.Masked())
 			}
 			seen[k] = true
 		}
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cardamomspool/core/spec"
+	"cardamomspool/core/voter"
 )
 
 // Follower holds the documents of one entry host. Use New. It is not safe for
@@ -29,7 +30,7 @@
 // positive.
 func New(controls int) *Follower {
 	return &Follower{
-		majority: controls/2 + 1, newest: make(map[string]spec.Versioned), inForce: make(map[string]uint64),
+		majority: voter.Majority(controls), newest: make(map[string]spec.Versioned), inForce: make(map[string]uint64),
 		highest: make(map[string]uint64), reported: make(map[string]bool),
 	}
 }
--- a/core/keys/digest.go
+++ b/core/keys/digest.go
@@ -11,8 +11,12 @@
 // Digest is the SHA-256 digest of a key. Its text form is base64 without padding.
 type Digest [sha256.Size]byte
 
-// hidden stands for a digest in messages and log lines.
-const hidden = "[digest of a key]"
+const (
+	// hidden stands for a digest in messages and log lines.
+	hidden = "[digest of a key]"
+	// maskedDigits is the number of digits by which Masked names a digest.
+	maskedDigits = 8
+)
 
 // Of returns the digest of a key.
 func Of(key string) Digest {
@@ -29,6 +33,12 @@
 	return slog.StringValue(hidden)
 }
 
+// Masked returns the first digits of the digest in base64. They name a key among those of
+// a deployment and show neither the key nor its digest.
+func (d Digest) Masked() string {
+	return base64.RawStdEncoding.EncodeToString(d[:])[:maskedDigits] + "..."
+}
+
 // MarshalText returns the digest in base64.
 func (d Digest) MarshalText() ([]byte, error) {
 	return base64.RawStdEncoding.AppendEncode(nil, d[:]), nil
--- a/core/keys/lease.go
+++ b/core/keys/lease.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"cardamomspool/core/quorum"
+	"cardamomspool/core/voter"
 )
 
 type (
@@ -110,7 +110,7 @@
 			starts = append(starts, a.asked)
 		}
 	}
-	need := quorum.Majority(len(l.members))
+	need := voter.Majority(len(l.members))
 	if len(starts) < need {
 		return
 	}
--- a/core/keys/read.go
+++ b/core/keys/read.go
@@ -35,18 +35,19 @@
 	}
 	scheme, rest, found := strings.Cut(values[0], " ")
 	key := strings.TrimLeft(rest, " ")
-	if !found || !strings.EqualFold(scheme, Scheme) || key == "" || !visible(key) {
+	if !found || !strings.EqualFold(scheme, Scheme) || !Valid(key) {
 		return Digest{}, ErrMalformed
 	}
 	return Of(key), nil
 }
 
-// visible reports whether all characters of s are visible ASCII characters.
-func visible(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] >= 0x7f {
+// Valid reports whether a call can carry key: it is not empty, and all its characters are
+// visible ASCII characters.
+func Valid(key string) bool {
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] >= 0x7f {
 			return false
 		}
 	}
-	return true
+	return key != ""
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"strings"
 	"time"
-	"unicode"
 
 	"cardamomspool/core/keys"
 	"cardamomspool/core/strict"
@@ -136,37 +135,10 @@
 	for i := range p.Routes {
 		p.Routes[i].validate(&f, serviceNames)
 	}
-	p.validateAccounts(&f)
+	CheckAccounts(&f, p.Accounts)
 	return f
 }
 
-// validateAccounts adds the faults of the accounts to f. Keys are not part of the
-// messages.
-func (p *Plan) validateAccounts(f *strict.Faults) {
-	names := make(map[string]bool, len(p.Accounts))
-	holders := make(map[keys.Digest]string)
-	for i := range p.Accounts {
-		a := &p.Accounts[i]
-		at := "accounts[" + a.Name + "]"
-		switch {
-		case a.Name == "" || strings.ContainsFunc(a.Name, unicode.IsControl):
-			f.Add(at, "must have a name without control characters")
-		case names[a.Name]:
-			f.Add(at, "is listed twice")
-		}
-		names[a.Name] = true
-		if a.Rate < 0 || a.Burst < 0 {
-			f.Add(at, "has the rate %v and the burst %v, must not be negative", a.Rate, a.Burst)
-		}
-		for _, k := range a.Keys {
-			if holder, taken := holders[k]; taken && holder != a.Name {
-				f.Add(at+".keys", "has a key of the account %q", holder)
-			}
-			holders[k] = a.Name
-		}
-	}
-}
-
 // validate adds the faults of the route to f. The keys of services are the names
 // of the plan's services.
 func (r *Route) validate(f *strict.Faults, services map[string]bool) {
--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/spec"
+	"cardamomspool/core/voter"
 )
 
 type (
@@ -123,7 +124,7 @@
 
 // Majority returns the size of a majority of n hosts.
 func Majority(n int) int {
-	return n/2 + 1
+	return voter.Majority(n)
 }
 
 // RecoveryQuorum returns the number of other hosts, out of n in total, that a
--- a/core/spec/canonical.go
+++ b/core/spec/canonical.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"reflect"
 	"slices"
+
+	"cardamomspool/core/strict"
 )
 
 // Canonical returns the document as compact JSON: all fields in the order of the
@@ -18,11 +20,37 @@
 	for i := range s.Receive.Routes {
 		sortMethods(&s.Receive.Routes[i].Methods)
 	}
+	return encode(s)
+}
+
+// CanonicalAccounts returns the document as compact JSON, as Canonical does for a service.
+func CanonicalAccounts(a Accounts) json.RawMessage {
+	replaceNilSlices(reflect.ValueOf(&a).Elem())
+	return encode(a)
+}
+
+// CanonicalNamed decodes and validates the document called name, of a service or of the
+// client accounts, and returns it in canonical form. The form must not be used if there are
+// faults.
+func CanonicalNamed(name string, data []byte) (json.RawMessage, strict.Faults) {
+	if name == AccountsName {
+		doc, faults := ParseAccounts(data)
+		return CanonicalAccounts(doc), faults
+	}
+	doc, faults := Parse(data)
+	if len(faults) == 0 && doc.Name != name {
+		faults.Add("name", "is %q, must be %q as in the address", doc.Name, name)
+	}
+	return Canonical(doc), faults
+}
+
+// encode returns a document as compact JSON.
+func encode(doc any) json.RawMessage {
 	var buf bytes.Buffer
 	enc := json.NewEncoder(&buf)
 	enc.SetEscapeHTML(false)
-	if err := enc.Encode(s); err != nil {
-		panic(err) // All fields of a Service can be encoded as JSON.
+	if err := enc.Encode(doc); err != nil {
+		panic(err) // All fields of a document can be encoded as JSON.
 	}
 	return bytes.TrimSpace(buf.Bytes())
 }
--- a/core/spec/fields.go
+++ b/core/spec/fields.go
@@ -34,6 +34,10 @@
 		Path: "receive.non_idempotent_methods", Label: "Non-idempotent methods", Choices: methods,
 		Help: "Methods whose calls run at most once.",
 	},
+	{
+		Path: "receive.public", Label: "Public",
+		Help: "Calls need no key of a client account, and count for none.",
+	},
 	{
 		Path: "receive.routes[].path_prefix", Label: "Path prefix",
 		Help: "Calls that the rule applies to; the longest matching rule wins.",
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -47,6 +47,8 @@
 		Deadline strict.Duration `json:"deadline"`
 		// NonIdempotentMethods lists the methods whose calls run at most once.
 		NonIdempotentMethods []string `json:"non_idempotent_methods"`
+		// Public says that calls need no key although there are client accounts.
+		Public bool `json:"public,omitempty"`
 		// Routes overrides Weight and Deadline for some paths and methods, and
 		// marks further calls as non-idempotent or patient; the rule with the
 		// longest matching prefix wins.
