Check keys of the accounts document at hosts without a fleet

Calls at hosts with fixed lists of each other had no client accounts.

Control hosts agree on the accounts document as on services: one more register, with compare-and-swap, resends and a history, at /v1/accounts/document. Entry hosts get it with digests for keys, and only if they name it among the documents that they hold: hosts of versions without accounts would refuse the name, and wait for a revision that they never take. Its name sorts before those of services, so that accounts come into force first.

The gate checks keys of the document as those of a plan; Host.keyPlan is the one place that tells them apart. There is no lease. A host that has not heard a majority on its present streams answers 503 in place of 401. If the first document that it gets cannot be read, or that on its disk is damaged, it accepts no key rather than serving calls without. Quotas are rate / number of entry hosts. Pages of services in the console show no accounts, whose keys are in clear at control hosts.

--- a/cmd/cardamomspool/reference.go
+++ b/cmd/cardamomspool/reference.go
@@ -31,7 +31,7 @@
 
 func referenceCommand() *command {
 	sub := flaggy.NewSubcommand("settings")
-	sub.Description = "print all settings and fields of service documents, as Markdown"
+	sub.Description = "print all settings and fields of documents, as Markdown"
 	flaggy.AttachSubcommand(sub, 1)
 	return &command{parser: sub, run: func(context.Context, *options) error { return writeReference(os.Stdout) }}
 }
@@ -40,6 +40,7 @@
 func writeReference(w io.Writer) error {
 	tables := []referenceTable{
 		{"Service document", "What operators set per service, through the console, `ctl` or the API.", spec.Reference()},
+		{"Client accounts", "The document of the client accounts of hosts without a fleet, given to `ctl apply --accounts`.", spec.AccountReference()},
 		{"Settings of an entry host", "The file given to `cardamomspool entry --settings`.", setup.EntryReference()},
 		{"Settings of a control host", "The file given to `cardamomspool control --settings`.", setup.ControlReference()},
 	}
--- a/io/admin/accounts.go
+++ b/io/admin/accounts.go
@@ -1,6 +1,10 @@
 package admin
 
-import "net/http"
+import (
+	"net/http"
+
+	"cardamomspool/core/spec"
+)
 
 // AccountUse is the use of a client account's quota as one control host knows it.
 type AccountUse struct {
@@ -20,8 +24,13 @@
 	Restricted bool `json:"restricted"`
 }
 
-// AccountsPath is where a control host serves its list of AccountUse.
-const AccountsPath = "/v1/accounts"
+const (
+	// AccountsPath is where a control host serves its list of AccountUse.
+	AccountsPath = "/v1/accounts"
+	// AccountsDocumentPath is where a control host without a fleet serves the document of
+	// the client accounts, as it serves those of services.
+	AccountsDocumentPath = AccountsPath + "/document"
+)
 
 // WithAccounts sets the function that returns the use of client accounts.
 func WithAccounts(accounts func() []AccountUse) Option {
@@ -40,3 +49,55 @@
 	}
 	reply(w, http.StatusOK, list)
 }
+
+// handleAccounts adds the paths of client accounts to mux. In a fleet the accounts are part of
+// the plan, and the paths of their document do not exist.
+func (c *control) handleAccounts(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+AccountsPath, c.listAccounts)
+	if c.evacuator != nil {
+		return
+	}
+	mux.HandleFunc("GET "+AccountsDocumentPath, ofAccounts(c.get))
+	mux.HandleFunc("PUT "+AccountsDocumentPath, ofAccounts(c.put))
+	mux.HandleFunc("DELETE "+AccountsDocumentPath, ofAccounts(c.delete))
+	mux.HandleFunc("GET "+AccountsDocumentPath+"/history", ofAccounts(c.history))
+	mux.HandleFunc("POST "+AccountsPath+"/validate", c.validateAccounts)
+}
+
+// ofAccounts returns a handler that has next handle requests about the document of the
+// accounts.
+func ofAccounts(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.SetPathValue("name", spec.AccountsName)
+		next(w, r)
+	}
+}
+
+// ofService returns a handler that has next handle requests about services, and no request
+// about another document.
+func ofService(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if name := r.PathValue("name"); name == spec.AccountsName {
+			reply(w, http.StatusNotFound, Problem{Error: "no such service"})
+			return
+		}
+		next(w, r)
+	}
+}
+
+// missing returns the text of the error about a document that does not exist.
+func missing(name string) string {
+	if name == spec.AccountsName {
+		return "no client accounts"
+	}
+	return "no such service"
+}
+
+func (c *control) validateAccounts(w http.ResponseWriter, r *http.Request) {
+	body, ok := readDocument(w, r, spec.MaxAccountsBytes)
+	if !ok {
+		return
+	}
+	doc, faults := spec.ParseAccounts(body)
+	replyValidated(w, spec.CanonicalAccounts(doc), faults)
+}
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -141,15 +141,15 @@
 func (c *control) api() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/services", c.list)
-	mux.HandleFunc("GET /v1/services/{name}", c.get)
-	mux.HandleFunc("PUT /v1/services/{name}", c.put)
-	mux.HandleFunc("DELETE /v1/services/{name}", c.delete)
-	mux.HandleFunc("GET /v1/services/{name}/history", c.history)
+	mux.HandleFunc("GET /v1/services/{name}", ofService(c.get))
+	mux.HandleFunc("PUT /v1/services/{name}", ofService(c.put))
+	mux.HandleFunc("DELETE /v1/services/{name}", ofService(c.delete))
+	mux.HandleFunc("GET /v1/services/{name}/history", ofService(c.history))
 	mux.HandleFunc("POST /v1/validate", c.validate)
 	mux.HandleFunc("GET /v1/status", c.status)
 	mux.HandleFunc("GET "+TargetsPath, c.targets)
 	c.handleEvacuations(mux)
-	mux.HandleFunc("GET "+AccountsPath, c.listAccounts)
+	c.handleAccounts(mux)
 	return mux
 }
 
@@ -211,13 +211,13 @@
 
 func (c *control) get(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
-	if !spec.ValidName(name) {
-		reply(w, http.StatusNotFound, Problem{Error: "no such service"})
+	if !spec.ValidDocumentName(name) {
+		reply(w, http.StatusNotFound, Problem{Error: missing(name)})
 		return
 	}
 	v, confirmed := c.editor.Read(r.Context(), name)
 	if v.Revision == 0 || v.Deleted {
-		reply(w, http.StatusNotFound, Problem{Error: "no such service", Current: &v})
+		reply(w, http.StatusNotFound, Problem{Error: missing(name), Current: &v})
 		return
 	}
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(v.Revision, 10)))
@@ -227,23 +227,28 @@
 func (c *control) history(w http.ResponseWriter, r *http.Request) {
 	history := History(c.store, r.PathValue("name"))
 	if len(history) == 0 {
-		reply(w, http.StatusNotFound, Problem{Error: "no such service"})
+		reply(w, http.StatusNotFound, Problem{Error: missing(r.PathValue("name"))})
 		return
 	}
 	reply(w, http.StatusOK, history)
 }
 
 func (c *control) validate(w http.ResponseWriter, r *http.Request) {
-	body, ok := readDocument(w, r)
+	body, ok := readDocument(w, r, spec.MaxDocumentBytes)
 	if !ok {
 		return
 	}
 	doc, faults := spec.Parse(body)
+	replyValidated(w, spec.Canonical(doc), faults)
+}
+
+// replyValidated answers with the canonical form of a document, or with its faults.
+func replyValidated(w http.ResponseWriter, canonical json.RawMessage, faults strict.Faults) {
 	if len(faults) > 0 {
 		reply(w, http.StatusBadRequest, Problem{Error: "the document has faults", Faults: faults})
 		return
 	}
-	reply(w, http.StatusOK, Validated{Document: spec.Canonical(doc)})
+	reply(w, http.StatusOK, Validated{Document: canonical})
 }
 
 // ready answers 204 when the host votes and a majority has recently confirmed
@@ -279,7 +284,7 @@
 	if !ok {
 		return
 	}
-	if d.Document, ok = readDocument(w, r); ok {
+	if d.Document, ok = readDocument(w, r, spec.MaxBytes(d.Name)); ok {
 		c.submit(w, r, d)
 	}
 }
@@ -312,17 +317,17 @@
 	return d, true
 }
 
-// readDocument reads the body of a request. When the body is larger than
-// spec.MaxDocumentBytes or incomplete, it answers the request and returns false.
-func readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, spec.MaxDocumentBytes))
+// readDocument reads the body of a request. When the body is larger than maxBytes or
+// incomplete, it answers the request and returns false.
+func readDocument(w http.ResponseWriter, r *http.Request, maxBytes int) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(maxBytes)))
 	if err == nil {
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		reply(w, http.StatusRequestEntityTooLarge, Problem{
-			Error: "the document is longer than " + strconv.Itoa(spec.MaxDocumentBytes) + " bytes",
+			Error: "the document is longer than " + strconv.Itoa(maxBytes) + " bytes",
 		})
 		return nil, false
 	}
--- a/io/admin/editor.go
+++ b/io/admin/editor.go
@@ -23,7 +23,7 @@
 
 	// Draft is a change as sent by an operator, not yet validated.
 	Draft struct {
-		// Name is the name of the service.
+		// Name is the name of the document: that of a service, or spec.AccountsName.
 		Name string
 		// Base is the revision that the change is based on; 0 for a new
 		// service.
@@ -123,18 +123,15 @@
 	if d.Deleted {
 		return change, append(faults, checkDeletion(d)...)
 	}
-	doc, found := spec.Parse(d.Document)
-	if len(found) == 0 && doc.Name != d.Name {
-		found.Add("name", "is %q, must be %q as in the address", doc.Name, d.Name)
-	}
-	change.Body = spec.Canonical(doc)
+	body, found := spec.CanonicalNamed(d.Name, d.Document)
+	change.Body = body
 	return change, append(faults, found...)
 }
 
-// checkDeletion returns the faults of a draft that deletes a service.
+// checkDeletion returns the faults of a draft that deletes a document.
 func checkDeletion(d Draft) strict.Faults {
 	var faults strict.Faults
-	if !spec.ValidName(d.Name) {
+	if !spec.ValidDocumentName(d.Name) {
 		faults.Add("name", "is %q, which is no name of a service", d.Name)
 	}
 	if d.Base == 0 {
--- a/io/consol/console.go
+++ b/io/consol/console.go
@@ -148,6 +148,9 @@
 			c.log.Warn("form refused", "remote", r.RemoteAddr, "path", r.URL.Path)
 			c.problem(w, http.StatusForbidden, s, "This form has expired",
 				"Nothing was changed. Your session has ended, or the form is from another one. Log in again and start again from the list.")
+		case r.PathValue("name") == spec.AccountsName || r.PostFormValue("name") == spec.AccountsName:
+			// The pages of services would show the keys of accounts.
+			c.problem(w, http.StatusNotFound, s, "No such service", "The client accounts are no service.")
 		default:
 			next(w, r, s)
 		}
--- a/io/consol/fake_test.go
+++ b/io/consol/fake_test.go
@@ -103,7 +103,7 @@
 func (s *fakeStore) List() []spec.Versioned {
 	list := []spec.Versioned{}
 	for _, v := range s.values {
-		if !v.Deleted {
+		if !v.Deleted && v.Name != spec.AccountsName {
 			list = append(list, v.Versioned)
 		}
 	}
--- a/io/ctrl/serve.go
+++ b/io/ctrl/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"cardamomspool/core/quorum"
+	"cardamomspool/core/spec"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 )
@@ -141,10 +143,10 @@
 // first batch it sends an update marked complete.
 func (w *watcher) send(values []quorum.Value) error {
 	for _, v := range values {
-		if v.Revision <= w.sent[v.Name] {
+		if v.Revision <= w.sent[v.Name] || !w.takes(v.Name) {
 			continue
 		}
-		update := &peerpb.Update{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: v.Body}
+		update := &peerpb.Update{Name: v.Name, Revision: v.Revision, Deleted: v.Deleted, Body: w.host.publicBody(v)}
 		if err := w.stream.Send(update); err != nil {
 			return err
 		}
@@ -154,9 +156,37 @@
 		return nil
 	}
 	w.initialSent = true
+	w.pending = slices.DeleteFunc(w.pending, func(h *peerpb.Held) bool { return !w.takes(h.GetName()) })
 	return w.stream.Send(&peerpb.Update{Complete: true, Pending: w.pending})
 }
 
+// takes reports whether the entry host knows the kind of the document called name. Those of
+// versions that know client accounts name their document among those that they hold, with
+// revision 0 before they have it. Others would refuse the name, and never be confirmed while
+// they wait for a revision.
+func (w *watcher) takes(name string) bool {
+	if name != spec.AccountsName {
+		return true
+	}
+	_, ok := w.sent[name]
+	return ok
+}
+
+// publicBody returns the body of a document as entry hosts get it: that of the accounts has
+// digests for keys. It is empty if this version cannot read the accounts; entry hosts refuse
+// that and keep the accounts in force.
+func (h *Host) publicBody(v quorum.Value) []byte {
+	if v.Name != spec.AccountsName || v.Deleted {
+		return v.Body
+	}
+	doc, faults := spec.ParseAccounts(v.Body)
+	if err := faults.Err(); err != nil {
+		h.log.Error("accounts not sent to entry hosts: this version cannot read them", "revision", v.Revision, "error", err)
+		return nil
+	}
+	return spec.CanonicalAccounts(doc.Digested())
+}
+
 // revisionsByName returns the revision of each document in list, by name.
 func revisionsByName(list []*peerpb.Held) map[string]uint64 {
 	m := make(map[string]uint64, len(list))
--- a/io/ctrl/store.go
+++ b/io/ctrl/store.go
@@ -14,7 +14,7 @@
 )
 
 // errInvalidName reports a change to a document with an invalid name.
-var errInvalidName = errors.New("control: the service name is not valid")
+var errInvalidName = errors.New("control: the name of the document is not valid")
 
 // Apply makes one change and returns once a majority of control hosts has
 // written it to disk. It returns a *quorum.ConflictError when the document has a
@@ -23,7 +23,7 @@
 // quorum.ErrNoMajority when the outcome is unknown. It returns another error when
 // the name is not valid or this host has stopped.
 func (h *Host) Apply(ctx context.Context, c quorum.Change) (quorum.Request, error) {
-	if !spec.ValidName(c.Name) {
+	if !spec.ValidDocumentName(c.Name) {
 		return quorum.Request{}, errInvalidName
 	}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
@@ -36,7 +36,7 @@
 // hosts answer, quorum.ErrRecovering while this host does not vote yet, and another
 // error when it has stopped.
 func (h *Host) Read(ctx context.Context, name string) (spec.Versioned, error) {
-	if !spec.ValidName(name) {
+	if !spec.ValidDocumentName(name) {
 		return spec.Versioned{Name: name}, nil // No document can have an invalid name.
 	}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Read(now, name) })
@@ -53,13 +53,13 @@
 	return v, v.Revision > 0 && !v.Deleted
 }
 
-// List returns the newest documents that this host has learnt, without deleted
-// ones, sorted by name.
+// List returns the newest documents of services that this host has learnt, without
+// deleted ones, sorted by name.
 func (h *Host) List() []spec.Versioned {
 	values, _, _ := h.learntValues()
 	list := make([]spec.Versioned, 0, len(values))
 	for _, v := range values {
-		if !v.Deleted {
+		if !v.Deleted && v.Name != spec.AccountsName {
 			list = append(list, v.Versioned)
 		}
 	}
--- a/io/entry/account.go
+++ b/io/entry/account.go
@@ -28,6 +28,8 @@
 	reasonKeyRefused    = "key_refused"
 	reasonKeyLeaseEnded = "key_lease_ended"
 	detailPlanOutdated  = "the plan may be out of date"
+	// detailAccountsOutdated is detailPlanOutdated at a host outside a fleet.
+	detailAccountsOutdated = "the client accounts may be out of date"
 	// headerChallenge holds, on an answer with status 401, the scheme that the caller must
 	// use. Source: RFC 9110, section 11.6.1.
 	headerChallenge = "WWW-Authenticate"
@@ -45,10 +47,24 @@
 	return keys.NewTable(list)
 }
 
+// keyPlan returns the plan by which keys are checked: that of the fleet, or outside a fleet
+// one of the accounts document alone. It returns nil if there is none.
+func (h *Host) keyPlan() *activePlan {
+	if h.fleet != nil {
+		return h.fleet.active.Load()
+	}
+	return h.documentAccounts.Load()
+}
+
+// leaseHolds reports whether keys may be accepted now. Outside a fleet there is no lease.
+func (h *Host) leaseHolds() bool {
+	return h.fleet == nil || h.fleet.lease.holds()
+}
+
 // findAccount returns the account of a key by the plan v, which has accounts, or the
 // problem to answer with. digest and err are what keys.Read has returned, and held says
 // whether the lease was held before v was looked up.
-func (f *fleet) findAccount(v *activePlan, digest keys.Digest, err error, held bool) (*keys.Account, *problem) {
+func (h *Host) findAccount(v *activePlan, digest keys.Digest, err error, held bool) (*keys.Account, *problem) {
 	if !held {
 		return nil, &problem{http.StatusServiceUnavailable, reasonKeyLeaseEnded, "no majority of control hosts has confirmed the plan lately"}
 	}
@@ -65,26 +81,51 @@
 			return account, nil
 		}
 	}
-	if !f.follower.Synced() || f.follower.Outdated() {
-		return nil, &problem{http.StatusServiceUnavailable, reasonNoPlan, detailPlanOutdated}
+	if p := h.doubtPlan(v); p != nil {
+		return nil, p
 	}
 	return nil, &problem{http.StatusUnauthorized, reasonKeyRefused, detail}
 }
 
+// doubtPlan returns the problem to answer with in place of a refused key if v may be out of
+// date, else nil.
+func (h *Host) doubtPlan(v *activePlan) *problem {
+	switch {
+	case h.fleet == nil && (v.unreadable || !h.config.synced()):
+		return &problem{http.StatusServiceUnavailable, reasonNotConfirmed, detailAccountsOutdated}
+	case h.fleet != nil && (!h.fleet.follower.Synced() || h.fleet.follower.Outdated()):
+		return &problem{http.StatusServiceUnavailable, reasonNoPlan, detailPlanOutdated}
+	}
+	return nil
+}
+
+// isPublic reports whether a call needs no key by the plan v. A call goes on as it began if
+// its route or service has been removed.
+func (h *Host) isPublic(v *activePlan, c *call, r *http.Request) bool {
+	if h.fleet == nil {
+		if s := h.services.Load().byName[c.service.doc.Name]; s != nil {
+			return s.doc.Receive.Public
+		}
+		return c.service.doc.Receive.Public
+	}
+	route := v.table.Find(withoutPort(r.Host), r.URL.Path)
+	if route == nil {
+		route = c.admission.route
+	}
+	return route != nil && route.Open
+}
+
 // checkKey checks the key of a call by the plan in force, as the gate has done, and the
 // lease, since both may have changed while the call waited. It returns the problem to
 // answer with, or nil if the call may be sent now.
 func (h *Host) checkKey(c *call, r *http.Request) *problem {
-	if h.fleet == nil {
-		return nil
-	}
-	v, admitted := h.fleet.active.Load(), &c.admission
-	held := v != nil && v.accounts != nil && h.fleet.lease.holds()
+	v, admitted := h.keyPlan(), &c.admission
+	held := v != nil && v.accounts != nil && h.leaseHolds()
 	admitted.mu.Lock()
 	defer admitted.mu.Unlock()
 	// The plan is looked up after the lease: a lease that is renewed for a newer plan says
 	// nothing about an older one.
-	if v = h.fleet.active.Load(); v == nil || v.accounts == nil {
+	if v = h.keyPlan(); v == nil || v.accounts == nil {
 		return nil // What was admitted by a plan with accounts is still sent without its key.
 	}
 	if v == admitted.plan {
@@ -93,11 +134,7 @@
 		}
 		return nil
 	}
-	route := v.table.Find(withoutPort(r.Host), r.URL.Path)
-	if route == nil {
-		route = admitted.route // The call goes on although its route has been removed.
-	}
-	if route != nil && route.Open {
+	if h.isPublic(v, c, r) {
 		admitted.plan, admitted.account = v, nil
 		return nil
 	}
@@ -113,7 +150,7 @@
 	default:
 		digest, err = keys.Read(r.Header[keys.Field])
 	}
-	account, p := h.fleet.findAccount(v, digest, err, held)
+	account, p := h.findAccount(v, digest, err, held)
 	if p == nil {
 		admitted.plan, admitted.account = v, account
 	}
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -11,6 +11,7 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/follow"
+	"cardamomspool/core/quorum"
 	"cardamomspool/core/spec"
 	"cardamomspool/io/disk"
 )
@@ -42,6 +43,8 @@
 		InForce int `json:"in_force"`
 		// Revisions is the sum of the revisions in force.
 		Revisions uint64 `json:"revisions"`
+		// Accounts is the revision of the client accounts in force; 0 for none.
+		Accounts uint64 `json:"accounts,omitempty"`
 		// Reported is the number of control hosts that have sent all documents
 		// that they know to be chosen, since the start.
 		Reported int `json:"controls_reported"`
@@ -128,6 +131,9 @@
 	)
 	if err = c.folder.Load(name, &v); err != nil || documentPrefix+v.Name != name {
 		c.host.log.Error("kept document is damaged", "file", name, "error", err)
+		if name == documentPrefix+spec.AccountsName {
+			c.host.denyKeys()
+		}
 		return false
 	}
 	c.applyAll(c.follower.Restore(nil, v))
@@ -226,6 +232,26 @@
 	return c.follower.Confirmed() || c.trusted && time.Since(c.started) >= maxConfirmWait
 }
 
+// synced reports whether the documents in force are the newest as far as control hosts in
+// touch know: a majority has reported on its present streams, and nothing newer is known.
+func (c *configuration) synced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams() >= quorum.Majority(len(c.controls)) && len(c.follower.Outdated()) == 0
+}
+
+// streams returns the number of streams on which a control host has reported. The caller
+// holds mu.
+func (c *configuration) streams() int {
+	n := 0
+	for _, k := range c.controls {
+		if k.reported {
+			n++
+		}
+	}
+	return n
+}
+
 // status returns the state of the documents and of the watch streams.
 func (c *configuration) status() documentStatus {
 	c.mu.Lock()
@@ -235,11 +261,10 @@
 	for _, service := range c.host.services.Load().list {
 		s.Revisions += service.revision
 	}
-	for _, k := range c.controls {
-		if k.reported {
-			s.Streams++
-		}
+	if v := c.host.documentAccounts.Load(); v != nil {
+		s.Accounts = v.plan.Version
 	}
+	s.Streams = c.streams()
 	switch {
 	case c.follower.Confirmed():
 		s.State = stateConfirmed
@@ -268,10 +293,13 @@
 	}
 }
 
-// apply puts a document in force, or removes its service if it is deleted. It
-// returns an error if the document is invalid. The caller holds the mutex of the
+// apply puts a document in force, or removes its service, or the accounts, if it is deleted.
+// It returns an error if the document is invalid. The caller holds the mutex of the
 // configuration and passes only documents newer than those in force.
 func (h *Host) apply(v spec.Versioned) error {
+	if v.Name == spec.AccountsName {
+		return h.applyAccounts(v)
+	}
 	current := h.services.Load()
 	old := current.byName[v.Name]
 	if v.Deleted {
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -13,7 +13,6 @@
 	"cardamomspool/core/keys"
 	"cardamomspool/core/member"
 	"cardamomspool/core/plan"
-	"cardamomspool/core/quota"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
@@ -45,10 +44,6 @@
 		toldHosts  atomic.Int64
 		coldSeed   uint64
 		coldLimits sync.Map
-		// quota limits the calls of client accounts that this host decides about alone;
-		// nil without quotas.
-		quota *quota.Local
-
 		// lateUndecided has room for the late calls that may wait for a decision.
 		lateUndecided chan struct{}
 
@@ -70,6 +65,9 @@
 		table *plan.Table
 		// accounts finds the account of a key; nil when the plan has none.
 		accounts *keys.Table
+		// unreadable says, at a host outside a fleet, that there are accounts of which
+		// nothing is known, so that no key is accepted.
+		unreadable bool
 		// longestTimeouts holds the longest timeout that any caller has sent, by
 		// route. A retrying caller sends a shorter one.
 		longestTimeouts sync.Map // *plan.Route to time.Duration
@@ -136,7 +134,6 @@
 	f := &fleet{
 		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}), coldSeed: newColdSeed(),
 		lateUndecided: make(chan struct{}, maxLateUndecided), splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		quota: newLocalQuota(&h.cfg.Fleet),
 	}
 	f.lease = newKeyLease(h.cfg.Fleet.KeyLease.Std(), h.log, h.metrics)
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -17,10 +17,11 @@
 	w    responseWriter
 	r    *http.Request
 	info wire.CallerInfo // Its timeout is what is left of the caller's.
-	// plan is the one by which the request is checked, and route that of the request; nil
-	// outside a fleet.
+	// plan is the one by which the request is checked, outside a fleet that of keyPlan, and
+	// route that of the request, nil outside a fleet.
 	plan    *activePlan
 	route   *plan.Route
+	public  bool          // The route or the service needs no key.
 	account *keys.Account // The client account that makes the call; nil for none.
 	service *service
 	class   spec.Class
@@ -95,43 +96,48 @@
 	if a.host.fleet != nil {
 		var p *problem
 		a.route, p = a.host.fleet.findRoute(a.plan, a.r)
+		a.public = p == nil && a.route.Open
 		return p
 	}
 	a.info = a.host.dialect.ParseCall(a.r.Header)
 	var p *problem
 	a.service, a.class, p = a.host.findService(a.r, a.info)
+	// The accounts come into force before the services of the same time, so that they are
+	// looked up after the service, for which a host that has just started waits.
+	a.plan, a.public = a.host.keyPlan(), p == nil && a.service.doc.Receive.Public
 	return p
 }
 
 // checkKey finds the client account. A host that has just started waits for its first
 // lease, as it does for the plan. Host.checkKey checks the key again before it is relied on.
 func (a *arrival) checkKey() *problem {
-	f := a.host.fleet
-	if f == nil || a.plan.accounts == nil || a.route.Open {
+	if a.plan == nil || a.plan.accounts == nil || a.public {
 		return nil
 	}
-	waited := f.lease.awaitFirst(a.r.Context(), a.info.Timeout)
-	a.deductWait(waited)
+	if f := a.host.fleet; f != nil {
+		a.deductWait(f.lease.awaitFirst(a.r.Context(), a.info.Timeout))
+	}
 	digest, err := keys.Read(a.r.Header[keys.Field])
 	var p *problem
-	a.account, p = f.findAccount(a.plan, digest, err, f.lease.holds())
+	a.account, p = a.host.findAccount(a.plan, digest, err, a.host.leaseHolds())
 	return p
 }
 
 // checkPart selects the service by the route's parts, and completes the class.
 func (a *arrival) checkPart() *problem {
-	if a.host.fleet == nil {
-		return nil
+	if f := a.host.fleet; f != nil {
+		var p *problem
+		if a.service, a.class, p = f.selectPart(a.plan, a.route, a.info); p != nil {
+			return p
+		}
 	}
-	var p *problem
-	a.service, a.class, p = a.host.fleet.selectPart(a.plan, a.route, a.info)
-	if p == nil && a.account != nil {
+	if a.account != nil {
 		a.class.Account = a.account.Name
 		if a.account.Rank != nil {
 			a.class.Rank = *a.account.Rank
 		}
 	}
-	return p
+	return nil
 }
 
 // checkBody begins the call and reads as much of its body as the scheduler needs.
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/crash"
+	"cardamomspool/core/quota"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/drain"
@@ -27,25 +28,30 @@
 type (
 	// Host is one entry host. Use New.
 	Host struct {
-		cfg           setup.Entry
-		log           *slog.Logger
-		metrics       *telem.Registry
-		system        *actor.ActorSystem
-		forwarder     *forwarder
-		uploads       *uploadBacklog
-		limits        limitTracker
-		rests         restTracker
-		leavers       leaverTracker
-		crashes       *crash.Table // Calls that were at targets as these ended.
-		dialect       wire.Dialect
-		members       *membership
-		config        *configuration
-		fleet         *fleet
-		newFront      func(*Host) http.Handler // See WithFront; nil if not set.
-		draining      atomic.Bool              // Readiness is withdrawn, as the host is about to stop.
-		nextCall      atomic.Uint64            // The last call.id given.
-		services      atomic.Pointer[serviceMap]
-		decisionsSeen atomic.Uint64 // Decisions counted to choose those to log.
+		cfg       setup.Entry
+		log       *slog.Logger
+		metrics   *telem.Registry
+		system    *actor.ActorSystem
+		forwarder *forwarder
+		uploads   *uploadBacklog
+		limits    limitTracker
+		rests     restTracker
+		leavers   leaverTracker
+		crashes   *crash.Table // Calls that were at targets as these ended.
+		dialect   wire.Dialect
+		members   *membership
+		config    *configuration
+		fleet     *fleet
+		// quota limits the calls of client accounts that this host decides about alone;
+		// nil in a fleet without quotas.
+		quota *quota.Local
+		// documentAccounts are the client accounts of a host outside a fleet; nil for none.
+		documentAccounts atomic.Pointer[activePlan]
+		newFront         func(*Host) http.Handler // See WithFront; nil if not set.
+		draining         atomic.Bool              // Readiness is withdrawn, as the host is about to stop.
+		nextCall         atomic.Uint64            // The last call.id given.
+		services         atomic.Pointer[serviceMap]
+		decisionsSeen    atomic.Uint64 // Decisions counted to choose those to log.
 
 		callers        setup.Callers
 		keyPair        *keyPair // For TLS with callers; nil without TLS.
@@ -114,6 +120,7 @@
 	h.members.onTargets = h.setTargets
 	h.forwarder.activity = &h.members.activity
 	h.config = newConfiguration(h)
+	h.quota = newLocalQuota(&h.cfg)
 	if cfg.Fleet.Enabled() {
 		h.fleet = newFleet(h)
 		h.crashes = h.fleet.state.Crashes()
--- a/io/entry/quota.go
+++ b/io/entry/quota.go
@@ -21,28 +21,38 @@
 	quotaCountedLocally
 )
 
+// fixedQuotaWindow is the window in which hosts of a fixed list count the calls of client
+// accounts, that of the deployments with quotas.
+const fixedQuotaWindow = 5 * time.Second
+
 // newLocalQuota returns the quotas of an entry host that decides alone, or nil when the
-// settings have no window of quotas.
-func newLocalQuota(s *setup.Fleet) *quota.Local {
-	if s.QuotaWindow <= 0 {
+// settings of a fleet have no window of quotas. The hosts of a fixed list share each quota
+// evenly and know of no accounts that are over their quotas elsewhere.
+func newLocalQuota(s *setup.Entry) *quota.Local {
+	switch {
+	case !s.Fleet.Enabled():
+		l := quota.NewLocal(fixedQuotaWindow)
+		l.SetEntries(len(s.Entries))
+		return l
+	case s.Fleet.QuotaWindow <= 0:
 		return nil
 	}
-	return quota.NewLocal(s.QuotaWindow.Std())
+	return quota.NewLocal(s.Fleet.QuotaWindow.Std())
 }
 
 // setQuotas puts the quotas of a plan in force.
 func (f *fleet) setQuotas(p *plan.Plan) {
-	if f.quota != nil {
-		f.quota.SetAccounts(p.Accounts)
+	if f.host.quota != nil {
+		f.host.quota.SetAccounts(p.Accounts)
 	}
 }
 
 // setQuotaState stores what the control hosts tell of quotas. It is called by f.state.
 func (f *fleet) setQuotaState(entries int, limited []string) {
 	f.tellEntryHosts(entries)
-	if f.quota != nil {
-		f.quota.SetEntries(entries)
-		f.quota.SetLimited(limited)
+	if f.host.quota != nil {
+		f.host.quota.SetEntries(entries)
+		f.host.quota.SetLimited(limited)
 	}
 }
 
@@ -50,10 +60,10 @@
 // account. If the account has no room, it returns the refusal and true. A call that a
 // control host has admitted before it was lost is not counted again.
 func (h *Host) checkLocalQuota(c *call, now time.Time) (engine.Refuse, bool) {
-	if h.fleet == nil || h.fleet.quota == nil || c.class.Account == "" || c.quota != quotaNotCounted {
+	if h.quota == nil || c.class.Account == "" || c.quota != quotaNotCounted {
 		return engine.Refuse{}, false
 	}
-	retryAfter, ok := h.fleet.quota.Admit(c.class.Account, now)
+	retryAfter, ok := h.quota.Admit(c.class.Account, now)
 	if !ok {
 		return engine.Refuse{Call: c.id, Reason: engine.OverQuota, NotRun: true, RetryAfter: retryAfter}, true
 	}
@@ -66,7 +76,7 @@
 func (h *Host) returnToLocalQuota(c *call) {
 	if c.quota == quotaCountedLocally {
 		c.quota = quotaNotCounted
-		h.fleet.quota.Return(c.class.Account, time.Now())
+		h.quota.Return(c.class.Account, time.Now())
 	}
 }
 
--- a/io/entry/watch.go
+++ b/io/entry/watch.go
@@ -146,21 +146,26 @@
 		}
 		c.markReported(k)
 		c.recordReport(k.peer.Host, accepted)
-	case u.GetName() != "" && !spec.ValidName(u.GetName()):
+	case u.GetName() != "" && !spec.ValidDocumentName(u.GetName()):
 		c.host.metrics.Counter("documents_refused").Add(1)
-		c.host.log.Error("document refused: invalid service name", "control", k.peer.Host, "name", u.GetName())
+		c.host.log.Error("document refused: invalid name", "control", k.peer.Host, "name", u.GetName())
 	case u.GetName() != "":
 		c.update(spec.Versioned{Name: u.GetName(), Revision: u.GetRevision(), Deleted: u.GetDeleted(), Body: u.GetBody()})
 	}
 }
 
 // watchRequest returns the request for a stream, with the revisions of the
-// documents that this host has received.
+// documents that this host has received. The document of the accounts is named in any case:
+// control hosts send it only to hosts that know its kind.
 func (c *configuration) watchRequest() *peerpb.WatchRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	req := &peerpb.WatchRequest{Host: c.host.cfg.Host}
-	for name, revision := range c.follower.Received() {
+	received := c.follower.Received()
+	if _, ok := received[spec.AccountsName]; !ok {
+		req.Held = append(req.Held, &peerpb.Held{Name: spec.AccountsName})
+	}
+	for name, revision := range received {
 		req.Held = append(req.Held, &peerpb.Held{Name: name, Revision: revision})
 	}
 	return req
--- a/io/peer/agree.go
+++ b/io/peer/agree.go
@@ -132,7 +132,7 @@
 		}
 	}
 	for _, name := range names {
-		if !spec.ValidName(name) {
+		if !spec.ValidDocumentName(name) {
 			return ErrInvalidName
 		}
 	}
