List client accounts without a fleet in ctl; document them

ctl accounts was empty without a fleet, and the document of the accounts could only be changed by raw requests.

Keys are shown masked; a masked document is refused when it is sent back, since a masked key holds a space.

--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -39,6 +39,10 @@
 		// idempotency key.
 		base    string
 		request string
+		// accounts says that the document is that of the client accounts.
+		accounts bool
+		// json sets output to outputJSON.
+		json bool
 		// Flags of history and apply.
 		revision uint64
 		dryRun   bool
@@ -83,7 +87,7 @@
 		ctlEvacuateCommand(o, "restore", "send calls to the targets in a data centre again", false),
 		ctlCommand(o, "status", "print the status of each control host", ctlStatus),
 		ctlTargetsCommand(o),
-		ctlCommand(o, "accounts", "print the use of client accounts and their quotas", ctlAccounts),
+		ctlAccountsCommand(o),
 		ctlExplainCommand(o),
 		ctlTimelineCommand(o),
 		ctlCheckCommand(),
@@ -118,6 +122,7 @@
 func ctlGetCommand(o *ctlOptions) *command {
 	c := ctlCommand(o, "get", "print one service document, or list all services when no name is given", ctlGet)
 	c.parser.AddPositionalValue(&o.name, "name", 1, false, "name of the service")
+	addAccountsFlag(c.parser, o)
 	return c
 }
 
@@ -125,17 +130,44 @@
 	c := ctlCommand(o, "apply", "create or replace a service document", ctlApply)
 	c.parser.AddPositionalValue(&o.file, "file", 1, true, "JSON file with the document, - for standard input")
 	c.parser.Bool(&o.dryRun, "d", "dry-run", "show the difference and change nothing")
+	addAccountsFlag(c.parser, o)
 	addChangeFlags(c.parser, o)
 	return c
 }
 
 func ctlDeleteCommand(o *ctlOptions) *command {
 	c := ctlCommand(o, "delete", "delete a service", ctlDelete)
-	c.parser.AddPositionalValue(&o.name, "name", 1, true, "name of the service")
+	c.parser.AddPositionalValue(&o.name, "name", 1, false, "name of the service")
+	addAccountsFlag(c.parser, o)
 	addChangeFlags(c.parser, o)
 	return c
 }
 
+// addAccountsFlag adds the flag of subcommands about a service or the client accounts.
+func addAccountsFlag(sub *flaggy.Subcommand, o *ctlOptions) {
+	sub.Bool(&o.accounts, "", "accounts", "the document of the client accounts, not that of a service")
+}
+
+// documentName returns the name of the document that the arguments name. The error wraps
+// errUsage if they name none, or two.
+func documentName(o *ctlOptions) (string, error) {
+	switch {
+	case o.accounts && o.name == "":
+		return spec.AccountsName, nil
+	case o.accounts:
+		return "", errors.Wrapf(errUsage, "give the name %q or --accounts", o.name)
+	case o.name == "":
+		return "", errors.Wrap(errUsage, "give the name of a service or --accounts")
+	}
+	return o.name, nil
+}
+
+func ctlAccountsCommand(o *ctlOptions) *command {
+	c := ctlCommand(o, "accounts", "print the use of client accounts and their quotas", ctlAccounts)
+	c.parser.Bool(&o.json, "j", "json", "the same as --output json")
+	return c
+}
+
 // addChangeFlags adds the flags of subcommands that change a service.
 func addChangeFlags(sub *flaggy.Subcommand, o *ctlOptions) {
 	sub.String(&o.base, "b", "base", "revision that the change is based on; the current one by default")
@@ -144,7 +176,8 @@
 
 func ctlHistoryCommand(o *ctlOptions) *command {
 	c := ctlCommand(o, "history", "print the latest versions of a service", ctlHistory)
-	c.parser.AddPositionalValue(&o.name, "name", 1, true, "name of the service")
+	c.parser.AddPositionalValue(&o.name, "name", 1, false, "name of the service")
+	addAccountsFlag(c.parser, o)
 	c.parser.UInt64(&o.revision, "r", "revision", "print the document of this revision")
 	return c
 }
@@ -158,6 +191,7 @@
 func ctlValidateCommand(o *ctlOptions) *command {
 	c := ctlCommand(o, "validate", "validate a service document and print its stored form", ctlValidate)
 	c.parser.AddPositionalValue(&o.file, "file", 1, true, "JSON file with the document, - for standard input")
+	addAccountsFlag(c.parser, o)
 	return c
 }
 
@@ -222,17 +256,22 @@
 }
 
 func ctlGet(ctx context.Context, c *client.Client, o *ctlOptions) error {
-	if o.name == "" {
+	if o.name == "" && !o.accounts {
 		list, err := c.List(ctx)
 		if err != nil {
 			return err
 		}
 		return printServices(os.Stdout, o.output, list)
 	}
-	doc, err := c.Get(ctx, o.name)
+	name, err := documentName(o)
+	if err != nil {
+		return err
+	}
+	doc, err := c.Get(ctx, name)
 	if err != nil {
 		return err
 	}
+	doc.Body = spec.Shown(name, doc.Body)
 	if !doc.Confirmed {
 		fmt.Fprintln(os.Stderr, "no majority of control hosts answered; a newer version may exist")
 	}
@@ -248,23 +287,35 @@
 	if err != nil {
 		return err
 	}
-	doc, faults := spec.Parse(data)
+	name := spec.AccountsName
+	if !o.accounts {
+		doc, faults := spec.Parse(data)
+		if err = faults.Err(); err != nil {
+			return errors.Wrapf(err, "document %s", o.file)
+		}
+		name = doc.Name
+	}
+	canonical, faults := spec.CanonicalNamed(name, data)
 	if err = faults.Err(); err != nil {
 		return errors.Wrapf(err, "document %s", o.file)
 	}
-	change := client.Change{Name: doc.Name, Document: data}
 	if !o.dryRun {
-		return submit(ctx, c, o, change)
+		return submit(ctx, c, o, client.Change{Name: name, Document: data})
 	}
-	current, err := c.BaseVersion(ctx, doc.Name)
+	current, err := c.BaseVersion(ctx, name)
 	if err != nil {
 		return err
 	}
-	return printDiff(os.Stdout, current, spec.Canonical(doc))
+	current.Body = spec.Shown(name, current.Body)
+	return printDiff(os.Stdout, current, spec.Shown(name, canonical))
 }
 
 func ctlDelete(ctx context.Context, c *client.Client, o *ctlOptions) error {
-	return submit(ctx, c, o, client.Change{Name: o.name, Deleted: true})
+	name, err := documentName(o)
+	if err != nil {
+		return err
+	}
+	return submit(ctx, c, o, client.Change{Name: name, Deleted: true})
 }
 
 // submit sends a change with the base and request id of the flags, or with the
@@ -308,10 +359,17 @@
 }
 
 func ctlHistory(ctx context.Context, c *client.Client, o *ctlOptions) error {
-	versions, err := c.History(ctx, o.name)
+	name, err := documentName(o)
 	if err != nil {
 		return err
 	}
+	versions, err := c.History(ctx, name)
+	if err != nil {
+		return err
+	}
+	for i := range versions {
+		versions[i].Body = spec.Shown(name, versions[i].Body)
+	}
 	if o.revision == 0 {
 		return printHistory(os.Stdout, o.output, versions)
 	}
@@ -321,7 +379,7 @@
 			return err
 		}
 	}
-	return errors.Errorf("service %q has no known document of revision %d", o.name, o.revision)
+	return errors.Errorf("service %q has no known document of revision %d", name, o.revision)
 }
 
 func ctlValidate(ctx context.Context, c *client.Client, o *ctlOptions) error {
@@ -329,11 +387,15 @@
 	if err != nil {
 		return err
 	}
-	checked, err := c.Validate(ctx, data)
+	name := ""
+	if o.accounts {
+		name = spec.AccountsName
+	}
+	checked, err := c.Validate(ctx, name, data)
 	if err != nil {
 		return err
 	}
-	_, err = os.Stdout.Write(spec.Indent(checked.Document))
+	_, err = os.Stdout.Write(spec.Indent(spec.Shown(name, checked.Document)))
 	return err
 }
 
@@ -354,6 +416,9 @@
 	if err != nil {
 		return err
 	}
+	if o.json {
+		o.output = outputJSON
+	}
 	return printAccounts(os.Stdout, o.output, list)
 }
 
--- a/cmd/cardamomspool/print.go
+++ b/cmd/cardamomspool/print.go
@@ -97,13 +97,13 @@
 		if a.Rate > 0 {
 			rate, burst, room = formatCalls(a.Rate), formatCalls(a.Burst), formatCalls(a.Room)
 		}
-		state := "-"
-		if a.Restricted {
-			state = "no majority heard"
+		rank := "-"
+		if a.Rank != nil {
+			rank = strconv.Itoa(*a.Rank)
 		}
-		rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%d\t%s", a.Account, a.Used, rate, burst, room, a.Refused, state))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%s\t%s\t%s\t%d\t%s", a.Account, rank, a.Used, rate, burst, room, a.Refused, a.State()))
 	}
-	return printRows(w, output, list, "ACCOUNT\tUSED\tRATE\tBURST\tROOM\tREFUSED\tSTATE", rows)
+	return printRows(w, output, list, "ACCOUNT\tRANK\tUSED\tRATE\tBURST\tROOM\tREFUSED\tSTATE", rows)
 }
 
 // formatCalls returns a number of calls with one digit after the point at most.
--- a/core/spec/accounts.go
+++ b/core/spec/accounts.go
@@ -169,3 +169,33 @@
 	}
 	return next
 }
+
+// masked follows the digits of a masked key. No key holds a space, so that a masked document
+// that is sent back is refused.
+const masked = " (masked)"
+
+// Masked returns a copy of the document in which keys and digests are masked.
+func (a *Accounts) Masked() Accounts {
+	next := a.Digested()
+	for i := range next.Accounts {
+		d := &next.Accounts[i]
+		for _, k := range d.KeyDigests {
+			d.Keys = append(d.Keys, k.Masked()+masked)
+		}
+		d.KeyDigests = nil
+	}
+	return next
+}
+
+// Shown returns the body of the document called name as operators may see it on a screen:
+// that of the accounts is masked, or left out if this version cannot read it.
+func Shown(name string, body []byte) []byte {
+	if name != AccountsName || len(body) == 0 {
+		return body
+	}
+	doc, faults := ParseAccounts(body)
+	if len(faults) > 0 {
+		return []byte(`{"unreadable":"this version cannot read the document"}`)
+	}
+	return CanonicalAccounts(doc.Masked())
+}
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -77,7 +77,7 @@
 		editor *Editor
 		fleet  *Fleet
 		// accounts returns the use of client accounts.
-		accounts func() []AccountUse
+		accounts func(context.Context) []AccountUse
 		pages    http.Handler
 		token    string
 		log      *slog.Logger
--- a/io/admin/fleet.go
+++ b/io/admin/fleet.go
@@ -84,7 +84,11 @@
 // are those in the settings, whatever the entry host says.
 func (f *Fleet) query(ctx context.Context, e setup.EntryAdmin, service string) EntryAnswer {
 	s := EntryAnswer{}
-	if err := f.fetch(ctx, e, service, &s.EntryView); err != nil {
+	var query url.Values
+	if service != "" {
+		query = url.Values{ServiceParameter: {service}}
+	}
+	if err := f.fetch(ctx, e, TargetsPath, query, &s.EntryView); err != nil {
 		s.EntryView = EntryView{}
 		s.Problem = err.Error()
 	}
@@ -92,19 +96,16 @@
 	return s
 }
 
-// fetch reads an entry host's view into v. It fails when the entry host doesn't
+// fetch reads what an entry host serves at a path into v. It fails when the entry host doesn't
 // answer in time, or doesn't answer with status 200 and valid JSON of at most
 // maxViewBytes.
-func (f *Fleet) fetch(ctx context.Context, e setup.EntryAdmin, service string, v *EntryView) error {
+func (f *Fleet) fetch(ctx context.Context, e setup.EntryAdmin, path string, query url.Values, v any) error {
 	var (
 		req  *http.Request
 		resp *http.Response
 		err  error
 	)
-	at := url.URL{Scheme: "http", Host: e.AdminAddress.String(), Path: TargetsPath}
-	if service != "" {
-		at.RawQuery = url.Values{ServiceParameter: {service}}.Encode()
-	}
+	at := url.URL{Scheme: "http", Host: e.AdminAddress.String(), Path: path, RawQuery: query.Encode()}
 	if req, err = http.NewRequestWithContext(ctx, http.MethodGet, at.String(), nil); err != nil {
 		return err
 	}
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -156,11 +156,15 @@
 	return list, c.do(ctx, request{method: http.MethodGet, path: servicePath(name) + "/history"}, &list)
 }
 
-// Validate returns a document in the form in which it would be stored. It returns
-// a *StatusError when the document has faults.
-func (c *Client) Validate(ctx context.Context, document []byte) (admin.Validated, error) {
+// Validate returns a document in the form in which it would be stored: of a service, or the
+// one called spec.AccountsName. It returns a *StatusError when the document has faults.
+func (c *Client) Validate(ctx context.Context, name string, document []byte) (admin.Validated, error) {
 	var checked admin.Validated
-	return checked, c.do(ctx, request{method: http.MethodPost, path: "/v1/validate", body: document}, &checked)
+	path := "/v1/validate"
+	if name == spec.AccountsName {
+		path = admin.AccountsPath + "/validate"
+	}
+	return checked, c.do(ctx, request{method: http.MethodPost, path: path, body: document}, &checked)
 }
 
 // Targets returns the answer of each entry host, or the reason why there is none,
@@ -217,8 +221,12 @@
 	return list
 }
 
-// servicePath returns the path of a service in the API.
+// servicePath returns the path of a document in the API: that of a service, or
+// spec.AccountsName.
 func servicePath(name string) string {
+	if name == spec.AccountsName {
+		return admin.AccountsDocumentPath
+	}
 	return "/v1/services/" + url.PathEscape(name)
 }
 
--- a/io/ctrl/usage.go
+++ b/io/ctrl/usage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -329,12 +330,19 @@
 		return nil
 	}
 	l := h.fleet.usage.ledger
-	restricted := l.Restricted()
+	restricted, now := l.Restricted(), time.Now()
+	limited, ranks := l.Limited(now), make(map[string]*int)
+	if p := h.fleet.state.Plan(); p != nil {
+		for i := range p.Accounts {
+			ranks[p.Accounts[i].Name] = p.Accounts[i].Rank
+		}
+	}
 	var list []admin.AccountUse
-	for _, a := range l.Status(time.Now()) {
+	for _, a := range l.Status(now) {
+		_, isLimited := slices.BinarySearch(limited, a.Account)
 		list = append(list, admin.AccountUse{
-			Account: a.Account, Rate: a.Rate, Burst: a.Burst, Room: a.Room, Used: a.Used, Refused: a.Refused,
-			Restricted: restricted,
+			Account: a.Account, Rank: ranks[a.Account], Rate: a.Rate, Burst: a.Burst, Room: a.Room, Used: a.Used, Refused: a.Refused,
+			Restricted: restricted, Limited: isLimited,
 		})
 	}
 	return list
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"time"
 
 	"cardamomspool/core/member"
 	"cardamomspool/io/admin"
@@ -24,6 +25,11 @@
 	mux.HandleFunc("GET "+admin.TargetsPath, func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusOK, h.entryView(r.URL.Query().Get(admin.ServiceParameter)))
 	})
+	if h.fleet == nil {
+		mux.HandleFunc("GET "+admin.AccountsPath, func(w http.ResponseWriter, _ *http.Request) {
+			writeJSON(w, http.StatusOK, h.accountUse(time.Now()))
+		})
+	}
 	return mux
 }
 
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -45,6 +45,8 @@
 		// quota limits the calls of client accounts that this host decides about alone;
 		// nil in a fleet without quotas.
 		quota *quota.Local
+		// tally counts the calls of client accounts at a host outside a fleet.
+		tally *quota.Tally
 		// documentAccounts are the client accounts of a host outside a fleet; nil for none.
 		documentAccounts atomic.Pointer[activePlan]
 		newFront         func(*Host) http.Handler // See WithFront; nil if not set.
@@ -120,7 +122,7 @@
 	h.members.onTargets = h.setTargets
 	h.forwarder.activity = &h.members.activity
 	h.config = newConfiguration(h)
-	h.quota = newLocalQuota(&h.cfg)
+	h.quota, h.tally = newLocalQuota(&h.cfg), quota.NewTally(fixedQuotaWindow)
 	if cfg.Fleet.Enabled() {
 		h.fleet = newFleet(h)
 		h.crashes = h.fleet.state.Crashes()
--- a/io/entry/quota.go
+++ b/io/entry/quota.go
@@ -64,6 +64,7 @@
 		return engine.Refuse{}, false
 	}
 	retryAfter, ok := h.quota.Admit(c.class.Account, now)
+	h.tally.Count(c.class.Account, ok, now)
 	if !ok {
 		return engine.Refuse{Call: c.id, Reason: engine.OverQuota, NotRun: true, RetryAfter: retryAfter}, true
 	}
