--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -28,12 +28,13 @@
 		// settings and check are flags of the entry and control subcommands.
 		settings string
 		check    bool
-		// calls, rate (calls per second) and log are flags of the local
+		// calls, rate (calls per second), log and accounts are flags of the local
 		// subcommand.
-		calls int
-		rate  float64
-		log   bool
-		ctl   ctlOptions
+		calls    int
+		rate     float64
+		log      bool
+		accounts bool
+		ctl      ctlOptions
 	}
 
 	// command is a subcommand and the function that runs it.
@@ -121,6 +122,7 @@
 	sub.Int(&o.calls, "n", "calls", "number of calls to send before printing a summary and exiting; 0 sends none")
 	sub.Float64(&o.rate, "r", "rate", "calls sent per second")
 	sub.Bool(&o.log, "l", "log", "write the logs of all hosts to standard error")
+	sub.Bool(&o.accounts, "", "accounts", "let calls need a key of two example client accounts, which are printed")
 	flaggy.AttachSubcommand(sub, 1)
 	return &command{parser: sub, run: runLocal}
 }
@@ -214,6 +216,9 @@
 	if o.calls > 0 {
 		opts = append(opts, local.WithCalls(o.calls, o.rate))
 	}
+	if o.accounts {
+		opts = append(opts, local.WithAccounts())
+	}
 	return local.New(opts...).Run(ctx)
 }
 
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"cardamomspool/core/keys"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/stub"
 )
@@ -44,6 +45,7 @@
 	Load struct {
 		urls        []string
 		method      string
+		key         string // The key of a client account; empty for none.
 		host        string // The Host header field; empty for that of the URL.
 		calls       int
 		rate        float64 // Calls per second.
@@ -109,6 +111,11 @@
 	return func(l *Load) { l.method = method }
 }
 
+// WithKey has the calls carry a key of a client account.
+func WithKey(key string) Option {
+	return func(l *Load) { l.key = key }
+}
+
 // WithHost sets the Host header field of the calls.
 func WithHost(host string) Option {
 	return func(l *Load) { l.host = host }
@@ -254,6 +261,9 @@
 		return 0, "", "", err
 	}
 	req.Header.Set(stub.HeaderCall, id)
+	if l.key != "" {
+		req.Header.Set(keys.Field, keys.Scheme+" "+l.key)
+	}
 	if l.host != "" {
 		req.Host = l.host
 	}
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,8 +16,10 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"cardamomspool/core/keys"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
+	"cardamomspool/io/admin"
 	"cardamomspool/io/ctrl"
 	"cardamomspool/io/entry"
 	"cardamomspool/io/fetch"
@@ -34,6 +37,8 @@
 		rate  float64 // Calls per second.
 		out   io.Writer
 		log   io.Writer
+		// accounts are the example accounts; nil for none.
+		accounts *spec.Accounts
 
 		folder   string
 		controls []setup.Control
@@ -56,6 +61,10 @@
 	meanServiceTime   = 4 * time.Millisecond
 	controlStopGrace  = 2 * time.Second
 	entryStopGrace    = 5 * time.Second
+	// exampleRate (calls per second) and exampleBurst (calls) are the quota of one of the
+	// example accounts: low enough that a loop of a shell meets it.
+	exampleRate  = 10
+	exampleBurst = 20
 )
 
 // ErrCheck is returned when a call got another call's answer, ran twice, ran although
@@ -68,6 +77,12 @@
 	return func(s *System) { s.calls, s.rate = n, perSecond }
 }
 
+// WithAccounts has calls need a key of one of two example client accounts, whose keys Run
+// prints. The keys are random.
+func WithAccounts() Option {
+	return func(s *System) { s.accounts = exampleAccounts() }
+}
+
 // WithOutput sets the writer to which progress and the summary go; the default is
 // standard output.
 func WithOutput(w io.Writer) Option {
@@ -206,15 +221,12 @@
 	doc.Name = serviceName
 	doc.Receive.PathPrefixes = []string{"/"}
 	doc.Targets.Slots = 3
-	var (
-		body []byte
-		err  error
-	)
-	if body, err = json.Marshal(doc); err != nil {
-		return errors.Wrap(err, "sample document")
-	}
 	for {
-		if err = s.applyDocument(ctx, body); err == nil && s.entriesReady(ctx) {
+		err := s.applyAccounts(ctx)
+		if err == nil {
+			err = s.applyDocument(ctx, "/v1/services/"+serviceName, spec.Canonical(doc))
+		}
+		if err == nil && s.entriesReady(ctx) {
 			return nil
 		}
 		select {
@@ -225,10 +237,18 @@
 	}
 }
 
-// applyDocument sends the sample document to the first control host. Repeating it is
-// harmless, since the idempotency key stays the same.
-func (s *System) applyDocument(ctx context.Context, body []byte) error {
-	url := fmt.Sprintf("http://%s/v1/services/%s", s.controls[0].AdminAddress, serviceName)
+// applyAccounts sends the example accounts to the first control host, if there are any.
+func (s *System) applyAccounts(ctx context.Context) error {
+	if s.accounts == nil {
+		return nil
+	}
+	return s.applyDocument(ctx, admin.AccountsDocumentPath, spec.CanonicalAccounts(*s.accounts))
+}
+
+// applyDocument sends a document to the first control host. Repeating it is harmless, since
+// the idempotency key stays the same.
+func (s *System) applyDocument(ctx context.Context, path string, body []byte) error {
+	url := fmt.Sprintf("http://%s%s", s.controls[0].AdminAddress, path)
 	var (
 		req  *http.Request
 		resp *http.Response
@@ -244,23 +264,26 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("the change of service %q was answered with %s", serviceName, resp.Status)
+		return errors.Errorf("the change at %s was answered with %s", path, resp.Status)
 	}
 	return nil
 }
 
-// entriesReady reports whether every entry host uses the sample document and knows
-// all targets.
+// entriesReady reports whether every entry host uses the sample document and the example
+// accounts, if there are any, and knows all targets.
 func (s *System) entriesReady(ctx context.Context) bool {
 	for _, cfg := range s.entries {
 		var vars struct {
 			Targets  int `json:"targets"`
 			Services int `json:"services"`
+			Document struct {
+				Accounts uint64 `json:"accounts"`
+			} `json:"documents"`
 		}
 		if err := fetch.JSON(ctx, fmt.Sprintf("http://%s/debug/vars", cfg.AdminAddress), &vars); err != nil {
 			return false
 		}
-		if vars.Targets < targetCount || vars.Services < 1 {
+		if vars.Targets < targetCount || vars.Services < 1 || s.accounts != nil && vars.Document.Accounts == 0 {
 			return false
 		}
 	}
@@ -275,6 +298,23 @@
 		fmt.Fprintf(s.out, "%s serves the operators' API and console at http://%s/\n", c.Host, c.AdminAddress)
 	}
 	fmt.Fprintf(s.out, "%d stub targets serve %q\n", targetCount, serviceName)
+	if s.accounts == nil {
+		return
+	}
+	for _, a := range s.accounts.Accounts {
+		fmt.Fprintf(s.out, "client account %s, rank %d, rate %g calls/s (0 for any), burst %g: Authorization: %s %s\n",
+			a.Name, *a.Rank, a.Rate, a.Burst, keys.Scheme, a.Keys[0])
+	}
+}
+
+// exampleAccounts returns two client accounts: one without a quota, whose calls are served
+// first, and one with a quota.
+func exampleAccounts() *spec.Accounts {
+	first, second := 0, 1
+	return &spec.Accounts{Accounts: []spec.Account{
+		{Name: "desk", Keys: []string{rand.Text()}, Rank: &first},
+		{Name: "shop", Keys: []string{rand.Text()}, Rank: &second, Rate: exampleRate, Burst: exampleBurst},
+	}}
 }
 
 // sendCalls sends the calls, prints the summary and returns ErrCheck when a call
@@ -285,9 +325,13 @@
 	for _, e := range s.entries {
 		urls = append(urls, fmt.Sprintf("http://%s/", e.CallAddress))
 	}
-	l := load.New(urls, s.calls, load.WithRate(s.rate), load.WithRecord(&s.record), load.WithProgress(func(done, calls int) {
+	opts := []load.Option{load.WithRate(s.rate), load.WithRecord(&s.record), load.WithProgress(func(done, calls int) {
 		fmt.Fprintf(s.out, "%d of %d calls finished\n", done, calls)
-	}))
+	})}
+	if s.accounts != nil {
+		opts = append(opts, load.WithKey(s.accounts.Accounts[0].Keys[0]))
+	}
+	l := load.New(urls, s.calls, opts...)
 	summary := l.Run(ctx)
 	var (
 		line []byte
