Show client accounts in the console

The console showed nothing of client accounts.

The page has rank, masked keys, quota, use, refusals and state of each account, from the same source as ctl accounts. In a fleet it shows what the control host knows, without keys: the plan holds them as digests under the operators' own text.

Run: go test ./io/consol: ok, with a golden file of the page.

--- a/io/consol/accounts_test.go
+++ b/io/consol/accounts_test.go
@@ -46,3 +46,22 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(v.Revision).To(gomega.BeEquivalentTo(2))
 }
+
+// Guards against a page that shows a key, or hides an account that has no room.
+func TestAccountsPageMasksKeys(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client, rank := newAccountsClient(t), 2
+	client.text.Reset() // The changes above hold keys in clear.
+	client.accounts = []admin.AccountUse{
+		{Account: "shop", Rank: &rank, Rate: 12.5, Burst: 30, Room: 0.25, Used: 61, Refused: 7, Limited: true},
+		{Account: "desk <1>", Used: 3, Unheard: 1},
+	}
+	g.Expect(client.do("marta", http.MethodGet, "/accounts", "")).To(gomega.Equal(http.StatusOK))
+	g.Expect(client.body).NotTo(gomega.ContainSubstring("s3cret"))
+	client.comment("In a fleet without quotas, or without accounts, there is nothing to show.")
+	client.accounts = nil
+	g.Expect(client.do("marta", http.MethodDelete, admin.AccountsDocumentPath, "",
+		admin.HeaderBaseRevision, "2", admin.HeaderIdempotencyKey, "c")).To(gomega.Equal(http.StatusOK))
+	g.Expect(client.do("marta", http.MethodGet, "/accounts", "")).To(gomega.Equal(http.StatusOK))
+	client.compare("accounts")
+}
--- a/io/consol/console.go
+++ b/io/consol/console.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"embed"
 	"html/template"
@@ -27,6 +28,7 @@
 		newID      func() string
 		mux        *http.ServeMux
 		evacuation func() (uint64, []string)
+		accounts   func(context.Context) []admin.AccountUse
 	}
 
 	// Option sets one property of a Console.
@@ -78,6 +80,12 @@
 	return func(c *Console) { c.evacuation = evacuation }
 }
 
+// WithAccounts sets the function that returns the use of client accounts, which is shown; the
+// default is none.
+func WithAccounts(accounts func(context.Context) []admin.AccountUse) Option {
+	return func(c *Console) { c.accounts = accounts }
+}
+
 // WithLogger sets the logger; the default discards.
 func WithLogger(log *slog.Logger) Option {
 	return func(c *Console) { c.log = log }
@@ -101,6 +109,7 @@
 		store: store, host: host, fleet: admin.NewFleet(nil), log: slog.New(slog.DiscardHandler),
 		now: time.Now, newID: rand.Text, mux: http.NewServeMux(),
 		evacuation: func() (uint64, []string) { return 0, nil },
+		accounts:   func(context.Context) []admin.AccountUse { return nil },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -121,6 +130,7 @@
 	c.mux.HandleFunc("POST /login", c.login)
 	c.handle("GET /{$}", c.list)
 	c.handle("GET /hosts", c.hosts)
+	c.handle("GET /accounts", c.listAccounts)
 	c.handle("GET /new", c.newForm)
 	c.handle("GET /services/{name}", c.editForm)
 	c.handle("GET /services/{name}/history", c.history)
--- a/io/consol/fake_test.go
+++ b/io/consol/fake_test.go
@@ -43,12 +43,13 @@
 	// comparison with a golden file. cookies holds the cookies of each operator, by
 	// name, and body is the body of the last answer.
 	recordingClient struct {
-		t       *testing.T
-		store   *fakeStore
-		handler http.Handler
-		text    strings.Builder
-		cookies map[string][]*http.Cookie
-		body    string
+		accounts []admin.AccountUse // What GET /accounts shows.
+		t        *testing.T
+		store    *fakeStore
+		handler  http.Handler
+		text     strings.Builder
+		cookies  map[string][]*http.Cookie
+		body     string
 	}
 )
 
@@ -128,7 +129,8 @@
 	now, ids := start, 0
 	clock := func() time.Time { now = now.Add(time.Second); return now }
 	newID := func() string { ids++; return fmt.Sprintf("id-%d", ids) }
-	pages := consol.New(client.store, "control-1", consol.WithToken(token), consol.WithClock(clock), consol.WithIDs(newID))
+	pages := consol.New(client.store, "control-1", consol.WithToken(token), consol.WithClock(clock), consol.WithIDs(newID),
+		consol.WithAccounts(func(context.Context) []admin.AccountUse { return client.accounts }))
 	client.handler = admin.NewControl(client.store, token, telem.NewRegistry(), slog.New(slog.DiscardHandler),
 		admin.WithPages(pages), admin.WithClock(clock))
 	doc := spec.Default()
--- a/io/ctrl/operators.go
+++ b/io/ctrl/operators.go
@@ -17,6 +17,7 @@
 	if h.fleet != nil {
 		accounts = func(context.Context) []admin.AccountUse { return h.Accounts() }
 	}
+	shown = append(shown, consol.WithAccounts(accounts))
 	opts := []admin.Option{admin.WithFleet(fleet), admin.WithAccounts(accounts)}
 	if h.fleet != nil {
 		shown = append(shown, consol.WithEvacuation(h.Evacuation))
