Read values of metrics without a lock of their registry

expvar.Map.String holds the lock of its keys while it calls the functions of metrics. Such a function may wait for a lock (documents: that of the configuration) whose holder adds a metric, as a host does that puts its first service in force, and waits for the lock of the keys. From then on all calls wait that use a metric for the first time.

ServeHTTP reads keys and metrics first and calls the functions without that lock. The answer has the same bytes.

--- a/io/telem/telem.go
+++ b/io/telem/telem.go
@@ -63,10 +63,14 @@
 	r.vars.Set(name, expvar.Func(f))
 }
 
-// ServeHTTP writes all metrics as one JSON object.
+// ServeHTTP writes all metrics as one JSON object. Their values are read without a lock of
+// the registry: a function of Func may wait for a lock whose holder adds a metric, and
+// expvar.Map.String would hold the lock that this needs.
 func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	values := new(expvar.Map)
+	r.vars.Do(func(kv expvar.KeyValue) { values.Set(kv.Key, kv.Value) })
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	fmt.Fprintln(w, r.vars.String())
+	fmt.Fprintln(w, values.String())
 }
 
 // memstats returns the memory statistics of the process, with the number of its
