Soak client accounts, withdrawn keys and a target that resets when full

The soak ran without client accounts, and its targets refused calls beyond their slots.

Calls carry a key that stays, one of the latest replaced ones, an unknown one or none. A call must not run if its key was never valid, or if the withdrawal was seen in force at its entry host before the call began; a key that stays is never answered 401; targets see the account and no key. One target resets the connections of calls beyond its slots; such calls may be cut off, and must not run at any target if they are not idempotent. The soak runs no fleet, so that there are neither leases nor evacuations in it.

A record file of a target names the account after the call; readRuns reads the first word of a line. A reset by the target explains a call that was cut off.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,7 @@
 		outcome    string // From the answer's Spool-Outcome field.
 		intact     bool   // The answer is complete and belongs to the call.
 		err        error  // Set if no complete answer came.
+		key        callKey
 	}
 
 	// Report counts the outcomes of the calls of a soak test and lists what went
@@ -65,6 +67,20 @@
 		// LostChanges counts the contradictions between accepted changes and
 		// later answers of control hosts.
 		LostChanges int `json:"lost_changes"`
+		// KeyChanges counts the accepted changes of the client accounts, each of which
+		// withdraws a key.
+		KeyChanges int `json:"key_changes"`
+		// Forbidden counts the calls that no target may run: without a valid key, or with
+		// one that their entry host had known to be withdrawn. ForbiddenRan counts those
+		// that ran all the same, ValidRefused calls with a valid key that were answered
+		// 401, and WrongAccounts the runs of calls of which the target saw a key or
+		// another account.
+		Forbidden     int `json:"forbidden"`
+		ForbiddenRan  int `json:"forbidden_ran"`
+		ValidRefused  int `json:"valid_refused"`
+		WrongAccounts int `json:"wrong_accounts"`
+		// Resets counts the calls that a target reset because it was full.
+		Resets int `json:"resets"`
 		// ByKind counts the injected faults by kind.
 		ByKind map[string]int `json:"by_kind,omitempty"`
 		// Faults describes each call or change that was handled wrongly.
@@ -101,7 +117,8 @@
 		}
 		lines := bufio.NewScanner(file)
 		for lines.Scan() {
-			runs[lines.Text()]++
+			id, _, _ := strings.Cut(lines.Text(), " ")
+			runs[id]++
 		}
 		file.Close()
 		if err = lines.Err(); err != nil {
--- a/io/soak/cut.go
+++ b/io/soak/cut.go
@@ -151,11 +151,11 @@
 	}
 }
 
-// mustBeCarried reports whether a call began when its entry host had been cut off for
+// mustBeCarried reports whether a call, with a key that is always valid, began when its entry host had been cut off for
 // cutContact, ended before the cut did, and was disturbed by nothing else, while another
 // entry host was neither cut off nor disturbed.
 func (s *Soak) mustBeCarried(c *callRecord) bool {
-	if !c.entry.cutThroughout(c.begin.Add(-cutContact), c.end) || c.entry.disturbedAt(c.begin, c.end) || s.targetsDisturbed(c) {
+	if !c.key.valid || !c.entry.cutThroughout(c.begin.Add(-cutContact), c.end) || c.entry.disturbedAt(c.begin, c.end) || s.targetsDisturbed(c) {
 		return false
 	}
 	return slices.ContainsFunc(s.entries, func(p *process) bool {
--- a/io/soak/doc.go
+++ b/io/soak/doc.go
@@ -10,6 +10,12 @@
 // reported as not run, non-idempotent calls that ran twice, calls that were cut
 // off without a fault that explains it, and accepted changes that were lost.
 //
+// Calls carry keys of client accounts, unknown keys or none, and the operator adds and
+// withdraws keys. A call without a valid key must not run, nor one with a key whose
+// withdrawal was in force at its entry host before the call began; there is no lease, since
+// the hosts are no fleet, and so no data centre is evacuated. Targets must see the account and
+// no key. One target resets the connections of calls beyond its slots.
+//
 // It does not disturb clocks, and disks only by losing them. It tests only the
 // project's own interface, not the platform's.
 //
--- a/io/soak/operator.go
+++ b/io/soak/operator.go
@@ -40,6 +40,7 @@
 )
 
 const (
+	servicePath      = "/v1/services/" + serviceName
 	operatorInterval = 150 * time.Millisecond
 	operatorTimeout  = 5 * time.Second
 	// baseQueueLength is the queue length in the first document. The n-th change
@@ -154,7 +155,7 @@
 // confirmed that the document is the newest.
 func (o *operator) read(ctx context.Context, control *process) bool {
 	latest := o.latestAccepted()
-	status, r, err := o.request(ctx, control, http.MethodGet, nil, nil)
+	status, r, err := o.request(ctx, control, http.MethodGet, servicePath, nil, nil)
 	if err != nil || status != http.StatusOK || !r.Confirmed {
 		return false
 	}
@@ -207,12 +208,12 @@
 	header := http.Header{}
 	header.Set("If-Match", strconv.FormatUint(base, 10))
 	header.Set("Idempotency-Key", "soak-"+strconv.Itoa(n))
-	return o.request(ctx, control, http.MethodPut, body, header)
+	return o.request(ctx, control, http.MethodPut, servicePath, body, header)
 }
 
-// request sends a request for the service to a control host. It returns the status and
+// request sends a request to a path of a control host. It returns the status and
 // the reply, or an error if no answer in JSON came within operatorTimeout.
-func (o *operator) request(ctx context.Context, control *process, method string, body []byte, header http.Header) (int, reply, error) {
+func (o *operator) request(ctx context.Context, control *process, method, path string, body []byte, header http.Header) (int, reply, error) {
 	var (
 		req  *http.Request
 		resp *http.Response
@@ -221,7 +222,7 @@
 	)
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/v1/services/%s", o.soak.adminAddress[control], serviceName)
+	url := "http://" + o.soak.adminAddress[control].String() + path
 	if req, err = http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body)); err != nil {
 		return 0, r, err
 	}
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -209,6 +209,9 @@
 	s.callRelays = append(s.callRelays, calls)
 	args := append(append([]string(nil), s.targetCommand...), "--name", name, "--address", address.String(), "--public", calls.address().String(),
 		"--announce", strings.Join(to, ","), "--record", s.recordFile(name))
+	if len(s.targets) == s.resettingTarget() {
+		args = append(args, "--reset")
+	}
 	if len(s.targets) == s.targetCount-1 {
 		args = append(args, "--limit", strconv.FormatFloat(limitRate, 'f', -1, 64))
 	}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -41,6 +41,7 @@
 		diskLoss    sync.Mutex // Held while a control host recovers from the loss of its disk.
 		isolation   sync.Mutex // Held while a control host is isolated, so that only one is at a time.
 		operator    *operator
+		keyring     *keyring
 
 		controls, entries, targets []*process
 		relays                     []*relay
@@ -137,6 +138,7 @@
 		callAddress: make(map[*process]netip.AddrPort), adminAddress: make(map[*process]netip.AddrPort),
 	}
 	s.operator = &operator{soak: s, queueLengths: make(map[uint64]int)}
+	s.keyring = &keyring{soak: s, withdrawn: make(map[int]uint64), inForce: make(map[*process]uint64)}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -150,6 +152,8 @@
 	var (
 		report Report
 		runs   map[string]int
+		seen   map[string][]sighting
+		resets map[string]int
 		err    error
 	)
 	if err = s.prepare(); err != nil {
@@ -178,12 +182,21 @@
 	if runs, err = readRuns(s.recordFiles); err != nil {
 		return report, err
 	}
-	report = check(s.callRecords, runs, s.disturbed)
+	if seen, err = readSightings(s.recordFiles); err != nil {
+		return report, err
+	}
+	if resets, err = readRuns([]string{resetsFile(s.recordFiles[s.resettingTarget()])}); err != nil {
+		return report, err
+	}
+	report = check(s.callRecords, runs, func(c *callRecord) bool { return resets[c.id] > 0 || s.disturbed(c) })
+	report.checkKeys(s.callRecords, seen)
+	report.checkResets(s.callRecords, runs, resets)
 	if err = s.checkLimits(&report); err != nil {
 		return report, err
 	}
 	s.checkCuts(&report)
 	s.operator.addTo(&report)
+	s.keyring.addTo(&report)
 	for _, text := range report.Faults {
 		s.timeline.add("broken: %s", text)
 	}
@@ -207,6 +220,7 @@
 	defer group.Wait()
 	group.Go(func() { s.pollReadiness(ctx) })
 	group.Go(func() { s.operator.run(ctx) })
+	group.Go(func() { s.keyring.run(ctx) })
 	group.Go(func() { s.reportProgress(ctx) })
 	group.Go(func() {
 		defer cancel()
@@ -284,7 +298,10 @@
 	defer cancel()
 	var err error
 	for {
-		if err = s.operator.createService(ctx); err == nil && s.allTargetsKnown(ctx) {
+		if err = s.keyring.create(ctx); err == nil {
+			err = s.operator.createService(ctx)
+		}
+		if err == nil && s.allTargetsKnown(ctx) {
 			return nil
 		}
 		if !sleep(ctx, pollInterval) {
@@ -305,15 +322,18 @@
 	}
 }
 
-// allTargetsKnown reports whether all entry hosts are ready and know the service
-// and all targets.
+// allTargetsKnown reports whether all entry hosts are ready and know the service, the
+// accounts and all targets.
 func (s *Soak) allTargetsKnown(ctx context.Context) bool {
 	for _, p := range s.entries {
 		var vars struct {
 			Targets  int `json:"targets"`
 			Services int `json:"services"`
+			Document struct {
+				Accounts uint64 `json:"accounts"`
+			} `json:"documents"`
 		}
-		if !s.isReady(ctx, p) || s.readVars(ctx, p, &vars) != nil || vars.Targets < s.targetCount || vars.Services < 1 {
+		if !s.isReady(ctx, p) || s.readVars(ctx, p, &vars) != nil || vars.Targets < s.targetCount || vars.Services < 1 || vars.Document.Accounts == 0 {
 			return false
 		}
 	}
@@ -402,7 +422,9 @@
 			return
 		}
 	}
-	c := callRecord{id: fmt.Sprintf("call-%d", i), entry: from.entry, idempotent: rng.IntN(idempotentOneIn) == 0, begin: time.Now()}
+	c := callRecord{id: fmt.Sprintf("call-%d", i), entry: from.entry, idempotent: rng.IntN(idempotentOneIn) == 0}
+	c.key = s.keyring.draw(rng, c.entry)
+	c.begin = time.Now()
 	upload := rng.IntN(uploadOneIn) == 0
 	var closed bool
 	closed, c.err = s.exchange(ctx, from.client, &c, upload)
@@ -470,6 +492,7 @@
 	}
 	req.ContentLength = length
 	req.Header.Set(headerCall, c.id)
+	c.key.set(req.Header)
 	if resp, err = client.Do(req); err != nil {
 		return true, err
 	}
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -54,6 +54,9 @@
 			g.Expect(report.Calls).To(gomega.Equal(2500))
 			g.Expect(report.Events).To(gomega.BeNumerically(">", 0))
 			g.Expect(report.Answered).To(gomega.BeNumerically(">", 2500/2))
+			g.Expect(report.KeyChanges).To(gomega.BeNumerically(">", 0))
+			g.Expect(report.Forbidden).To(gomega.BeNumerically(">", 2500/forbiddenOneIn/2))
+			t.Logf("%d calls that must not run, %d withdrawals, %d calls reset by a full target", report.Forbidden, report.KeyChanges, report.Resets)
 		})
 	}
 }
--- a/io/soak/target.go
+++ b/io/soak/target.go
@@ -31,6 +31,7 @@
 	announce    []netip.AddrPort
 	recordFile  *os.File
 	arrivals    *os.File // Nil for a target without a limit.
+	resets      *os.File // Nil for a target that refuses calls while it is full, and doesn't reset them.
 	limit       float64  // The limit that it names, in calls a second; 0 for none.
 	slots       int64
 	running     atomic.Int64
@@ -52,11 +53,12 @@
 // NewTarget returns a target that listens on address, announces the address public
 // to the announce addresses of all entry hosts in turn and appends the identities of
 // its calls to the file at the path record. Unless limit is 0, its answers name it, and it
-// writes when its calls arrive.
-func NewTarget(name string, address, public netip.AddrPort, announce []netip.AddrPort, record string, limit float64) (*Target, error) {
+// writes when its calls arrive. With reset, it resets the connections of calls beyond its
+// slots, of which it keeps a record too, and refuses them otherwise.
+func NewTarget(name string, address, public netip.AddrPort, announce []netip.AddrPort, record string, limit float64, reset bool) (*Target, error) {
 	var (
-		file, arrivals *os.File
-		err            error
+		file, arrivals, resets *os.File
+		err                    error
 	)
 	if file, err = openRecord(record); err != nil {
 		return nil, err
@@ -66,8 +68,13 @@
 			return nil, err
 		}
 	}
+	if reset {
+		if resets, err = openRecord(resetsFile(record)); err != nil {
+			return nil, err
+		}
+	}
 	return &Target{
-		limit: limit, arrivals: arrivals,
+		limit: limit, arrivals: arrivals, resets: resets,
 		name: name, address: address, public: public, announce: announce, recordFile: file, slots: targetSlots,
 		incarnation: uint64(time.Now().UnixNano()),
 	}, nil
@@ -86,6 +93,9 @@
 	if t.arrivals != nil {
 		defer t.arrivals.Close()
 	}
+	if t.resets != nil {
+		defer t.resets.Close()
+	}
 	var (
 		l   net.Listener
 		err error
@@ -144,8 +154,8 @@
 }
 
 // ServeHTTP records the call, reads its body, sleeps for a time derived from the
-// call's identity and answers as answerTo says. A call beyond the slots is refused
-// and not recorded.
+// call's identity and answers as answerTo says. A call beyond the slots is refused, or
+// reset, and not recorded as run.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer t.running.Add(-1)
 	if t.draining.Load() {
@@ -159,12 +169,15 @@
 		}
 	}
 	if t.running.Add(1) > t.slots {
+		if t.resets != nil {
+			t.reset(w, r)
+		}
 		w.Header().Set(wire.HeaderOutcome, wire.OutcomeNotRun)
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
 	}
 	id := r.Header.Get(headerCall)
-	if _, err := t.recordFile.WriteString(id + "\n"); err != nil {
+	if _, err := t.recordFile.WriteString(formatSighting(id, r.Header)); err != nil {
 		panic(http.ErrAbortHandler) // A call that is not recorded must not be answered.
 	}
 	n, err := io.Copy(io.Discard, r.Body)
