Test plans beside orders and views; return to callers in time

Two tests of what a plan's acknowledgement must outlast: a view that ends while changes wait for each other, and eight orders in progress at seven hosts beside a plan with 1,560 routes.

propose no longer waits for a step of the node after its caller's time has ended, and PutPlan acknowledges nothing to a caller whose time has ended.

--- a/core/quorum/contend_test.go
+++ b/core/quorum/contend_test.go
@@ -246,6 +246,38 @@
 	})
 }
 
+// Guards against changes that are lost or stuck when the view ends while they wait for each
+// other: operators send those without an answer again, to hosts of the next view.
+func TestChangesGoOnInTheNextView(t *testing.T) {
+	for seed := range uint64(contentionSeeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newViewCluster(seed, 5)
+			f.run(settleTime)
+			f.lastVersion = 5
+			for i, version := range f.rng.Perm(5) {
+				f.submit(f.names[i], uint64(version+1))
+			}
+			f.run(time.Duration(f.rng.IntN(20)) * time.Millisecond)
+			f.endView("a", "b/1", "c/1", "d/1", "f/1", "g/1")
+			f.run(answerTimeout)
+			for _, host := range f.newestView().hosts() {
+				f.shareView("b", host)
+			}
+			f.run(time.Second) // The new hosts start.
+			g.Expect(f.newestView().epoch).To(gomega.BeEquivalentTo(1))
+			for i, host := range f.newestView().hosts() {
+				f.submit(host, uint64(i+1))
+			}
+			answers := f.answers
+			f.run(answerTimeout)
+			g.Expect(f.fault).NotTo(gomega.HaveOccurred())
+			g.Expect(f.answers - answers).To(gomega.Equal(5))
+			g.Expect(f.agreedVersion).To(gomega.BeEquivalentTo(5))
+		})
+	}
+}
+
 // Guards against changes that run on after their callers have gone and compete with the same
 // change, sent again at another host.
 func TestCancelledChangesDoNotRun(t *testing.T) {
--- a/io/ctrl/large_plan_test.go
+++ b/io/ctrl/large_plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"runtime"
 	"sync"
 	"time"
@@ -17,7 +18,11 @@
 // largeDocument returns a plan of the given version with many routes, and a source as
 // long as an operator's text for them.
 func largeDocument(version uint64) plan.Document {
-	const routes = 1400
+	return documentOf(version, 1400)
+}
+
+// documentOf is largeDocument for the given number of routes.
+func documentOf(version uint64, routes int) plan.Document {
 	p := sample.Plan(version, routes)
 	source, err := json.Marshal(p)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -60,4 +65,44 @@
 		ginkgo.GinkgoWriter.Println("agreed after", time.Since(begin))
 		s.expectPlan(0, changes+1)
 	})
+
+	// Guards against plans that wait for one order after the other.
+	ginkgo.It("acknowledge a plan while orders are in progress at all hosts", func() {
+		const (
+			orders = 8
+			routes = 1560
+		)
+		s := newTestFleet(3)
+		for i := range 7 {
+			s.startHost(i, true)
+		}
+		s.putPlan(1)
+		gomega.Eventually(func() int { return len(s.hosts[0].host.View().Members) }, 10*time.Second, pollPeriod).Should(gomega.Equal(7))
+		gomega.Eventually(s.currentHosts, 10*time.Second, pollPeriod).Should(gomega.HaveLen(7))
+		ginkgo.DeferCleanup(runtime.GOMAXPROCS, runtime.GOMAXPROCS(1))
+		d := documentOf(2, routes)
+		ordersCtx, stop := context.WithTimeout(context.Background(), 5*planTimeout)
+		defer stop()
+		var group sync.WaitGroup
+		for i := range orders {
+			group.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				for n := i; s.hosts[n%len(s.hosts)].host.SetEvacuated(ordersCtx, fmt.Sprint("zone-", i), true) != nil; n++ {
+					gomega.Expect(ordersCtx.Err()).NotTo(gomega.HaveOccurred(), "order %d", i)
+				}
+			})
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), planTimeout)
+		defer cancel()
+		begin := time.Now()
+		for n := 3; s.hosts[n%len(s.hosts)].host.PutPlan(ctx, d) != nil; n++ {
+			gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), "the plan was not acknowledged")
+		}
+		ginkgo.GinkgoWriter.Println("plan acknowledged after", time.Since(begin))
+		group.Wait()
+		ginkgo.GinkgoWriter.Println("agreed after", time.Since(begin))
+		s.expectPlan(0, 2)
+		_, list := s.hosts[0].host.Evacuation()
+		gomega.Expect(list).To(gomega.HaveLen(orders))
+	})
 })
--- a/io/ctrl/plan.go
+++ b/io/ctrl/plan.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return errors.Wrap(err, "control: plan")
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	begin := time.Now()
@@ -49,7 +50,7 @@
 	}()
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
 	held := r.Value.Version
-	if chosen, _ := h.chosenVersion(); errors.Is(r.Err, quorum.ErrNoMajority) && chosen >= d.Plan.Version {
+	if chosen, _ := h.chosenVersion(); chosen >= d.Plan.Version && errors.Is(r.Err, quorum.ErrNoMajority) && caller.Err() == nil {
 		held, r.Err = chosen, nil
 	}
 	h.log.Info("plan proposed", "version", d.Plan.Version, "epoch", h.fleet.state.View().Epoch,
--- a/io/ctrl/step.go
+++ b/io/ctrl/step.go
@@ -143,17 +143,22 @@
 	case r := <-result:
 		return r
 	case <-ctx.Done():
-		h.runAndSend(func(now time.Time) quorum.Output {
-			if h.node != node {
-				return quorum.Output{} // The view has changed; tickets of the former node mean nothing.
-			}
-			delete(h.waiting, ticket)
-			return h.node.Cancel(now, ticket)
-		})
+		go h.withdraw(node, ticket) // The caller need not wait for a step of the node.
 		return quorum.Result{Err: quorum.ErrNoMajority}
 	}
 }
 
+// withdraw withdraws the proposal with the given ticket of a node.
+func (h *Host) withdraw(node *quorum.Node, ticket uint64) {
+	h.runAndSend(func(now time.Time) quorum.Output {
+		if h.node != node {
+			return quorum.Output{} // The view has changed; tickets of the former node mean nothing.
+		}
+		delete(h.waiting, ticket)
+		return h.node.Cancel(now, ticket)
+	})
+}
+
 // publishChosen makes newly learnt values visible to API handlers and streams, and
 // wakes the streams. The caller holds stepMu.
 func (h *Host) publishChosen(values []quorum.Value) {
