Decode chosen plans outside of the steps of the node

Change: a step queues what was chosen, and a goroutine puts the newest of it in force. An order is in force at its host before it is acknowledged there, and orders that are read at the start before they count as known. A host becomes current only once what it has learnt is in force.

--- a/io/ctrl/enter.go
+++ b/io/ctrl/enter.go
@@ -61,6 +61,7 @@
 	h.stepMu.Lock()
 	defer h.stepMu.Unlock()
 	for _, l := range saved.Learnt {
+		f.publishNewest([]quorum.Value{l.Chosen})
 		f.applyChosen([]quorum.Value{l.Chosen})
 	}
 	if hasUnsettledOrders(saved) {
--- a/io/ctrl/evacuate.go
+++ b/io/ctrl/evacuate.go
@@ -38,6 +38,7 @@
 		return plan.WithOrder(current, dataCentre, evacuated)
 	}}
 	r := h.propose(ctx, func(now time.Time) (uint64, quorum.Output) { return h.node.Apply(now, c) })
+	h.publishPending() // An order that was acknowledged is known here.
 	h.log.Info("evacuation ordered", "evacuated_data_centre", dataCentre, "evacuated", evacuated, "epoch", h.fleet.state.View().Epoch,
 		"revision", r.Value.Revision, "took", time.Since(begin).String(), "error", errorText(r.Err))
 	if r.Err == nil {
@@ -98,6 +99,7 @@
 	for {
 		if f.host.Status().Current {
 			_, _, err := f.host.ReadPlan(ctx)
+			f.host.publishPending()
 			if err == nil || errors.Is(err, ErrNotMember) {
 				return
 			}
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -276,16 +276,11 @@
 	h.fleet.seeds.Set(seeds)
 }
 
-// applyChosen applies newly chosen values of the current view: it publishes each
-// plan, and queues the next view when a value ends the current one. The caller
-// holds the host's stepMu.
+// applyChosen queues the next view when a newly chosen value ends the current one. The
+// caller holds the host's stepMu.
 func (f *fleet) applyChosen(values []quorum.Value) {
 	for _, v := range values {
-		if v.Name != planName {
-			continue
-		}
-		f.publishPlan(v)
-		if len(v.Next) == 0 {
+		if v.Name != planName || len(v.Next) == 0 {
 			continue
 		}
 		if next, err := nextView(f.view, v); err != nil {
@@ -296,6 +291,20 @@
 	}
 }
 
+// publishNewest publishes the plan with the highest revision among chosen values: it holds
+// all that came before.
+func (f *fleet) publishNewest(values []quorum.Value) {
+	var newest quorum.Value
+	for _, v := range values {
+		if v.Name == planName && v.Revision > newest.Revision {
+			newest = v
+		}
+	}
+	if newest.Revision > 0 {
+		f.publishPlan(newest)
+	}
+}
+
 // publishPlan stores a chosen plan and the chosen orders to evacuate data centres in the
 // fleet state. It ignores the plan of a value that holds none yet.
 func (f *fleet) publishPlan(v quorum.Value) {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -42,7 +42,8 @@
 		peersMu sync.Mutex
 		// peers holds the connections to the other control hosts, by host name.
 		peers map[string]*remote
-		// sends tracks the messages in flight.
+		// sends tracks the messages in flight, and the chosen values that are being
+		// published.
 		sends sync.WaitGroup
 
 		// stepMu is held during one step of node, including its writes to disk.
@@ -54,6 +55,13 @@
 		stopped bool
 		// waiting holds the channels of the callers of propose, by ticket.
 		waiting map[uint64]chan quorum.Result
+		// unpublished holds chosen values for publishPending.
+		unpublished []quorum.Value
+		// publishing is the number of steps whose chosen values are not published yet.
+		publishing int
+		// publishMu is held while chosen values are published. It is locked before
+		// stepMu.
+		publishMu sync.Mutex
 		// failed receives the error with which Run ends.
 		failed chan error
 
--- a/io/ctrl/step.go
+++ b/io/ctrl/step.go
@@ -160,7 +160,8 @@
 }
 
 // publishChosen makes newly learnt values visible to API handlers and streams, and
-// wakes the streams. The caller holds stepMu.
+// wakes the streams. The plan comes into force soon after; see publishPending. The caller
+// holds stepMu.
 func (h *Host) publishChosen(values []quorum.Value) {
 	if len(values) == 0 {
 		return
@@ -173,20 +174,47 @@
 	close(h.changed)
 	h.changed = make(chan struct{})
 	h.mu.Unlock()
-	if h.fleet != nil {
-		h.fleet.applyChosen(values)
+	if h.fleet == nil {
+		return
 	}
+	h.fleet.applyChosen(values)
+	h.unpublished = append(h.unpublished, values...)
+	h.publishing++
+	h.sends.Add(1)
+	go func() {
+		defer h.sends.Done()
+		h.publishPending()
+		h.stepMu.Lock()
+		defer h.stepMu.Unlock()
+		h.publishing--
+	}()
+}
+
+// publishPending puts the chosen values that were not published yet in force at this host.
+// It decodes plans, which takes longer than a step of the node, and returns once all values
+// are published that were chosen before the call. The caller must not hold stepMu.
+func (h *Host) publishPending() {
+	h.publishMu.Lock()
+	defer h.publishMu.Unlock()
+	h.stepMu.Lock()
+	values := h.unpublished
+	h.unpublished = nil
+	h.stepMu.Unlock()
+	h.fleet.publishNewest(values)
 }
 
 // publishStatus updates the status that API handlers and streams see. It wakes the
-// streams when the host becomes current or stops being current.
+// streams when the host becomes current or stops being current. A host becomes current only
+// once what it has learnt is in force.
 func (h *Host) publishStatus() {
 	h.stepMu.Lock()
 	s := quorum.Status{Host: h.cfg.Host}
 	if h.node != nil {
 		s = h.node.Status(time.Now())
 	}
+	publishing := h.publishing > 0
 	h.stepMu.Unlock()
+	s.Current = s.Current && (!publishing || h.Status().Current)
 	if h.fleet != nil {
 		h.fleet.state.SetCurrent(s.Current)
 	}
