Count resets of full targets where the attempt was decided

Resets that entry hosts had decided about and told control hosts of were counted at both. They are counted as the attempt ends now.

--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -138,6 +138,8 @@
 	case Unreachable:
 		t.recordFailure(s, s.unreachableWeight(at), at)
 		s.resetOpen = s.resetOpen && f.Reset
+	case Full:
+		t.resets.taken++
 	}
 	if f.Answered || f.Outcome == Served || f.Outcome == Shed {
 		s.resetsInRow = 0
--- a/core/route/full.go
+++ b/core/route/full.go
@@ -16,7 +16,8 @@
 	signAt time.Duration
 	// until is the time until which the service counts as one that resets connections.
 	until time.Duration
-	// taken is the number of resets that were taken as a sign of a full target.
+	// taken is the number of attempts that have ended by a reset which was taken as a sign of
+	// a full target.
 	taken uint64
 }
 
@@ -67,7 +68,8 @@
 	return t.learntAt(t.offset(now))
 }
 
-// FullResets returns the number of resets that were taken as a sign of a full target.
+// FullResets returns the number of attempts of this host's decisions that have ended by a reset
+// which was taken as a sign of a full target.
 func (t *Table) FullResets() uint64 {
 	return t.resets.taken
 }
@@ -78,8 +80,8 @@
 	t.resets.until = max(t.resets.until, t.offset(now)+resetMemory)
 }
 
-// ObserveReset records that the target called name has reset the connection of a call that is
-// still in flight, before a byte of the answer. written says that a byte of the call had been
+// ObserveReset records that the target called name has reset the connection of a call, which is
+// still in flight if this host has decided about it, before a byte of the answer. written says that a byte of the call had been
 // written; slots is as in Query. It reports whether the target is full rather than failing,
 // so that the outcome of the attempt is Full, and pauses it then. It returns false for a service that has not shown
 // this behaviour.
@@ -103,7 +105,6 @@
 	if !t.learntAt(at) || !reported && s.resetsInRow > maxResetsInRow {
 		return false
 	}
-	t.resets.taken++
 	t.pauseFull(s, limit, at)
 	return true
 }
