Bound the time in which a report shows that a target lives on

A report that all slots are in use counted as proof of an earlier reset however old that was, so that targets which had crashed under load, and were full again minutes later, could teach a service that resets connections. It must come within 5 s, and a reset without a proof gives way to a later one. TestCrashesOfBusyTargetsAreNotLearnt has such targets now.

--- a/core/route/feedback.go
+++ b/core/route/feedback.go
@@ -143,7 +143,7 @@
 	}
 	if f.Answered || f.Outcome == Served || f.Outcome == Shed {
 		s.resetsInRow = 0
-		t.showReset(s, at-elapsed, at, false)
+		t.showReset(s, at-elapsed, at, restartTime)
 	}
 	if f.Reported {
 		t.applyLoadReport(s, f.Load, at)
@@ -271,11 +271,11 @@
 	}
 	s.otherCalls, s.otherCallsAt = l.Running+l.Queued-s.inFlight, at
 	s.abandoned = 0
-	t.showReset(s, at, at, l.FreeSlots() <= 0)
 	if l.FreeSlots() > 0 {
 		s.fullUntil = 0
 		return
 	}
+	t.showReset(s, at, at, fillTime)
 	overload := 1 + float64(l.Running+l.Queued-l.Slots)/float64(max(l.Slots, 1))
 	fullTime := time.Duration(fullTimeFactor * t.meanLatency * overload)
 	s.fullUntil = at + min(max(fullTime, minFullTime), maxFullTime)
--- a/core/route/full.go
+++ b/core/route/full.go
@@ -32,12 +32,14 @@
 	// An answer shows that the target lives on if it comes later than proofFactor times the
 	// mean latency after the reset, since results of calls that ended just before a crash
 	// may arrive after that of a reset, from other hosts. One to a call that began after
-	// the reset must come within restartTime: a target that was started again within
-	// that is not told apart.
+	// the reset must come within restartTime, and a report that all slots are in use within
+	// fillTime: a target that was started again, and filled, within that is not told apart
+	// if no call or probe found it gone.
 	proofFactor = 0.25
 	minProof    = 5 * time.Millisecond
 	maxProof    = 100 * time.Millisecond
 	restartTime = time.Second
+	fillTime    = 5 * time.Second
 	// maxResetsInRow is the number of resets of one target without an answer between them
 	// from which it counts as failing, unless its reports show that it is full.
 	maxResetsInRow = 5
@@ -80,11 +82,11 @@
 	t.resets.until = max(t.resets.until, t.offset(now)+resetMemory)
 }
 
-// ObserveReset records that the target called name has reset the connection of a call, which is
-// still in flight if this host has decided about it, before a byte of the answer. written says that a byte of the call had been
-// written; slots is as in Query. It reports whether the target is full rather than failing,
-// so that the outcome of the attempt is Full, and pauses it then. It returns false for a service that has not shown
-// this behaviour.
+// ObserveReset records that the target called name has reset the connection of a call before a
+// byte of the answer. The call is still in flight if this host has decided about it. written
+// says that a byte of the call had been written; slots is as in Query. It reports whether the
+// target is full rather than failing, so that the outcome of the attempt is Full, and pauses the
+// target then. It returns false for a service that has not shown this behaviour.
 func (t *Table) ObserveReset(name string, slots int, written bool, now time.Time) bool {
 	i, ok := t.index[name]
 	if !ok || t.states[i].draining {
@@ -98,7 +100,7 @@
 	if !full && (!t.learntAt(at) || s.inFlight < t.shareOf(limit)) {
 		return false
 	}
-	if written && full && !s.resetOpen {
+	if written && full && (!s.resetOpen || at-s.resetAt > restartTime) {
 		s.resetOpen, s.resetAt = true, at
 	}
 	s.resetsInRow++
@@ -123,15 +125,15 @@
 	return t.resets.until > at
 }
 
-// showReset counts the last reset of a target as shown, if the given event at the target
-// shows that it lives on: an answer to a call that began at begin, or a report that all slots
-// are in use.
-func (t *Table) showReset(s *targetState, begin, at time.Duration, full bool) {
+// showReset counts the last reset of a target as shown, if an answer or report shows that the
+// target lives on: an answer to a call that began at begin, before the reset, or one that comes
+// within the time limit after it.
+func (t *Table) showReset(s *targetState, begin, at, limit time.Duration) {
 	if !s.resetOpen {
 		return
 	}
 	proof := min(max(time.Duration(proofFactor*t.meanLatency), minProof), maxProof)
-	if at-s.resetAt < proof || begin >= s.resetAt && !full && at-s.resetAt > restartTime {
+	if at-s.resetAt < proof || begin >= s.resetAt && at-s.resetAt > limit {
 		return
 	}
 	s.resetOpen = false
--- a/core/route/full_test.go
+++ b/core/route/full_test.go
@@ -78,6 +78,13 @@
 		table.Finish(name, route.Feedback{Outcome: route.Served}, 0, table.now.Add(200*time.Millisecond)) // Started again.
 	}
 	g.Expect(table.ResetsWhenFull(table.now)).To(gomega.BeFalse())
+	for _, name := range []string{"t5", "t6", "t7"} {
+		table.resetAtFullSlots(name, true)
+		table.now = table.now.Add(6 * time.Second)
+		probe := route.Probe{Result: route.ProbeHealthy, Reported: true, Load: wire.Load{Running: 3, Slots: 3}}
+		table.ApplyProbe(name, probe, table.now) // Started again and full.
+	}
+	g.Expect(table.ResetsWhenFull(table.now)).To(gomega.BeFalse())
 }
 
 // Guards against a call that must not run twice and goes to a target whose slots may all be in
