Leave the resetting target out of gentle soak runs

Its resets make entry hosts take their link to it as lost and have calls carried by others, over connections that the run disturbs. A gentle run has only faults that must not cut off calls, which a resetting target does by itself.

--- a/io/soak/doc.go
+++ b/io/soak/doc.go
@@ -14,7 +14,7 @@
 // withdraws keys. A call without a valid key must not run, nor one with a key whose
 // withdrawal was in force at its entry host before the call began; there is no lease, since
 // the hosts are no fleet, and so no data centre is evacuated. Targets must see the account and
-// no key. One target resets the connections of calls beyond its slots.
+// no key. One target resets the connections of calls beyond its slots, except in gentle runs.
 //
 // It does not disturb clocks, and disks only by losing them. It tests only the
 // project's own interface, not the platform's.
--- a/io/soak/reset.go
+++ b/io/soak/reset.go
@@ -11,12 +11,26 @@
 	return record + ".resets"
 }
 
-// resettingTarget returns the index of the target that resets connections when it is full.
-// It is not the one with a limit, which is the last, unless there is only one.
+// resettingTarget returns the index of the target that resets connections when it is full,
+// or -1 in a gentle run: its resets cut calls off, and entry hosts may take their links to it
+// as lost and have calls carried, which faults between hosts then break. It is not the target
+// with a limit, which is the last, unless there is only one.
 func (s *Soak) resettingTarget() int {
+	if s.gentle {
+		return -1
+	}
 	return max(s.targetCount-2, 0)
 }
 
+// readResets returns how often each call was reset by a target, by its id.
+func (s *Soak) readResets() (map[string]int, error) {
+	i := s.resettingTarget()
+	if i < 0 {
+		return nil, nil
+	}
+	return readRuns([]string{resetsFile(s.recordFiles[i])})
+}
+
 // reset records a call and resets its connection, without an answer.
 func (t *Target) reset(w http.ResponseWriter, r *http.Request) {
 	if _, err := t.resets.WriteString(r.Header.Get(headerCall) + "\n"); err != nil {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -123,7 +123,7 @@
 }
 
 // WithGentle leaves out faults that may cut calls off: kills and freezes of entry
-// hosts and targets, and faults on the connections between them.
+// hosts and targets, faults on the connections between them, and resets by a full target.
 func WithGentle() Option {
 	return func(s *Soak) { s.gentle = true }
 }
@@ -185,7 +185,7 @@
 	if seen, err = readSightings(s.recordFiles); err != nil {
 		return report, err
 	}
-	if resets, err = readRuns([]string{resetsFile(s.recordFiles[s.resettingTarget()])}); err != nil {
+	if resets, err = s.readResets(); err != nil {
 		return report, err
 	}
 	report = check(s.callRecords, runs, func(c *callRecord) bool { return resets[c.id] > 0 || s.disturbed(c) })
