--- a/io/admin/accounts.go
+++ b/io/admin/accounts.go
@@ -152,6 +152,7 @@
 			defer mu.Unlock()
 			if err != nil {
 				lost++
+				return
 			}
 			for _, a := range answer {
 				heard[a.Account] = append(heard[a.Account], a)
