Count the calls of each client account at entry hosts

Operators saw calls over quota only as a sum, and nothing of which account was refused for lack of room. The metric calls_by_account has, for each account, calls admitted, over quota and refused for lack of room: 256 accounts by name, the rest together. A log line every 10 s names the 20 accounts with the most refusals for lack of room.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -294,6 +294,9 @@
 			return h.executeDecision(ctx, w, r, c, h.refuseBlocked(c, left))
 		}
 		h.logSend(c, action)
+		if !c.attempted {
+			h.tally.admit(c.class.Account)
+		}
 		c.attempted = true
 		start := time.Now()
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
@@ -318,6 +321,7 @@
 			return true
 		}
 		h.metrics.Counter("calls_refused").Add(1)
+		h.tally.refuse(c.class.Account, action.Reason)
 		notRun := action.NotRun && !c.mayHaveRun
 		status := http.StatusServiceUnavailable
 		if !notRun {
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -36,6 +36,7 @@
 		limits        limitTracker
 		rests         restTracker
 		leavers       leaverTracker
+		tally         accountTally
 		crashes       *crash.Table // Calls that were at targets as these ended.
 		dialect       wire.Dialect
 		members       *membership
@@ -126,6 +127,7 @@
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
 	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.openCount() })
 	h.metrics.Func("requests_unanswered", func() any { return h.unanswered.Load() })
+	h.metrics.Func("calls_by_account", h.tally.counts)
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
 	return h
 }
@@ -168,6 +170,7 @@
 	}
 	if h.fleet != nil {
 		background.Go(func() { h.fleet.run(work) })
+		background.Go(func() { h.tally.run(work, h.log) })
 	} else {
 		background.Go(func() { h.config.run(work) })
 		background.Go(func() { h.members.run(work) })
