--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -38,11 +38,13 @@
 		rests     restTracker
 		resets    resetTracker
 		leavers   leaverTracker
-		crashes   *crash.Table // Calls that were at targets as these ended.
-		dialect   wire.Dialect
-		members   *membership
-		config    *configuration
-		fleet     *fleet
+		// accountCalls counts the calls of client accounts for the metrics.
+		accountCalls accountTally
+		crashes      *crash.Table // Calls that were at targets as these ended.
+		dialect      wire.Dialect
+		members      *membership
+		config       *configuration
+		fleet        *fleet
 		// quota limits the calls of client accounts that this host decides about alone;
 		// nil in a fleet without quotas.
 		quota *quota.Local
@@ -136,6 +138,7 @@
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
 	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.openCount() })
 	h.metrics.Func("requests_unanswered", func() any { return h.unanswered.Load() })
+	h.metrics.Func("calls_by_account", h.accountCalls.counts)
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
 	return h
 }
@@ -178,6 +181,7 @@
 	}
 	if h.fleet != nil {
 		background.Go(func() { h.fleet.run(work) })
+		background.Go(func() { h.accountCalls.run(work, h.log) })
 	} else {
 		background.Go(func() { h.config.run(work) })
 		background.Go(func() { h.members.run(work) })
