--- a/io/ctrl/plan.go
+++ b/io/ctrl/plan.go
@@ -32,6 +32,10 @@
 // the outcome is unknown. The host must be part of a fleet, as for ReadPlan and
 // Voters.
 func (h *Host) PutPlan(ctx context.Context, d plan.Document) error {
+	if chosen, _ := h.chosenVersion(); chosen >= d.Plan.Version {
+		h.log.Info("plan superseded", "version", d.Plan.Version, "held", chosen)
+		return nil
+	}
 	body, err := d.Encode()
 	if err != nil {
 		return errors.Wrap(err, "control: plan")
