Move the plan in force out of feed.State into a table of its own

feed.State had one lock over targets, plan, view and control hosts, so that what reads the plan waits for those who deliver targets. Change: io/feed plans holds the plan, its encoded forms and the callback, with a lock of its own, which is taken after that of the State. A plan is still seen in force only after its callback has returned. Bytes, log lines and callbacks are the same.

--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -124,7 +124,7 @@
 	if p == nil {
 		return nil, status.Error(codes.NotFound, "no plan is known")
 	}
-	data, err := s.state.encoder.gzip(p)
+	data, err := s.state.plans.encoder.gzip(p)
 	if err != nil {
 		s.state.log.Error("plan could not be encoded", "version", p.Version, "error", err)
 		return nil, status.Error(codes.Internal, err.Error())
@@ -276,13 +276,13 @@
 		}
 		s.controls, hasChanges = list, true
 	}
-	if state.plan != nil {
-		u.PlanVersion = state.plan.Version
-		if state.plan.Version > s.planVersion {
+	if p := state.Plan(); p != nil {
+		u.PlanVersion = p.Version
+		if p.Version > s.planVersion {
 			if !s.fetchesPlan {
-				u.Plan = state.encodedPlan()
+				u.Plan = state.encodedPlan(p)
 			}
-			s.planVersion, hasChanges = state.plan.Version, true
+			s.planVersion, hasChanges = p.Version, true
 		}
 	}
 	state.changedSince(s.lastChange, func(t roster.Target) {
@@ -305,16 +305,6 @@
 	return u, wakeUp{changed: state.changed, urgent: state.urgent}, hasChanges
 }
 
-// encodedPlan returns the plan in force in JSON, or nothing when it cannot be encoded.
-// The caller holds mu.
-func (s *State) encodedPlan() []byte {
-	text, err := s.encoder.json(s.plan)
-	if err != nil {
-		s.log.Error("plan could not be encoded", "version", s.plan.Version, "error", err)
-	}
-	return text
-}
-
 // renewals returns the renewals of the leases of the targets that this host has heard
 // itself in the last leasePeriod and a little more. Streams that ask within
 // heartbeatPeriod share one list. The caller holds mu.
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -14,7 +14,6 @@
 	"cardamomspool/core/crash"
 	"cardamomspool/core/member"
 	"cardamomspool/core/pace"
-	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/roster"
 	"cardamomspool/io/peer/peerpb"
@@ -64,7 +63,6 @@
 		metrics *telem.Registry
 
 		onTargets func(service string, records []member.Record)
-		onPlan    func(p *plan.Plan)
 
 		mu    sync.Mutex
 		table *roster.Table
@@ -81,8 +79,6 @@
 		changeRecords map[string]changeRecord
 		changes       []string
 		changesBase   uint64
-		plan          *plan.Plan
-		encoder       planEncoder // Of plan, for followers.
 		view          View
 		controls      map[netip.AddrPort]Control
 		// renewed is the last result of renewals, made at renewedAt.
@@ -99,7 +95,9 @@
 		// before which no lease expires.
 		lastExpiry, keepUntil time.Time
 
-		evacuations evacuations // Not guarded by mu.
+		// The following are not guarded by mu.
+		evacuations evacuations
+		plans       plans
 	}
 
 	// changeRecord holds the number of the last change of a target, as in
@@ -151,12 +149,6 @@
 	return func(s *State) { s.onTargets = f }
 }
 
-// OnPlan sets a callback for new plans. Calls do not overlap. The callback must
-// not call methods of the State.
-func OnPlan(f func(p *plan.Plan)) Option {
-	return func(s *State) { s.onPlan = f }
-}
-
 // Names returns the members in the form of Member.String.
 func (v *View) Names() []string {
 	names := make([]string, 0, len(v.Members))
@@ -198,9 +190,9 @@
 func NewState(opts ...Option) *State {
 	s := &State{
 		log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), table: roster.NewTable(),
-		onTargets: func(string, []member.Record) {}, onPlan: func(*plan.Plan) {},
-		crashes: crash.NewTable(),
-		stale:   make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: make(map[netip.AddrPort]Control), changed: make(chan struct{}),
+		onTargets: func(string, []member.Record) {},
+		crashes:   crash.NewTable(),
+		stale:     make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: make(map[netip.AddrPort]Control), changed: make(chan struct{}),
 		urgent: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -389,10 +381,7 @@
 	for _, t := range s.table.All(nil) {
 		digests = append(digests, digest(t))
 	}
-	if s.plan != nil {
-		version = s.plan.Version
-	}
-	return digests, version, s.view.Epoch
+	return digests, s.planVersion(), s.view.Epoch
 }
 
 // Target returns the known state of the target called id, and false when it is
@@ -462,37 +451,6 @@
 	}
 }
 
-// SetPlan puts a plan in force if its version is higher than that of the plan in
-// force, and reports whether it did. The caller must not modify the plan
-// afterwards.
-func (s *State) SetPlan(p *plan.Plan) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.plan != nil && p.Version <= s.plan.Version {
-		return false
-	}
-	s.plan = p
-	s.log.Info("plan in force", "version", p.Version, "routes", len(p.Routes), "services", len(p.Services))
-	s.onPlan(p)
-	s.notifyUrgent()
-	return true
-}
-
-// Plan returns the plan in force, or nil. The caller must not modify it.
-func (s *State) Plan() *plan.Plan {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.plan
-}
-
-// planVersion returns the version of the plan in force, or 0.
-func (s *State) planVersion() uint64 {
-	if p := s.Plan(); p != nil {
-		return p.Version
-	}
-	return 0
-}
-
 // SetView stores a view if its epoch is higher than the current view's, and
 // reports whether it did.
 func (s *State) SetView(v View) bool {
