Move the view out of feed.State into a table of its own

Change: io/feed views holds the newest view, with a lock of its own that is taken after that of the State. Bytes and log lines are the same.

--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -263,9 +263,9 @@
 	if u.Evacuation = state.fromEvacuation(s.evacuation); u.GetEvacuation() != nil {
 		s.evacuation, hasChanges = u.GetEvacuation().GetRevision(), true
 	}
-	if state.view.Epoch > s.epoch {
-		u.View = fromView(state.view)
-		s.epoch, hasChanges = state.view.Epoch, true
+	if v := state.View(); v.Epoch > s.epoch {
+		u.View = fromView(v)
+		s.epoch, hasChanges = v.Epoch, true
 	}
 	if list := state.heardControls(now); !slices.Equal(list, s.controls) {
 		for _, address := range list {
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -79,7 +79,6 @@
 		changeRecords map[string]changeRecord
 		changes       []string
 		changesBase   uint64
-		view          View
 		controls      map[netip.AddrPort]Control
 		// renewed is the last result of renewals, made at renewedAt.
 		renewed   []*peerpb.TargetHeard
@@ -98,6 +97,7 @@
 		// The following are not guarded by mu.
 		evacuations evacuations
 		plans       plans
+		views       views
 	}
 
 	// changeRecord holds the number of the last change of a target, as in
@@ -381,7 +381,7 @@
 	for _, t := range s.table.All(nil) {
 		digests = append(digests, digest(t))
 	}
-	return digests, s.planVersion(), s.view.Epoch
+	return digests, s.planVersion(), s.View().Epoch
 }
 
 // Target returns the known state of the target called id, and false when it is
@@ -451,27 +451,6 @@
 	}
 }
 
-// SetView stores a view if its epoch is higher than the current view's, and
-// reports whether it did.
-func (s *State) SetView(v View) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v.Epoch <= s.view.Epoch {
-		return false
-	}
-	s.view = v
-	s.log.Info("new view of control hosts", "epoch", v.Epoch, "members", v.Names())
-	s.notifyUrgent()
-	return true
-}
-
-// View returns the newest known view.
-func (s *State) View() View {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view
-}
-
 // ObserveControl records that the control host at address was seen on a stream at now.
 // diskID is the identity of its disk, or 0 when unknown.
 func (s *State) ObserveControl(address netip.AddrPort, diskID uint64, now time.Time) {
