Move what a control host says of itself out of feed.State into a table of its own

Change: io/feed condition holds whether this control host is current, informed and settled, with a lock of its own that is taken after that of the State; a stream compares all of it at once.

--- a/io/feed/evacuation.go
+++ b/io/feed/evacuation.go
@@ -103,16 +103,3 @@
 	}
 	return &peerpb.Evacuation{Revision: current, DataCentres: list}
 }
-
-// SetUnsettled records whether this control host holds a value that changes the list of
-// evacuated data centres, and does not know yet whether a majority has accepted it. Its
-// updates then do not count as complete: the order may have been acknowledged before all
-// hosts lost power.
-func (s *State) SetUnsettled(unsettled bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.unsettled != unsettled {
-		s.unsettled = unsettled
-		s.notifyUrgent()
-	}
-}
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -56,9 +56,7 @@
 		lastLost    uint64 // Number of the last change of the table of lost calls.
 		evacuation  uint64 // Revision of the list of evacuated data centres.
 		controls    []netip.AddrPort
-		current     bool
-		informed    bool
-		unsettled   bool
+		condition   conditionFlags
 		// limitedVersion is the number of the last change of limited accounts.
 		limitedVersion uint64
 		first          bool            // No update has been generated yet.
@@ -258,8 +256,9 @@
 	state := s.state
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	u := &peerpb.FleetUpdate{Current: state.current, Informed: state.informed, Complete: !state.unsettled}
-	hasChanges := s.first || s.current != state.current || s.informed != state.informed || s.unsettled != state.unsettled
+	condition := state.condition.get()
+	u := &peerpb.FleetUpdate{Current: condition.current, Informed: condition.informed, Complete: !condition.unsettled}
+	hasChanges := s.first || s.condition != condition
 	if u.Evacuation = state.fromEvacuation(s.evacuation); u.GetEvacuation() != nil {
 		s.evacuation, hasChanges = u.GetEvacuation().GetRevision(), true
 	}
@@ -301,7 +300,7 @@
 		s.leasesSentAt = now
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard)+len(u.LostCalls) > 0
-	s.lastChange, s.current, s.informed, s.unsettled, s.first = state.lastChange(), state.current, state.informed, state.unsettled, false
+	s.lastChange, s.condition, s.first = state.lastChange(), condition, false
 	return u, wakeUp{changed: state.changed, urgent: state.urgent}, hasChanges
 }
 
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -68,9 +68,6 @@
 		// renewed is the last result of renewals, made at renewedAt.
 		renewed   []*peerpb.TargetHeard
 		renewedAt time.Time
-		current   bool // See SetCurrent.
-		informed  bool // See setInformed.
-		unsettled bool // See SetUnsettled.
 		accounts  accounts
 		crashes   *crash.Table  // The calls that were at targets as these ended.
 		changed   chan struct{} // Closed and replaced at each change; see notify.
@@ -84,6 +81,7 @@
 		plans       plans
 		views       views
 		controls    controls
+		condition   condition
 	}
 
 	// changeRecord holds the number of the last change of a target, as in
@@ -427,37 +425,6 @@
 	s.controls.expire(now)
 }
 
-// SetCurrent records whether this control host is current, which the updates to
-// its followers say.
-func (s *State) SetCurrent(current bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current != current {
-		s.current = current
-		s.notifyUrgent()
-	}
-}
-
-// setInformed records whether this control host receives the updates of a majority of
-// the voting hosts, which the updates to its followers say.
-func (s *State) setInformed(informed bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.informed != informed {
-		s.informed = informed
-		s.log.Info("updates of a majority", "received", informed)
-		s.notifyUrgent()
-	}
-}
-
-// Informed reports whether this control host receives the updates of a majority of the voting
-// hosts.
-func (s *State) Informed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.informed
-}
-
 // notify wakes all streams that wait for a change. The caller holds mu.
 func (s *State) notify() {
 	close(s.changed)
