--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -56,9 +56,7 @@
 		lastLost    uint64 // Number of the last change of the table of lost calls.
 		evacuation  uint64 // Revision of the list of evacuated data centres.
 		controls    []netip.AddrPort
-		current     bool
-		informed    bool
-		unsettled   bool
+		condition   conditionFlags
 		// limitedVersion is the number of the last change of limited accounts.
 		limitedVersion uint64
 		first          bool            // No update has been generated yet.
@@ -124,7 +122,7 @@
 	if p == nil {
 		return nil, status.Error(codes.NotFound, "no plan is known")
 	}
-	data, err := s.state.encoder.gzip(p)
+	data, err := s.state.plans.encoder.gzip(p)
 	if err != nil {
 		s.state.log.Error("plan could not be encoded", "version", p.Version, "error", err)
 		return nil, status.Error(codes.Internal, err.Error())
@@ -258,14 +256,15 @@
 	state := s.state
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	u := &peerpb.FleetUpdate{Current: state.current, Informed: state.informed, Complete: !state.unsettled}
-	hasChanges := s.first || s.current != state.current || s.informed != state.informed || s.unsettled != state.unsettled
+	condition := state.condition.get()
+	u := &peerpb.FleetUpdate{Current: condition.current, Informed: condition.informed, Complete: !condition.unsettled}
+	hasChanges := s.first || s.condition != condition
 	if u.Evacuation = state.fromEvacuation(s.evacuation); u.GetEvacuation() != nil {
 		s.evacuation, hasChanges = u.GetEvacuation().GetRevision(), true
 	}
-	if state.view.Epoch > s.epoch {
-		u.View = fromView(state.view)
-		s.epoch, hasChanges = state.view.Epoch, true
+	if v := state.View(); v.Epoch > s.epoch {
+		u.View = fromView(v)
+		s.epoch, hasChanges = v.Epoch, true
 	}
 	if list := state.heardControls(now); !slices.Equal(list, s.controls) {
 		for _, address := range list {
@@ -276,13 +275,13 @@
 		}
 		s.controls, hasChanges = list, true
 	}
-	if state.plan != nil {
-		u.PlanVersion = state.plan.Version
-		if state.plan.Version > s.planVersion {
+	if p := state.Plan(); p != nil {
+		u.PlanVersion = p.Version
+		if p.Version > s.planVersion {
 			if !s.fetchesPlan {
-				u.Plan = state.encodedPlan()
+				u.Plan = state.encodedPlan(p)
 			}
-			s.planVersion, hasChanges = state.plan.Version, true
+			s.planVersion, hasChanges = p.Version, true
 		}
 	}
 	state.changedSince(s.lastChange, func(t roster.Target) {
@@ -301,20 +300,10 @@
 		s.leasesSentAt = now
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard)+len(u.LostCalls) > 0
-	s.lastChange, s.current, s.informed, s.unsettled, s.first = state.lastChange(), state.current, state.informed, state.unsettled, false
+	s.lastChange, s.condition, s.first = state.lastChange(), condition, false
 	return u, wakeUp{changed: state.changed, urgent: state.urgent}, hasChanges
 }
 
-// encodedPlan returns the plan in force in JSON, or nothing when it cannot be encoded.
-// The caller holds mu.
-func (s *State) encodedPlan() []byte {
-	text, err := s.encoder.json(s.plan)
-	if err != nil {
-		s.log.Error("plan could not be encoded", "version", s.plan.Version, "error", err)
-	}
-	return text
-}
-
 // renewals returns the renewals of the leases of the targets that this host has heard
 // itself in the last leasePeriod and a little more. Streams that ask within
 // heartbeatPeriod share one list. The caller holds mu.
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -14,7 +14,6 @@
 	"cardamomspool/core/crash"
 	"cardamomspool/core/member"
 	"cardamomspool/core/pace"
-	"cardamomspool/core/plan"
 	"cardamomspool/core/quorum"
 	"cardamomspool/core/roster"
 	"cardamomspool/io/peer/peerpb"
@@ -43,20 +42,6 @@
 		Initial quorum.Value `json:"initial"`
 	}
 
-	// Control is what is known of a control host.
-	Control struct {
-		// Disk identifies its disk; 0 when unknown.
-		Disk uint64
-		// FirstSeen is when it was first seen after the last time that it was
-		// not seen for longer than maxControlGap.
-		FirstSeen time.Time
-		// LastSeen is when it was last seen or named by another control host.
-		LastSeen time.Time
-		// LastHeard is when it was last seen on a stream of its own; zero if it
-		// was only named.
-		LastHeard time.Time
-	}
-
 	// State is one host's copy of the fleet's state. Use NewState. It is safe
 	// for concurrent use.
 	State struct {
@@ -64,7 +49,6 @@
 		metrics *telem.Registry
 
 		onTargets func(service string, records []member.Record)
-		onPlan    func(p *plan.Plan)
 
 		mu    sync.Mutex
 		table *roster.Table
@@ -81,16 +65,9 @@
 		changeRecords map[string]changeRecord
 		changes       []string
 		changesBase   uint64
-		plan          *plan.Plan
-		encoder       planEncoder // Of plan, for followers.
-		view          View
-		controls      map[netip.AddrPort]Control
 		// renewed is the last result of renewals, made at renewedAt.
 		renewed   []*peerpb.TargetHeard
 		renewedAt time.Time
-		current   bool // See SetCurrent.
-		informed  bool // See setInformed.
-		unsettled bool // See SetUnsettled.
 		accounts  accounts
 		crashes   *crash.Table  // The calls that were at targets as these ended.
 		changed   chan struct{} // Closed and replaced at each change; see notify.
@@ -99,7 +76,12 @@
 		// before which no lease expires.
 		lastExpiry, keepUntil time.Time
 
-		evacuations evacuations // Not guarded by mu.
+		// The following are not guarded by mu.
+		evacuations evacuations
+		plans       plans
+		views       views
+		controls    controls
+		condition   condition
 	}
 
 	// changeRecord holds the number of the last change of a target, as in
@@ -119,12 +101,6 @@
 )
 
 const (
-	// controlExpiry is how long after its last sighting a control host is
-	// forgotten.
-	controlExpiry = 30 * time.Second
-	// maxControlGap is how long a control host may be unseen and still count
-	// as continuously seen: a few heartbeats of its stream.
-	maxControlGap = 2 * time.Second
 	// maxChanges is the maximum length of State.changes. A stream that lacks an
 	// older change is sent all targets.
 	maxChanges = 8192
@@ -151,12 +127,6 @@
 	return func(s *State) { s.onTargets = f }
 }
 
-// OnPlan sets a callback for new plans. Calls do not overlap. The callback must
-// not call methods of the State.
-func OnPlan(f func(p *plan.Plan)) Option {
-	return func(s *State) { s.onPlan = f }
-}
-
 // Names returns the members in the form of Member.String.
 func (v *View) Names() []string {
 	names := make([]string, 0, len(v.Members))
@@ -198,9 +168,9 @@
 func NewState(opts ...Option) *State {
 	s := &State{
 		log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), table: roster.NewTable(),
-		onTargets: func(string, []member.Record) {}, onPlan: func(*plan.Plan) {},
-		crashes: crash.NewTable(),
-		stale:   make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: make(map[netip.AddrPort]Control), changed: make(chan struct{}),
+		onTargets: func(string, []member.Record) {},
+		crashes:   crash.NewTable(),
+		stale:     make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: controls{hosts: make(map[netip.AddrPort]Control)}, changed: make(chan struct{}),
 		urgent: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -389,10 +359,7 @@
 	for _, t := range s.table.All(nil) {
 		digests = append(digests, digest(t))
 	}
-	if s.plan != nil {
-		version = s.plan.Version
-	}
-	return digests, version, s.view.Epoch
+	return digests, s.planVersion(), s.View().Epoch
 }
 
 // Target returns the known state of the target called id, and false when it is
@@ -455,172 +422,7 @@
 			delete(s.changeRecords, id)
 		}
 	}
-	for address, c := range s.controls {
-		if now.Sub(c.LastSeen) > controlExpiry {
-			delete(s.controls, address)
-		}
-	}
-}
-
-// SetPlan puts a plan in force if its version is higher than that of the plan in
-// force, and reports whether it did. The caller must not modify the plan
-// afterwards.
-func (s *State) SetPlan(p *plan.Plan) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.plan != nil && p.Version <= s.plan.Version {
-		return false
-	}
-	s.plan = p
-	s.log.Info("plan in force", "version", p.Version, "routes", len(p.Routes), "services", len(p.Services))
-	s.onPlan(p)
-	s.notifyUrgent()
-	return true
-}
-
-// Plan returns the plan in force, or nil. The caller must not modify it.
-func (s *State) Plan() *plan.Plan {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.plan
-}
-
-// planVersion returns the version of the plan in force, or 0.
-func (s *State) planVersion() uint64 {
-	if p := s.Plan(); p != nil {
-		return p.Version
-	}
-	return 0
-}
-
-// SetView stores a view if its epoch is higher than the current view's, and
-// reports whether it did.
-func (s *State) SetView(v View) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v.Epoch <= s.view.Epoch {
-		return false
-	}
-	s.view = v
-	s.log.Info("new view of control hosts", "epoch", v.Epoch, "members", v.Names())
-	s.notifyUrgent()
-	return true
-}
-
-// View returns the newest known view.
-func (s *State) View() View {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view
-}
-
-// ObserveControl records that the control host at address was seen on a stream at now.
-// diskID is the identity of its disk, or 0 when unknown.
-func (s *State) ObserveControl(address netip.AddrPort, diskID uint64, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seeControl(address, diskID, now)
-	c := s.controls[address]
-	first := c.LastHeard.IsZero()
-	c.LastHeard = now
-	s.controls[address] = c
-	if first {
-		s.notify()
-	}
-}
-
-// nameControl records that another control host has named the one at address, unless
-// that is known.
-func (s *State) nameControl(address netip.AddrPort, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, known := s.controls[address]; !known {
-		s.seeControl(address, 0, now)
-	}
-}
-
-// seeControl implements ObserveControl and nameControl. The caller holds mu.
-func (s *State) seeControl(address netip.AddrPort, diskID uint64, now time.Time) {
-	c, known := s.controls[address]
-	if !known || now.Sub(c.LastSeen) > maxControlGap {
-		c.FirstSeen = now
-	}
-	c.LastSeen = now
-	if diskID != 0 {
-		c.Disk = diskID
-	}
-	s.controls[address] = c
-	if !known {
-		s.log.Info("control host found", "address", address.String())
-		s.notify()
-	}
-}
-
-// Control returns what is known of the control host at address, or the zero
-// value.
-func (s *State) Control(address netip.AddrPort) Control {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.controls[address]
-}
-
-// Controls returns the sorted addresses of the control hosts that have not
-// expired.
-func (s *State) Controls() []netip.AddrPort {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sortedControls()
-}
-
-// sortedControls implements Controls. The caller holds mu.
-func (s *State) sortedControls() []netip.AddrPort {
-	var list []netip.AddrPort
-	for address := range s.controls {
-		list = append(list, address)
-	}
-	slices.SortFunc(list, netip.AddrPort.Compare)
-	return list
-}
-
-// heardControls returns the sorted addresses of the control hosts that this host has
-// heard itself and not forgotten since. Others are not passed on, so that a control
-// host that has gone is not named for ever by hosts that know it from each other. The
-// caller holds mu.
-func (s *State) heardControls(now time.Time) []netip.AddrPort {
-	return slices.DeleteFunc(s.sortedControls(), func(a netip.AddrPort) bool {
-		return now.Sub(s.controls[a].LastHeard) > controlExpiry
-	})
-}
-
-// SetCurrent records whether this control host is current, which the updates to
-// its followers say.
-func (s *State) SetCurrent(current bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current != current {
-		s.current = current
-		s.notifyUrgent()
-	}
-}
-
-// setInformed records whether this control host receives the updates of a majority of
-// the voting hosts, which the updates to its followers say.
-func (s *State) setInformed(informed bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.informed != informed {
-		s.informed = informed
-		s.log.Info("updates of a majority", "received", informed)
-		s.notifyUrgent()
-	}
-}
-
-// Informed reports whether this control host receives the updates of a majority of the voting
-// hosts.
-func (s *State) Informed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.informed
+	s.controls.expire(now)
 }
 
 // notify wakes all streams that wait for a change. The caller holds mu.
