Leave a part of the slots free for calls that can still be in time

Targets hold 1,062 calls of 1,180 slots, and their calls take 575 ms in place of 320. Cause: callers that have waited come back together. Their calls go behind new ones in the queue, but as soon as a slot is free they take it, beyond the load at which targets slow down; new calls that arrive later find no slot. Change: late calls are sent only while 0.3 of the slots of a service are free, and wait for that up to half of their aim in place of a quarter.

--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -101,8 +101,13 @@
 	// minWaitDivisor even when that leaves too little for a call of mean latency:
 	// a short wait costs the caller nothing, and some targets are faster.
 	minWaitDivisor = 8
+	// minFreeForLate is the share of the slots of a service below which late calls are not
+	// sent. Targets slow down when about 0.8 of their slots are in use; the rest is for
+	// calls that arrive meanwhile and can still be in time. After a loss of power, late
+	// calls filled all slots and a third of the new ones were late behind them.
+	minFreeForLate = 0.3
 	// A late call may wait for its aim divided by lateWaitDivisor at most.
-	lateWaitDivisor = 4
+	lateWaitDivisor = 2
 	// lateRankOffset is added to the rank of a late call. It is above all ranks
 	// that plans use, so that late calls are served last.
 	lateRankOffset = 1000
@@ -489,9 +494,15 @@
 }
 
 // choose picks a target for a call. It reports false when no target can accept
-// the call now.
+// the call now, and for a late call while few slots are free, see minFreeForLate.
 func (s *Scheduler) choose(c *call, now time.Time) (route.Pick, bool) {
-	return s.targets.Choose(s.policy, s.query(c, now), s.rng)
+	q := s.query(c, now)
+	if c.class.Late {
+		if free, slots := s.targets.FreeSlots(q); float64(free) < minFreeForLate*float64(slots) {
+			return route.Pick{}, false
+		}
+	}
+	return s.targets.Choose(s.policy, q, s.rng)
 }
 
 // query returns the conditions for the choice of a target for a call.
