Give the wake-up of streams a type of its own

Callers and operators see no difference.

Cause: feed.State guards targets, their changes and the wake-up of streams with one lock.

Change: the channels that wake streams are in waker, which has its own lock. A stream asks it what wakes it before it reads the tables.

--- a/io/feed/accounts.go
+++ b/io/feed/accounts.go
@@ -63,7 +63,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notify()
+	s.waker.notify()
 }
 
 // setLimited stores names and reports whether they have changed.
--- a/io/feed/condition.go
+++ b/io/feed/condition.go
@@ -39,7 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.condition.set(&s.condition.flags.current, current) {
-		s.notifyUrgent()
+		s.waker.notifyUrgent()
 	}
 }
 
@@ -50,7 +50,7 @@
 	defer s.mu.Unlock()
 	if s.condition.set(&s.condition.flags.informed, informed) {
 		s.log.Info("updates of a majority", "received", informed)
-		s.notifyUrgent()
+		s.waker.notifyUrgent()
 	}
 }
 
@@ -68,6 +68,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.condition.set(&s.condition.flags.unsettled, unsettled) {
-		s.notifyUrgent()
+		s.waker.notifyUrgent()
 	}
 }
--- a/io/feed/controls.go
+++ b/io/feed/controls.go
@@ -121,7 +121,7 @@
 		s.noteFound(address)
 	}
 	if first {
-		s.notify()
+		s.waker.notify()
 	}
 }
 
@@ -139,7 +139,7 @@
 // mu.
 func (s *State) noteFound(address netip.AddrPort) {
 	s.log.Info("control host found", "address", address.String())
-	s.notify()
+	s.waker.notify()
 }
 
 // Control returns what is known of the control host at address, or the zero
--- a/io/feed/evacuation.go
+++ b/io/feed/evacuation.go
@@ -68,7 +68,7 @@
 		}
 		s.deliver()
 	}
-	s.notifyUrgent()
+	s.waker.notifyUrgent()
 	return true
 }
 
--- a/io/feed/lost.go
+++ b/io/feed/lost.go
@@ -46,7 +46,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notifyUrgent()
+	s.waker.notifyUrgent()
 }
 
 // LostCalls merges the reports of an entry host, which are streamed to all followers.
--- a/io/feed/plans.go
+++ b/io/feed/plans.go
@@ -56,7 +56,7 @@
 	if !s.plans.put(p, s.log) {
 		return false
 	}
-	s.notifyUrgent()
+	s.waker.notifyUrgent()
 	return true
 }
 
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -39,12 +39,6 @@
 		streams    int
 	}
 
-	// wakeUp holds the channels that are closed at the next change of the state, and at
-	// the next one that followers must not learn late.
-	wakeUp struct {
-		changed, urgent <-chan struct{}
-	}
-
 	// updateStream generates the updates of one stream. Its fields hold what
 	// the follower already has.
 	updateStream struct {
@@ -256,6 +250,7 @@
 	state := s.state
 	state.mu.Lock()
 	defer state.mu.Unlock()
+	wake := state.waker.next()
 	condition := state.condition.get()
 	u := &peerpb.FleetUpdate{Current: condition.current, Informed: condition.informed, Complete: !condition.unsettled}
 	hasChanges := s.first || s.condition != condition
@@ -301,7 +296,7 @@
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard)+len(u.LostCalls) > 0
 	s.lastChange, s.condition, s.first = state.lastChange(), condition, false
-	return u, wakeUp{changed: state.changed, urgent: state.urgent}, hasChanges
+	return u, wake, hasChanges
 }
 
 // renewals returns the renewals of the leases of the targets that this host has heard
--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -69,14 +69,13 @@
 		renewed   []*peerpb.TargetHeard
 		renewedAt time.Time
 		accounts  accounts
-		crashes   *crash.Table  // The calls that were at targets as these ended.
-		changed   chan struct{} // Closed and replaced at each change; see notify.
-		urgent    chan struct{} // Closed and replaced at changes that followers must not learn late.
+		crashes   *crash.Table // The calls that were at targets as these ended.
 		// lastExpiry is the time of the last call of Expire, and keepUntil the time
 		// before which no lease expires.
 		lastExpiry, keepUntil time.Time
 
 		// The following are not guarded by mu.
+		waker       *waker
 		evacuations evacuations
 		plans       plans
 		views       views
@@ -170,8 +169,7 @@
 		log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), table: roster.NewTable(),
 		onTargets: func(string, []member.Record) {},
 		crashes:   crash.NewTable(),
-		stale:     make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: controls{hosts: make(map[netip.AddrPort]Control)}, changed: make(chan struct{}),
-		urgent: make(chan struct{}),
+		stale:     make(map[string]bool), changeRecords: make(map[string]changeRecord), controls: controls{hosts: make(map[netip.AddrPort]Control)}, waker: newWaker(),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -201,10 +199,10 @@
 	switch {
 	case leaving:
 		s.deliver()
-		s.notifyUrgent()
+		s.waker.notifyUrgent()
 	case changed:
 		s.deliverSoon(time.Now())
-		s.notify()
+		s.waker.notify()
 	}
 }
 
@@ -275,7 +273,7 @@
 	}
 	if len(returned) > 0 {
 		s.deliver()
-		s.notify()
+		s.waker.notify()
 	}
 }
 
@@ -424,17 +422,3 @@
 	}
 	s.controls.expire(now)
 }
-
-// notify wakes all streams that wait for a change. The caller holds mu.
-func (s *State) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// notifyUrgent is notify for a change that followers must not learn late. The caller
-// holds mu.
-func (s *State) notifyUrgent() {
-	close(s.urgent)
-	s.urgent = make(chan struct{})
-	s.notify()
-}
--- a/io/feed/views.go
+++ b/io/feed/views.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	s.log.Info("new view of control hosts", "epoch", v.Epoch, "members", v.Names())
-	s.notifyUrgent()
+	s.waker.notifyUrgent()
 	return true
 }
 
