Give targets, their changes and their deliveries own locks

Callers and operators see no difference.

Cause: streams, heartbeats, expiry and the callback of OnTargets took turns at one lock of feed.State, and setters of every other table took it as well.

Change: targets with their leases, the log of their changes and the calls of OnTargets are types with a lock each. The methods of State call them one after the other; no table calls another one. A stream asks the waker before it reads, so that it misses no change. View log lines are written under the lock of the views, so that they stay in their order.

--- a/io/feed/accounts.go
+++ b/io/feed/accounts.go
@@ -61,8 +61,6 @@
 	if !s.accounts.setLimited(names) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.waker.notify()
 }
 
--- a/io/feed/condition.go
+++ b/io/feed/condition.go
@@ -2,9 +2,8 @@
 
 import "sync"
 
-// condition holds what the updates of this control host say of itself. It has a lock of its own,
-// which is taken with or without that of the State, after it. The zero value is that of a
-// host that has just started.
+// condition holds what the updates of this control host say of itself. It has a lock of its own.
+// The zero value is that of a host that has just started.
 type condition struct {
 	mu    sync.Mutex
 	flags conditionFlags
@@ -36,8 +35,6 @@
 // SetCurrent records whether this control host is current, which the updates to
 // its followers say.
 func (s *State) SetCurrent(current bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.condition.set(&s.condition.flags.current, current) {
 		s.waker.notifyUrgent()
 	}
@@ -46,8 +43,6 @@
 // setInformed records whether this control host receives the updates of a majority of
 // the voting hosts, which the updates to its followers say.
 func (s *State) setInformed(informed bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.condition.set(&s.condition.flags.informed, informed) {
 		s.log.Info("updates of a majority", "received", informed)
 		s.waker.notifyUrgent()
@@ -65,8 +60,6 @@
 // updates then do not count as complete: the order may have been acknowledged before all
 // hosts lost power.
 func (s *State) SetUnsettled(unsettled bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.condition.set(&s.condition.flags.unsettled, unsettled) {
 		s.waker.notifyUrgent()
 	}
--- a/io/feed/controls.go
+++ b/io/feed/controls.go
@@ -23,8 +23,7 @@
 	}
 
 	// controls holds the control hosts that have not expired, by address. It has a lock of
-	// its own, which is taken with or without that of the State, after it. Streams compare
-	// whole lists, which are short, so that it has no change number.
+	// its own. Streams compare whole lists, which are short, so that it has no change number.
 	controls struct {
 		mu    sync.Mutex
 		hosts map[netip.AddrPort]Control
@@ -114,8 +113,6 @@
 // ObserveControl records that the control host at address was seen on a stream at now.
 // diskID is the identity of its disk, or 0 when unknown.
 func (s *State) ObserveControl(address netip.AddrPort, diskID uint64, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	found, first := s.controls.observe(address, diskID, now)
 	if found {
 		s.noteFound(address)
@@ -128,15 +125,12 @@
 // nameControl records that another control host has named the one at address, unless
 // that is known.
 func (s *State) nameControl(address netip.AddrPort, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.controls.name(address, now) {
 		s.noteFound(address)
 	}
 }
 
-// noteFound logs a control host that was not known, and wakes all streams. The caller holds
-// mu.
+// noteFound logs a control host that was not known, and wakes all streams.
 func (s *State) noteFound(address netip.AddrPort) {
 	s.log.Info("control host found", "address", address.String())
 	s.waker.notify()
--- a/io/feed/evacuation.go
+++ b/io/feed/evacuation.go
@@ -8,8 +8,8 @@
 	"cardamomspool/io/peer/peerpb"
 )
 
-// evacuations is the list of data centres whose targets get no calls. It has a lock of its
-// own, which is taken with or without that of the State. The zero value holds no list.
+// evacuations is the list of data centres whose targets get no calls. Its change number is the
+// revision of the list. It has a lock of its own. The zero value holds no list.
 type evacuations struct {
 	mu       sync.Mutex
 	revision uint64 // Of the agreed value; 0 when no order was ever given.
@@ -58,15 +58,13 @@
 		s.metrics.Counter("evacuations_withdrawn").Add(int64(len(removed)))
 		s.log.Info("evacuation withdrawn", "revision", revision, "data_centres", removed)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if len(added)+len(removed) > 0 {
-		for _, t := range s.table.All(nil) {
+		for _, t := range s.targets.all() {
 			if slices.Contains(added, t.DataCentre) || slices.Contains(removed, t.DataCentre) {
-				s.stale[t.Service] = true
+				s.deliveries.mark(t.Service)
 			}
 		}
-		s.deliver()
+		s.deliveries.run()
 	}
 	s.waker.notifyUrgent()
 	return true
@@ -84,10 +82,9 @@
 	return slices.Contains(list, dataCentre)
 }
 
-// records returns the targets of a service that are not in evacuated data centres. The
-// caller holds mu.
-func (s *State) records(service string) []member.Record {
-	list := s.table.Records(nil, service)
+// Records returns the targets of a service that are not in evacuated data centres.
+func (s *State) Records(service string) []member.Record {
+	list := s.targets.records(service)
 	if _, evacuated := s.evacuations.current(); len(evacuated) > 0 {
 		list = slices.DeleteFunc(list, func(r member.Record) bool { return slices.Contains(evacuated, r.DataCentre) })
 	}
--- a/io/feed/follow.go
+++ b/io/feed/follow.go
@@ -300,7 +300,7 @@
 		delete(f.streams, address)
 		delete(f.clients, address)
 		f.mu.Unlock()
-		f.state.forgetRelay(address)
+		f.state.changes.forgetRelay(address)
 		if received && ctx.Err() == nil {
 			f.state.metrics.Counter("streams_lost").Add(1)
 			f.state.log.Warn("control host lost", "address", address.String(), "error", err)
--- a/io/feed/lost.go
+++ b/io/feed/lost.go
@@ -44,8 +44,6 @@
 	if !MergeLostCalls(s.crashes, reports, now, s.log) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.waker.notifyUrgent()
 }
 
--- a/io/feed/plans.go
+++ b/io/feed/plans.go
@@ -8,7 +8,7 @@
 )
 
 // plans holds the plan in force; its version is its change number. It has a lock of its own,
-// which is taken with or without that of the State, after it.
+// which it holds during the callback of OnPlan.
 type plans struct {
 	onPlan func(p *plan.Plan)
 
@@ -51,8 +51,6 @@
 // force, and reports whether it did. The caller must not modify the plan
 // afterwards.
 func (s *State) SetPlan(p *plan.Plan) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if !s.plans.put(p, s.log) {
 		return false
 	}
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -43,7 +43,7 @@
 	// the follower already has.
 	updateStream struct {
 		state       *State
-		lastChange  uint64 // Number of the last change of a target in State.
+		lastChange  uint64 // Number of the last change of a target.
 		planVersion uint64 // Version of the plan, or the last one that the follower was told of.
 		fetchesPlan bool   // The follower fetches plans by itself.
 		epoch       uint64 // Epoch of the view.
@@ -248,8 +248,6 @@
 // next, and whether the update holds anything new.
 func (s *updateStream) next(now time.Time) (*peerpb.FleetUpdate, wakeUp, bool) {
 	state := s.state
-	state.mu.Lock()
-	defer state.mu.Unlock()
 	wake := state.waker.next()
 	condition := state.condition.get()
 	u := &peerpb.FleetUpdate{Current: condition.current, Informed: condition.informed, Complete: !condition.unsettled}
@@ -279,13 +277,15 @@
 			s.planVersion, hasChanges = p.Version, true
 		}
 	}
-	state.changedSince(s.lastChange, func(t roster.Target) {
+	var changed []string
+	changed, s.lastChange = state.changes.since(s.lastChange)
+	for _, t := range state.targets.list(changed) {
 		if s.known != nil && s.known[digest(t)] && !t.WarmAt.After(now) { // The digest does not show that it is cold.
 			u.Heard = append(u.Heard, leaseRenewal(t, now)) // Without it, the lease would expire at the follower.
-			return
+			continue
 		}
 		u.Targets = append(u.Targets, fromTarget(t, now))
-	})
+	}
 	s.known = nil
 	var lost []crash.Report
 	lost, s.lastLost = state.crashes.AppendChanged(nil, s.lastLost, minSharedTargets)
@@ -295,27 +295,18 @@
 		s.leasesSentAt = now
 	}
 	hasChanges = hasChanges || len(u.Targets)+len(u.Heard)+len(u.LostCalls) > 0
-	s.lastChange, s.condition, s.first = state.lastChange(), condition, false
+	s.condition, s.first = condition, false
 	return u, wake, hasChanges
 }
 
 // renewals returns the renewals of the leases of the targets that this host has heard
 // itself in the last leasePeriod and a little more. Streams that ask within
-// heartbeatPeriod share one list. The caller holds mu.
+// heartbeatPeriod share one list.
 func (s *State) renewals(now time.Time) []*peerpb.TargetHeard {
-	if now.Sub(s.renewedAt) < heartbeatPeriod {
-		return s.renewed
-	}
-	s.renewed, s.renewedAt = nil, now
-	for id, r := range s.changeRecords {
-		if now.Sub(r.heardAt) > leasePeriod+2*heartbeatPeriod {
-			continue
-		}
-		if t, ok := s.table.Get(id); ok {
-			s.renewed = append(s.renewed, leaseRenewal(t, now))
-		}
+	if list, ok := s.targets.renewals(now); ok {
+		return list
 	}
-	return s.renewed
+	return s.targets.renew(s.changes.heardSince(now.Add(-leasePeriod-2*heartbeatPeriod)), now)
 }
 
 // leaseRenewal returns the message that renews the lease of a target. It holds the
--- a/io/feed/views.go
+++ b/io/feed/views.go
@@ -1,12 +1,12 @@
 package feed
 
 import (
+	"log/slog"
 	"sync"
 )
 
 // views holds the newest known view; its epoch is its change number. It has a lock of its
-// own, which is taken with or without that of the State, after it. The zero value holds no
-// view.
+// own. The zero value holds no view.
 type views struct {
 	mu   sync.Mutex
 	view View
@@ -14,13 +14,14 @@
 
 // put stores a view if its epoch is higher than the current view's, and reports whether it
 // did.
-func (t *views) put(v View) bool {
+func (t *views) put(v View, log *slog.Logger) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if v.Epoch <= t.view.Epoch {
 		return false
 	}
 	t.view = v
+	log.Info("new view of control hosts", "epoch", v.Epoch, "members", v.Names())
 	return true
 }
 
@@ -34,12 +35,9 @@
 // SetView stores a view if its epoch is higher than the current view's, and
 // reports whether it did.
 func (s *State) SetView(v View) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.views.put(v) {
+	if !s.views.put(v, s.log) {
 		return false
 	}
-	s.log.Info("new view of control hosts", "epoch", v.Epoch, "members", v.Names())
 	s.waker.notifyUrgent()
 	return true
 }
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -243,8 +243,8 @@
 }
 
 // SetTargets replaces the targets of a service. The caller must not modify records
-// afterwards. SetTargets and SetPlan may be called with the lock of the fleet's state
-// held, so the server calls nothing that takes that lock.
+// afterwards. SetTargets and SetPlan may be called with locks of the fleet's state held, those
+// of its deliveries and plans, so the server calls nothing that takes them.
 func (s *Server) SetTargets(name string, records []member.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
