Move the rests of targets to a package io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

The interface targetSigns names what a call needs of it.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -22,6 +22,7 @@
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
+	"cardamomspool/io/signs"
 	"cardamomspool/io/telem"
 )
 
@@ -34,8 +35,8 @@
 		system    *actor.ActorSystem
 		forwarder *forwarder
 		uploads   *uploadBacklog
+		signs     targetSigns
 		limits    limitTracker
-		rests     restTracker
 		resets    resetTracker
 		leavers   leaverTracker
 		// accountCalls counts the calls of client accounts for the metrics.
@@ -108,7 +109,7 @@
 
 // New returns a host with configuration cfg, which must be valid.
 func New(cfg setup.Entry, opts ...Option) *Host {
-	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), dialect: wire.Spool()}
+	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), dialect: wire.Spool(), signs: new(signs.Signs)}
 	for _, opt := range opts {
 		opt(h)
 	}
