Move the limits of targets to io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

Change: the tracker of the limits that targets name is signs.Limits, as part of targetSigns.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -36,7 +36,6 @@
 		forwarder *forwarder
 		uploads   *uploadBacklog
 		signs     targetSigns
-		limits    limitTracker
 		resets    resetTracker
 		leavers   leaverTracker
 		// accountCalls counts the calls of client accounts for the metrics.
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -2,44 +2,14 @@
 
 import (
 	"log/slog"
-	"sync"
 	"time"
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
 	"cardamomspool/core/route"
-	"cardamomspool/core/wire"
 	"cardamomspool/io/place"
 )
 
-// limitTracker holds the limits that targets have named in answers to this host. Its
-// zero value is empty. It is safe for concurrent use.
-type limitTracker struct {
-	mu    sync.Mutex
-	named map[member.Key]wire.Limit
-}
-
-// maxTrackedLimits bounds the number of targets in a limitTracker, which does not
-// learn of targets that depart while they name a limit.
-const maxTrackedLimits = 4096
-
-// observe records what a target has said about its limit. It reports whether that is
-// news, and whether there is or was a limit.
-func (t *limitTracker) observe(target member.Key, l wire.Limit) (isNew, isLimit bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old, known := t.named[target]
-	switch {
-	case !l.Named:
-		delete(t.named, target)
-		return known, known
-	case t.named == nil || len(t.named) >= maxTrackedLimits:
-		t.named = make(map[member.Key]wire.Limit)
-	}
-	t.named[target] = l
-	return old != l, true
-}
-
 // observeLimit logs a change of the limit that a target names in its answer to c. If a
 // control host decided about the call, observeLimit tells this host's own engine what the
 // target said, since the engine may have to decide later.
@@ -47,7 +17,7 @@
 	if !f.Answered {
 		return
 	}
-	isNew, isLimit := h.limits.observe(member.Key{Service: c.service.doc.Name, Target: target}, f.Limit)
+	isNew, isLimit := h.signs.ObserveLimit(member.Key{Service: c.service.doc.Name, Target: target}, f.Limit)
 	if isNew {
 		h.metrics.Counter("limit_changes").Add(1)
 		h.log.Info("limit of target", "service", c.service.doc.Name, "target", target, "named", f.Limit.Named,
--- a/io/entry/signs.go
+++ b/io/entry/signs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cardamomspool/core/member"
+	"cardamomspool/core/wire"
 	"cardamomspool/io/signs"
 )
 
@@ -12,6 +13,8 @@
 	// ObserveRest and RestLeft are those of signs.Rests.
 	ObserveRest(target member.Key, rest time.Duration, now time.Time)
 	RestLeft(target member.Key, now time.Time) time.Duration
+	// ObserveLimit is that of signs.Limits.
+	ObserveLimit(target member.Key, l wire.Limit) (isNew, isLimit bool)
 }
 
 var _ targetSigns = (*signs.Signs)(nil)
--- a/io/signs/signs.go
+++ b/io/signs/signs.go
@@ -4,4 +4,5 @@
 // concurrent use.
 type Signs struct {
 	Rests
+	Limits
 }
