Move the targets that leave to io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

Change: the tracker of targets that have said on an answer that they leave is signs.Leavers, as part of targetSigns.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -37,7 +37,6 @@
 		uploads   *uploadBacklog
 		signs     targetSigns
 		resets    resetTracker
-		leavers   leaverTracker
 		// accountCalls counts the calls of client accounts for the metrics.
 		accountCalls accountTally
 		crashes      *crash.Table // Calls that were at targets as these ended.
--- a/io/entry/signs.go
+++ b/io/entry/signs.go
@@ -15,6 +15,9 @@
 	RestLeft(target member.Key, now time.Time) time.Duration
 	// ObserveLimit is that of signs.Limits.
 	ObserveLimit(target member.Key, l wire.Limit) (isNew, isLimit bool)
+	// ObserveLeaving and Leaves are those of signs.Leavers.
+	ObserveLeaving(target member.Key, incarnation uint64) bool
+	Leaves(target member.Key, incarnation uint64) bool
 }
 
 var _ targetSigns = (*signs.Signs)(nil)
--- a/io/signs/signs.go
+++ b/io/signs/signs.go
@@ -5,4 +5,5 @@
 type Signs struct {
 	Rests
 	Limits
+	Leavers
 }
