Move the resets by full targets to io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

Change: the tracker of resets is signs.Resets, as part of targetSigns.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -311,7 +311,7 @@
 		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
 		h.observeRest(c, action.Target, a.feedback)
 		if h.fleet != nil && c.control == nil && a.feedback.Reset && result == engine.Unknown {
-			h.resets.add(c.service.doc.Name, action.Target)
+			h.signs.AddReset(c.service.doc.Name, action.Target)
 		}
 		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
 		if a.keyProblem != nil {
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -428,7 +428,7 @@
 		OnStreamLost: func() { close(streamLost) },
 	}
 	arrive := withoutCountedAccount(c, f.host.arriveEvent(c))
-	arrive.Resets = f.host.resets.take(c.service.doc.Name)
+	arrive.Resets = f.host.signs.TakeResets(c.service.doc.Name)
 	if !client.StartCall(c.service.doc.Name, arrive, callbacks, now) {
 		return false
 	}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -98,7 +98,7 @@
 // it did not run the call.
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) engine.Result {
 	a.linkLost, a.keyProblem = false, nil
-	a.resetsWhenFull = a.host.resets.learnt(a.service.doc.Name, time.Now())
+	a.resetsWhenFull = a.host.signs.ResetsWhenFull(a.service.doc.Name, time.Now())
 	conn, err := f.connect(ctx, a, s.Address)
 	if err == nil {
 		return f.exchange(ctx, w, r, a, s, conn)
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -36,7 +36,6 @@
 		forwarder *forwarder
 		uploads   *uploadBacklog
 		signs     targetSigns
-		resets    resetTracker
 		// accountCalls counts the calls of client accounts for the metrics.
 		accountCalls accountTally
 		crashes      *crash.Table // Calls that were at targets as these ended.
--- a/io/entry/signs.go
+++ b/io/entry/signs.go
@@ -18,6 +18,11 @@
 	// ObserveLeaving and Leaves are those of signs.Leavers.
 	ObserveLeaving(target member.Key, incarnation uint64) bool
 	Leaves(target member.Key, incarnation uint64) bool
+	// ObserveResets, ResetsWhenFull, AddReset and TakeResets are those of signs.Resets.
+	ObserveResets(service string, now time.Time) bool
+	ResetsWhenFull(service string, now time.Time) bool
+	AddReset(service, target string)
+	TakeResets(service string) []string
 }
 
 var _ targetSigns = (*signs.Signs)(nil)
--- a/io/signs/signs.go
+++ b/io/signs/signs.go
@@ -6,4 +6,5 @@
 	Rests
 	Limits
 	Leavers
+	Resets
 }
