Move the watch over targets that close connections to io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

Change: lossWatcher is signs.Losses, which is given the functions of the host that it calls. The interface lossObserver names what a call needs of it.

--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -31,7 +31,7 @@
 		dialect  wire.Dialect
 		activity *activityTracker
 		ways     *ways
-		losses   lossWatcher
+		losses   lossObserver
 		log      *slog.Logger
 		metrics  *telem.Registry
 		work     context.Context // Ends the checks of links.
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -113,7 +113,9 @@
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
 	h.forwarder = newForwarder(&h.cfg, h.dialect, h.log, h.metrics)
-	h.forwarder.losses = lossWatcher{ended: h.callsLost, dial: h.forwarder.dialOnce, replaced: h.targetReplaced, answered: h.forwarder.answeredSince}
+	h.forwarder.losses = signs.NewLosses(signs.LossChecks{
+		Ended: h.callsLost, Dial: h.forwarder.dialOnce, Replaced: h.targetReplaced, Answered: h.forwarder.answeredSince,
+	})
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
--- a/io/entry/signs.go
+++ b/io/entry/signs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"cardamomspool/core/member"
@@ -8,21 +9,31 @@
 	"cardamomspool/io/signs"
 )
 
-// targetSigns names what a call needs of what this host has learnt from targets.
-type targetSigns interface {
-	// ObserveRest and RestLeft are those of signs.Rests.
-	ObserveRest(target member.Key, rest time.Duration, now time.Time)
-	RestLeft(target member.Key, now time.Time) time.Duration
-	// ObserveLimit is that of signs.Limits.
-	ObserveLimit(target member.Key, l wire.Limit) (isNew, isLimit bool)
-	// ObserveLeaving and Leaves are those of signs.Leavers.
-	ObserveLeaving(target member.Key, incarnation uint64) bool
-	Leaves(target member.Key, incarnation uint64) bool
-	// ObserveResets, ResetsWhenFull, AddReset and TakeResets are those of signs.Resets.
-	ObserveResets(service string, now time.Time) bool
-	ResetsWhenFull(service string, now time.Time) bool
-	AddReset(service, target string)
-	TakeResets(service string) []string
-}
+type (
+	// targetSigns names what a call needs of what this host has learnt from targets.
+	targetSigns interface {
+		// ObserveRest and RestLeft are those of signs.Rests.
+		ObserveRest(target member.Key, rest time.Duration, now time.Time)
+		RestLeft(target member.Key, now time.Time) time.Duration
+		// ObserveLimit is that of signs.Limits.
+		ObserveLimit(target member.Key, l wire.Limit) (isNew, isLimit bool)
+		// ObserveLeaving and Leaves are those of signs.Leavers.
+		ObserveLeaving(target member.Key, incarnation uint64) bool
+		Leaves(target member.Key, incarnation uint64) bool
+		// ObserveResets, ResetsWhenFull, AddReset and TakeResets are those of signs.Resets.
+		ObserveResets(service string, now time.Time) bool
+		ResetsWhenFull(service string, now time.Time) bool
+		AddReset(service, target string)
+		TakeResets(service string) []string
+	}
 
-var _ targetSigns = (*signs.Signs)(nil)
+	// lossObserver names what a call needs of signs.Losses.
+	lossObserver interface {
+		Observe(ctx context.Context, c signs.LostCall)
+	}
+)
+
+var (
+	_ targetSigns  = (*signs.Signs)(nil)
+	_ lossObserver = (*signs.Losses)(nil)
+)
--- a/io/entry/suspects.go
+++ b/io/entry/suspects.go
@@ -11,6 +11,7 @@
 	"cardamomspool/io/feed"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
+	"cardamomspool/io/signs"
 )
 
 const (
@@ -78,17 +79,17 @@
 
 // callsLost records that calls were at a target as that ended, and reports it to other
 // hosts.
-func (h *Host) callsLost(calls []lostCall) {
+func (h *Host) callsLost(calls []signs.LostCall) {
 	reports, now := make([]crash.Report, 0, len(calls)), time.Now()
 	for _, c := range calls {
-		r := crash.Report{ID: c.id, Target: crash.Target(c.target.Service, c.target.Target, c.incarnation), At: now}
+		r := crash.Report{ID: c.ID, Target: crash.Target(c.Target.Service, c.Target.Target, c.Incarnation), At: now}
 		feed.MergeLostCalls(h.crashes, []crash.Report{r}, now, h.log)
 		reports = append(reports, r)
 		h.metrics.Counter("calls_lost_with_target").Add(1)
-		h.log.Info("call lost with its target", "call", c.call, "service", c.target.Service, "target", c.target.Target,
-			"incarnation", c.incarnation, "method", c.method, "path", c.path, "remote", c.remote,
-			"content", crash.Name(c.id.Content), "caller", crash.Name(c.id.Caller), "targets", h.crashes.Targets(c.id),
-			"sent_before_us", c.lost.Sub(c.sent).Microseconds())
+		h.log.Info("call lost with its target", "call", c.Call, "service", c.Target.Service, "target", c.Target.Target,
+			"incarnation", c.Incarnation, "method", c.Method, "path", c.Path, "remote", c.Remote,
+			"content", crash.Name(c.ID.Content), "caller", crash.Name(c.ID.Caller), "targets", h.crashes.Targets(c.ID),
+			"sent_before_us", c.Lost.Sub(c.Sent).Microseconds())
 	}
 	h.shareLostCalls(reports)
 }
