Move the limits of cold targets to io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

Change: the number of entry hosts as known here is signs.HostCount, the limits in force for calls to cold targets are signs.ColdLimits. Passing them to the engines stays in io/entry.

--- a/io/entry/evacuated_test.go
+++ b/io/entry/evacuated_test.go
@@ -10,6 +10,7 @@
 	"cardamomspool/core/member"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/signs"
 )
 
 // Guards against calls to an evacuated target that a control host decides, which is cut off
@@ -81,7 +82,7 @@
 	p := testPlan()
 	g.Expect(f.coldLimit(&p.Services[0]).Alone).To(gomega.BeFalse())
 	p.Services[0].WarmRate = 4.2
-	g.Expect(f.coldLimit(&p.Services[0]).Share).To(gomega.BeNumerically("~", 0.25/assumedHosts, 1e-9), "no list of hosts yet")
+	g.Expect(f.coldLimit(&p.Services[0]).Share).To(gomega.BeNumerically("~", 0.25/signs.AssumedHosts, 1e-9), "no list of hosts yet")
 	f.countEntryHosts(3)
 	g.Expect(f.coldLimit(&p.Services[0]).Share).To(gomega.BeEquivalentTo(1))
 	f.countEntryHosts(41)
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -18,6 +18,7 @@
 	"cardamomspool/core/wire"
 	"cardamomspool/io/feed"
 	"cardamomspool/io/place"
+	"cardamomspool/io/signs"
 )
 
 type (
@@ -37,13 +38,8 @@
 		planConfirmed <-chan struct{}
 		seeds         *feed.Seeds
 		lease         *keyLease
-		// entryHosts is the number of entry hosts as last listed, and toldHosts that as told
-		// by control hosts, which know it exactly; 0 when unknown. coldSeed
-		// and coldLimits, by service, are those of coldLimit.
-		entryHosts atomic.Int64
-		toldHosts  atomic.Int64
-		coldSeed   uint64
-		coldLimits sync.Map
+		hosts         signs.HostCount
+		coldLimits    *signs.ColdLimits // Those of coldLimit.
 		// lateUndecided has room for the late calls that may wait for a decision.
 		lateUndecided chan struct{}
 
@@ -132,7 +128,7 @@
 
 func newFleet(h *Host) *fleet {
 	f := &fleet{
-		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}), coldSeed: newColdSeed(),
+		host: h, seeds: feed.NewSeeds(h.cfg.Fleet.Seeds), planKnown: make(chan struct{}), coldLimits: signs.NewColdLimits(),
 		lateUndecided: make(chan struct{}, maxLateUndecided), splits: plan.NewSplits(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	f.lease = newKeyLease(h.cfg.Fleet.KeyLease.Std(), h.log, h.metrics)
@@ -196,7 +192,7 @@
 	for name, old := range current.byName {
 		if next.byName[name] == nil {
 			h.system.Root.Stop(old.pid)
-			f.coldLimits.Delete(name)
+			f.coldLimits.Remove(name)
 		}
 	}
 	go func() {
--- a/io/entry/full.go
+++ b/io/entry/full.go
@@ -27,7 +27,7 @@
 // decides alone, if they reset connections when they are full: the hosts share them evenly.
 func (h *Host) localSlotShare() float64 {
 	if h.fleet != nil {
-		return 1 / float64(h.fleet.hostCount())
+		return 1 / float64(h.fleet.hosts.Get())
 	}
 	return 1 / float64(max(len(h.cfg.Entries), 1))
 }
@@ -35,6 +35,6 @@
 // shareSlots passes the share of the slots to the engines of all services.
 func (f *fleet) shareSlots() {
 	for _, s := range f.host.services.Load().list {
-		f.host.system.Root.Send(s.pid, engine.SetSlotShare{Share: 1 / float64(f.hostCount())})
+		f.host.system.Root.Send(s.pid, engine.SetSlotShare{Share: 1 / float64(f.hosts.Get())})
 	}
 }
