Move the connections to targets to a package io/links

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and the code that reaches targets, in one package.

Change: pool.go, conn.go and dial.go move to io/links as Pool and Conn. The texts of their errors are in log lines and stay as they are.

--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/reach"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/links"
 )
 
 const (
@@ -59,12 +60,12 @@
 	carriage := reach.NotTaken
 	defer func() { f.ways.endCarry(a.carrier, s.Address, carriage, time.Now()) }()
 	a.carryOutcome, a.targetAnswered = "", false
-	conn := f.pool.reuse(a.carrier, trustedSince(a.class.Idempotent, time.Now()))
+	conn := f.pool.Reuse(a.carrier, links.TrustedSince(a.class.Idempotent, time.Now()))
 	if conn == nil {
 		dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
 		defer cancel()
 		var err error
-		if conn, err = f.pool.dial(dialCtx, a.carrier); err != nil {
+		if conn, err = f.pool.Dial(dialCtx, a.carrier); err != nil {
 			f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
 			return 0, false
 		}
@@ -85,7 +86,7 @@
 
 // endCarried ends an attempt for which the carrier has no answer of the target, and sets
 // a.feedback.
-func (f *forwarder) endCarried(r *http.Request, conn *targetConn, resp *http.Response, a *attempt) engine.Result {
+func (f *forwarder) endCarried(r *http.Request, conn *links.Conn, resp *http.Response, a *attempt) engine.Result {
 	f.discardResponse(conn, resp)
 	result := engine.NotRun
 	if a.carryOutcome == wire.CarryUnknown {
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -23,9 +23,6 @@
 // answer has its full value. The class of a call holds its aim, deadline and rank
 // (package engine). Each attempt reads the request body through a view of its own.
 //
-// A connection to a target is clean when nothing followed the last response;
-// only then is it used again. A fresh connection has carried no request before the
-// current one. Stray, or unsolicited, bytes are those that arrive outside a
-// response. A sealed connection sends nothing more. A silent one carries a request
-// but has received no byte of the response for too long.
+// Package links has the connections to targets, package signs what this host has learnt from
+// targets.
 package entry
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -20,6 +20,7 @@
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/links"
 	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
 )
@@ -27,7 +28,7 @@
 type (
 	// forwarder sends calls to targets and streams their responses back.
 	forwarder struct {
-		pool     *pool
+		pool     *links.Pool
 		dialect  wire.Dialect
 		activity *activityTracker
 		ways     *ways
@@ -89,7 +90,7 @@
 
 // newForwarder returns a forwarder of the host with the settings cfg.
 func newForwarder(cfg *setup.Entry, dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
-	return &forwarder{pool: newPool(cfg.SourceAddress, metrics), dialect: dialect, ways: newWays(cfg.DataCentre), log: log, metrics: metrics, work: context.Background()}
+	return &forwarder{pool: links.NewPool(cfg.SourceAddress, metrics), dialect: dialect, ways: newWays(cfg.DataCentre), log: log, metrics: metrics, work: context.Background()}
 }
 
 // attempt sends the call to one target, over this host's own link or through a carrier,
@@ -125,16 +126,16 @@
 
 // exchange sends the call on conn, a connection to the target or to a carrier, as attempt
 // does.
-func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *targetConn) engine.Result {
+func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *links.Conn) engine.Result {
 	a.carryOutcome, a.targetAnswered = "", false
 	if a.keyProblem = a.host.checkKey(a.call, r); a.keyProblem != nil { // The connection may have taken long.
-		f.pool.discard(conn)
+		f.pool.Discard(conn)
 		return engine.NotRun
 	}
-	f.pool.trim(conn.address, a.maxConnections)
+	f.pool.Trim(conn.Address(), a.maxConnections)
 	view := a.body.newView()
 	defer view.release()
-	conn.setOnLost(view.abort)
+	conn.SetOnLost(view.abort)
 	var (
 		req        *http.Request
 		resp       *http.Response
@@ -149,11 +150,11 @@
 	}
 	stopWatch := f.watchSilence(conn, a, s)
 	defer stopWatch()
-	resp, err = conn.client.RoundTrip(req)
+	resp, err = conn.RoundTrip(req)
 	hints.end()
 	if err == nil {
 		outcome := wire.TakeCarryOutcome(resp.Header)
-		if conn.address == s.Address {
+		if conn.Address() == s.Address {
 			f.ways.heard(s.Address, time.Now())
 		} else if a.carryOutcome = outcome; outcome != "" {
 			return f.endCarried(r, conn, resp, a)
@@ -181,7 +182,7 @@
 		return f.endWithdrawn(conn, a)
 	}
 	if err != nil {
-		f.pool.discard(conn)
+		f.pool.Discard(conn)
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
 		f.log.Warn("answer cut short", "call", a.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
 		if r.Context().Err() == nil && !errors.As(err, new(callerError)) {
@@ -190,26 +191,26 @@
 		f.observeLoss(r, a, s, conn)
 		return result
 	}
-	conn.endResponse()
+	conn.EndResponse()
 	return result
 }
 
 // failAttempt closes the connection of an attempt that got no response, and sets
 // a.feedback. It returns Unknown if a byte of the request may have reached the target,
 // else NotRun.
-func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *targetConn, a *attempt, s engine.Send, err error) engine.Result {
-	if a.withdrawn() && !conn.wasClosedByTarget() {
+func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *links.Conn, a *attempt, s engine.Send, err error) engine.Result {
+	if a.withdrawn() && !conn.WasClosedByTarget() {
 		return f.endWithdrawn(conn, a)
 	}
 	result := engine.NotRun
-	if f.pool.discard(conn) {
+	if f.pool.Discard(conn) {
 		result = engine.Unknown
 	}
-	reset := conn.address == s.Address && conn.wasReset()
+	reset := conn.Address() == s.Address && conn.WasReset()
 	switch {
 	case reset && a.resetsWhenFull:
 		// The link works: the target is probably full.
-	case conn.address == s.Address:
+	case conn.Address() == s.Address:
 		a.linkLost = f.linkLost(ctx, conn, a)
 	default:
 		a.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
@@ -219,7 +220,7 @@
 		f.metrics.Counter("connections_reset").Add(1)
 		attrs = []any{"reset", true}
 	}
-	f.log.With(attrs...).Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.fresh,
+	f.log.With(attrs...).Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.Fresh(),
 		"may_have_run", result == engine.Unknown, "carrier", carrierName(a.carrier), "link_lost", a.linkLost, "error", err)
 	if !reset || !a.resetsWhenFull {
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
@@ -234,33 +235,33 @@
 // discardResponse reads a target's refusal, which is not passed to the caller, so
 // that the connection can be reused. If the refusal has maxRefusalBytes or more or
 // is cut short, it closes the connection instead.
-func (f *forwarder) discardResponse(conn *targetConn, resp *http.Response) {
+func (f *forwarder) discardResponse(conn *links.Conn, resp *http.Response) {
 	if n, err := io.CopyN(io.Discard, resp.Body, maxRefusalBytes); n == maxRefusalBytes || !errors.Is(err, io.EOF) {
-		f.pool.discard(conn)
+		f.pool.Discard(conn)
 		return
 	}
 	resp.Body.Close()
-	conn.endResponse()
+	conn.EndResponse()
 }
 
 // watchSilence acts when a target sends no response byte on conn, a reused
 // connection, for the silence timeout of the call. It then closes the idle
 // connections to that target that have received nothing since the last progress on
 // conn, because a device on the path may have dropped them all. If the call is
-// idempotent, conn had received nothing for more than maxTrustedSilence before the
+// idempotent, conn had received nothing for more than links.MaxTrustedSilence before the
 // request or the link to the target is lost, and the host is not stopping, it also
 // abandons conn, that is, seals it.
 // Otherwise the call keeps waiting, because its target may just be slow. The
 // returned function ends the watch.
-func (f *forwarder) watchSilence(conn *targetConn, a *attempt, s engine.Send) func() {
-	if conn.fresh {
+func (f *forwarder) watchSilence(conn *links.Conn, a *attempt, s engine.Send) func() {
+	if conn.Fresh() {
 		return func() {}
 	}
-	stale := conn.lastReadBefore(conn.requestStart.Add(-maxTrustedSilence))
+	stale := conn.LastReadBefore(conn.Began().Add(-links.MaxTrustedSilence))
 	timeout, carrier := silenceTimeoutFor(a.class), carrierName(a.carrier)
 	var timer *time.Timer
 	timer = time.AfterFunc(timeout, func() {
-		since, silent := conn.lastProgress()
+		since, silent := conn.LastProgress()
 		if !silent {
 			return
 		}
@@ -268,9 +269,9 @@
 			timer.Reset(wait)
 			return
 		}
-		n := f.pool.retire(conn.address, since)
+		n := f.pool.Retire(conn.Address(), since)
 		lost := f.silentLinkLost(conn, a, s)
-		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
+		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.SealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
 		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "abandoned", abandoned,
 			"carrier", carrier, "link_lost", lost)
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -136,7 +136,7 @@
 	h.metrics.Func("targets", func() any { return h.members.usable() })
 	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
-	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.openCount() })
+	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.OpenCount() })
 	h.metrics.Func("requests_unanswered", func() any { return h.unanswered.Load() })
 	h.metrics.Func("calls_by_account", h.accountCalls.counts)
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
@@ -188,7 +188,7 @@
 		background.Go(func() { h.runLostCalls(work) })
 	}
 	h.forwarder.ways.addCarriers(h.listedCarriers())
-	go h.forwarder.pool.reap(work)
+	go h.forwarder.pool.Reap(work)
 	if h.keyPair != nil {
 		go h.keyPair.watchFiles(work, keyPairCheckInterval, h.log)
 	}
--- a/io/entry/losses.go
+++ b/io/entry/losses.go
@@ -10,6 +10,7 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
+	"cardamomspool/io/links"
 	"cardamomspool/io/signs"
 )
 
@@ -20,22 +21,22 @@
 
 // observeLoss watches the target of an attempt on conn, which got no whole answer, if the
 // target has closed the connection and was not about to leave.
-func (f *forwarder) observeLoss(r *http.Request, a *attempt, s engine.Send, conn *targetConn) {
+func (f *forwarder) observeLoss(r *http.Request, a *attempt, s engine.Send, conn *links.Conn) {
 	id, known := a.identify(r)
-	if !known || conn.address != s.Address || !conn.wasClosedByTarget() || a.host.hasDeparted(a.call, s) {
+	if !known || conn.Address() != s.Address || !conn.WasClosedByTarget() || a.host.hasDeparted(a.call, s) {
 		return
 	}
 	f.losses.Observe(f.work, signs.LostCall{
 		Call: a.name, ID: id, Target: member.Key{Service: a.service.doc.Name, Target: s.Target},
 		Incarnation: s.Incarnation, Address: s.Address, Method: r.Method, Path: r.URL.EscapedPath(),
-		Remote: r.RemoteAddr, Sent: conn.began(), Lost: time.Now(),
-		MayBeFull: a.resetsWhenFull && conn.wasReset(),
+		Remote: r.RemoteAddr, Sent: conn.Began(), Lost: time.Now(),
+		MayBeFull: a.resetsWhenFull && conn.WasReset(),
 	})
 }
 
 // dialOnce opens a connection to a target, and keeps it for calls if it stays open.
 func (f *forwarder) dialOnce(ctx context.Context, address netip.AddrPort) error {
-	conn, err := f.pool.dial(ctx, address)
+	conn, err := f.pool.Dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -11,6 +11,7 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/route"
+	"cardamomspool/io/links"
 )
 
 type (
@@ -333,8 +334,8 @@
 
 // endWithdrawn closes the connection of an attempt when another one has won. The target may
 // still answer, and the answer must reach nobody.
-func (f *forwarder) endWithdrawn(conn *targetConn, a *attempt) engine.Result {
-	f.pool.discard(conn)
+func (f *forwarder) endWithdrawn(conn *links.Conn, a *attempt) engine.Result {
+	f.pool.Discard(conn)
 	a.feedback, a.linkLost = route.Feedback{}, false
 	return engine.Withdrawn
 }
--- a/io/entry/ways.go
+++ b/io/entry/ways.go
@@ -12,6 +12,7 @@
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/reach"
+	"cardamomspool/io/links"
 )
 
 // ways holds what this host knows about its ways to targets. It is safe for concurrent
@@ -137,14 +138,14 @@
 
 // connect returns a connection to a target over this host's own link, marked as carrying
 // a request, as beginRequest does. It returns an error when the link is lost.
-func (f *forwarder) connect(ctx context.Context, a *attempt, address netip.AddrPort) (*targetConn, error) {
+func (f *forwarder) connect(ctx context.Context, a *attempt, address netip.AddrPort) (*links.Conn, error) {
 	now := time.Now()
 	way := f.ways.way(address)
-	heardAfter := trustedSince(a.class.Idempotent, now)
+	heardAfter := links.TrustedSince(a.class.Idempotent, now)
 	if way.HeardAfter.After(heardAfter) {
 		heardAfter = way.HeardAfter
 	}
-	conn := f.pool.reuse(address, heardAfter)
+	conn := f.pool.Reuse(address, heardAfter)
 	if !way.Dial {
 		// Also if an open connection serves: the next call may need another one.
 		f.checkLink(address, now)
@@ -160,14 +161,14 @@
 
 // dialLink opens a connection to a target within the patience of the call, and records
 // whether the link works.
-func (f *forwarder) dialLink(ctx context.Context, a *attempt, address netip.AddrPort) (*targetConn, error) {
-	patience := dialTimeout
+func (f *forwarder) dialLink(ctx context.Context, a *attempt, address netip.AddrPort) (*links.Conn, error) {
+	patience := links.DialTimeout
 	if a.carriedIn || f.ways.hasCarriers() {
 		patience = linkPatience + a.host.uploads.queueDelay()
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	conn, err := f.pool.dial(dialCtx, address)
+	conn, err := f.pool.Dial(dialCtx, address)
 	switch {
 	case err == nil:
 		f.ways.opened(address, time.Now())
@@ -205,9 +206,9 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(f.work, dialTimeout)
+		ctx, cancel := context.WithTimeout(f.work, links.DialTimeout)
 		defer cancel()
-		conn, err := f.pool.dial(ctx, address)
+		conn, err := f.pool.Dial(ctx, address)
 		if err != nil {
 			f.recordDialFailure(address, err)
 			return
@@ -218,20 +219,20 @@
 
 // settle puts a new connection into the pool if it stays open for settleTime, and records
 // that its link works.
-func (f *forwarder) settle(ctx context.Context, conn *targetConn) {
+func (f *forwarder) settle(ctx context.Context, conn *links.Conn) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(settleTime):
 	}
-	if ctx.Err() != nil || !conn.unused() {
-		f.pool.discard(conn)
+	if ctx.Err() != nil || !conn.Unused() {
+		f.pool.Discard(conn)
 		return
 	}
 	now := time.Now()
-	f.ways.opened(conn.address, now)
+	f.ways.opened(conn.Address(), now)
 	f.metrics.Counter("links_restored").Add(1)
-	f.log.Info("link to target restored", "address", conn.address.String())
-	conn.endUnused(now)
+	f.log.Info("link to target restored", "address", conn.Address().String())
+	conn.EndUnused(now)
 	for _, address := range f.ways.lostLinks() {
 		f.checkLink(address, now) // They may have been lost for the same reason.
 	}
@@ -240,12 +241,12 @@
 // linkLost reports whether an attempt on conn got no response because this host has lost
 // its link to the target, and not because of the target. A link that was not known to be lost
 // is tried, unless the call has ended or another connection was heard since it began.
-func (f *forwarder) linkLost(ctx context.Context, conn *targetConn, a *attempt) bool {
-	address := conn.address
+func (f *forwarder) linkLost(ctx context.Context, conn *links.Conn, a *attempt) bool {
+	address := conn.Address()
 	if f.ways.lost(address) {
 		return true
 	}
-	if ctx.Err() != nil || !f.ways.hasCarriers() || f.pool.heardSince(address, conn.began()) {
+	if ctx.Err() != nil || !f.ways.hasCarriers() || f.pool.HeardSince(address, conn.Began()) {
 		return false
 	}
 	another, err := f.dialLink(ctx, a, address)
@@ -258,9 +259,9 @@
 
 // silentLinkLost reports whether conn is silent because this host has lost its link to
 // the target. If conn leads to a carrier, the carrier is avoided.
-func (f *forwarder) silentLinkLost(conn *targetConn, a *attempt, s engine.Send) bool {
-	if conn.address != s.Address {
-		f.ways.avoidCarrier(conn.address, time.Now())
+func (f *forwarder) silentLinkLost(conn *links.Conn, a *attempt, s engine.Send) bool {
+	if conn.Address() != s.Address {
+		f.ways.avoidCarrier(conn.Address(), time.Now())
 		return false
 	}
 	return f.linkLost(f.work, conn, a)
--- a/io/entry/conn.go
+++ b/io/links/conn.go
@@ -1,4 +1,4 @@
-package entry
+package links
 
 import (
 	"io"
@@ -14,20 +14,20 @@
 )
 
 type (
-	// targetConn is one connection to a target. It wraps the socket for
+	// Conn is one connection to a target. Pool opens it. It wraps the socket for
 	// net/http, counts the bytes sent of the current request, and passes on no
 	// byte that cannot belong to the current response.
-	targetConn struct {
+	Conn struct {
 		net.Conn
 		raw       syscall.RawConn // The socket of Conn.
 		client    *http.ClientConn
 		address   netip.AddrPort
 		opened    time.Time
-		fresh     bool              // No request was sent before the current one.
-		onClean   func(*targetConn) // Called when the connection is clean after a response.
-		onStray   func(*targetConn) // Called after unsolicited bytes have closed the connection.
-		onClose   func(*targetConn) // Called once, when the connection closes.
-		onLost    func()            // Called when the connection closes during a request.
+		fresh     bool        // No request was sent before the current one.
+		onClean   func(*Conn) // Called when the connection is clean after a response.
+		onStray   func(*Conn) // Called after unsolicited bytes have closed the connection.
+		onClose   func(*Conn) // Called once, when the connection closes.
+		onLost    func()      // Called when the connection closes during a request.
 		closeOnce sync.Once
 
 		writeMu sync.Mutex // Held while writing to the socket.
@@ -48,16 +48,33 @@
 )
 
 var (
-	_ net.Conn = (*targetConn)(nil)
+	_ net.Conn = (*Conn)(nil)
 
 	errSealed = errors.New("entry: connection to the target is closed")
 	errStray  = errors.New("entry: the target sent unsolicited bytes")
 )
 
+// Address returns the address of the target, or of the carrier that the connection leads to.
+func (c *Conn) Address() netip.AddrPort {
+	return c.address
+}
+
+// Fresh reports whether no request was sent before the current one.
+func (c *Conn) Fresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh
+}
+
+// RoundTrip sends the current request and returns the header of its response.
+func (c *Conn) RoundTrip(r *http.Request) (*http.Response, error) {
+	return c.client.RoundTrip(r)
+}
+
 // beginRequest marks the connection as carrying a request that begins at now. It
 // does not, and returns false, if the connection is sealed or its socket has unread
 // bytes, has been closed by the target or has failed.
-func (c *targetConn) beginRequest(now time.Time) bool {
+func (c *Conn) beginRequest(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
@@ -72,11 +89,11 @@
 	return true
 }
 
-// endResponse ends the request after a complete response. If net/http already waits
+// EndResponse ends the request after a complete response. If net/http already waits
 // for bytes with an empty buffer, nothing followed the response: the connection is
-// clean and endResponse calls onClean. Otherwise the next Read, which net/http calls
+// clean and EndResponse calls onClean. Otherwise the next Read, which net/http calls
 // when its buffer is empty, does.
-func (c *targetConn) endResponse() {
+func (c *Conn) EndResponse() {
 	c.mu.Lock()
 	c.inRequest, c.fresh, c.onLost = false, false, nil
 	c.responseComplete = !c.sealed
@@ -87,26 +104,26 @@
 	}
 }
 
-// unused reports whether a connection on which no request was sent is still open, and
+// Unused reports whether a connection on which no request was sent is still open, and
 // its target has sent nothing.
-func (c *targetConn) unused() bool {
+func (c *Conn) Unused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.sealed && !hasUnread(c.raw)
 }
 
-// endUnused ends the request of a connection on which none was sent, so that it can be
+// EndUnused ends the request of a connection on which none was sent, so that it can be
 // used. Its target was heard at now.
-func (c *targetConn) endUnused(now time.Time) {
+func (c *Conn) EndUnused(now time.Time) {
 	c.mu.Lock()
 	c.lastRead = now
 	c.mu.Unlock()
-	c.endResponse()
+	c.EndResponse()
 }
 
 // claimClean reports whether the connection has become clean. It returns true at most
 // once for each response, so that onClean is called once. The caller holds c.mu.
-func (c *targetConn) claimClean() bool {
+func (c *Conn) claimClean() bool {
 	if !c.responseComplete || !c.awaitingBytes || c.sealed {
 		return false
 	}
@@ -116,7 +133,7 @@
 
 // seal closes the connection and reports whether a byte of the current request
 // may have reached the target. No byte is sent afterwards.
-func (c *targetConn) seal() bool {
+func (c *Conn) seal() bool {
 	c.mu.Lock()
 	c.sealed, c.responseComplete = true, false
 	c.mu.Unlock()
@@ -128,9 +145,9 @@
 	return c.sentBytes > 0
 }
 
-// sealIfSilent closes the connection as seal does, unless the target has sent a byte of
+// SealIfSilent closes the connection as seal does, unless the target has sent a byte of
 // its response, and reports whether it did.
-func (c *targetConn) sealIfSilent() bool {
+func (c *Conn) SealIfSilent() bool {
 	c.mu.Lock()
 	silent := c.inRequest && !c.sealed && !c.lastRead.After(c.requestStart) && !hasUnread(c.raw)
 	c.sealed = c.sealed || silent // Under the lock under which Read takes bytes from the socket.
@@ -143,7 +160,7 @@
 
 // Write sends bytes of the current request. It returns errSealed on a sealed
 // connection.
-func (c *targetConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	c.mu.Lock()
@@ -165,7 +182,7 @@
 // Read returns bytes of the current response. Bytes that arrive without a request
 // in progress, or before its first byte was sent, are unsolicited: Read then closes
 // the connection and returns errStray.
-func (c *targetConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.awaitingBytes = true
 	clean := c.claimClean()
@@ -209,7 +226,7 @@
 // recordRead records the result of a read and reports whether its bytes are
 // unsolicited. It seals the connection after unsolicited bytes or an error. The
 // caller holds c.mu.
-func (c *targetConn) recordRead(n int, err error) bool {
+func (c *Conn) recordRead(n int, err error) bool {
 	c.awaitingBytes = false
 	stray := n > 0 && (!c.inRequest || !c.requestStarted) && !c.sealed
 	if n > 0 {
@@ -224,31 +241,31 @@
 
 // recordClose records that the target's side has closed the connection if err, from the
 // socket, says so. The caller holds c.mu.
-func (c *targetConn) recordClose(err error) {
+func (c *Conn) recordClose(err error) {
 	closed := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	c.closedByTarget = c.closedByTarget || closed && !c.sealed
 	c.resetByTarget = c.resetByTarget || errors.Is(err, syscall.ECONNRESET) && !c.sealed
 }
 
-// wasClosedByTarget reports whether the target's side closed the connection before this
+// WasClosedByTarget reports whether the target's side closed the connection before this
 // host did.
-func (c *targetConn) wasClosedByTarget() bool {
+func (c *Conn) WasClosedByTarget() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closedByTarget
 }
 
-// wasReset reports whether the target's side reset the connection, before this host closed it
+// WasReset reports whether the target's side reset the connection, before this host closed it
 // and before a byte of the response to the current request.
-func (c *targetConn) wasReset() bool {
+func (c *Conn) WasReset() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.resetByTarget && !c.lastRead.After(c.requestStart)
 }
 
-// setOnLost sets the function that is called when the connection closes before
+// SetOnLost sets the function that is called when the connection closes before
 // the current request has ended.
-func (c *targetConn) setOnLost(onLost func()) {
+func (c *Conn) SetOnLost(onLost func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.onLost = onLost
@@ -256,7 +273,7 @@
 
 // Close closes the socket. It calls onLost if a request is in progress, and onClose
 // the first time.
-func (c *targetConn) Close() error {
+func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.sealed = true
 	onLost := c.onLost
@@ -269,10 +286,10 @@
 	return c.Conn.Close()
 }
 
-// lastProgress returns when a byte of the current request was last written, or
+// LastProgress returns when a byte of the current request was last written, or
 // when the request began if none was. It reports false when no request is in
 // progress or the target has sent at least one byte of its response.
-func (c *targetConn) lastProgress() (time.Time, bool) {
+func (c *Conn) LastProgress() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.inRequest || c.lastRead.After(c.requestStart) {
@@ -284,15 +301,15 @@
 	return c.requestStart, true
 }
 
-// began returns when the current request, or the last one, began.
-func (c *targetConn) began() time.Time {
+// Began returns when the current request, or the last one, began.
+func (c *Conn) Began() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.requestStart
 }
 
-// lastReadBefore reports whether no byte was received at or after t.
-func (c *targetConn) lastReadBefore(t time.Time) bool {
+// LastReadBefore reports whether no byte was received at or after t.
+func (c *Conn) LastReadBefore(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.lastRead.Before(t)
--- a/io/entry/dial.go
+++ b/io/links/dial.go
@@ -1,4 +1,4 @@
-package entry
+package links
 
 import (
 	"context"
@@ -14,7 +14,8 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// DialTimeout bounds the time to open a connection.
+	DialTimeout = time.Second
 	// Idle connections that a device on the path has dropped end keepAliveCount probes,
 	// keepAliveInterval apart, after they have been silent for keepAliveIdle.
 	keepAliveIdle     = 5 * time.Second
@@ -26,11 +27,11 @@
 	maxUnackedTime = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
-// dialFrom returns a function that opens a TCP connection within dialTimeout, from the
+// dialFrom returns a function that opens a TCP connection within DialTimeout, from the
 // address source or, if that is the zero value, from one that the system chooses.
 func dialFrom(source netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-	d := net.Dialer{KeepAliveConfig: keepAlive, Timeout: dialTimeout, Control: limitUnacked}
+	d := net.Dialer{KeepAliveConfig: keepAlive, Timeout: DialTimeout, Control: limitUnacked}
 	if source.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
 	}
--- /dev/null
+++ b/io/links/doc.go
@@ -0,0 +1,8 @@
+// Package links opens and keeps an entry host's connections to targets.
+//
+// A connection to a target is clean when nothing followed the last response;
+// only then is it used again. A fresh connection has carried no request before the
+// current one. Stray, or unsolicited, bytes are those that arrive outside a
+// response. A sealed connection sends nothing more. A silent one carries a request
+// but has received no byte of the response for too long.
+package links
--- a/io/entry/pool.go
+++ b/io/links/pool.go
@@ -1,4 +1,4 @@
-package entry
+package links
 
 import (
 	"context"
@@ -16,20 +16,21 @@
 )
 
 type (
-	// pool holds the idle connections to targets by address. A connection that
-	// carries a request is not in the pool; it is only counted in open.
-	pool struct {
+	// Pool holds the idle connections to targets by address. A connection that
+	// carries a request is not in the pool; it is only counted in open. It is safe for
+	// concurrent use. Use NewPool.
+	Pool struct {
 		transport *http.Transport
 		metrics   *telem.Registry
-		// connect opens a connection to a target; tests replace it.
-		connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+		// Connect opens a connection to a target; tests replace it.
+		Connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 		mu   sync.Mutex
-		idle map[netip.AddrPort][]*targetConn // Most recently used last.
-		open map[netip.AddrPort]int           // Number of connections, idle and in use.
+		idle map[netip.AddrPort][]*Conn // Most recently used last.
+		open map[netip.AddrPort]int     // Number of connections, idle and in use.
 	}
 
-	// dialed is the value by which dial passes an open connection to dialedConn in a
+	// dialed is the value by which Dial passes an open connection to dialedConn in a
 	// context, under the key dialedKey.
 	dialed struct{ conn net.Conn }
 
@@ -38,31 +39,33 @@
 
 const (
 	idleTimeout = 30 * time.Second
-	// maxTrustedSilence is how long after its last received byte an idle
+	// MaxTrustedSilence is how long after its last received byte an idle
 	// connection is assumed to be still known to all stateful devices, such as
 	// firewalls, on the path.
-	maxTrustedSilence      = time.Second
-	reapInterval           = 5 * time.Second
-	maxResponseHeaderBytes = 64 << 10
+	MaxTrustedSilence = time.Second
+	reapInterval      = 5 * time.Second
+	// MaxResponseHeaderBytes bounds the header of a response.
+	MaxResponseHeaderBytes = 64 << 10
 	continueTimeout        = time.Second
 	minIdleConns           = 4 // Number of idle connections to one target that trim keeps.
 )
 
 // errDial says that no connection to a target could be opened. Its text begins the
-// errors of pool.dial.
+// errors of Pool.Dial. Logs have it, so that it keeps the prefix of package entry, as those of
+// Conn do.
 var errDial = errors.New("entry: no connection to the target")
 
-// newPool returns a pool whose connections are opened from source; see dialFrom.
-func newPool(source netip.Addr, metrics *telem.Registry) *pool {
-	return &pool{
+// NewPool returns a pool whose connections are opened from source; see dialFrom.
+func NewPool(source netip.Addr, metrics *telem.Registry) *Pool {
+	return &Pool{
 		transport: &http.Transport{
 			DialContext:            dialedConn,
 			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+			MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 			ExpectContinueTimeout:  continueTimeout,
 		},
-		metrics: metrics, connect: dialFrom(source),
-		idle: make(map[netip.AddrPort][]*targetConn),
+		metrics: metrics, Connect: dialFrom(source),
+		idle: make(map[netip.AddrPort][]*Conn),
 		open: make(map[netip.AddrPort]int),
 	}
 }
@@ -76,24 +79,24 @@
 	return d.conn, nil
 }
 
-// reuse returns an idle connection to address on which bytes were received after
+// Reuse returns an idle connection to address on which bytes were received after
 // heardAfter, marked as carrying a request, as beginRequest does. It returns nil when
 // there is none.
-func (p *pool) reuse(address netip.AddrPort, heardAfter time.Time) *targetConn {
+func (p *Pool) Reuse(address netip.AddrPort, heardAfter time.Time) *Conn {
 	now := time.Now()
 	for c := p.takeIdle(address, heardAfter); c != nil; c = p.takeIdle(address, heardAfter) {
 		if c.beginRequest(now) && c.client.Err() == nil {
 			p.metrics.Counter("connections_reused").Add(1)
 			return c
 		}
-		p.discard(c)
+		p.Discard(c)
 	}
 	return nil
 }
 
 // takeIdle removes and returns the most recently used idle connection. It returns nil
 // when there is none, or when that connection has received nothing since heardAfter.
-func (p *pool) takeIdle(address netip.AddrPort, heardAfter time.Time) *targetConn {
+func (p *Pool) takeIdle(address netip.AddrPort, heardAfter time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -101,30 +104,30 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if c.lastReadBefore(heardAfter) {
+	if c.LastReadBefore(heardAfter) {
 		return nil // The other connections have been silent for longer.
 	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
 
-// trustedSince returns the time after which an idle connection must have been heard from
-// at now to carry a call: for calls that are not idempotent it is maxTrustedSilence ago.
-func trustedSince(idempotent bool, now time.Time) time.Time {
+// TrustedSince returns the time after which an idle connection must have been heard from
+// at now to carry a call: for calls that are not idempotent it is MaxTrustedSilence ago.
+func TrustedSince(idempotent bool, now time.Time) time.Time {
 	if idempotent {
 		return time.Time{}
 	}
-	return now.Add(-maxTrustedSilence)
+	return now.Add(-MaxTrustedSilence)
 }
 
-// dial opens a connection and marks it as carrying a request, as beginRequest does. It
+// Dial opens a connection and marks it as carrying a request, as beginRequest does. It
 // returns an error if the connection fails or its target has sent bytes already.
-func (p *pool) dial(ctx context.Context, address netip.AddrPort) (*targetConn, error) {
+func (p *Pool) Dial(ctx context.Context, address netip.AddrPort) (*Conn, error) {
 	var (
 		conn net.Conn
 		err  error
 	)
-	if conn, err = p.connect(ctx, address); err != nil {
+	if conn, err = p.Connect(ctx, address); err != nil {
 		p.metrics.Counter("connections_failed").Add(1)
 		return nil, errors.Wrap(err, errDial.Error())
 	}
@@ -133,13 +136,13 @@
 		conn.Close()
 		return nil, errors.Wrap(err, errDial.Error())
 	}
-	c := &targetConn{Conn: conn, raw: raw, address: address, opened: time.Now(), fresh: true, onClean: p.put, onStray: p.countStray, onClose: p.forget}
+	c := &Conn{Conn: conn, raw: raw, address: address, opened: time.Now(), fresh: true, onClean: p.put, onStray: p.countStray, onClose: p.forget}
 	p.mu.Lock()
 	p.open[address]++
 	p.mu.Unlock()
 	if !c.beginRequest(c.opened) {
 		c.Close()
-		if c.wasReset() {
+		if c.WasReset() {
 			return nil, errors.Wrap(syscall.ECONNRESET, errDial.Error())
 		}
 		return nil, errors.Wrap(errStray, errDial.Error())
@@ -154,9 +157,9 @@
 }
 
 // put adds a clean connection to the pool, or closes it if it cannot be reused.
-func (p *pool) put(c *targetConn) {
+func (p *Pool) put(c *Conn) {
 	if c.client.Err() != nil || c.client.Available() == 0 {
-		p.discard(c)
+		p.Discard(c)
 		return
 	}
 	p.mu.Lock()
@@ -164,9 +167,9 @@
 	p.mu.Unlock()
 }
 
-// discard closes a connection that is not in the pool and reports whether a byte
+// Discard closes a connection that is not in the pool and reports whether a byte
 // of its current request may have reached the target.
-func (p *pool) discard(c *targetConn) bool {
+func (p *Pool) Discard(c *Conn) bool {
 	sent := c.seal()
 	c.client.Close()
 	return sent
@@ -174,10 +177,10 @@
 
 // forget removes a connection that is closing from the pool and from the count of
 // open ones.
-func (p *pool) forget(c *targetConn) {
+func (p *Pool) forget(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.address] = slices.DeleteFunc(p.idle[c.address], func(other *targetConn) bool { return other == c })
+	p.idle[c.address] = slices.DeleteFunc(p.idle[c.address], func(other *Conn) bool { return other == c })
 	if len(p.idle[c.address]) == 0 {
 		delete(p.idle, c.address)
 	}
@@ -186,9 +189,9 @@
 	}
 }
 
-// trim closes idle connections to address, least recently used first, until at
+// Trim closes idle connections to address, least recently used first, until at
 // most limit are open, in use or idle. It keeps at least minIdleConns idle ones.
-func (p *pool) trim(address netip.AddrPort, limit int) {
+func (p *Pool) Trim(address netip.AddrPort, limit int) {
 	p.mu.Lock()
 	list := p.idle[address]
 	n := min(p.open[address]-limit, len(list)-minIdleConns)
@@ -200,37 +203,37 @@
 	p.idle[address] = slices.Delete(list, 0, n)
 	p.mu.Unlock()
 	for _, c := range surplus {
-		p.discard(c)
+		p.Discard(c)
 	}
 }
 
-// heardSince reports whether an idle connection to address has received bytes at or after
+// HeardSince reports whether an idle connection to address has received bytes at or after
 // t.
-func (p *pool) heardSince(address netip.AddrPort, t time.Time) bool {
+func (p *Pool) HeardSince(address netip.AddrPort, t time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[address], func(c *targetConn) bool { return !c.lastReadBefore(t) })
+	return slices.ContainsFunc(p.idle[address], func(c *Conn) bool { return !c.LastReadBefore(t) })
 }
 
 // countStray counts a connection on which a target sent unsolicited bytes.
-func (p *pool) countStray(*targetConn) {
+func (p *Pool) countStray(*Conn) {
 	p.metrics.Counter("connections_with_stray_bytes").Add(1)
 }
 
-// retire closes all idle connections to address that received nothing since t,
+// Retire closes all idle connections to address that received nothing since t,
 // and returns their number.
-func (p *pool) retire(address netip.AddrPort, t time.Time) int {
-	closed := p.remove(address, func(c *targetConn) bool { return c.lastReadBefore(t) })
+func (p *Pool) Retire(address netip.AddrPort, t time.Time) int {
+	closed := p.remove(address, func(c *Conn) bool { return c.LastReadBefore(t) })
 	p.metrics.Counter("connections_retired").Add(int64(closed))
 	return closed
 }
 
 // remove closes the idle connections to address for which match returns true,
 // and returns their number.
-func (p *pool) remove(address netip.AddrPort, match func(*targetConn) bool) int {
-	var removed []*targetConn
+func (p *Pool) remove(address netip.AddrPort, match func(*Conn) bool) int {
+	var removed []*Conn
 	p.mu.Lock()
-	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *targetConn) bool {
+	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *Conn) bool {
 		if !match(c) {
 			return false
 		}
@@ -242,36 +245,36 @@
 	}
 	p.mu.Unlock()
 	for _, c := range removed {
-		p.discard(c)
+		p.Discard(c)
 	}
 	return len(removed)
 }
 
-// reap closes, every reapInterval, the idle connections that have received nothing
+// Reap closes, every reapInterval, the idle connections that have received nothing
 // for idleTimeout. When ctx ends it closes all idle ones and returns.
-func (p *pool) reap(ctx context.Context) {
+func (p *Pool) Reap(ctx context.Context) {
 	ticker := time.NewTicker(reapInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			p.sweep(func(*targetConn) bool { return true })
+			p.sweep(func(*Conn) bool { return true })
 			return
 		case now := <-ticker.C:
-			p.sweep(func(c *targetConn) bool { return c.lastReadBefore(now.Add(-idleTimeout)) })
+			p.sweep(func(c *Conn) bool { return c.LastReadBefore(now.Add(-idleTimeout)) })
 		}
 	}
 }
 
 // sweep closes all idle connections for which match returns true.
-func (p *pool) sweep(match func(*targetConn) bool) {
+func (p *Pool) sweep(match func(*Conn) bool) {
 	for _, address := range p.addresses() {
 		p.remove(address, match)
 	}
 }
 
 // addresses returns the addresses that have idle connections.
-func (p *pool) addresses() []netip.AddrPort {
+func (p *Pool) addresses() []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []netip.AddrPort
@@ -281,8 +284,8 @@
 	return list
 }
 
-// openCount returns the number of open connections to all targets.
-func (p *pool) openCount() int {
+// OpenCount returns the number of open connections to all targets.
+func (p *Pool) OpenCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
