Move the ways to targets around lost links to io/links

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and the code that reaches targets, in one package.

Change: ways.go moves to io/links. Links has the connections and the ways; an attempt tells it in a Need what it needs of a connection. The interface callLinks names what a call needs of it.

Result: go test ./io/links ./io/entry passes (io/entry whole, 220 s).

--- a/io/entry/account_test.go
+++ b/io/entry/account_test.go
@@ -157,8 +157,8 @@
 func TestKeyWithdrawnWhileACallWaitsForAConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
 	control, target, h := newAccountFleet(t, accountPlan(1), nil)
-	connect := h.forwarder.pool.Connect
-	h.forwarder.pool.Connect = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	connect := h.links.Opener
+	h.links.Opener = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		control.state.SetPlan(withdrawFirstKey(2))
 		for h.fleet.active.Load().plan.Version < 2 && ctx.Err() == nil {
 			time.Sleep(time.Millisecond)
@@ -338,7 +338,7 @@
 	links := newTargetLinks(t, h)
 	links.add(target.address)
 	links.begin(cutMode{refuses: true})
-	h.forwarder.ways.addCarriers([]reach.Carrier{{Address: carrier.address, DataCentre: "lab"}})
+	h.links.AddCarriers([]reach.Carrier{{Address: carrier.address, DataCentre: "lab"}})
 	status, _ := callWithKey(t, h, "/a/x", "k_1")
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
 	var request string
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -92,8 +92,8 @@
 // what became of it.
 func (k carrierHandler) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, send engine.Send) {
 	h := k.host
-	if h.draining.Load() || h.forwarder.ways.cutOff() {
-		h.forwarder.checkLink(send.Address, time.Now())
+	if h.draining.Load() || h.links.CutOff() {
+		h.links.Check(send.Address, time.Now())
 		k.refuse(w, http.StatusServiceUnavailable, wire.CarryUnavailable)
 		return
 	}
@@ -124,7 +124,7 @@
 		abortResponse(r)
 	case engine.NotRun:
 		outcome := wire.CarryUnreachable
-		if h.forwarder.ways.cutOff() {
+		if h.links.CutOff() {
 			outcome = wire.CarryUnavailable
 		}
 		k.refuse(w, http.StatusServiceUnavailable, outcome)
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -31,7 +31,7 @@
 // carrier that reaches other targets does not reach this one either.
 func (f *forwarder) carry(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) (engine.Result, bool) {
 	if a.carriedIn {
-		a.linkLost = f.ways.cutOff()
+		a.linkLost = f.links.CutOff()
 		return 0, false
 	}
 	defer func() { a.carrier = netip.AddrPort{} }()
@@ -39,7 +39,7 @@
 	confirmed := false
 	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && a.keyProblem == nil && a.body.replayable(); {
 		var ok bool
-		if a.carrier, ok = f.ways.beginCarry(s.Address, tried, time.Now()); !ok {
+		if a.carrier, ok = f.links.BeginCarry(s.Address, tried, time.Now()); !ok {
 			break
 		}
 		tried = append(tried, a.carrier)
@@ -58,17 +58,12 @@
 // carrier has not sent the call to the target.
 func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) (engine.Result, bool) {
 	carriage := reach.NotTaken
-	defer func() { f.ways.endCarry(a.carrier, s.Address, carriage, time.Now()) }()
+	defer func() { f.links.EndCarry(a.carrier, s.Address, carriage, time.Now()) }()
 	a.carryOutcome, a.targetAnswered = "", false
-	conn := f.pool.Reuse(a.carrier, links.TrustedSince(a.class.Idempotent, time.Now()))
-	if conn == nil {
-		dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
-		defer cancel()
-		var err error
-		if conn, err = f.pool.Dial(dialCtx, a.carrier); err != nil {
-			f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
-			return 0, false
-		}
+	conn, err := f.links.ConnectCarrier(ctx, a.carrier, a.class.Idempotent)
+	if err != nil {
+		f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
+		return 0, false
 	}
 	result := f.exchange(ctx, w, r, a, s, conn)
 	switch {
@@ -126,11 +121,10 @@
 
 // listCarriers renews the list of carriers of a host of a fleet until ctx ends.
 func (f *fleet) listCarriers(ctx context.Context) {
-	ways := f.host.forwarder.ways
 	for {
 		interval := carriersInterval
 		if list, err := f.follower.Entries(ctx); err == nil {
-			ways.addCarriers(list)
+			f.host.links.AddCarriers(list)
 			f.countEntryHosts(len(list) + 1)
 		} else {
 			interval = minCarriersInterval
@@ -142,7 +136,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ways.needed:
+		case <-f.host.links.Needed():
 		case <-time.After(interval - minCarriersInterval):
 		}
 	}
--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -286,7 +286,7 @@
 	url := "http://" + h.cfg.CallAddress.String()
 	newFleetHost(t, control.address)
 	g.Eventually(func() int { return len(listEntries(h)) }, testTimeout, time.Millisecond).Should(gomega.Equal(1))
-	h.forwarder.ways.addCarriers(listEntries(h))
+	h.links.AddCarriers(listEntries(h))
 	links := newTargetLinks(t, h)
 	links.add(target.address)
 	b := &cutBed{t: t}
@@ -298,12 +298,12 @@
 			calls.Go(func() { b.call(url, fmt.Sprintf("/a/both-%d", i)) })
 		}
 		calls.Wait()
-		return h.forwarder.ways.lost(target.address)
+		return h.links.Lost(target.address)
 	}, testTimeout, time.Millisecond).Should(gomega.BeTrue())
 	links.end()
 	carried := h.metrics.Counter("calls_carried_out").Value()
 	g.Eventually(func() bool {
-		return b.call(url, "/a/after") && !h.forwarder.ways.lost(target.address)
+		return b.call(url, "/a/after") && !h.links.Lost(target.address)
 	}, testTimeout, time.Millisecond).Should(gomega.BeTrue())
 	g.Expect(h.metrics.Counter("calls_carried_out").Value()).To(gomega.Equal(carried))
 }
@@ -370,7 +370,7 @@
 		newFleetHost(t, control.address)
 	}
 	g.Eventually(func() int { return len(listEntries(h)) }, testTimeout, time.Millisecond).Should(gomega.Equal(3))
-	h.forwarder.ways.addCarriers(listEntries(h))
+	h.links.AddCarriers(listEntries(h))
 	links := newTargetLinks(t, h)
 	links.add(address)
 	links.begin(cutMode{refuses: true})
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -21,17 +21,15 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/links"
-	"cardamomspool/io/setup"
 	"cardamomspool/io/telem"
 )
 
 type (
 	// forwarder sends calls to targets and streams their responses back.
 	forwarder struct {
-		pool     *links.Pool
+		links    callLinks
 		dialect  wire.Dialect
 		activity *activityTracker
-		ways     *ways
 		losses   lossObserver
 		log      *slog.Logger
 		metrics  *telem.Registry
@@ -88,9 +86,9 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// newForwarder returns a forwarder of the host with the settings cfg.
-func newForwarder(cfg *setup.Entry, dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
-	return &forwarder{pool: links.NewPool(cfg.SourceAddress, metrics), dialect: dialect, ways: newWays(cfg.DataCentre), log: log, metrics: metrics, work: context.Background()}
+// newForwarder returns a forwarder that reaches targets over l.
+func newForwarder(l callLinks, dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
+	return &forwarder{links: l, dialect: dialect, log: log, metrics: metrics, work: context.Background()}
 }
 
 // attempt sends the call to one target, over this host's own link or through a carrier,
@@ -100,7 +98,7 @@
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) engine.Result {
 	a.linkLost, a.keyProblem = false, nil
 	a.resetsWhenFull = a.host.signs.ResetsWhenFull(a.service.doc.Name, time.Now())
-	conn, err := f.connect(ctx, a, s.Address)
+	conn, err := f.links.Connect(ctx, s.Address, a.need())
 	if err == nil {
 		return f.exchange(ctx, w, r, a, s, conn)
 	}
@@ -129,10 +127,10 @@
 func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *links.Conn) engine.Result {
 	a.carryOutcome, a.targetAnswered = "", false
 	if a.keyProblem = a.host.checkKey(a.call, r); a.keyProblem != nil { // The connection may have taken long.
-		f.pool.Discard(conn)
+		f.links.Discard(conn)
 		return engine.NotRun
 	}
-	f.pool.Trim(conn.Address(), a.maxConnections)
+	f.links.Trim(conn.Address(), a.maxConnections)
 	view := a.body.newView()
 	defer view.release()
 	conn.SetOnLost(view.abort)
@@ -155,7 +153,7 @@
 	if err == nil {
 		outcome := wire.TakeCarryOutcome(resp.Header)
 		if conn.Address() == s.Address {
-			f.ways.heard(s.Address, time.Now())
+			f.links.Heard(s.Address, time.Now())
 		} else if a.carryOutcome = outcome; outcome != "" {
 			return f.endCarried(r, conn, resp, a)
 		}
@@ -182,7 +180,7 @@
 		return f.endWithdrawn(conn, a)
 	}
 	if err != nil {
-		f.pool.Discard(conn)
+		f.links.Discard(conn)
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
 		f.log.Warn("answer cut short", "call", a.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
 		if r.Context().Err() == nil && !errors.As(err, new(callerError)) {
@@ -203,7 +201,7 @@
 		return f.endWithdrawn(conn, a)
 	}
 	result := engine.NotRun
-	if f.pool.Discard(conn) {
+	if f.links.Discard(conn) {
 		result = engine.Unknown
 	}
 	reset := conn.Address() == s.Address && conn.WasReset()
@@ -211,7 +209,7 @@
 	case reset && a.resetsWhenFull:
 		// The link works: the target is probably full.
 	case conn.Address() == s.Address:
-		a.linkLost = f.linkLost(ctx, conn, a)
+		a.linkLost = f.links.LostDuring(ctx, conn, a.need())
 	default:
 		a.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
 	}
@@ -237,7 +235,7 @@
 // is cut short, it closes the connection instead.
 func (f *forwarder) discardResponse(conn *links.Conn, resp *http.Response) {
 	if n, err := io.CopyN(io.Discard, resp.Body, maxRefusalBytes); n == maxRefusalBytes || !errors.Is(err, io.EOF) {
-		f.pool.Discard(conn)
+		f.links.Discard(conn)
 		return
 	}
 	resp.Body.Close()
@@ -269,8 +267,8 @@
 			timer.Reset(wait)
 			return
 		}
-		n := f.pool.Retire(conn.Address(), since)
-		lost := f.silentLinkLost(conn, a, s)
+		n := f.links.Retire(conn.Address(), since)
+		lost := f.links.LostInSilence(conn, s.Address, a.need())
 		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.SealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
 		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "abandoned", abandoned,
--- a/io/entry/full_test.go
+++ b/io/entry/full_test.go
@@ -79,7 +79,7 @@
 	after := b.host.forwarder.activity.evidenceFor(member.Key{Service: "s", Target: "a"}).Failed
 	g.Expect(after).To(gomega.Equal(before), "not suspected")
 	g.Expect(b.host.metrics.Counter("connections_opened").Value()-opened).To(gomega.BeNumerically("<=", 3), "connections are kept")
-	g.Expect(b.host.forwarder.ways.lost(target.address)).To(gomega.BeFalse())
+	g.Expect(b.host.links.Lost(target.address)).To(gomega.BeFalse())
 }
 
 // Guards against resets that control hosts do not learn of, since another entry host has carried
@@ -95,7 +95,7 @@
 	h, url := newFleetHost(t, control.address)
 	newFleetHost(t, control.address)
 	g.Eventually(func() int { return len(listEntries(h)) }, testTimeout, time.Millisecond).Should(gomega.Equal(1))
-	h.forwarder.ways.addCarriers(listEntries(h))
+	h.links.AddCarriers(listEntries(h))
 	links := newTargetLinks(t, h)
 	links.add(target.address)
 	links.begin(cutMode{refuses: true})
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -19,6 +19,7 @@
 	"cardamomspool/core/wire"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/drain"
+	"cardamomspool/io/links"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
@@ -34,6 +35,7 @@
 		metrics   *telem.Registry
 		system    *actor.ActorSystem
 		forwarder *forwarder
+		links     *links.Links // Those of forwarder.
 		uploads   *uploadBacklog
 		signs     targetSigns
 		// accountCalls counts the calls of client accounts for the metrics.
@@ -112,9 +114,11 @@
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.forwarder = newForwarder(&h.cfg, h.dialect, h.log, h.metrics)
+	h.links = links.New(cfg.SourceAddress, cfg.DataCentre, links.WithLogger(h.log), links.WithMetrics(h.metrics),
+		links.WithQueueDelay(func() time.Duration { return h.uploads.queueDelay() }))
+	h.forwarder = newForwarder(h.links, h.dialect, h.log, h.metrics)
 	h.forwarder.losses = signs.NewLosses(signs.LossChecks{
-		Ended: h.callsLost, Dial: h.forwarder.dialOnce, Replaced: h.targetReplaced, Answered: h.forwarder.answeredSince,
+		Ended: h.callsLost, Dial: h.links.Probe, Replaced: h.targetReplaced, Answered: h.forwarder.answeredSince,
 	})
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
@@ -136,7 +140,7 @@
 	h.metrics.Func("targets", func() any { return h.members.usable() })
 	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
-	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.OpenCount() })
+	h.metrics.Func("connections_open", func() any { return h.links.OpenCount() })
 	h.metrics.Func("requests_unanswered", func() any { return h.unanswered.Load() })
 	h.metrics.Func("calls_by_account", h.accountCalls.counts)
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
@@ -163,6 +167,7 @@
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	h.forwarder.work = work
+	h.links.SetWork(work)
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer stopWork()
@@ -187,8 +192,8 @@
 		background.Go(func() { h.members.run(work) })
 		background.Go(func() { h.runLostCalls(work) })
 	}
-	h.forwarder.ways.addCarriers(h.listedCarriers())
-	go h.forwarder.pool.Reap(work)
+	h.links.AddCarriers(h.listedCarriers())
+	go h.links.Reap(work)
 	if h.keyPair != nil {
 		go h.keyPair.watchFiles(work, keyPairCheckInterval, h.log)
 	}
--- /dev/null
+++ b/io/entry/links.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"cardamomspool/core/reach"
+	"cardamomspool/io/links"
+)
+
+// callLinks names what a call needs of the links to targets and carriers; links.Links
+// implements it.
+type callLinks interface {
+	Connect(ctx context.Context, address netip.AddrPort, n links.Need) (*links.Conn, error)
+	ConnectCarrier(ctx context.Context, carrier netip.AddrPort, idempotent bool) (*links.Conn, error)
+	Discard(conn *links.Conn) bool
+	Trim(address netip.AddrPort, limit int)
+	Retire(address netip.AddrPort, t time.Time) int
+
+	Heard(address netip.AddrPort, now time.Time)
+	LostDuring(ctx context.Context, conn *links.Conn, n links.Need) bool
+	LostInSilence(conn *links.Conn, target netip.AddrPort, n links.Need) bool
+	Check(address netip.AddrPort, now time.Time)
+	CutOff() bool
+
+	BeginCarry(target netip.AddrPort, tried []netip.AddrPort, now time.Time) (netip.AddrPort, bool)
+	EndCarry(carrier, target netip.AddrPort, carriage reach.Carriage, now time.Time)
+}
+
+var _ callLinks = (*links.Links)(nil)
+
+// need returns what the attempt needs of a connection.
+func (a *attempt) need() links.Need {
+	return links.Need{Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull}
+}
--- a/io/entry/links_test.go
+++ b/io/entry/links_test.go
@@ -53,8 +53,8 @@
 // newTargetLinks puts links that can be cut between h and all targets.
 func newTargetLinks(t testing.TB, h *Host) *targetLinks {
 	l := &targetLinks{t: t, relays: make(map[netip.AddrPort]net.Listener), healed: make(chan struct{})}
-	connect := h.forwarder.pool.Connect
-	h.forwarder.pool.Connect = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	connect := h.links.Opener
+	h.links.Opener = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		return l.connect(ctx, address, connect)
 	}
 	t.Cleanup(l.close)
--- a/io/entry/losses.go
+++ b/io/entry/losses.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,16 +33,6 @@
 	})
 }
 
-// dialOnce opens a connection to a target, and keeps it for calls if it stays open.
-func (f *forwarder) dialOnce(ctx context.Context, address netip.AddrPort) error {
-	conn, err := f.pool.Dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	go f.settle(f.work, conn)
-	return nil
-}
-
 // callerAddress returns the address of the caller of a request: the last one that is not
 // that of a trusted proxy, or the zero value for one that cannot be parsed.
 func callerAddress(r *http.Request, trusted []netip.Prefix) netip.Addr {
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -335,7 +335,7 @@
 // endWithdrawn closes the connection of an attempt when another one has won. The target may
 // still answer, and the answer must reach nobody.
 func (f *forwarder) endWithdrawn(conn *links.Conn, a *attempt) engine.Result {
-	f.pool.Discard(conn)
+	f.links.Discard(conn)
 	a.feedback, a.linkLost = route.Feedback{}, false
 	return engine.Withdrawn
 }
--- a/io/links/conn.go
+++ b/io/links/conn.go
@@ -14,7 +14,7 @@
 )
 
 type (
-	// Conn is one connection to a target. Pool opens it. It wraps the socket for
+	// Conn is one connection to a target. Links opens it. It wraps the socket for
 	// net/http, counts the bytes sent of the current request, and passes on no
 	// byte that cannot belong to the current response.
 	Conn struct {
@@ -104,17 +104,17 @@
 	}
 }
 
-// Unused reports whether a connection on which no request was sent is still open, and
+// unused reports whether a connection on which no request was sent is still open, and
 // its target has sent nothing.
-func (c *Conn) Unused() bool {
+func (c *Conn) unused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.sealed && !hasUnread(c.raw)
 }
 
-// EndUnused ends the request of a connection on which none was sent, so that it can be
+// endUnused ends the request of a connection on which none was sent, so that it can be
 // used. Its target was heard at now.
-func (c *Conn) EndUnused(now time.Time) {
+func (c *Conn) endUnused(now time.Time) {
 	c.mu.Lock()
 	c.lastRead = now
 	c.mu.Unlock()
--- a/io/links/conn_test.go
+++ b/io/links/conn_test.go
@@ -28,8 +28,8 @@
 			targetSide <- c
 		}
 	}()
-	p := NewPool(netip.Addr{}, telem.NewRegistry())
-	conn, err := p.Dial(t.Context(), netip.MustParseAddrPort(target.Addr().String()))
+	p := newPool(netip.Addr{}, telem.NewRegistry())
+	conn, err := p.dial(t.Context(), netip.MustParseAddrPort(target.Addr().String()))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer p.Discard(conn)
 	c := <-targetSide
--- a/io/links/pool.go
+++ b/io/links/pool.go
@@ -16,21 +16,20 @@
 )
 
 type (
-	// Pool holds the idle connections to targets by address. A connection that
-	// carries a request is not in the pool; it is only counted in open. It is safe for
-	// concurrent use. Use NewPool.
-	Pool struct {
+	// pool holds the idle connections to targets by address. A connection that
+	// carries a request is not in the pool; it is only counted in open.
+	pool struct {
 		transport *http.Transport
 		metrics   *telem.Registry
-		// Connect opens a connection to a target; tests replace it.
-		Connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+		// Opener opens a connection to a target; tests replace it.
+		Opener func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 		mu   sync.Mutex
 		idle map[netip.AddrPort][]*Conn // Most recently used last.
 		open map[netip.AddrPort]int     // Number of connections, idle and in use.
 	}
 
-	// dialed is the value by which Dial passes an open connection to dialedConn in a
+	// dialed is the value by which dial passes an open connection to dialedConn in a
 	// context, under the key dialedKey.
 	dialed struct{ conn net.Conn }
 
@@ -51,20 +50,20 @@
 )
 
 // errDial says that no connection to a target could be opened. Its text begins the
-// errors of Pool.Dial. Logs have it, so that it keeps the prefix of package entry, as those of
+// errors of pool.dial. Logs have it, so that it keeps the prefix of package entry, as those of
 // Conn do.
 var errDial = errors.New("entry: no connection to the target")
 
-// NewPool returns a pool whose connections are opened from source; see dialFrom.
-func NewPool(source netip.Addr, metrics *telem.Registry) *Pool {
-	return &Pool{
+// newPool returns a pool whose connections are opened from source; see dialFrom.
+func newPool(source netip.Addr, metrics *telem.Registry) *pool {
+	return &pool{
 		transport: &http.Transport{
 			DialContext:            dialedConn,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 			ExpectContinueTimeout:  continueTimeout,
 		},
-		metrics: metrics, Connect: dialFrom(source),
+		metrics: metrics, Opener: dialFrom(source),
 		idle: make(map[netip.AddrPort][]*Conn),
 		open: make(map[netip.AddrPort]int),
 	}
@@ -79,10 +78,10 @@
 	return d.conn, nil
 }
 
-// Reuse returns an idle connection to address on which bytes were received after
+// reuse returns an idle connection to address on which bytes were received after
 // heardAfter, marked as carrying a request, as beginRequest does. It returns nil when
 // there is none.
-func (p *Pool) Reuse(address netip.AddrPort, heardAfter time.Time) *Conn {
+func (p *pool) reuse(address netip.AddrPort, heardAfter time.Time) *Conn {
 	now := time.Now()
 	for c := p.takeIdle(address, heardAfter); c != nil; c = p.takeIdle(address, heardAfter) {
 		if c.beginRequest(now) && c.client.Err() == nil {
@@ -96,7 +95,7 @@
 
 // takeIdle removes and returns the most recently used idle connection. It returns nil
 // when there is none, or when that connection has received nothing since heardAfter.
-func (p *Pool) takeIdle(address netip.AddrPort, heardAfter time.Time) *Conn {
+func (p *pool) takeIdle(address netip.AddrPort, heardAfter time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -111,23 +110,23 @@
 	return c
 }
 
-// TrustedSince returns the time after which an idle connection must have been heard from
+// trustedSince returns the time after which an idle connection must have been heard from
 // at now to carry a call: for calls that are not idempotent it is MaxTrustedSilence ago.
-func TrustedSince(idempotent bool, now time.Time) time.Time {
+func trustedSince(idempotent bool, now time.Time) time.Time {
 	if idempotent {
 		return time.Time{}
 	}
 	return now.Add(-MaxTrustedSilence)
 }
 
-// Dial opens a connection and marks it as carrying a request, as beginRequest does. It
+// dial opens a connection and marks it as carrying a request, as beginRequest does. It
 // returns an error if the connection fails or its target has sent bytes already.
-func (p *Pool) Dial(ctx context.Context, address netip.AddrPort) (*Conn, error) {
+func (p *pool) dial(ctx context.Context, address netip.AddrPort) (*Conn, error) {
 	var (
 		conn net.Conn
 		err  error
 	)
-	if conn, err = p.Connect(ctx, address); err != nil {
+	if conn, err = p.Opener(ctx, address); err != nil {
 		p.metrics.Counter("connections_failed").Add(1)
 		return nil, errors.Wrap(err, errDial.Error())
 	}
@@ -157,7 +156,7 @@
 }
 
 // put adds a clean connection to the pool, or closes it if it cannot be reused.
-func (p *Pool) put(c *Conn) {
+func (p *pool) put(c *Conn) {
 	if c.client.Err() != nil || c.client.Available() == 0 {
 		p.Discard(c)
 		return
@@ -169,7 +168,7 @@
 
 // Discard closes a connection that is not in the pool and reports whether a byte
 // of its current request may have reached the target.
-func (p *Pool) Discard(c *Conn) bool {
+func (p *pool) Discard(c *Conn) bool {
 	sent := c.seal()
 	c.client.Close()
 	return sent
@@ -177,7 +176,7 @@
 
 // forget removes a connection that is closing from the pool and from the count of
 // open ones.
-func (p *Pool) forget(c *Conn) {
+func (p *pool) forget(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.address] = slices.DeleteFunc(p.idle[c.address], func(other *Conn) bool { return other == c })
@@ -191,7 +190,7 @@
 
 // Trim closes idle connections to address, least recently used first, until at
 // most limit are open, in use or idle. It keeps at least minIdleConns idle ones.
-func (p *Pool) Trim(address netip.AddrPort, limit int) {
+func (p *pool) Trim(address netip.AddrPort, limit int) {
 	p.mu.Lock()
 	list := p.idle[address]
 	n := min(p.open[address]-limit, len(list)-minIdleConns)
@@ -207,22 +206,22 @@
 	}
 }
 
-// HeardSince reports whether an idle connection to address has received bytes at or after
+// heardSince reports whether an idle connection to address has received bytes at or after
 // t.
-func (p *Pool) HeardSince(address netip.AddrPort, t time.Time) bool {
+func (p *pool) heardSince(address netip.AddrPort, t time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(p.idle[address], func(c *Conn) bool { return !c.LastReadBefore(t) })
 }
 
 // countStray counts a connection on which a target sent unsolicited bytes.
-func (p *Pool) countStray(*Conn) {
+func (p *pool) countStray(*Conn) {
 	p.metrics.Counter("connections_with_stray_bytes").Add(1)
 }
 
 // Retire closes all idle connections to address that received nothing since t,
 // and returns their number.
-func (p *Pool) Retire(address netip.AddrPort, t time.Time) int {
+func (p *pool) Retire(address netip.AddrPort, t time.Time) int {
 	closed := p.remove(address, func(c *Conn) bool { return c.LastReadBefore(t) })
 	p.metrics.Counter("connections_retired").Add(int64(closed))
 	return closed
@@ -230,7 +229,7 @@
 
 // remove closes the idle connections to address for which match returns true,
 // and returns their number.
-func (p *Pool) remove(address netip.AddrPort, match func(*Conn) bool) int {
+func (p *pool) remove(address netip.AddrPort, match func(*Conn) bool) int {
 	var removed []*Conn
 	p.mu.Lock()
 	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *Conn) bool {
@@ -252,7 +251,7 @@
 
 // Reap closes, every reapInterval, the idle connections that have received nothing
 // for idleTimeout. When ctx ends it closes all idle ones and returns.
-func (p *Pool) Reap(ctx context.Context) {
+func (p *pool) Reap(ctx context.Context) {
 	ticker := time.NewTicker(reapInterval)
 	defer ticker.Stop()
 	for {
@@ -267,14 +266,14 @@
 }
 
 // sweep closes all idle connections for which match returns true.
-func (p *Pool) sweep(match func(*Conn) bool) {
+func (p *pool) sweep(match func(*Conn) bool) {
 	for _, address := range p.addresses() {
 		p.remove(address, match)
 	}
 }
 
 // addresses returns the addresses that have idle connections.
-func (p *Pool) addresses() []netip.AddrPort {
+func (p *pool) addresses() []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []netip.AddrPort
@@ -285,7 +284,7 @@
 }
 
 // OpenCount returns the number of open connections to all targets.
-func (p *Pool) OpenCount() int {
+func (p *pool) OpenCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
--- a/io/entry/ways.go
+++ b/io/links/ways.go
@@ -1,4 +1,4 @@
-package entry
+package links
 
 import (
 	"context"
@@ -10,9 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"cardamomspool/core/engine"
 	"cardamomspool/core/reach"
-	"cardamomspool/io/links"
 )
 
 // ways holds what this host knows about its ways to targets. It is safe for concurrent
@@ -37,7 +35,8 @@
 	settleTime = 50 * time.Millisecond
 )
 
-// errLinkLost says that no connection was opened, since the link to the target is lost.
+// errLinkLost says that no connection was opened, since the link to the target is lost. Its
+// text is in logs.
 var errLinkLost = errors.New("entry: the link to the target is lost")
 
 func newWays(dataCentre string) *ways {
@@ -47,7 +46,8 @@
 	}
 }
 
-func (w *ways) heard(address netip.AddrPort, now time.Time) {
+// Heard records that a target at address has answered over this host's own link.
+func (w *ways) Heard(address netip.AddrPort, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.links.Heard(address, now)
@@ -71,7 +71,8 @@
 	}
 }
 
-func (w *ways) lost(address netip.AddrPort) bool {
+// Lost reports whether the link to address is lost.
+func (w *ways) Lost(address netip.AddrPort) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.links.Lost(address)
@@ -83,7 +84,8 @@
 	return w.links.AppendLost(nil)
 }
 
-func (w *ways) cutOff() bool {
+// CutOff reports whether this host is cut off; see reach.Links.CutOff.
+func (w *ways) CutOff() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.links.CutOff()
@@ -105,8 +107,13 @@
 	return way
 }
 
-// addCarriers adds the carriers of a new list, see reach.Carriers.Update.
-func (w *ways) addCarriers(list []reach.Carrier) {
+// Needed returns a channel that is sent to when the list of carriers is to be renewed.
+func (w *ways) Needed() <-chan struct{} {
+	return w.needed
+}
+
+// AddCarriers adds the carriers of a new list, see reach.Carriers.Update.
+func (w *ways) AddCarriers(list []reach.Carrier) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.carriers.Update(list, time.Now())
@@ -118,13 +125,15 @@
 	return w.carriers.Len() > 0
 }
 
-func (w *ways) beginCarry(target netip.AddrPort, tried []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
+// BeginCarry returns the carrier to which an attempt is offered next; see reach.Carriers.Begin.
+func (w *ways) BeginCarry(target netip.AddrPort, tried []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.carriers.Begin(target, tried, now, w.rng)
 }
 
-func (w *ways) endCarry(carrier, target netip.AddrPort, carriage reach.Carriage, now time.Time) {
+// EndCarry records what became of that; see reach.Carriers.End.
+func (w *ways) EndCarry(carrier, target netip.AddrPort, carriage reach.Carriage, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.carriers.End(carrier, target, carriage, now)
@@ -136,19 +145,19 @@
 	w.carriers.Avoid(carrier, now)
 }
 
-// connect returns a connection to a target over this host's own link, marked as carrying
+// Connect returns a connection to a target over this host's own link, marked as carrying
 // a request, as beginRequest does. It returns an error when the link is lost.
-func (f *forwarder) connect(ctx context.Context, a *attempt, address netip.AddrPort) (*links.Conn, error) {
+func (l *Links) Connect(ctx context.Context, address netip.AddrPort, n Need) (*Conn, error) {
 	now := time.Now()
-	way := f.ways.way(address)
-	heardAfter := links.TrustedSince(a.class.Idempotent, now)
+	way := l.ways.way(address)
+	heardAfter := trustedSince(n.Idempotent, now)
 	if way.HeardAfter.After(heardAfter) {
 		heardAfter = way.HeardAfter
 	}
-	conn := f.pool.Reuse(address, heardAfter)
+	conn := l.reuse(address, heardAfter)
 	if !way.Dial {
 		// Also if an open connection serves: the next call may need another one.
-		f.checkLink(address, now)
+		l.Check(address, now)
 	}
 	switch {
 	case conn != nil:
@@ -156,33 +165,33 @@
 	case !way.Dial:
 		return nil, errLinkLost
 	}
-	return f.dialLink(ctx, a, address)
+	return l.dialLink(ctx, address, n)
 }
 
 // dialLink opens a connection to a target within the patience of the call, and records
 // whether the link works.
-func (f *forwarder) dialLink(ctx context.Context, a *attempt, address netip.AddrPort) (*links.Conn, error) {
-	patience := links.DialTimeout
-	if a.carriedIn || f.ways.hasCarriers() {
-		patience = linkPatience + a.host.uploads.queueDelay()
+func (l *Links) dialLink(ctx context.Context, address netip.AddrPort, n Need) (*Conn, error) {
+	patience := DialTimeout
+	if n.CarriedIn || l.ways.hasCarriers() {
+		patience = linkPatience + l.queueDelay()
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	conn, err := f.pool.Dial(dialCtx, address)
+	conn, err := l.dial(dialCtx, address)
 	switch {
 	case err == nil:
-		f.ways.opened(address, time.Now())
-	case a.resetsWhenFull && errors.Is(err, syscall.ECONNRESET):
+		l.ways.opened(address, time.Now())
+	case n.ResetsWhenFull && errors.Is(err, syscall.ECONNRESET):
 		// The link works: the target is full.
 	case ctx.Err() == nil:
-		f.recordDialFailure(address, err)
+		l.recordDialFailure(address, err)
 	}
 	return conn, err
 }
 
 // recordDialFailure records that the link to address is lost if err, with which a
 // connection could not be opened, comes from the network.
-func (f *forwarder) recordDialFailure(address netip.AddrPort, err error) {
+func (l *Links) recordDialFailure(address netip.AddrPort, err error) {
 	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	silent := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) ||
 		errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
@@ -190,79 +199,79 @@
 	if silent = silent || errors.As(err, &timeout) && timeout.Timeout(); !refused && !silent {
 		return
 	}
-	wasLost := f.ways.lost(address)
-	f.ways.lose(address, refused, time.Now())
+	wasLost := l.Lost(address)
+	l.ways.lose(address, refused, time.Now())
 	if !wasLost {
-		f.metrics.Counter("links_lost").Add(1)
-		f.log.Info("link to target lost", "address", address.String(), "refused", refused, "cut_off", f.ways.cutOff(), "error", err)
+		l.metrics.Counter("links_lost").Add(1)
+		l.log.Info("link to target lost", "address", address.String(), "refused", refused, "cut_off", l.CutOff(), "error", err)
 	}
 }
 
-// checkLink opens a connection to a target whose link is lost, unless that was done a
+// Check opens a connection to a target whose link is lost, unless that was done a
 // short time ago, and does not wait for it. If the connection stays open, the link works
 // and the connection is kept for calls.
-func (f *forwarder) checkLink(address netip.AddrPort, now time.Time) {
-	if !f.ways.claimCheck(address, now) {
+func (l *Links) Check(address netip.AddrPort, now time.Time) {
+	if !l.ways.claimCheck(address, now) {
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(f.work, links.DialTimeout)
+		ctx, cancel := context.WithTimeout(l.work, DialTimeout)
 		defer cancel()
-		conn, err := f.pool.Dial(ctx, address)
+		conn, err := l.dial(ctx, address)
 		if err != nil {
-			f.recordDialFailure(address, err)
+			l.recordDialFailure(address, err)
 			return
 		}
-		f.settle(ctx, conn)
+		l.settle(ctx, conn)
 	}()
 }
 
 // settle puts a new connection into the pool if it stays open for settleTime, and records
 // that its link works.
-func (f *forwarder) settle(ctx context.Context, conn *links.Conn) {
+func (l *Links) settle(ctx context.Context, conn *Conn) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(settleTime):
 	}
-	if ctx.Err() != nil || !conn.Unused() {
-		f.pool.Discard(conn)
+	if ctx.Err() != nil || !conn.unused() {
+		l.Discard(conn)
 		return
 	}
 	now := time.Now()
-	f.ways.opened(conn.Address(), now)
-	f.metrics.Counter("links_restored").Add(1)
-	f.log.Info("link to target restored", "address", conn.Address().String())
-	conn.EndUnused(now)
-	for _, address := range f.ways.lostLinks() {
-		f.checkLink(address, now) // They may have been lost for the same reason.
+	l.ways.opened(conn.Address(), now)
+	l.metrics.Counter("links_restored").Add(1)
+	l.log.Info("link to target restored", "address", conn.Address().String())
+	conn.endUnused(now)
+	for _, address := range l.ways.lostLinks() {
+		l.Check(address, now) // They may have been lost for the same reason.
 	}
 }
 
-// linkLost reports whether an attempt on conn got no response because this host has lost
+// LostDuring reports whether an attempt on conn got no response because this host has lost
 // its link to the target, and not because of the target. A link that was not known to be lost
 // is tried, unless the call has ended or another connection was heard since it began.
-func (f *forwarder) linkLost(ctx context.Context, conn *links.Conn, a *attempt) bool {
+func (l *Links) LostDuring(ctx context.Context, conn *Conn, n Need) bool {
 	address := conn.Address()
-	if f.ways.lost(address) {
+	if l.Lost(address) {
 		return true
 	}
-	if ctx.Err() != nil || !f.ways.hasCarriers() || f.pool.HeardSince(address, conn.Began()) {
+	if ctx.Err() != nil || !l.ways.hasCarriers() || l.heardSince(address, conn.Began()) {
 		return false
 	}
-	another, err := f.dialLink(ctx, a, address)
+	another, err := l.dialLink(ctx, address, n)
 	if err != nil {
-		return f.ways.lost(address)
+		return l.Lost(address)
 	}
-	go f.settle(f.work, another)
+	go l.settle(l.work, another)
 	return false
 }
 
-// silentLinkLost reports whether conn is silent because this host has lost its link to
+// LostInSilence reports whether conn is silent because this host has lost its link to
 // the target. If conn leads to a carrier, the carrier is avoided.
-func (f *forwarder) silentLinkLost(conn *links.Conn, a *attempt, s engine.Send) bool {
-	if conn.Address() != s.Address {
-		f.ways.avoidCarrier(conn.Address(), time.Now())
+func (l *Links) LostInSilence(conn *Conn, target netip.AddrPort, n Need) bool {
+	if conn.Address() != target {
+		l.ways.avoidCarrier(conn.Address(), time.Now())
 		return false
 	}
-	return f.linkLost(f.work, conn, a)
+	return l.LostDuring(l.work, conn, n)
 }
