Move the calls that are suspected of crashing targets to io/signs

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and what a host has learnt from targets, in one package.

Change: recording, clearing and logging lost calls is signs.Suspects. The interface callSuspects names what a call needs of it. How a request is identified, and the exchange with other hosts, stay in io/entry.

Result: go test ./io/entry -run 'Crash|Block|Suspect|Lost|Ending|Gate|Check' passes.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -41,6 +41,7 @@
 		// accountCalls counts the calls of client accounts for the metrics.
 		accountCalls accountTally
 		crashes      *crash.Table // Calls that were at targets as these ended.
+		suspects     callSuspects // Those of crashes.
 		dialect      wire.Dialect
 		members      *membership
 		config       *configuration
@@ -117,9 +118,6 @@
 	h.links = links.New(cfg.SourceAddress, cfg.DataCentre, links.WithLogger(h.log), links.WithMetrics(h.metrics),
 		links.WithQueueDelay(func() time.Duration { return h.uploads.queueDelay() }))
 	h.forwarder = newForwarder(h.links, h.dialect, h.log, h.metrics)
-	h.forwarder.losses = signs.NewLosses(signs.LossChecks{
-		Ended: h.callsLost, Dial: h.links.Probe, Replaced: h.targetReplaced, Answered: h.forwarder.answeredSince,
-	})
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
@@ -137,6 +135,11 @@
 		h.crashes = crash.NewTable()
 	}
 	h.members.crashes = h.crashes
+	suspects := signs.NewSuspects(h.crashes, h.shareLostCalls, h.log, h.metrics)
+	h.suspects = suspects
+	h.forwarder.losses = signs.NewLosses(signs.LossChecks{
+		Ended: suspects.AddLost, Dial: h.links.Probe, Replaced: h.targetReplaced, Answered: h.forwarder.answeredSince,
+	})
 	h.metrics.Func("targets", func() any { return h.members.usable() })
 	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
--- a/io/entry/signs.go
+++ b/io/entry/signs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cardamomspool/core/crash"
 	"cardamomspool/core/member"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/signs"
@@ -31,9 +32,18 @@
 	lossObserver interface {
 		Observe(ctx context.Context, c signs.LostCall)
 	}
+
+	// callSuspects names what a call needs of signs.Suspects.
+	callSuspects interface {
+		Empty() bool
+		Knows(head uint64) bool
+		Blocked(id crash.ID, now time.Time) (until time.Time, blocked bool)
+		Clear(call string, id crash.ID)
+	}
 )
 
 var (
 	_ targetSigns  = (*signs.Signs)(nil)
 	_ lossObserver = (*signs.Losses)(nil)
+	_ callSuspects = (*signs.Suspects)(nil)
 )
--- a/io/entry/suspects.go
+++ b/io/entry/suspects.go
@@ -11,7 +11,6 @@
 	"cardamomspool/io/feed"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
-	"cardamomspool/io/signs"
 )
 
 const (
@@ -43,7 +42,7 @@
 // blockLeft returns how long the call is still blocked, since it has probably crashed
 // targets.
 func (h *Host) blockLeft(c *call, r *http.Request) (time.Duration, bool) {
-	if h.crashes.Empty() {
+	if h.suspects.Empty() {
 		return 0, false
 	}
 	id, known := c.identify(r)
@@ -51,14 +50,14 @@
 		return 0, false
 	}
 	now := time.Now()
-	until, blocked := h.crashes.Blocked(id, now)
+	until, blocked := h.suspects.Blocked(id, now)
 	return until.Sub(now), blocked
 }
 
 // awaitIdentity reads the beginning of the body of a new call if it may be a blocked one,
 // as blockLeft needs it. It returns the error of a body that could not be read.
 func (h *Host) awaitIdentity(w responseWriter, r *http.Request, c *call) error {
-	if c.body.complete() || h.crashes.Empty() || !h.crashes.Knows(requestHead(r)) {
+	if c.body.complete() || h.suspects.Empty() || !h.suspects.Knows(requestHead(r)) {
 		return nil
 	}
 	if err := w.controller.SetReadDeadline(c.deadline); err != nil {
@@ -77,36 +76,16 @@
 	return engine.Refuse{Call: c.id, Reason: reasonCrashesTargets, NotRun: true, RetryAfter: left}
 }
 
-// callsLost records that calls were at a target as that ended, and reports it to other
-// hosts.
-func (h *Host) callsLost(calls []signs.LostCall) {
-	reports, now := make([]crash.Report, 0, len(calls)), time.Now()
-	for _, c := range calls {
-		r := crash.Report{ID: c.ID, Target: crash.Target(c.Target.Service, c.Target.Target, c.Incarnation), At: now}
-		feed.MergeLostCalls(h.crashes, []crash.Report{r}, now, h.log)
-		reports = append(reports, r)
-		h.metrics.Counter("calls_lost_with_target").Add(1)
-		h.log.Info("call lost with its target", "call", c.Call, "service", c.Target.Service, "target", c.Target.Target,
-			"incarnation", c.Incarnation, "method", c.Method, "path", c.Path, "remote", c.Remote,
-			"content", crash.Name(c.ID.Content), "caller", crash.Name(c.ID.Caller), "targets", h.crashes.Targets(c.ID),
-			"sent_before_us", c.Lost.Sub(c.Sent).Microseconds())
-	}
-	h.shareLostCalls(reports)
-}
-
 // callAnswered clears a call that a target has answered, and tells other hosts so.
 func (h *Host) callAnswered(c *call, r *http.Request) {
-	if h.crashes.Empty() {
+	if h.suspects.Empty() {
 		return
 	}
 	id, known := c.identify(r)
 	if !known {
 		return
 	}
-	if cleared := h.crashes.Answered(nil, id); len(cleared) > 0 {
-		h.log.Info("call cleared", "call", c.name, "content", crash.Name(id.Content), "caller", crash.Name(id.Caller), "reports", len(cleared))
-		h.shareLostCalls(cleared)
-	}
+	h.suspects.Clear(c.name, id)
 }
 
 // shareLostCalls sends reports to the control hosts of a fleet, or to all listed entry
