Move the renewal of the list of carriers to io/links

Callers and operators see no difference.

Cause: io/entry holds the path of a call, and the code that reaches targets, in one package.

Change: Links.ListCarriers asks for the list of carriers, at the same times as before. The host passes the functions that ask control hosts and count the entry hosts.

Result: go test ./io/entry -run 'Carr|Listed' passes.

--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -20,10 +20,6 @@
 	maxCarriers = 4
 	// carryPatience is the time in which an attempt is offered to carriers.
 	carryPatience = 300 * time.Millisecond
-	// The list of carriers is renewed every carriersInterval, and when a link is lost,
-	// but not within minCarriersInterval of the last time.
-	carriersInterval    = 15 * time.Second
-	minCarriersInterval = time.Second
 )
 
 // carry makes an attempt through another entry host, and reports false when none has
@@ -121,25 +117,7 @@
 
 // listCarriers renews the list of carriers of a host of a fleet until ctx ends.
 func (f *fleet) listCarriers(ctx context.Context) {
-	for {
-		interval := carriersInterval
-		if list, err := f.follower.Entries(ctx); err == nil {
-			f.host.links.AddCarriers(list)
-			f.countEntryHosts(len(list) + 1)
-		} else {
-			interval = minCarriersInterval
-			f.host.log.Debug("entry hosts not listed", "error", err)
-		}
-		if !sleep(ctx, minCarriersInterval) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.host.links.Needed():
-		case <-time.After(interval - minCarriersInterval):
-		}
-	}
+	f.host.links.ListCarriers(ctx, f.follower.Entries, func(list []reach.Carrier) { f.countEntryHosts(len(list) + 1) })
 }
 
 // sleep waits for d and reports false when ctx has ended before.
--- a/io/links/ways.go
+++ b/io/links/ways.go
@@ -107,11 +107,6 @@
 	return way
 }
 
-// Needed returns a channel that is sent to when the list of carriers is to be renewed.
-func (w *ways) Needed() <-chan struct{} {
-	return w.needed
-}
-
 // AddCarriers adds the carriers of a new list, see reach.Carriers.Update.
 func (w *ways) AddCarriers(list []reach.Carrier) {
 	w.mu.Lock()
