--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/reach"
 	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/links"
 )
 
 const (
@@ -19,10 +20,6 @@
 	maxCarriers = 4
 	// carryPatience is the time in which an attempt is offered to carriers.
 	carryPatience = 300 * time.Millisecond
-	// The list of carriers is renewed every carriersInterval, and when a link is lost,
-	// but not within minCarriersInterval of the last time.
-	carriersInterval    = 15 * time.Second
-	minCarriersInterval = time.Second
 )
 
 // carry makes an attempt through another entry host, and reports false when none has
@@ -30,7 +27,7 @@
 // carrier that reaches other targets does not reach this one either.
 func (f *forwarder) carry(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) (engine.Result, bool) {
 	if a.carriedIn {
-		a.linkLost = f.ways.cutOff()
+		a.linkLost = f.links.CutOff()
 		return 0, false
 	}
 	defer func() { a.carrier = netip.AddrPort{} }()
@@ -38,7 +35,7 @@
 	confirmed := false
 	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && a.keyProblem == nil && a.body.replayable(); {
 		var ok bool
-		if a.carrier, ok = f.ways.beginCarry(s.Address, tried, time.Now()); !ok {
+		if a.carrier, ok = f.links.BeginCarry(s.Address, tried, time.Now()); !ok {
 			break
 		}
 		tried = append(tried, a.carrier)
@@ -57,17 +54,12 @@
 // carrier has not sent the call to the target.
 func (f *forwarder) attemptThroughCarrier(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) (engine.Result, bool) {
 	carriage := reach.NotTaken
-	defer func() { f.ways.endCarry(a.carrier, s.Address, carriage, time.Now()) }()
+	defer func() { f.links.EndCarry(a.carrier, s.Address, carriage, time.Now()) }()
 	a.carryOutcome, a.targetAnswered = "", false
-	conn := f.pool.reuse(a.carrier, trustedSince(a.class.Idempotent, time.Now()))
-	if conn == nil {
-		dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
-		defer cancel()
-		var err error
-		if conn, err = f.pool.dial(dialCtx, a.carrier); err != nil {
-			f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
-			return 0, false
-		}
+	conn, err := f.links.ConnectCarrier(ctx, a.carrier, a.class.Idempotent)
+	if err != nil {
+		f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
+		return 0, false
 	}
 	result := f.exchange(ctx, w, r, a, s, conn)
 	switch {
@@ -85,7 +77,7 @@
 
 // endCarried ends an attempt for which the carrier has no answer of the target, and sets
 // a.feedback.
-func (f *forwarder) endCarried(r *http.Request, conn *targetConn, resp *http.Response, a *attempt) engine.Result {
+func (f *forwarder) endCarried(r *http.Request, conn *links.Conn, resp *http.Response, a *attempt) engine.Result {
 	f.discardResponse(conn, resp)
 	result := engine.NotRun
 	if a.carryOutcome == wire.CarryUnknown {
@@ -125,26 +117,7 @@
 
 // listCarriers renews the list of carriers of a host of a fleet until ctx ends.
 func (f *fleet) listCarriers(ctx context.Context) {
-	ways := f.host.forwarder.ways
-	for {
-		interval := carriersInterval
-		if list, err := f.follower.Entries(ctx); err == nil {
-			ways.addCarriers(list)
-			f.countEntryHosts(len(list) + 1)
-		} else {
-			interval = minCarriersInterval
-			f.host.log.Debug("entry hosts not listed", "error", err)
-		}
-		if !sleep(ctx, minCarriersInterval) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ways.needed:
-		case <-time.After(interval - minCarriersInterval):
-		}
-	}
+	f.host.links.ListCarriers(ctx, f.follower.Entries, func(list []reach.Carrier) { f.countEntryHosts(len(list) + 1) })
 }
 
 // sleep waits for d and reports false when ctx has ended before.
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -20,18 +20,17 @@
 	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
-	"cardamomspool/io/setup"
+	"cardamomspool/io/links"
 	"cardamomspool/io/telem"
 )
 
 type (
 	// forwarder sends calls to targets and streams their responses back.
 	forwarder struct {
-		pool     *pool
+		links    callLinks
 		dialect  wire.Dialect
 		activity *activityTracker
-		ways     *ways
-		losses   lossWatcher
+		losses   lossObserver
 		log      *slog.Logger
 		metrics  *telem.Registry
 		work     context.Context // Ends the checks of links.
@@ -87,9 +86,9 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// newForwarder returns a forwarder of the host with the settings cfg.
-func newForwarder(cfg *setup.Entry, dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
-	return &forwarder{pool: newPool(cfg.SourceAddress, metrics), dialect: dialect, ways: newWays(cfg.DataCentre), log: log, metrics: metrics, work: context.Background()}
+// newForwarder returns a forwarder that reaches targets over l.
+func newForwarder(l callLinks, dialect wire.Dialect, log *slog.Logger, metrics *telem.Registry) *forwarder {
+	return &forwarder{links: l, dialect: dialect, log: log, metrics: metrics, work: context.Background()}
 }
 
 // attempt sends the call to one target, over this host's own link or through a carrier,
@@ -98,8 +97,8 @@
 // it did not run the call.
 func (f *forwarder) attempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send) engine.Result {
 	a.linkLost, a.keyProblem = false, nil
-	a.resetsWhenFull = a.host.resets.learnt(a.service.doc.Name, time.Now())
-	conn, err := f.connect(ctx, a, s.Address)
+	a.resetsWhenFull = a.host.signs.ResetsWhenFull(a.service.doc.Name, time.Now())
+	conn, err := f.links.Connect(ctx, s.Address, a.need())
 	if err == nil {
 		return f.exchange(ctx, w, r, a, s, conn)
 	}
@@ -125,16 +124,16 @@
 
 // exchange sends the call on conn, a connection to the target or to a carrier, as attempt
 // does.
-func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *targetConn) engine.Result {
+func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *links.Conn) engine.Result {
 	a.carryOutcome, a.targetAnswered = "", false
 	if a.keyProblem = a.host.checkKey(a.call, r); a.keyProblem != nil { // The connection may have taken long.
-		f.pool.discard(conn)
+		f.links.Discard(conn)
 		return engine.NotRun
 	}
-	f.pool.trim(conn.address, a.maxConnections)
+	f.links.Trim(conn.Address(), a.maxConnections)
 	view := a.body.newView()
 	defer view.release()
-	conn.setOnLost(view.abort)
+	conn.SetOnLost(view.abort)
 	var (
 		req        *http.Request
 		resp       *http.Response
@@ -149,12 +148,12 @@
 	}
 	stopWatch := f.watchSilence(conn, a, s)
 	defer stopWatch()
-	resp, err = conn.client.RoundTrip(req)
+	resp, err = conn.RoundTrip(req)
 	hints.end()
 	if err == nil {
 		outcome := wire.TakeCarryOutcome(resp.Header)
-		if conn.address == s.Address {
-			f.ways.heard(s.Address, time.Now())
+		if conn.Address() == s.Address {
+			f.links.Heard(s.Address, time.Now())
 		} else if a.carryOutcome = outcome; outcome != "" {
 			return f.endCarried(r, conn, resp, a)
 		}
@@ -181,7 +180,7 @@
 		return f.endWithdrawn(conn, a)
 	}
 	if err != nil {
-		f.pool.discard(conn)
+		f.links.Discard(conn)
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
 		f.log.Warn("answer cut short", "call", a.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
 		if r.Context().Err() == nil && !errors.As(err, new(callerError)) {
@@ -190,27 +189,27 @@
 		f.observeLoss(r, a, s, conn)
 		return result
 	}
-	conn.endResponse()
+	conn.EndResponse()
 	return result
 }
 
 // failAttempt closes the connection of an attempt that got no response, and sets
 // a.feedback. It returns Unknown if a byte of the request may have reached the target,
 // else NotRun.
-func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *targetConn, a *attempt, s engine.Send, err error) engine.Result {
-	if a.withdrawn() && !conn.wasClosedByTarget() {
+func (f *forwarder) failAttempt(ctx context.Context, r *http.Request, conn *links.Conn, a *attempt, s engine.Send, err error) engine.Result {
+	if a.withdrawn() && !conn.WasClosedByTarget() {
 		return f.endWithdrawn(conn, a)
 	}
 	result := engine.NotRun
-	if f.pool.discard(conn) {
+	if f.links.Discard(conn) {
 		result = engine.Unknown
 	}
-	reset := conn.address == s.Address && conn.wasReset()
+	reset := conn.Address() == s.Address && conn.WasReset()
 	switch {
 	case reset && a.resetsWhenFull:
 		// The link works: the target is probably full.
-	case conn.address == s.Address:
-		a.linkLost = f.linkLost(ctx, conn, a)
+	case conn.Address() == s.Address:
+		a.linkLost = f.links.LostDuring(ctx, conn, a.need())
 	default:
 		a.linkLost = ctx.Err() == nil // The connection to the carrier has failed.
 	}
@@ -219,7 +218,7 @@
 		f.metrics.Counter("connections_reset").Add(1)
 		attrs = []any{"reset", true}
 	}
-	f.log.With(attrs...).Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.fresh,
+	f.log.With(attrs...).Info("attempt failed", "call", a.name, "target", s.Target, "fresh_connection", conn.Fresh(),
 		"may_have_run", result == engine.Unknown, "carrier", carrierName(a.carrier), "link_lost", a.linkLost, "error", err)
 	if !reset || !a.resetsWhenFull {
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
@@ -234,33 +233,33 @@
 // discardResponse reads a target's refusal, which is not passed to the caller, so
 // that the connection can be reused. If the refusal has maxRefusalBytes or more or
 // is cut short, it closes the connection instead.
-func (f *forwarder) discardResponse(conn *targetConn, resp *http.Response) {
+func (f *forwarder) discardResponse(conn *links.Conn, resp *http.Response) {
 	if n, err := io.CopyN(io.Discard, resp.Body, maxRefusalBytes); n == maxRefusalBytes || !errors.Is(err, io.EOF) {
-		f.pool.discard(conn)
+		f.links.Discard(conn)
 		return
 	}
 	resp.Body.Close()
-	conn.endResponse()
+	conn.EndResponse()
 }
 
 // watchSilence acts when a target sends no response byte on conn, a reused
 // connection, for the silence timeout of the call. It then closes the idle
 // connections to that target that have received nothing since the last progress on
 // conn, because a device on the path may have dropped them all. If the call is
-// idempotent, conn had received nothing for more than maxTrustedSilence before the
+// idempotent, conn had received nothing for more than links.MaxTrustedSilence before the
 // request or the link to the target is lost, and the host is not stopping, it also
 // abandons conn, that is, seals it.
 // Otherwise the call keeps waiting, because its target may just be slow. The
 // returned function ends the watch.
-func (f *forwarder) watchSilence(conn *targetConn, a *attempt, s engine.Send) func() {
-	if conn.fresh {
+func (f *forwarder) watchSilence(conn *links.Conn, a *attempt, s engine.Send) func() {
+	if conn.Fresh() {
 		return func() {}
 	}
-	stale := conn.lastReadBefore(conn.requestStart.Add(-maxTrustedSilence))
+	stale := conn.LastReadBefore(conn.Began().Add(-links.MaxTrustedSilence))
 	timeout, carrier := silenceTimeoutFor(a.class), carrierName(a.carrier)
 	var timer *time.Timer
 	timer = time.AfterFunc(timeout, func() {
-		since, silent := conn.lastProgress()
+		since, silent := conn.LastProgress()
 		if !silent {
 			return
 		}
@@ -268,9 +267,9 @@
 			timer.Reset(wait)
 			return
 		}
-		n := f.pool.retire(conn.address, since)
-		lost := f.silentLinkLost(conn, a, s)
-		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.sealIfSilent()
+		n := f.links.Retire(conn.Address(), since)
+		lost := f.links.LostInSilence(conn, s.Address, a.need())
+		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.SealIfSilent()
 		f.metrics.Counter("connections_silent").Add(1)
 		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "abandoned", abandoned,
 			"carrier", carrier, "link_lost", lost)
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -19,9 +19,11 @@
 	"cardamomspool/core/wire"
 	"cardamomspool/io/admin"
 	"cardamomspool/io/drain"
+	"cardamomspool/io/links"
 	"cardamomspool/io/peer"
 	"cardamomspool/io/peer/peerpb"
 	"cardamomspool/io/setup"
+	"cardamomspool/io/signs"
 	"cardamomspool/io/telem"
 )
 
@@ -33,14 +35,13 @@
 		metrics   *telem.Registry
 		system    *actor.ActorSystem
 		forwarder *forwarder
+		links     *links.Links // Those of forwarder.
 		uploads   *uploadBacklog
-		limits    limitTracker
-		rests     restTracker
-		resets    resetTracker
-		leavers   leaverTracker
+		signs     targetSigns
 		// accountCalls counts the calls of client accounts for the metrics.
 		accountCalls accountTally
 		crashes      *crash.Table // Calls that were at targets as these ended.
+		suspects     callSuspects // Those of crashes.
 		dialect      wire.Dialect
 		members      *membership
 		config       *configuration
@@ -108,14 +109,15 @@
 
 // New returns a host with configuration cfg, which must be valid.
 func New(cfg setup.Entry, opts ...Option) *Host {
-	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), dialect: wire.Spool()}
+	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), dialect: wire.Spool(), signs: new(signs.Signs)}
 	for _, opt := range opts {
 		opt(h)
 	}
 	log := h.log
 	h.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return log }))
-	h.forwarder = newForwarder(&h.cfg, h.dialect, h.log, h.metrics)
-	h.forwarder.losses = lossWatcher{ended: h.callsLost, dial: h.forwarder.dialOnce, replaced: h.targetReplaced, answered: h.forwarder.answeredSince}
+	h.links = links.New(cfg.SourceAddress, cfg.DataCentre, links.WithLogger(h.log), links.WithMetrics(h.metrics),
+		links.WithQueueDelay(func() time.Duration { return h.uploads.queueDelay() }))
+	h.forwarder = newForwarder(h.links, h.dialect, h.log, h.metrics)
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
@@ -133,10 +135,15 @@
 		h.crashes = crash.NewTable()
 	}
 	h.members.crashes = h.crashes
+	suspects := signs.NewSuspects(h.crashes, h.shareLostCalls, h.log, h.metrics)
+	h.suspects = suspects
+	h.forwarder.losses = signs.NewLosses(signs.LossChecks{
+		Ended: suspects.AddLost, Dial: h.links.Probe, Replaced: h.targetReplaced, Answered: h.forwarder.answeredSince,
+	})
 	h.metrics.Func("targets", func() any { return h.members.usable() })
 	h.metrics.Func("documents", func() any { return h.config.status() })
 	h.metrics.Func("calls_open", func() any { return h.openCalls.Load() })
-	h.metrics.Func("connections_open", func() any { return h.forwarder.pool.openCount() })
+	h.metrics.Func("connections_open", func() any { return h.links.OpenCount() })
 	h.metrics.Func("requests_unanswered", func() any { return h.unanswered.Load() })
 	h.metrics.Func("calls_by_account", h.accountCalls.counts)
 	h.metrics.Func("services", func() any { return len(h.services.Load().byName) })
@@ -163,6 +170,7 @@
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	h.forwarder.work = work
+	h.links.SetWork(work)
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer stopWork()
@@ -187,8 +195,8 @@
 		background.Go(func() { h.members.run(work) })
 		background.Go(func() { h.runLostCalls(work) })
 	}
-	h.forwarder.ways.addCarriers(h.listedCarriers())
-	go h.forwarder.pool.reap(work)
+	h.links.AddCarriers(h.listedCarriers())
+	go h.links.Reap(work)
 	if h.keyPair != nil {
 		go h.keyPair.watchFiles(work, keyPairCheckInterval, h.log)
 	}
--- a/io/feed/accounts.go
+++ b/io/feed/accounts.go
@@ -61,9 +61,7 @@
 	if !s.accounts.setLimited(names) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.notify()
+	s.waker.notify()
 }
 
 // setLimited stores names and reports whether they have changed.
--- a/io/feed/lost.go
+++ b/io/feed/lost.go
@@ -44,9 +44,7 @@
 	if !MergeLostCalls(s.crashes, reports, now, s.log) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.notifyUrgent()
+	s.waker.notifyUrgent()
 }
 
 // LostCalls merges the reports of an entry host, which are streamed to all followers.
