Count late calls by cause from the logs: ctl late

Operators saw that a share of the calls was not answered in time, for instance after a power loss, and could only look at calls one by one with ctl explain. No line told when a call was answered, nor what its aim and class were.

Lines may have text before the first brace.

Entry hosts log "answered late", subject to decision_log_one_in, for an answer after the aim, with the time of each phase of the call; "given up" has the same fields. A line of its own was needed: an answered call had no line at its end. "routed", "refused" and "given up" name rank and aim, and "answer cut short" says if the caller left. Answers and messages between hosts are the same.

What the lines do not tell: time that a short body waits in the kernel on a narrow link is that of the target; a decision and the transfer of its messages are one time; whether a target was known to be slow is taken from late answers and failures in the logs, not from what the deciding host had learnt by probes; calls without an end line whose host was lost before their aim had passed are counted as unknown.

--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -46,7 +46,7 @@
 		// Flags of history and apply.
 		revision uint64
 		dryRun   bool
-		// Arguments and flags of explain and timeline.
+		// Arguments and flags of explain, timeline and late.
 		call    string
 		subject string
 		value   string
@@ -90,6 +90,7 @@
 		ctlAccountsCommand(o),
 		ctlExplainCommand(o),
 		ctlTimelineCommand(o),
+		ctlLateCommand(o),
 		ctlCheckCommand(),
 	}
 	for _, c := range commands {
--- a/cmd/cardamomspool/explain.go
+++ b/cmd/cardamomspool/explain.go
@@ -33,6 +33,49 @@
 	return &command{parser: sub, run: func(context.Context, *options) error { return timeline(o) }}
 }
 
+// ctlLateCommand returns the late subcommand, which reads log files and contacts no control
+// host.
+func ctlLateCommand(o *ctlOptions) *command {
+	sub := flaggy.NewSubcommand("late")
+	sub.Description = "count the calls within their aim in log files, and the causes of the others, by window of 2 s and class"
+	sub.AddPositionalValue(&o.file, "file", 1, false, "log files, any number; standard input without one")
+	sub.Bool(&o.json, "j", "json", "print JSON")
+	return &command{parser: sub, run: func(context.Context, *options) error { return printLate(o) }}
+}
+
+// acceptFiles lets the parser accept any number of arguments if those of the process are of
+// the late subcommand. Arguments after the first one are in flaggy.TrailingArguments then.
+// The parser would also accept unknown flags, so that it is left as it is beside those.
+func acceptFiles(args []string) {
+	if len(args) < 3 || args[1] != "ctl" || args[2] != "late" {
+		return
+	}
+	for _, arg := range args[3:] {
+		if strings.HasPrefix(arg, "-") && arg != "-j" && arg != "--json" {
+			return
+		}
+	}
+	flaggy.ShowHelpOnUnexpectedDisable()
+}
+
+// printLate prints the causes of late calls in the files that the arguments name.
+func printLate(o *ctlOptions) error {
+	files := flaggy.TrailingArguments
+	if o.file != "" {
+		files = append([]string{o.file}, files...)
+	}
+	return readLogs(strings.Join(files, ","), func(readers ...io.Reader) error {
+		report, err := logs.Late(readers...)
+		if err != nil {
+			return err
+		}
+		if o.json {
+			return printJSON(os.Stdout, report)
+		}
+		return report.WriteText(os.Stdout)
+	})
+}
+
 // explain prints the log lines of the call that the flags name.
 func explain(o *ctlOptions) error {
 	return readLogs(o.logs, func(readers ...io.Reader) error { return logs.Explain(os.Stdout, o.call, readers...) })
--- a/cmd/cardamomspool/main.go
+++ b/cmd/cardamomspool/main.go
@@ -96,6 +96,7 @@
 		localCommand(o),
 		referenceCommand(),
 	}, ctlCommands(&o.ctl)...)
+	acceptFiles(os.Args)
 	flaggy.Parse()
 	for _, c := range commands {
 		if c.parser.Used {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -22,6 +22,9 @@
 	keyProblem     *problem          // Why it was not sent: the key is not accepted any more; nil for none.
 	failure        *heldAnswer       // The answer with which the target says that it failed, not passed on; nil for none.
 	hints          *earlyHints       // The informational responses of the target.
+	target         string            // The name of the target.
+	marks          marks             // How far the attempt has come.
+	status         int               // The status of the target's answer; 0 for none.
 	racer          *racer            // Its part in a race; nil for an attempt that runs alone.
 }
 
@@ -29,7 +32,7 @@
 // the decision allows more than one at a time, so that reports without second attempts
 // stay as they are.
 func newAttempt(c *call, s engine.Send) *attempt {
-	a := &attempt{call: c, extra: s.Extra}
+	a := &attempt{call: c, extra: s.Extra, target: s.Target}
 	if s.Extra || s.ExtraAfter > 0 {
 		a.number = s.Attempt
 	}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -43,6 +43,7 @@
 	quota             quotaCount         // Where the call counts against its account's quota.
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 	admission         admission          // By what the call was admitted.
+	timing            timing             // Where its time went.
 }
 
 const (
@@ -75,6 +76,7 @@
 		return
 	}
 	w, c := a.w, a.call
+	c.timing.enter(phaseDecision, time.Now())
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if h.fleet == nil {
@@ -160,6 +162,7 @@
 	}
 	c.name = h.callName(callInfo, c.id)
 	c.deadline = c.arrived.Add(c.class.Deadline)
+	c.timing = newTiming(0, c.arrived)
 	return c
 }
 
@@ -278,6 +281,8 @@
 	c.recordAdmission(action)
 	h.noteResets(c, action)
 	switch action := action.(type) {
+	case engine.Hold:
+		c.timing.enter(phaseHeld, time.Now())
 	case engine.Send:
 		if ctx.Err() != nil {
 			h.abandonCall(w, r, c)
@@ -300,6 +305,7 @@
 		}
 		c.attempted = true
 		start := time.Now()
+		c.timing.beginAttempt(start)
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
 		if action.Extra {
 			h.metrics.Counter("extra_attempts").Add(1) // The attempt beside which it was decided has ended.
@@ -385,8 +391,11 @@
 // result it panics, as abortResponse does.
 func (h *Host) finishAttempt(ctx context.Context, w responseWriter, r *http.Request, a *attempt, result engine.Result) bool {
 	c := a.call
-	if result != engine.NotSent {
+	if result == engine.NotSent {
+		c.timing.enter(phaseDecision, time.Now())
+	} else {
 		c.linkLost = a.linkLost
+		c.timing.endAttempt(a.marks, time.Now())
 	}
 	if a.failure != nil {
 		c.held = a.failure
@@ -411,6 +420,7 @@
 			h.metrics.Counter("extra_attempts_won").Add(1)
 		}
 		h.metrics.Counter("calls_answered").Add(1)
+		h.logAnswered(a)
 		return true
 	case engine.Broken:
 		h.metrics.Counter("calls_cut_short").Add(1)
@@ -473,7 +483,7 @@
 		h.metrics.Counter("calls_given_up").Add(1)
 	}
 	if h.sampled() {
-		h.log.Info("given up", "call", c.name, "service", c.service.doc.Name, "reason", reason,
+		h.log.With(c.classAttrs()...).With(c.timing.attrs(time.Now())...).Info("given up", "call", c.name, "service", c.service.doc.Name, "reason", reason,
 			"not_run", !c.mayHaveRun, "after", time.Since(c.arrived).String())
 	}
 	if h.passHeld(w, c) {
@@ -525,7 +535,8 @@
 	h.log.With(attrs...).Info("routed", "call", c.name, "service", c.service.doc.Name, "target", s.Target, "attempt", s.Attempt,
 		"candidates", s.Candidates, "decided_by", c.decidedBy(), "why", string(s.Why),
 		"in_flight", s.InFlight, "report_age_us", s.ReportAge.Microseconds(), "held_us", s.HeldFor.Microseconds(),
-		"decided_after_us", time.Since(c.decisionRequested).Microseconds(), "asked_after_us", c.decisionRequested.Sub(c.arrived).Microseconds(), "body_bytes", c.bodyBytes)
+		"decided_after_us", time.Since(c.decisionRequested).Microseconds(), "asked_after_us", c.decisionRequested.Sub(c.arrived).Microseconds(), "body_bytes", c.bodyBytes,
+		"rank", c.class.RouteRank, "aim", c.aim().String())
 }
 
 // logRefuse logs a decision to refuse, if it is sampled.
@@ -533,7 +544,7 @@
 	if !h.sampled() {
 		return
 	}
-	h.log.Info("refused", "call", c.name, "service", c.service.doc.Name, "reason", string(r.Reason),
+	h.log.With(c.classAttrs()...).Info("refused", "call", c.name, "service", c.service.doc.Name, "reason", string(r.Reason),
 		"decided_by", c.decidedBy(), "attempted", c.attempted, "not_run", r.NotRun && !c.mayHaveRun,
 		"retry_after", r.RetryAfter.String(), "after", time.Since(c.arrived).String())
 }
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -291,6 +291,16 @@
 	return c.requestStart
 }
 
+// writtenAt returns when a byte of the current request was last written; zero for not yet.
+func (c *targetConn) writtenAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastWrite.Before(c.requestStart) {
+		return time.Time{}
+	}
+	return c.lastWrite
+}
+
 // lastReadBefore reports whether no byte was received at or after t.
 func (c *targetConn) lastReadBefore(t time.Time) bool {
 	c.mu.Lock()
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -127,6 +127,7 @@
 // does.
 func (f *forwarder) exchange(ctx context.Context, w responseWriter, r *http.Request, a *attempt, s engine.Send, conn *targetConn) engine.Result {
 	a.carryOutcome, a.targetAnswered = "", false
+	a.marks.connected = time.Now()
 	if a.keyProblem = a.host.checkKey(a.call, r); a.keyProblem != nil { // The connection may have taken long.
 		f.pool.discard(conn)
 		return engine.NotRun
@@ -150,6 +151,7 @@
 	stopWatch := f.watchSilence(conn, a, s)
 	defer stopWatch()
 	resp, err = conn.client.RoundTrip(req)
+	a.marks.written = conn.writtenAt()
 	hints.end()
 	if err == nil {
 		outcome := wire.TakeCarryOutcome(resp.Header)
@@ -164,7 +166,7 @@
 	if err != nil {
 		return f.failAttempt(ctx, r, conn, a, s, err)
 	}
-	a.targetAnswered = true
+	a.targetAnswered, a.status, a.marks.answered = true, resp.StatusCode, time.Now()
 	a.noteAnswer()
 	f.activity.recordResponse(a.service.doc.Name, s.Target, targetInfo)
 	a.host.observeLeaving(a.call, s, targetInfo)
@@ -183,8 +185,10 @@
 	if err != nil {
 		f.pool.discard(conn)
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
-		f.log.Warn("answer cut short", "call", a.name, "target", s.Target, "passed_on", result == engine.Broken, "error", err)
-		if r.Context().Err() == nil && !errors.As(err, new(callerError)) {
+		callerLeft := r.Context().Err() != nil || errors.As(err, new(callerError))
+		f.log.Warn("answer cut short", "call", a.name, "target", s.Target, "passed_on", result == engine.Broken,
+			"caller_left", callerLeft, "error", err)
+		if !callerLeft {
 			a.feedback.Outcome = route.Failed
 		}
 		f.observeLoss(r, a, s, conn)
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -21,6 +21,7 @@
 	// route that of the request, nil outside a fleet.
 	plan    *activePlan
 	route   *plan.Route
+	waited  time.Duration // How long it waited for the plan and the key lease.
 	public  bool          // The route or the service needs no key.
 	account *keys.Account // The client account that makes the call; nil for none.
 	service *service
@@ -86,6 +87,7 @@
 // deductWait subtracts the time that the request was kept waiting from the time that the
 // caller gives.
 func (a *arrival) deductWait(waited time.Duration) {
+	a.waited += waited
 	if a.info.Timeout > 0 {
 		a.info.Timeout = max(a.info.Timeout-waited, time.Millisecond)
 	}
@@ -146,6 +148,7 @@
 	c := h.newCall(a.w, a.r, a.service, a.class, a.info)
 	c.admission.plan, c.admission.route, c.admission.account = a.plan, a.route, a.account
 	c.body.filterTrailer(c, a.r)
+	c.timing = newTiming(a.waited, c.arrived)
 	a.call, a.w.body = c, c.body
 	a.endUpload = h.uploads.addUpload(c.bodyBytes)
 	h.metrics.Counter("calls").Add(1)
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -112,6 +112,7 @@
 // start begins an attempt in a race. It returns false if another attempt has won.
 func (h *Host) start(ctx context.Context, w responseWriter, r *http.Request, rc *race, a *attempt, s engine.Send) bool {
 	ctx, cancel := context.WithCancel(ctx)
+	a.marks.begun = time.Now()
 	a.racer = &racer{race: rc, send: s, begin: time.Now(), cancel: cancel}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
