Give second attempts first to calls that would miss their aim

Operators who set fleet.extra_attempts saw the slowest answers get faster, but as many late calls as before. Cause: a call got one when it had run longer than 95 in 100 of its class or its target had turned slow, whether or not it could still be in time, and the first to ask used the limit up.

hedge.Latencies now estimates the probability that an attempt which has run for some time misses the aim. A call for which it is 0.15 or more and for which a second attempt would still be in time may use the whole limit; one whose answer only gets faster may use half of it. The time that the decision names for the first question is shifted by less than half, and only where such calls are likely, so that a question comes at the last useful moment.

--- a/core/engine/extra.go
+++ b/core/engine/extra.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -66,6 +67,21 @@
 // attempts, so that they take no slots that first attempts need.
 const minFreeShare = 0.25
 
+const (
+	// likelyMissed is the probability of missing the aim from which a call gets a second
+	// attempt for its aim. With 0.25 and more, the replay of
+	// TestSecondAttemptsSaveLateCalls leaves a part of a limit of 0.1 unused, and with 0.5
+	// few calls are saved.
+	likelyMissed = 0.15
+	// fasterPart is the part of the limit that second attempts may use which make an answer
+	// faster and do not decide whether it is within the aim. The rest is left for those that
+	// do.
+	fasterPart = 0.5
+	// ExtraAskDivisor says when an entry host asks again: when the first attempt has taken
+	// longer by this part of its time.
+	ExtraAskDivisor = 2
+)
+
 var (
 	_ Event  = LimitExtras{}
 	_ Action = ExtraRefused{}
@@ -99,9 +115,27 @@
 	if !ok || now.Add(2*after).After(c.deadline) {
 		return 0
 	}
+	if c.class.Aim > 0 && !c.class.Late {
+		last := c.arrived.Add(c.class.Aim).Sub(now) - after
+		if s.extras.latencies.Missing(extraClass(c), last) >= likelyMissed {
+			after = firstAsk(after, last)
+		}
+	}
 	return max(after, time.Millisecond) // The unit in which it is sent.
 }
 
+// firstAsk returns the first time, at least usual, from which the entry host asks such that
+// one of its questions comes at the time last: the last one at which a second attempt of
+// usual latency is still within the aim.
+func firstAsk(usual, last time.Duration) time.Duration {
+	if last < usual || usual <= 0 {
+		return usual
+	}
+	const ratio = 1 + 1.0/ExtraAskDivisor
+	questions := math.Floor(math.Log(float64(last)/float64(usual)) / math.Log(ratio))
+	return time.Duration(float64(last) / math.Pow(ratio, questions))
+}
+
 // extraClass returns the class by which the latencies of a call are kept, see latencies.
 func extraClass(c *call) int {
 	if c.class.Aim <= 0 {
@@ -138,6 +172,7 @@
 	var none route.Pick
 	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: append([]string{c.target}, c.tried...), Now: now, DataCentre: c.dataCentre, Host: c.host}
 	free, slots := s.targets.FreeSlots(q)
+	part := s.extraWorth(c, now)
 	switch {
 	case c.target == "" || c.second.target != "":
 		return none, ExtraNotInProgress
@@ -145,13 +180,13 @@
 		return none, ExtraNotIdempotent
 	case c.attempts >= s.attemptLimit(c):
 		return none, ExtraAttempts
-	case !s.extraWorthwhile(c, now):
+	case part == 0:
 		return none, ExtraNotWorthwhile
 	case s.queue.Len() > 0 || float64(free) < minFreeShare*float64(slots):
 		return none, ExtraShortage
 	case !s.hasRetry(now):
 		return none, ExtraRetryBudget
-	case !s.extras.budget.HasRoom(now):
+	case !s.extras.budget.HasRoomIn(part, now):
 		return none, ExtraLimit
 	}
 	pick, ok := s.chooseElsewhere(q)
@@ -181,16 +216,53 @@
 	return pick, ok && pick.Why != route.WhyAllFailing && pick.Why != route.WhyCrowded
 }
 
-// extraWorthwhile reports whether a second attempt of a call probably ends before the one in
-// progress, and before the deadline: the target has turned slow by its reports since, or is
-// silent, or the call has taken longer than most of its class.
-func (s *Scheduler) extraWorthwhile(c *call, now time.Time) bool {
-	usual, _ := s.extras.latencies.Usual(extraClass(c))
-	late, ok := s.extras.latencies.Late(extraClass(c))
+// extraWorth returns the part of the limit of second attempts that one for a call may use; 0
+// if it is not worthwhile. One that would probably be answered within the aim, which the
+// attempt in progress is likely to miss, may use the whole limit. One that would probably
+// end before the attempt in progress and before the deadline may use fasterPart: the target
+// has turned slow by its reports since, or is silent, or the call has taken longer than most
+// of its class.
+func (s *Scheduler) extraWorth(c *call, now time.Time) float64 {
+	class, elapsed := extraClass(c), now.Sub(c.sent)
+	usual, _ := s.extras.latencies.Usual(class)
+	late, ok := s.extras.latencies.Late(class)
 	if !ok || now.Add(usual).After(c.deadline) {
-		return false
+		return 0
+	}
+	silent := s.targets.IsSilent(c.target, now)
+	inTime := c.class.Aim > 0 && !c.class.Late && !now.Add(usual).After(c.arrived.Add(c.class.Aim))
+	switch {
+	case c.class.Aim <= 0 && (elapsed >= late || silent || s.targets.IsSlow(c.target, c.sent, now)):
+		return 1 // There is no aim for which a part of the limit is left.
+	case inTime && (silent || s.extras.latencies.Missing(class, elapsed) >= likelyMissed):
+		return 1
+	case elapsed >= late || silent || s.targets.IsSlow(c.target, c.sent, now):
+		return fasterPart
+	default:
+		return 0
+	}
+}
+
+// observeExtra records the latency of an attempt that a target has answered, for second
+// attempts.
+func (s *Scheduler) observeExtra(c *call, elapsed time.Duration) {
+	s.extras.latencies.Observe(extraClass(c), elapsed)
+	missed := 0.0
+	if elapsed > c.class.Aim {
+		missed = 1
+	}
+	s.extras.latencies.CountAim(extraClass(c), missed)
+}
+
+// observeCancelled records that an attempt was cancelled after the time elapsed.
+func (s *Scheduler) observeCancelled(c *call, elapsed time.Duration) {
+	class := extraClass(c)
+	s.extras.latencies.ObserveAtLeast(class, elapsed)
+	missed := s.extras.latencies.Missing(class, elapsed)
+	if elapsed > c.class.Aim {
+		missed = 1
 	}
-	return now.Sub(c.sent) >= late || s.targets.IsSlow(c.target, c.sent, now) || s.targets.IsSilent(c.target, now)
+	s.extras.latencies.CountAim(class, missed)
 }
 
 // hasRetry reports whether the retry budget or the retry credit has room at now.
@@ -285,7 +357,7 @@
 	if e.Result == Withdrawn {
 		s.targets.Finish(f.target, route.Feedback{}, elapsed, now)
 		s.targets.Abandon(f.target, now)
-		s.extras.latencies.ObserveAtLeast(extraClass(c), elapsed)
+		s.observeCancelled(c, elapsed)
 		return
 	}
 	if e.Feedback.Reset && s.targets.ObserveReset(f.target, s.doc.Targets.Slots, e.Result == Unknown, now) {
@@ -297,6 +369,6 @@
 	}
 	if e.Result == Answered && e.Feedback.Outcome == route.Served {
 		s.latencies.observe(c.class.Aim, elapsed)
-		s.extras.latencies.Observe(extraClass(c), elapsed)
+		s.observeExtra(c, elapsed)
 	}
 }
--- a/core/hedge/budget.go
+++ b/core/hedge/budget.go
@@ -29,7 +29,11 @@
 }
 
 // HasRoom reports whether the budget allows an extra attempt at now.
-func (b *Budget) HasRoom(now time.Time) bool {
+func (b *Budget) HasRoom(now time.Time) bool { return b.HasRoomIn(1, now) }
+
+// HasRoomIn reports whether the part of the budget, from 0 to 1, allows an extra attempt at
+// now. All extra attempts in the window count against the part.
+func (b *Budget) HasRoomIn(part float64, now time.Time) bool {
 	if b.Window <= 0 || b.Share <= 0 {
 		return false
 	}
@@ -41,7 +45,7 @@
 			calls += b.ring.First[k]
 		}
 	}
-	return float64(extras+1) <= b.Share*float64(calls)
+	return float64(extras+1) <= part*b.Share*float64(calls)
 }
 
 // Take counts an extra attempt at now, which HasRoom has allowed.
--- a/core/hedge/hedge_test.go
+++ b/core/hedge/hedge_test.go
@@ -149,3 +149,31 @@
 		g.Expect(n).To(gomega.Equal(row.want))
 	}
 }
+
+// Guards against a probability of missing the aim that is wrong once a call has run longer
+// than most, and against one that falls because attempts are cancelled before they miss
+// it. In 100 attempts 3 take 2 s and the others up to 400 ms; the aim is 800 ms.
+func TestMissingFollowsTheShareOfLongAttempts(t *testing.T) {
+	for name, cancelled := range map[string]bool{"answered": false, "cancelled at 500 ms": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			rng := rand.New(rand.NewPCG(5, 6))
+			var l hedge.Latencies
+			for i := range 5000 {
+				d, missed := time.Duration(200+rng.IntN(200))*time.Millisecond, 0.0
+				if rng.Float64() < 0.03 {
+					d, missed = 2*time.Second, 1
+				}
+				if cancelled && i > 1000 && missed == 1 {
+					l.ObserveAtLeast(testClass, 500*time.Millisecond)
+					l.CountAim(testClass, l.Missing(testClass, 500*time.Millisecond))
+					continue
+				}
+				l.Observe(testClass, d)
+				l.CountAim(testClass, missed)
+			}
+			g.Expect(l.Missing(testClass, 100*time.Millisecond)).To(gomega.BeNumerically("~", 0.03, 0.03), "most calls run longer")
+			g.Expect(l.Missing(testClass, 500*time.Millisecond)).To(gomega.BeNumerically(">", 0.5), "only long ones do")
+		})
+	}
+}
--- a/core/hedge/latency.go
+++ b/core/hedge/latency.go
@@ -17,6 +17,10 @@
 		usual   quantile
 		late    quantile
 		samples int
+		// missed is the moving average of the share of attempts that take longer than the
+		// aim of their call, over outcomes attempts.
+		missed   float64
+		outcomes int
 	}
 
 	// quantile estimates one quantile of a distribution: the value that a share p of the
@@ -42,6 +46,12 @@
 	minStep   = 0.05
 	// maxClasses bounds the number of classes; samples of others are left out.
 	maxClasses = 64
+	// missedSamples is the number of attempts over which missed is averaged: at a share of
+	// 3 in 100 its standard deviation is then 0.6 in 100.
+	missedSamples = 400
+	// minTail is the smallest difference of the logarithms of Usual and Late that Missing
+	// uses, about 2 in 100. The estimates may meet while they move.
+	minTail = 0.02
 )
 
 // Observe records that a call of a class was answered after the time d.
@@ -104,6 +114,32 @@
 	return max(v.late.value(), v.usual.value()), true
 }
 
+// CountAim records with which probability an attempt of a call of a class takes longer than
+// the aim of the call: 0 or 1 if it was answered, and Missing if it was cancelled before.
+func (l *Latencies) CountAim(class int, missed float64) {
+	v := l.classes[class]
+	if v == nil {
+		return
+	}
+	v.outcomes = min(v.outcomes+1, missedSamples)
+	v.missed += (missed - v.missed) / float64(v.outcomes)
+}
+
+// Missing returns the probability that an attempt of a call of a class, which has run for
+// the time elapsed without an answer, takes longer than the aim of the call: the share of
+// attempts that do, divided by the share that takes longer than elapsed. The latter is that
+// of a Pareto distribution with the values of Usual and Late.
+func (l *Latencies) Missing(class int, elapsed time.Duration) float64 {
+	v := l.classes[class]
+	if v == nil || v.samples < minSamples || elapsed <= 0 {
+		return 0
+	}
+	usual, late := v.usual.log, max(v.late.log, v.usual.log+minTail)
+	beyond := (math.Log(float64(elapsed)) - usual) / (late - usual)
+	left := (1 - UsualShare) * math.Pow((1-LateShare)/(1-UsualShare), beyond)
+	return min(v.missed/min(left, 1), 1)
+}
+
 // step returns the step of the next sample.
 func (v *latency) step() float64 {
 	return max(firstStep/float64(max(v.samples, 1)), minStep)
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -45,10 +45,9 @@
 const (
 	// A second attempt is asked for maxExtraAsks times, since the target may turn slow
 	// meanwhile: first at Send.ExtraAfter, the 75th percentile, which one in four calls
-	// reaches, and then whenever the call has taken longer by the part extraAskDivisor.
-	// The last time is at 7.6 times the 75th percentile.
-	maxExtraAsks    = 6
-	extraAskDivisor = 2
+	// reaches, or somewhat later, and then whenever the call has taken longer by the part engine.ExtraAskDivisor.
+	// The last time is at 7.6 times the first one.
+	maxExtraAsks = 6
 	// maxWithheldHints bounds the informational responses that are kept until an attempt
 	// has won.
 	maxWithheldHints = 8
@@ -95,7 +94,7 @@
 			h.logAsk(c, s)
 			c.decisionRequested, decisions = time.Now(), c.decisions
 			if asks++; asks < maxExtraAsks {
-				timer.Reset(time.Since(begin) / extraAskDivisor)
+				timer.Reset(time.Since(begin) / engine.ExtraAskDivisor)
 			}
 		case action := <-decisions:
 			second, ok := action.(engine.Send)
