Print the findings when the version in force cannot be read; exit code 2

Scripts that send a configuration unless the code is 2 sent it.

The report of the file is now printed first; the reason goes to standard error and the exit code is 2.

--- a/cmd/cardamomspool/check.go
+++ b/cmd/cardamomspool/check.go
@@ -29,8 +29,8 @@
 	checkError struct{ code int }
 )
 
-// errNotCompared says that the version in force could not be read. Its exit code is
-// exitUnknown, as 1 and 2 are those of findings.
+// errNotCompared says that the version in force could not be read. Its exit code is that of
+// errors, since a script must not send the configuration in either case.
 var errNotCompared = errors.New("not compared with the version in force")
 
 // Error returns what kind of findings there are.
@@ -53,17 +53,19 @@
 	return &command{parser: sub, run: func(ctx context.Context, _ *options) error { return runCheck(ctx, os.Stdout, &o) }}
 }
 
-// runCheck checks a configuration and writes the report to w. It returns a checkError if
-// there are findings.
+// runCheck checks a configuration and writes the report to w. It returns an error that wraps
+// errNotCompared if the version in force could not be read, or else a checkError if there are
+// findings.
 func runCheck(ctx context.Context, w io.Writer, o *checkOptions) error {
 	body, err := os.ReadFile(o.file)
 	if err != nil {
 		return errors.Wrap(errUsage, err.Error())
 	}
 	report, next := checkConfiguration(body)
+	var notCompared error
 	if o.control != "" {
-		if err = compareInForce(ctx, &report, o.control, next); err != nil {
-			return err
+		if notCompared = compareInForce(ctx, &report, o.control, next); errors.Is(notCompared, errUsage) {
+			return notCompared
 		}
 	}
 	if o.json {
@@ -76,6 +78,9 @@
 	if err != nil {
 		return err
 	}
+	if notCompared != nil {
+		return notCompared
+	}
 	if code := report.ExitCode(); code != check.ExitClean {
 		return checkError{code}
 	}
--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/diff"
 
+	"cardamomspool/core/check"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/io/client"
@@ -231,7 +232,9 @@
 		return exitUsage
 	case errors.As(err, &found):
 		return found.code
-	case errors.Is(err, client.ErrNoAnswer), errors.Is(err, errNotCompared):
+	case errors.Is(err, errNotCompared):
+		return check.ExitErrors
+	case errors.Is(err, client.ErrNoAnswer):
 		return exitUnknown
 	case errors.As(err, &faults):
 		return exitInvalid
