Change client accounts in the console

Operators of hosts without a fleet could see client accounts in the console, but had to edit the document with all keys in clear on the command line to change a rank or withdraw a key.

The console has a form for the accounts: add, remove and rename an account, change rank, rate and burst, and add, rotate and withdraw keys. In a fleet there is no form. The golden file of the page of accounts is unchanged.

--- a/io/consol/accounts_test.go
+++ b/io/consol/accounts_test.go
@@ -9,12 +9,13 @@
 
 	"cardamomspool/core/spec"
 	"cardamomspool/io/admin"
+	"cardamomspool/io/consol"
 )
 
 // newAccountsClient returns a client of a store that holds client accounts in two revisions.
-func newAccountsClient(t *testing.T) *recordingClient {
+func newAccountsClient(t *testing.T, opts ...consol.Option) *recordingClient {
 	g := gomega.NewWithT(t)
-	client := newRecordingClient(t, "")
+	client := newRecordingClient(t, "", opts...)
 	for i, body := range []string{
 		`{"accounts":[{"name":"shop","keys":["k-s3cret-1","k-s3cret-2"],"rank":2,"rate":12.5,"burst":30}]}`,
 		`{"accounts":[{"name":"shop","keys":["k-s3cret-2"],"rank":2,"rate":12.5,"burst":30},{"name":"desk <1>","keys":["k-s3cret-3"]}]}`,
--- a/io/consol/console.go
+++ b/io/consol/console.go
@@ -29,6 +29,8 @@
 		mux        *http.ServeMux
 		evacuation func() (uint64, []string)
 		accounts   func(context.Context) []admin.AccountUse
+		// accountsForm says that the accounts are a document that operators may change.
+		accountsForm bool
 	}
 
 	// Option sets one property of a Console.
@@ -55,11 +57,13 @@
 	files embed.FS
 
 	templates = template.Must(template.New("").Funcs(template.FuncMap{
-		"when":         formatTime,
-		"indent":       func(body []byte) string { return string(spec.Indent(body)) },
-		"diff":         diffLines,
-		"field":        fieldID,
-		"nextRevision": func(base uint64) uint64 { return base + 1 },
+		"when":          formatTime,
+		"indent":        func(body []byte) string { return string(spec.Indent(body)) },
+		"diff":          diffLines,
+		"field":         fieldID,
+		"nextRevision":  func(base uint64) uint64 { return base + 1 },
+		"accountPath":   func(i int) string { return rowPath(accountsList, i) },
+		"accountInputs": accountInputs, "keyActions": func() []keyAction { return []keyAction{keyKeep, keyRotate, keyWithdraw} },
 	}).ParseFS(files, "pages/*.html"))
 )
 
@@ -86,6 +90,12 @@
 	return func(c *Console) { c.accounts = accounts }
 }
 
+// WithAccountsForm lets operators change the document of the client accounts. In a fleet the
+// accounts are part of the configuration instead.
+func WithAccountsForm() Option {
+	return func(c *Console) { c.accountsForm = true }
+}
+
 // WithLogger sets the logger; the default discards.
 func WithLogger(log *slog.Logger) Option {
 	return func(c *Console) { c.log = log }
@@ -131,6 +141,13 @@
 	c.handle("GET /{$}", c.list)
 	c.handle("GET /hosts", c.hosts)
 	c.handle("GET /accounts", c.listAccounts)
+	if c.accountsForm {
+		c.handle("GET /accounts/form", c.editAccounts)
+		c.handle("POST /accounts/form", c.reopenAccounts)
+		c.handle("POST /accounts/review", c.reviewAccounts)
+		c.handle("POST /accounts/apply", c.applyAccounts)
+		c.handle("POST /accounts/rebase", c.rebaseAccounts)
+	}
 	c.handle("GET /new", c.newForm)
 	c.handle("GET /services/{name}", c.editForm)
 	c.handle("GET /services/{name}/history", c.history)
--- a/io/consol/fake_test.go
+++ b/io/consol/fake_test.go
@@ -121,7 +121,7 @@
 
 // newRecordingClient returns a client of a store that holds the service bookings. An
 // empty token means that operators need none.
-func newRecordingClient(t *testing.T, token string) *recordingClient {
+func newRecordingClient(t *testing.T, token string, opts ...consol.Option) *recordingClient {
 	client := &recordingClient{
 		t: t, cookies: make(map[string][]*http.Cookie),
 		store: &fakeStore{values: make(map[string]quorum.Value), history: make(map[string][]quorum.Value)},
@@ -129,8 +129,8 @@
 	now, ids := start, 0
 	clock := func() time.Time { now = now.Add(time.Second); return now }
 	newID := func() string { ids++; return fmt.Sprintf("id-%d", ids) }
-	pages := consol.New(client.store, "control-1", consol.WithToken(token), consol.WithClock(clock), consol.WithIDs(newID),
-		consol.WithAccounts(func(context.Context) []admin.AccountUse { return client.accounts }))
+	pages := consol.New(client.store, "control-1", append(opts, consol.WithToken(token), consol.WithClock(clock), consol.WithIDs(newID),
+		consol.WithAccounts(func(context.Context) []admin.AccountUse { return client.accounts }))...)
 	client.handler = admin.NewControl(client.store, token, telem.NewRegistry(), slog.New(slog.DiscardHandler),
 		admin.WithPages(pages), admin.WithClock(clock))
 	doc := spec.Default()
--- a/io/ctrl/operators.go
+++ b/io/ctrl/operators.go
@@ -16,6 +16,8 @@
 	accounts := func(ctx context.Context) []admin.AccountUse { return h.documentAccounts(ctx, fleet) }
 	if h.fleet != nil {
 		accounts = func(context.Context) []admin.AccountUse { return h.Accounts() }
+	} else {
+		shown = append(shown, consol.WithAccountsForm())
 	}
 	shown = append(shown, consol.WithAccounts(accounts))
 	opts := []admin.Option{admin.WithFleet(fleet), admin.WithAccounts(accounts)}
