--- a/io/logs/request.go
+++ b/io/logs/request.go
@@ -94,6 +94,10 @@
 	partTarget:   {"target_us"},
 }
 
+// lateFields lists all fields that are read here.
+var lateFields = append(slices.Concat(partFields[:]...), keyCall, keyTarget, "attempt", "why", "rank", "aim", "asked_after_us",
+	"decided_after_us", "held_us", "after", "reason", "link_lost", "reset", "error", "passed_on", "caller_left", "late_before")
+
 var (
 	_ outcome = inTime{}
 	_ outcome = endUnknown{}
@@ -115,6 +119,7 @@
 				c.starts[l.Host] = append(c.starts[l.Host], l.Time)
 			}
 			if l.Fields[keyCall] != nil || l.Message == "request refused" {
+				l.Fields = usedFields(l.Fields)
 				lines = append(lines, l)
 			}
 		}); err != nil {
@@ -133,6 +138,18 @@
 	return c, nil
 }
 
+// usedFields returns the fields that tell the outcome of a call. A log of a day has
+// hundreds of thousands of lines, and their other fields take a third of the memory.
+func usedFields(fields map[string]any) map[string]any {
+	used := make(map[string]any)
+	for _, key := range lateFields {
+		if v, ok := fields[key]; ok {
+			used[key] = v
+		}
+	}
+	return used
+}
+
 // add adds a line to the call that it names.
 func (c *collection) add(l *Line) {
 	name := l.text(keyCall)
