--- a/cmd/cardamomspool/ctl.go
+++ b/cmd/cardamomspool/ctl.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/diff"
 
+	"cardamomspool/core/check"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/io/client"
@@ -46,7 +47,7 @@
 		// Flags of history and apply.
 		revision uint64
 		dryRun   bool
-		// Arguments and flags of explain and timeline.
+		// Arguments and flags of explain, timeline and late.
 		call    string
 		subject string
 		value   string
@@ -90,6 +91,7 @@
 		ctlAccountsCommand(o),
 		ctlExplainCommand(o),
 		ctlTimelineCommand(o),
+		ctlLateCommand(o),
 		ctlCheckCommand(),
 	}
 	for _, c := range commands {
@@ -230,7 +232,9 @@
 		return exitUsage
 	case errors.As(err, &found):
 		return found.code
-	case errors.Is(err, client.ErrNoAnswer), errors.Is(err, errNotCompared):
+	case errors.Is(err, errNotCompared):
+		return check.ExitErrors
+	case errors.Is(err, client.ErrNoAnswer):
 		return exitUnknown
 	case errors.As(err, &faults):
 		return exitInvalid
--- a/io/links/conn.go
+++ b/io/links/conn.go
@@ -308,6 +308,16 @@
 	return c.requestStart
 }
 
+// WrittenAt returns when a byte of the current request was last written; zero for not yet.
+func (c *Conn) WrittenAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastWrite.Before(c.requestStart) {
+		return time.Time{}
+	}
+	return c.lastWrite
+}
+
 // LastReadBefore reports whether no byte was received at or after t.
 func (c *Conn) LastReadBefore(t time.Time) bool {
 	c.mu.Lock()
