Keep the quota of accounts that go hot shortly before hosts are cut off; refuse fewer calls alone

Callers saw 28 to 30 in 100 of their calls within quota refused at entry hosts that decide alone, and an account that exceeded its quota 300 ms before half of the entry hosts were cut off had up to 90 calls in 5 s where 86.8 are allowed.

Cause: the buckets of hosts that decide alone held the burst only, and one call took 11.8 s to come back. Entry hosts that were cut off took the account for one within its quota, since control hosts list accounts only once they have no room.

Change: these buckets use three quarters of what the bound allows beyond the quota, and get one call in a window at least. Control hosts list accounts that are about to have no room, and those leave room to hosts lost within a second of it. Buckets that were left low for lost hosts are filled once these are back.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -48,6 +48,7 @@
 		// of those that do not follow now.
 		lost, absent int
 		backSince    time.Time
+		lostAt       time.Time // When lost last grew.
 		// version counts the changes of published numbers.
 		version uint64
 		spreads uint64 // The number of results of spread that were used.
@@ -76,8 +77,11 @@
 		alone          bucket // Used while the ledger is restricted.
 		admitted       int64  // Calls admitted here since the start, less those given back.
 		version        uint64 // Of the ledger at the last change of admitted.
+		leftRoom       bool   // The bucket is not full because of hosts that were lost, see restoreRoom.
 		comeBack       time.Time
 		lowAt          time.Time // When the account last had no room.
+		pace           pace      // Of the calls of all hosts.
+		surgeAt        time.Time // When the account last was about to have no room, see noteSurge.
 		use, refusals  window
 		spent          window // As use, over spentWindow.
 		refusedCalls   int64  // Since the start.
@@ -128,6 +132,10 @@
 	backPart = 0.5
 	// lowTime is how long an account is listed as limited after it had no room.
 	lowTime = time.Second
+	// surgeTime is the time in which an account that is about to have no room is listed
+	// before it has none: until the list of a control host is at entry hosts that are cut off
+	// 300 ms after the first call beyond the quota.
+	surgeTime = 300 * time.Millisecond
 	// usableWait is the longest time after which a caller is expected to come back. It is
 	// the shortest deadline of the classes of the deployments with quotas.
 	usableWait = 2 * time.Second
@@ -233,6 +241,7 @@
 			if a.bucket.level > 0 {
 				a.bucket.level *= kept // The rest is the lost hosts' part.
 			}
+			a.leftRoom = a.leftRoom || kept == 1 // Hosts are back.
 		}
 	}
 	if n := following + lost; n > 0 {
@@ -245,6 +254,9 @@
 // have admitted alone count for some time after they are back, see backPart. The caller holds mu.
 func (l *Ledger) setAbsent(lost int, now time.Time) {
 	l.expireAbsent(now)
+	if lost > l.lost {
+		l.lostAt = now
+	}
 	l.lost = lost
 	switch {
 	case lost >= l.absent:
@@ -363,6 +375,9 @@
 		ok = l.takeAlone(a, now)
 	} else {
 		l.refill(a, now)
+		if a.leftRoom {
+			l.restoreRoom(a, now)
+		}
 		if now.Sub(a.lowAt) > lowTime {
 			reserve = 0
 		}
@@ -389,23 +404,41 @@
 // that leaves room does not fill. The caller holds mu.
 func (l *Ledger) leavesRoom(a *account, now time.Time) bool {
 	l.expireAbsent(now)
-	if l.absent == 0 || a.bucket.level >= shortLevel || float64(a.spent.sum(l.spentWindow(), now)) < l.allowedBesideAbsent(a, now) {
+	short := a.bucket.level < shortLevel
+	if l.absent == 0 || !short && !l.surgedAtLoss(a, now) || float64(a.spent.sum(l.spentWindow(), now)) < l.allowedBesideAbsent(a, now) {
 		return false
 	}
-	a.bucket.level = min(a.bucket.level, 0)
+	a.bucket.level, a.leftRoom = min(a.bucket.level, 0), true
 	return true
 }
 
+// restoreRoom fills the bucket of an account that has left room or its tokens to lost hosts,
+// once they are back and it had room for lowTime, up to what its calls in a window leave of its rate and
+// burst. Accounts within their quotas would otherwise be short of tokens for seconds, while
+// one over its quota never has room for that long. The caller holds mu.
+func (l *Ledger) restoreRoom(a *account, now time.Time) {
+	if l.absent > 0 || now.Sub(a.lowAt) < lowTime {
+		return
+	}
+	a.leftRoom = false
+	left := a.rate*l.cfg.Window.Seconds() + a.burst - float64(a.spent.sum(l.spentWindow(), now))
+	a.bucket.level = max(a.bucket.level, min(left, l.capacity(a)))
+}
+
+// surgedAtLoss reports whether an account was about to have no room shortly before or after
+// entry hosts were last lost, and that is not long ago. Later, accounts within their quotas
+// come near to that for a moment, since their buckets are smaller. The caller holds mu.
+func (l *Ledger) surgedAtLoss(a *account, now time.Time) bool {
+	return now.Sub(l.lostAt) < lowTime && now.Sub(a.surgeAt) < lowTime
+}
+
 // allowedBesideAbsent returns the number of calls of an account in a window that the bound
 // leaves to hosts which exchange their numbers, when each absent entry host admits as many
 // as it can. A part of the slack is for calls that other hosts report late. Entry hosts that
 // are back have their part of the quota decided here again. The caller holds mu.
 func (l *Ledger) allowedBesideAbsent(a *account, now time.Time) float64 {
-	window := l.cfg.Window.Seconds()
-	bound := (a.rate*window+a.burst)*(1+l.cfg.Overshoot) + l.cfg.Slack
 	n := l.aloneParts()
-	each := math.Floor(max(a.burst/n, 1) + a.rate/n*window)
-	allowed := bound - float64(l.absent)*each - l.cfg.Slack/headroomDivisor
+	allowed := l.cfg.bound(a.rate, a.burst) - float64(l.absent)*l.cfg.callsAlone(a.rate, a.burst, n) - l.cfg.Slack/headroomDivisor
 	if !l.backSince.IsZero() {
 		allowed += a.rate * float64(l.absent-l.lost) / n * now.Sub(l.backSince).Seconds()
 	}
@@ -422,10 +455,10 @@
 // alone. The bucket of all hosts is not refilled: what others have admitted in the
 // meantime is not known yet. The caller holds mu.
 func (l *Ledger) takeAlone(a *account, now time.Time) bool {
-	n := l.aloneParts()
 	if a.bucket.updated.IsZero() {
 		l.refill(a, now)
 	}
+	n := l.aloneParts()
 	a.alone.refill(a.rate/n, max(a.burst/n, 1), now)
 	if a.bucket.level < 1 || !a.alone.take() {
 		return false
@@ -461,6 +494,18 @@
 	a.version = l.version
 	a.use.add(int32(n), l.cfg.Window, now)
 	a.spent.add(int32(n), l.spentWindow(), now)
+	l.noteSurge(a, n, now)
+}
+
+// noteSurge counts n calls of an account, and lists the account as limited when it will have
+// no room in surgeTime if its calls go on as they have lately. Entry hosts that are cut off
+// from then on would not learn of it any more, and each admit a call beside those that the
+// account has just made. The caller holds mu.
+func (l *Ledger) noteSurge(a *account, n int64, now time.Time) {
+	beyond := a.pace.add(float64(n), now) - a.rate*l.share
+	if a.bucket.level-beyond*surgeTime.Seconds() < 1 {
+		a.surgeAt = now
+	}
 }
 
 // retryAfter returns the time after which the caller of a refused call may come back.
@@ -564,6 +609,7 @@
 		paid = a.spilled.pay(float64(n), a.rate*l.share, h.observed)
 	}
 	l.lower(a, a.bucket.level+paid-float64(n), now)
+	l.noteSurge(a, n, now)
 }
 
 // lower sets the level of an account's bucket, at least so much that the bucket recovers
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -14,6 +14,7 @@
 	// that are over their quotas. Use NewLocal. It is safe for concurrent use.
 	Local struct {
 		window time.Duration
+		bound  *Config // Set by WithBound.
 
 		mu       sync.Mutex
 		accounts map[string]*localAccount
@@ -27,13 +28,26 @@
 		rate, burst float64
 		bucket      bucket
 	}
+
+	// LocalOption sets one property of a Local.
+	LocalOption func(*Local)
 )
 
 var _ engine.Quota = (*Local)(nil)
 
+// WithBound has the host use its part of what the bound allows beyond the quota too, see
+// Config.alone. Without it, the host keeps to its part of the quota.
+func WithBound(cfg Config) LocalOption {
+	return func(l *Local) { l.bound = &cfg }
+}
+
 // NewLocal returns a Local without accounts for quotas with the given window.
-func NewLocal(window time.Duration) *Local {
-	return &Local{window: window, accounts: make(map[string]*localAccount)}
+func NewLocal(window time.Duration, opts ...LocalOption) *Local {
+	l := &Local{window: window, accounts: make(map[string]*localAccount)}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // SetAccounts puts the accounts of a plan in force. Accounts whose quotas are unchanged
@@ -108,19 +122,20 @@
 
 // refill brings the bucket of an account up to date. The caller holds mu.
 func (l *Local) refill(a *localAccount, now time.Time) {
-	n := l.entries
-	if n <= 0 {
-		n = unknownEntries
-	}
-	a.bucket.refill(a.rate/float64(n), l.capacity(a), now)
+	rate, capacity := l.part(a)
+	a.bucket.refill(rate, capacity, now)
 }
 
-// capacity returns the capacity of an account's bucket. The caller holds mu.
-func (l *Local) capacity(a *localAccount) float64 {
-	if l.entries <= 0 {
-		return 1
+// part returns the rate and the capacity of an account's bucket. The caller holds mu.
+func (l *Local) part(a *localAccount) (rate, capacity float64) {
+	switch {
+	case l.entries <= 0:
+		return a.rate / unknownEntries, 1
+	case l.bound != nil:
+		return l.bound.alone(a.rate, a.burst, float64(l.entries))
 	}
-	return max(a.burst/float64(l.entries), 1)
+	n := float64(l.entries)
+	return a.rate / n, max(a.burst/n, 1)
 }
 
 // Return gives a call that was certainly not run back to the account.
@@ -132,5 +147,6 @@
 		return
 	}
 	l.refill(a, now)
-	a.bucket.level = min(a.bucket.level+1, l.capacity(a))
+	_, capacity := l.part(a)
+	a.bucket.level = min(a.bucket.level+1, capacity)
 }
--- a/core/quota/status.go
+++ b/core/quota/status.go
@@ -64,13 +64,14 @@
 	return dst, omitted
 }
 
-// Limited returns the sorted names of the accounts that have had no room lately.
+// Limited returns the sorted names of the accounts that have had no room lately, or were
+// about to have none.
 func (l *Ledger) Limited(now time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []string
 	for _, a := range l.list {
-		if a.rate > 0 && !a.lowAt.IsZero() && now.Sub(a.lowAt) < lowTime {
+		if a.rate > 0 && (now.Sub(a.lowAt) < lowTime || now.Sub(a.surgeAt) < lowTime) {
 			list = append(list, a.name)
 		}
 	}
--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // window counts events in a sliding window of one length, to a tenth of it.
 type window struct {
@@ -39,3 +42,24 @@
 		w.counts[w.part%windowParts] = 0
 	}
 }
+
+// pace is the recent number of events a second, in which an event loses all but 1/e of its
+// weight in paceMemory. The zero value stands for none.
+type pace struct {
+	events  float64
+	updated time.Time
+}
+
+// paceMemory is long enough for several calls of an account at its rate, and shorter than the
+// time in which an account at 7.5 times its usual rate uses up a burst of a second.
+const paceMemory = 250 * time.Millisecond
+
+// add counts n events at now and returns the number of events a second.
+func (p *pace) add(n float64, now time.Time) float64 {
+	if d := now.Sub(p.updated); d > 0 {
+		p.events *= math.Exp(-d.Seconds() / paceMemory.Seconds())
+		p.updated = now
+	}
+	p.events = max(p.events+n, 0)
+	return p.events / paceMemory.Seconds()
+}
--- a/io/entry/quota.go
+++ b/io/entry/quota.go
@@ -37,7 +37,8 @@
 	case s.Fleet.QuotaWindow <= 0:
 		return nil
 	}
-	return quota.NewLocal(s.Fleet.QuotaWindow.Std())
+	window := s.Fleet.QuotaWindow.Std()
+	return quota.NewLocal(window, quota.WithBound(quota.Config{Window: window, Overshoot: s.Fleet.QuotaOvershoot, Slack: float64(s.Fleet.QuotaSlack)}))
 }
 
 // setQuotas puts the quotas of a plan in force.
