--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -48,7 +48,11 @@
 		// of those that do not follow now.
 		lost, absent int
 		backSince    time.Time
-		lostAt       time.Time // When lost last grew.
+		// most is the largest number of entry hosts that followed in the last goneTime, as of
+		// mostAt, and gone that of those which neither follow nor count as lost any more.
+		most, gone int
+		mostAt     time.Time
+		lostAt     time.Time // When lost last grew.
 		// version counts the changes of published numbers.
 		version uint64
 		spreads uint64 // The number of results of spread that were used.
@@ -130,6 +134,10 @@
 	// alone before they were back. Accounts within their quotas then use the whole bucket,
 	// of which they would be refused a part if it were longer.
 	backPart = 0.5
+	// goneTime is how long room is left to entry hosts that no longer count as lost. When 12
+	// hosts of 119 are gone, accounts at their quotas begin to get less than these, so it is
+	// limited; longer cuts are not expected to heal by themselves.
+	goneTime = 10 * time.Minute
 	// lowTime is how long an account is listed as limited after it had no room.
 	lowTime = time.Second
 	// surgeTime is the time in which an account that is about to have no room is listed
@@ -246,8 +254,19 @@
 	}
 	if n := following + lost; n > 0 {
 		l.entries = n
+		l.setGone(following, lost, now)
 	}
-	l.setAbsent(lost, now)
+	l.setAbsent(lost+l.gone, now)
+}
+
+// setGone sets the number of entry hosts that are gone. They may be cut off for longer than
+// they count as lost, and go on to admit calls alone. Those in whose places others follow are
+// not counted. The caller holds mu.
+func (l *Ledger) setGone(following, lost int, now time.Time) {
+	if following >= l.most || now.Sub(l.mostAt) >= goneTime {
+		l.most, l.mostAt = following, now
+	}
+	l.gone = max(l.most-following-lost, 0)
 }
 
 // setAbsent sets the number of entry hosts that do not follow this host. The calls that they
@@ -404,8 +423,8 @@
 // that leaves room does not fill. The caller holds mu.
 func (l *Ledger) leavesRoom(a *account, now time.Time) bool {
 	l.expireAbsent(now)
-	short := a.bucket.level < shortLevel
-	if l.absent == 0 || !short && !l.surgedAtLoss(a, now) || float64(a.spent.sum(l.spentWindow(), now)) < l.allowedBesideAbsent(a, now) {
+	short := a.bucket.level < shortLevel || now.Sub(a.lowAt) < lowTime || l.surgedAtLoss(a, now)
+	if l.absent == 0 || !short || float64(a.spent.sum(l.spentWindow(), now)) < l.allowedBesideAbsent(a, now) {
 		return false
 	}
 	a.bucket.level, a.leftRoom = min(a.bucket.level, 0), true
@@ -437,7 +456,7 @@
 // as it can. A part of the slack is for calls that other hosts report late. Entry hosts that
 // are back have their part of the quota decided here again. The caller holds mu.
 func (l *Ledger) allowedBesideAbsent(a *account, now time.Time) float64 {
-	n := l.aloneParts()
+	n := l.aloneParts() + float64(l.gone)
 	allowed := l.cfg.bound(a.rate, a.burst) - float64(l.absent)*l.cfg.callsAlone(a.rate, a.burst, n) - l.cfg.Slack/headroomDivisor
 	if !l.backSince.IsZero() {
 		allowed += a.rate * float64(l.absent-l.lost) / n * now.Sub(l.backSince).Seconds()
