--- a/io/entry/find_test.go
+++ b/io/entry/find_test.go
@@ -14,7 +14,7 @@
 	defer func() { h.dialect.ParseCall = parse }()
 	h.dialect.ParseCall = func(http.Header) wire.CallerInfo { return callInfo }
 	a := &arrival{host: h, r: r}
-	for _, check := range []func(*arrival) *problem{(*arrival).checkPlan, (*arrival).checkRoute, (*arrival).checkKey, (*arrival).checkPart} {
+	for _, check := range []func(*arrival) *problem{(*arrival).checkPlan, (*arrival).checkRoute, (*arrival).awaitLease, (*arrival).checkKey, (*arrival).checkPart} {
 		if p := check(a); p != nil {
 			return nil, a.class, p
 		}
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -22,6 +22,7 @@
 	plan    *activePlan
 	route   *plan.Route
 	public  bool          // The route or the service needs no key.
+	held    bool          // The lease was held before plan was looked up.
 	account *keys.Account // The client account that makes the call; nil for none.
 	service *service
 	class   spec.Class
@@ -39,6 +40,7 @@
 	return a.require((*arrival).checkRequest, (*arrival).reject) && // bad_request, body_too_large, method_not_allowed.
 		a.require((*arrival).checkPlan, (*arrival).refuseUnrouted) && // no_plan.
 		a.require((*arrival).checkRoute, (*arrival).refuseUnrouted) && // no_plan, not_confirmed, no_service.
+		a.require((*arrival).awaitLease, (*arrival).refuseUnrouted) && // no_plan, not_confirmed, no_service.
 		a.require((*arrival).checkKey, (*arrival).refuseKey) && // key_lease_ended, no_plan, key_refused.
 		a.require((*arrival).checkPart, (*arrival).refuseUnrouted) && // no_part.
 		a.require((*arrival).checkBody, (*arrival).reject) && // body_cut_short, body_too_late, body_too_large.
@@ -108,18 +110,41 @@
 	return p
 }
 
-// checkKey finds the client account. A host that has just started waits for its first
-// lease, as it does for the plan. Host.checkKey checks the key again before it is relied on.
-func (a *arrival) checkKey() *problem {
-	if a.plan == nil || a.plan.accounts == nil || a.public {
+// awaitLease waits for the first lease at a host that has just started, as it does for the
+// plan. A newer plan may have come into force meanwhile, often the one that the lease has
+// waited for: by the former one, a key that it has added would be refused as unknown.
+func (a *arrival) awaitLease() *problem {
+	if a.isOpen() {
 		return nil
 	}
-	if f := a.host.fleet; f != nil {
+	f := a.host.fleet
+	if f != nil {
 		a.deductWait(f.lease.awaitFirst(a.r.Context(), a.info.Timeout))
 	}
+	a.held = a.host.leaseHolds()
+	if f == nil {
+		return nil
+	}
+	if v := f.active.Load(); v != a.plan {
+		a.plan = v
+		return a.checkRoute()
+	}
+	return nil
+}
+
+// isOpen reports whether the request needs no key.
+func (a *arrival) isOpen() bool {
+	return a.plan == nil || a.plan.accounts == nil || a.public
+}
+
+// checkKey finds the client account. Host.checkKey checks the key again before it is relied on.
+func (a *arrival) checkKey() *problem {
+	if a.isOpen() {
+		return nil
+	}
 	digest, err := keys.Read(a.r.Header[keys.Field])
 	var p *problem
-	a.account, p = a.host.findAccount(a.plan, digest, err, a.host.leaseHolds())
+	a.account, p = a.host.findAccount(a.plan, digest, err, a.held)
 	return p
 }
 
--- a/io/entry/gate_test.go
+++ b/io/entry/gate_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,7 +18,10 @@
 	"cardamomspool/core/crash"
 	"cardamomspool/core/keys"
 	"cardamomspool/core/plan"
+	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/peer/peerpb"
+	"cardamomspool/io/setup"
 )
 
 // accountPlan returns the plan of testPlan with two accounts, whose keys are "k_1" and
@@ -167,6 +171,31 @@
 	}
 }
 
+// Guards against a key that is refused as unknown at a host that has just started with the
+// former plan, because its call was checked by that plan after it had waited for the lease of
+// the newer one.
+func TestCallsThatWaitForTheLeaseAreCheckedByTheNewestPlan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	former, next := accountPlan(1), accountPlan(2)
+	next.Accounts[0].Keys = []keys.Digest{keys.Of("k_3")}
+	control := newPlannedControl(t, former)
+	control.confirm.Store(&peerpb.ConfirmReply{Epoch: 1, PlanVersion: 2})
+	h, _ := newFleetHostWith(t, control.address, nil, func(cfg *setup.Entry) { cfg.Fleet.KeyLease = strict.Duration(setup.MaxKeyLease) })
+	g.Eventually(h.fleet.ready, testTimeout, time.Millisecond).Should(gomega.BeTrue())
+	var calls sync.WaitGroup
+	for key, want := range map[string]string{"k_1": "401 key_refused", "k_2": "503 no_target", "k_3": "503 no_target"} {
+		calls.Go(func() {
+			resp, reason := exchangeRaw(t, h, "GET /a/x HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer "+key+"\r\n\r\n")
+			if got := resp.Status[:3] + " " + reason; got != want {
+				t.Errorf("key %s: %s, want %s", key, got, want)
+			}
+		})
+	}
+	time.Sleep(minQuestionInterval) // The calls wait for the lease.
+	control.state.SetPlan(next)
+	calls.Wait()
+}
+
 // Guards against calls that are queued with the rank of their route, or without the account
 // by which they share slots.
 func TestAccountReplacesTheRankOfTheRoute(t *testing.T) {
