Tell all hosts of a cold target that a probe has found

Where fleet.warm_overshoot or warm_slack is set, a control host now passes on what its probes have found, as a change of the target, if the known end of the warm-up is more than 0.5 s earlier.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -66,9 +66,9 @@
 	// lateHeartbeat is the time after a departure in which a heartbeat may still be
 	// one that the target sent before.
 	lateHeartbeat = 3 * time.Second
-	// warmTolerance is the difference up to which two ends of a warm-up are one: reports
+	// WarmTolerance is the difference up to which two ends of a warm-up are one: reports
 	// say how long it lasts from their arrival, and some arrive late.
-	warmTolerance = 500 * time.Millisecond
+	WarmTolerance = 500 * time.Millisecond
 	// expiredTime is how long an expired target may be brought back by a renewal.
 	// It is far longer than the time from a follower's request, which lists the
 	// targets that it holds, to the renewals that answer it.
@@ -160,7 +160,7 @@
 
 // coldAgain reports whether the target is cold by the report, and longer than by t.
 func (t *Target) coldAgain(report *Target) bool {
-	return report.WarmAt.After(report.Heard) && report.WarmAt.Sub(t.WarmAt) > warmTolerance
+	return report.WarmAt.After(report.Heard) && report.WarmAt.Sub(t.WarmAt) > WarmTolerance
 }
 
 // departedWithoutStart reports whether the target has left by a departure that named no
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -107,6 +107,9 @@
 		f.usage = newUsageExchange(f)
 		cfg.Quota = f.usage.ledger
 	}
+	if cfg.Cold.Overshoot > 0 || cfg.Cold.Slack > 0 {
+		cfg.Cold.OnCold = f.noteCold
+	}
 	f.placement = place.NewServer(cfg, probe.HTTP(h.dialect), h.log, h.metrics)
 	f.state = feed.NewState(feed.WithLogger(h.log), feed.WithMetrics(h.metrics),
 		feed.OnTargets(f.placement.SetTargets), feed.OnPlan(f.setPlan))
--- a/io/ctrl/targets.go
+++ b/io/ctrl/targets.go
@@ -58,6 +58,18 @@
 	return nil
 }
 
+// noteCold tells the other hosts that a target is cold until a time, by an answer to a probe of
+// this host. The target's next heartbeat may come a second later, and a control host that begins
+// to decide before that sends it as many calls as a warm one until its own probe is answered.
+func (f *fleet) noteCold(target string, until time.Time) {
+	t, known := f.state.Target(target)
+	if !known || until.Sub(t.WarmAt) <= roster.WarmTolerance {
+		return // The other hosts know it.
+	}
+	t.WarmAt = until
+	f.state.UpdateTargets(true, t)
+}
+
 // saveTargets writes the targets to disk whenever they have changed, at most
 // once per saveTargetsPeriod, and at once when persistTargets asks for it, until ctx
 // ends. It runs in its own goroutine, so a disk that fails or stalls delays nothing
--- a/io/place/cold.go
+++ b/io/place/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/rank"
@@ -14,6 +15,9 @@
 	// Informed reports whether this host hears a majority of the control hosts; nil means
 	// that it does.
 	Informed func() bool
+	// OnCold, unless nil, is called for each answer to a probe by which a target stays cold
+	// until a time.
+	OnCold func(target string, until time.Time)
 }
 
 // informed returns the result of Informed. The caller does not hold the lock of the Server.
@@ -50,6 +54,13 @@
 	return route.ColdLimit{}
 }
 
+// reportCold passes on what a probe has told of a cold target.
+func (c ColdConfig) reportCold(r engine.ProbeReport) {
+	if c.OnCold != nil && r.Probe.WarmFor > 0 {
+		c.OnCold(r.Target, time.Now().Add(r.Probe.WarmFor))
+	}
+}
+
 // limitCold puts the limit for calls to cold targets in force at a service's actor, if it
 // has changed. The caller holds mu.
 func (s *Server) limitCold(name string, v *service) {
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -335,8 +335,10 @@
 		}
 	}
 	s.log.Info("service decided here", "service", name, "probe_interval", s.cfg.ProbeInterval.String())
-	p := probe.New(s.ctx, s.probeTarget, path, s.cfg.ProbeInterval, func(r engine.ProbeReport) { s.system.Root.Send(pid, r) },
-		s.metrics, s.log)
+	p := probe.New(s.ctx, s.probeTarget, path, s.cfg.ProbeInterval, func(r engine.ProbeReport) {
+		s.system.Root.Send(pid, r)
+		s.cfg.Cold.reportCold(r)
+	}, s.metrics, s.log)
 	p.SetTargets(s.targets[name])
 	return p
 }
