--- a/internal/red/main.go
+++ b/internal/red/main.go
@@ -175,12 +175,25 @@
 }
 
 // knownLine returns the KNOWN-RED.txt line of test t or of its top-level test, and
-// whether there is one.
+// whether there is one. A test that fails with subtests has a line if each of these has one:
+// a subtest can be listed without the others of its test.
 func (r *testRun) knownLine(known map[testID]string, t testID) (string, bool) {
 	if line, ok := known[t]; ok {
 		return line, true
 	}
-	parent, _, nested := strings.Cut(t.name, "/")
-	line, ok := known[testID{t.pkg, parent}]
-	return line, nested && ok
+	top, _, _ := strings.Cut(t.name, "/")
+	if line, ok := known[testID{t.pkg, top}]; ok {
+		return line, true
+	}
+	var line string
+	for sub, outcome := range r.outcome {
+		if outcome != "fail" || sub.pkg != t.pkg || !strings.HasPrefix(sub.name, t.name+"/") {
+			continue
+		}
+		var ok bool
+		if line, ok = r.knownLine(known, sub); !ok {
+			return "", false
+		}
+	}
+	return line, line != ""
 }
--- a/internal/red/main_test.go
+++ b/internal/red/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -37,3 +38,21 @@
 	g.Expect(check(t, known, passed+`{"Action":"pass","Package":"p","Test":"B"}`)).To(gomega.BeTrue(), "a flaky test")
 	g.Expect(check(t, known, passed+failed+panicked)).To(gomega.BeFalse())
 }
+
+// Guards against a test that is passed over with all its subtests since one of them is listed.
+func TestListedSubtest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		passed = `{"Action":"pass","Package":"p","Test":"A"}` + "\n"
+		parent = `{"Action":"fail","Package":"p","Test":"B"}` + "\n" + `{"Action":"fail","Package":"p"}` + "\n"
+		group  = `{"Action":"fail","Package":"p","Test":"B/x"}` + "\n"
+		first  = `{"Action":"fail","Package":"p","Test":"B/x/1"}` + "\n"
+		second = `{"Action":"fail","Package":"p","Test":"B/x/2"}` + "\n"
+		known  = "p | B/x/1 | cmd | seen | 4\n"
+	)
+	g.Expect(check(t, known, passed+first+group+parent)).To(gomega.BeTrue())
+	g.Expect(check(t, known, passed+first+second+group+parent)).To(gomega.BeFalse(), "another subtest fails")
+	g.Expect(check(t, known, passed+group+parent)).To(gomega.BeFalse(), "the listed subtest was not run")
+	g.Expect(check(t, known, passed+strings.ReplaceAll(first, "fail", "pass")+parent)).To(gomega.BeFalse(), "the test fails alone")
+	g.Expect(check(t, "p | B/x | cmd | seen | 4\n", passed+first+group+parent)).To(gomega.BeFalse(), "a group does not stand for its subtests")
+}
