--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -24,6 +24,7 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/internal/granted"
+	"cardamomspool/io/links"
 	"cardamomspool/io/setup"
 )
 
@@ -67,7 +68,7 @@
 	cutSlowdown = 2
 	// maxWithheld is the time for which the machine may have kept this process waiting during
 	// a call that counts: half of the time in which a host expects a connection.
-	maxWithheld = linkPatience / 2
+	maxWithheld = links.Patience / 2
 )
 
 func newTracedTarget(t testing.TB) *tracedTarget {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -80,7 +80,7 @@
 	if conn := l.reuse(carrier, trustedSince(idempotent, time.Now())); conn != nil {
 		return conn, nil
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, linkPatience)
+	dialCtx, cancel := context.WithTimeout(ctx, Patience)
 	defer cancel()
 	return l.dial(dialCtx, carrier)
 }
--- a/io/links/ways.go
+++ b/io/links/ways.go
@@ -26,10 +26,10 @@
 }
 
 const (
-	// linkPatience is how long a call waits for a connection over this host's own link
+	// Patience is how long a call waits for a connection over this host's own link
 	// before it is carried: some ten round-trip times, and a tenth of the time after
 	// which a lost SYN is sent again.
-	linkPatience = 100 * time.Millisecond
+	Patience = 100 * time.Millisecond
 	// settleTime is how long a connection that checks a link must stay open: one that a
 	// device on the path accepts and drops does not show that the link works.
 	settleTime = 50 * time.Millisecond
@@ -168,7 +168,7 @@
 func (l *Links) dialLink(ctx context.Context, address netip.AddrPort, n Need) (*Conn, error) {
 	patience := DialTimeout
 	if n.CarriedIn || l.ways.hasCarriers() {
-		patience = linkPatience + l.queueDelay()
+		patience = Patience + l.queueDelay()
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
