--- a/core/engine/fair_share_test.go
+++ b/core/engine/fair_share_test.go
@@ -177,6 +177,26 @@
 	}
 }
 
+// Guards against a burst of one account whose end the worst served of the others don't notice.
+func TestWorstTenthOfTheAccountsBeforeAndAfterABurst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var text strings.Builder
+	for _, phase := range []struct {
+		name     string
+		from, to time.Duration
+	}{{"before", 4 * time.Second, 8 * time.Second}, {"during", 8 * time.Second, 14 * time.Second}, {"after", 14 * time.Second, 19 * time.Second}} {
+		r := newFairRun(append(smallAccounts(20, 1, 20), &fairAccount{name: "burst", rank: 1, perSecond: 1500, class: quickClass, begin: 8 * time.Second, end: 14 * time.Second})...)
+		r.countFrom, r.countTo = phase.from, phase.to
+		r.run()
+		others := r.accounts[:20]
+		fmt.Fprintf(&text, "%-6s in time: %s\n", phase.name, spreadOf(others))
+		for _, a := range others {
+			g.Expect(a.inTimeShare()).To(gomega.BeNumerically(">=", 1-shareTolerance), "%s, %s", phase.name, a.name)
+		}
+	}
+	golden.Compare(t, t.Name(), text.String())
+}
+
 // Guards against callers that get more because they come back at once and often.
 func TestRepeatsAtOnceGainNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/engine/fair_test.go
+++ b/core/engine/fair_test.go
@@ -27,8 +27,9 @@
 		calls     map[uint64]*fairCall
 		lastCall  uint64
 		accounts  []*fairAccount
-		// countFrom is the time since start from which arrivals and work are counted.
-		countFrom time.Duration
+		// countFrom and countTo are the times since start between which arrivals and work are
+		// counted; 0 for countTo means to the end.
+		countFrom, countTo time.Duration
 		// blind leaves out the accounts' names, so that calls are ordered as without
 		// accounts.
 		blind   bool
@@ -183,7 +184,7 @@
 	if r.now.Sub(start) >= a.end {
 		return
 	}
-	c := &fairCall{account: a, asked: r.now, counted: r.now.Sub(start) >= r.countFrom}
+	c := &fairCall{account: a, asked: r.now, counted: r.counts()}
 	if c.counted {
 		a.asked++
 	}
@@ -192,6 +193,12 @@
 	r.after(time.Duration(mean*(0.5+r.rng.Float64())), func() { r.arrivals(a) })
 }
 
+// counts reports whether a call that arrives now is counted.
+func (r *fairRun) counts() bool {
+	since := r.now.Sub(start)
+	return since >= r.countFrom && (r.countTo == 0 || since < r.countTo)
+}
+
 // submit sends a call, or its repeat, to the scheduler. The time that the caller has spent
 // before is taken off the aim, and from half of the aim the call is late, as entry hosts do.
 func (r *fairRun) submit(c *fairCall) {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -83,6 +83,7 @@
 		version        uint64 // Of the ledger at the last change of admitted.
 		leftRoom       bool   // The bucket is not full because of hosts that were lost, see restoreRoom.
 		comeBack       time.Time
+		users          []hostUse // One for each other host that has admitted calls of it.
 		lowAt          time.Time // When the account last had no room.
 		pace           pace      // Of the calls of all hosts.
 		surgeAt        time.Time // When the account last was about to have no room, see noteSurge.
@@ -98,15 +99,15 @@
 		// baseline says that numbers which are new are not taken from buckets: the host
 		// has admitted them before this one started.
 		baseline bool
-		observed time.Time          // When its numbers were last observed.
-		heard    time.Duration      // By the ledger's clock; see Ledger.Heard.
-		numbers  map[string]hostUse // The highest ones observed, by account.
-		adopted  bool               // Adopt was called.
+		observed time.Time        // When its numbers were last observed.
+		heard    time.Duration    // By the ledger's clock; see Ledger.Heard.
+		numbers  map[string]int64 // The highest ones observed, by account.
+		adopted  bool             // Adopt was called.
 	}
 
-	// hostUse is the use of one account at another control host.
+	// hostUse is when the number of an account at another control host last changed.
 	hostUse struct {
-		calls   int64
+		host    *host
 		changed time.Time
 	}
 
@@ -326,7 +327,7 @@
 func (l *Ledger) host(name string) *host {
 	h, ok := l.hosts[name]
 	if !ok {
-		h = &host{numbers: make(map[string]hostUse)}
+		h = &host{numbers: make(map[string]int64)}
 		l.hosts[name] = h
 	}
 	return h
@@ -534,8 +535,8 @@
 // one has passed. The caller holds mu.
 func (l *Ledger) retryAfter(a *account, now time.Time) time.Duration {
 	deciders := 1
-	for _, h := range l.hosts {
-		if u, ok := h.numbers[a.name]; ok && now.Sub(u.changed) < activeTime {
+	for _, u := range a.users {
+		if now.Sub(u.changed) < activeTime {
 			deciders++
 		}
 	}
@@ -608,12 +609,15 @@
 // once. A restricted ledger adds no tokens at all: after a resumption, several reports of a
 // host that have waited are read at once. The caller holds mu.
 func (l *Ledger) observe(h *host, u Usage, restricted bool, now time.Time) {
-	before := h.numbers[u.Account].calls
+	before := h.numbers[u.Account]
 	if u.Calls <= before {
 		return
 	}
-	h.numbers[u.Account] = hostUse{calls: u.Calls, changed: now}
+	h.numbers[u.Account] = u.Calls
 	a, ok := l.accounts[u.Account]
+	if ok {
+		a.noteUse(h, now)
+	}
 	if h.baseline || !ok || a.rate <= 0 {
 		return
 	}
@@ -631,6 +635,18 @@
 	l.noteSurge(a, n, now)
 }
 
+// noteUse records that the number of the account at another host has changed. Looking the
+// account up in the numbers of each host would take most of the time of a refusal.
+func (a *account) noteUse(h *host, now time.Time) {
+	for i := range a.users {
+		if a.users[i].host == h {
+			a.users[i].changed = now
+			return
+		}
+	}
+	a.users = append(a.users, hostUse{host: h, changed: now})
+}
+
 // lower sets the level of an account's bucket, at least so much that the bucket recovers
 // within a window and the time that it takes to fill: a wrong number must not block an
 // account for ever. The caller holds mu.
