Soak of a fleet, replacement of hosts by another version

spoollab soak ran hosts with fixed lists of each other only: nothing checked key leases, quotas, evacuations and cold targets under faults.

How calls are made is now a value (protocol), so that both runs share callers and checks. Changed tests: preparedSoak closes a relay by a run whose context has ended, the relay tests build the relay of io/relay, and TestRefusingEntryIsPickedOnlyAfterNextPoll uses New; their checks are the same.

--- a/cmd/spoollab/main.go
+++ b/cmd/spoollab/main.go
@@ -72,6 +72,7 @@
 		slopesCommand(),
 		soakCommand(),
 		soakTargetCommand(),
+		upgradeCommand(),
 		controlCommand(),
 		churnCommand(),
 		forceCommand(),
--- a/cmd/spoollab/soak.go
+++ b/cmd/spoollab/soak.go
@@ -27,6 +27,7 @@
 		targets  int
 		timeline bool
 		shrink   bool
+		fleet    bool
 	}
 
 	// soakTargetOptions are the flags of the soak-target subcommand.
@@ -55,10 +56,32 @@
 	sub.Int(&o.targets, "t", "targets", "number of targets")
 	sub.Bool(&o.timeline, "l", "timeline", "print the injected faults and the findings before the report")
 	sub.Bool(&o.shrink, "r", "shrink", "after a failure, search for a smaller set of faults that fails too")
+	sub.Bool(&o.fleet, "", "fleet", "run a fleet of a fixed size with client accounts, quotas, evacuations and cold targets")
 	flaggy.AttachSubcommand(sub, 1)
 	return &command{parser: sub, run: func(ctx context.Context) error { return runSoak(ctx, o) }}
 }
 
+// makeFolder makes a folder, a temporary one if it has no name, and returns its path.
+func makeFolder(name string) (string, error) {
+	if name == "" {
+		name, err := os.MkdirTemp("", "cardamomspool-soak-")
+		return name, errors.Wrap(err, "soak: folder")
+	}
+	return name, errors.Wrap(os.MkdirAll(name, 0o700), "soak: folder")
+}
+
+// printReport prints a report, after its timeline if asked to.
+func printReport(report soak.Report, timeline bool) {
+	if timeline {
+		for _, line := range report.Timeline {
+			fmt.Println(line)
+		}
+	}
+	if line, err := json.Marshal(report); err == nil {
+		fmt.Println(string(line))
+	}
+}
+
 func soakTargetCommand() *command {
 	o := &soakTargetOptions{}
 	sub := flaggy.NewSubcommand("soak-target")
@@ -85,40 +108,35 @@
 	if self, err = os.Executable(); err != nil {
 		return errors.Wrap(err, "soak: path of this binary")
 	}
-	if o.folder == "" {
-		o.folder, err = os.MkdirTemp("", "cardamomspool-soak-")
-	} else {
-		err = os.MkdirAll(o.folder, 0o700)
-	}
-	if err != nil {
-		return errors.Wrap(err, "soak: folder")
+	if o.folder, err = makeFolder(o.folder); err != nil {
+		return err
 	}
 	opts := []soak.Option{
-		soak.WithSeed(uint64(o.seed)), soak.WithCalls(o.calls), soak.WithSize(o.controls, o.entries, o.targets),
-		soak.WithProgress(os.Stderr),
+		soak.WithSeed(uint64(o.seed)), soak.WithCalls(o.calls), soak.WithProgress(os.Stderr),
+	}
+	if !o.fleet {
+		opts = append(opts, soak.WithSize(o.controls, o.entries, o.targets))
 	}
 	if o.gentle {
 		opts = append(opts, soak.WithGentle())
 	}
-	lab := []string{self, "soak-target"}
-	report, err = soak.New(o.binary, lab, o.folder, opts...).Run(ctx)
+	run := func(ctx context.Context, folder string, opts ...soak.Option) (soak.Report, error) {
+		if o.fleet {
+			return soak.NewFleet(o.binary, folder, opts...).Run(ctx)
+		}
+		return soak.New(o.binary, []string{self, "soak-target"}, folder, opts...).Run(ctx)
+	}
+	report, err = run(ctx, o.folder, opts...)
 	if errors.Is(err, soak.ErrFaults) && o.shrink {
 		report = soak.Shrink(ctx, report, func(ctx context.Context, events []soak.Event) (soak.Report, error) {
 			folder, mkdirErr := os.MkdirTemp(o.folder, "shrink-")
 			if mkdirErr != nil {
 				return soak.Report{}, mkdirErr
 			}
-			return soak.New(o.binary, lab, folder, append(opts, soak.WithEvents(events))...).Run(ctx)
+			return run(ctx, folder, append(opts, soak.WithEvents(events))...)
 		})
 	}
-	if o.timeline {
-		for _, line := range report.Timeline {
-			fmt.Println(line)
-		}
-	}
-	if line, marshalErr := json.Marshal(report); marshalErr == nil {
-		fmt.Println(string(line))
-	}
+	printReport(report, o.timeline)
 	return err
 }
 
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -81,6 +81,16 @@
 		WrongAccounts int `json:"wrong_accounts"`
 		// Resets counts the calls that a target reset because it was full.
 		Resets int `json:"resets"`
+		// NotFound counts the calls of a fleet that were answered 404, and Evacuated those that
+		// reached an evacuated data centre. Orders counts the evacuations and their withdrawals,
+		// WorstQuota and WorstCold the most calls of the limited account in its window and of a
+		// cold target in a second. ByStatus counts the calls by the status of their answer.
+		NotFound   int         `json:"not_found,omitempty"`
+		Evacuated  int         `json:"evacuated,omitempty"`
+		Orders     int         `json:"orders,omitempty"`
+		WorstQuota int         `json:"worst_quota,omitempty"`
+		WorstCold  int         `json:"worst_cold,omitempty"`
+		ByStatus   map[int]int `json:"by_status,omitempty"`
 		// ByKind counts the injected faults by kind.
 		ByKind map[string]int `json:"by_kind,omitempty"`
 		// Faults describes each call or change that was handled wrongly.
--- a/io/soak/cut.go
+++ b/io/soak/cut.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/netip"
 	"slices"
 	"time"
+
+	"cardamomspool/io/relay"
 )
 
 type (
@@ -19,8 +19,7 @@
 	}
 
 	// CutMode says what becomes of the connections from the entry host to the targets.
-	// New ones are reset in all modes.
-	CutMode string
+	CutMode = relay.CutMode
 
 	// cutCounts counts the calls that began at entry hosts that had been cut off for
 	// cutContact, while another entry host could carry them.
@@ -28,13 +27,6 @@
 )
 
 const (
-	// CutHangs means that open connections are silent, and reset at the end.
-	CutHangs CutMode = "hang"
-	// CutResets means that open connections are reset.
-	CutResets CutMode = "reset"
-	// CutRefuses means that open connections live on.
-	CutRefuses CutMode = "refuse"
-
 	// meanCutInterval is the mean time between two cuts.
 	meanCutInterval = 6 * time.Second
 	maxCutDuration  = 8 * time.Second
@@ -57,7 +49,7 @@
 // the same.
 func (s *Soak) drawCuts(length time.Duration) []Event {
 	rng := rand.New(rand.NewPCG(s.seed, 3))
-	modes := []CutMode{CutHangs, CutResets, CutRefuses}
+	modes := []CutMode{relay.CutHangs, relay.CutResets, relay.CutRefuses}
 	var events []Event
 	next := func() time.Duration { return time.Duration(rng.ExpFloat64() * float64(meanCutInterval)) }
 	for at := next(); at < length && len(s.entries) > 1; at += next() {
@@ -80,54 +72,12 @@
 	p.beginInterval(&p.cuts)
 	defer p.endInterval(&p.cuts)
 	for _, r := range s.callRelays {
-		r.beginCut(p.source, f.Mode)
+		r.BeginCut(p.source, f.Mode)
 	}
 	sleep(ctx, f.For)
 	for _, r := range s.callRelays {
-		r.endCut(p.source)
-	}
-}
-
-// beginCut cuts off the connections that come from source.
-func (r *relay) beginCut(source netip.Addr, mode CutMode) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cuts[source] = mode
-	if mode == CutResets {
-		r.resetFrom(source)
-	}
-}
-
-// isCut reports whether source is cut off.
-func (r *relay) isCut(source netip.Addr) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, cut := r.cuts[source]
-	return cut
-}
-
-// endCut ends the cut of source. Connections that were silent are reset.
-func (r *relay) endCut(source netip.Addr) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cuts[source] == CutHangs {
-		r.resetFrom(source)
+		r.EndCut(p.source)
 	}
-	delete(r.cuts, source)
-}
-
-// resetFrom starts to reset the connections that come from source. The caller holds mu.
-func (r *relay) resetFrom(source netip.Addr) {
-	for p := range r.connections {
-		if p.source() == source {
-			go p.reset()
-		}
-	}
-}
-
-// source returns the address that the connection comes from.
-func (p *relayedConn) source() netip.Addr {
-	return p.sides[forward].RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
 }
 
 // checkCuts adds a fault if too many calls were not served at entry hosts that were cut
@@ -165,7 +115,7 @@
 
 // relaysDisturbed reports whether a fault of the relay called name may affect the call.
 func (s *Soak) relaysDisturbed(c *callRecord, name string) bool {
-	return slices.ContainsFunc(s.relays, func(r *relay) bool { return r.name == name && r.disturbedAt(c.begin, c.end) })
+	return slices.ContainsFunc(s.relays, func(r *disturbedRelay) bool { return r.name == name && r.disturbedAt(c.begin, c.end) })
 }
 
 // cutThroughout reports whether the process was cut off from begin to end.
@@ -192,7 +142,7 @@
 }
 
 // disturbedAt reports whether a fault of the relay may affect calls from begin to end.
-func (r *relay) disturbedAt(begin, end time.Time) bool {
+func (r *disturbedRelay) disturbedAt(begin, end time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return overlaps(r.disturbances, begin, end)
--- a/io/soak/doc.go
+++ b/io/soak/doc.go
@@ -16,8 +16,12 @@
 // the hosts are no fleet, and so no data centre is evacuated. Targets must see the account and
 // no key. One target resets the connections of calls beyond its slots, except in gentle runs.
 //
-// It does not disturb clocks, and disks only by losing them. It tests only the
-// project's own interface, not the platform's.
+// Fleet does the same for a fleet, without relays: hosts are stopped, killed, frozen and lose
+// disks, and all lose power. Keys have leases, one account exceeds its quota, a data centre is
+// evacuated and restored, and targets become cold. Upgrade replaces the hosts of a fleet by those
+// of another version.
+//
+// It does not disturb clocks, and disks only by losing them.
 //
 // The operator is the part of the test that acts as an operator of the load balancer.
 // A record file lists the calls that a target has run; a callRecord holds what the
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cardamomspool/io/relay"
 )
 
 type (
@@ -162,6 +164,8 @@
 		return "block"
 	case CutOff:
 		return "cut_off"
+	case PowerLoss:
+		return "power_loss"
 	}
 	return "unknown"
 }
@@ -284,6 +288,9 @@
 		return errors.Errorf("soak: no process or relay is called %q", e.Victim)
 	}
 	p := s.processes()[i]
+	if f, ok := e.Fault.(PowerLoss); ok {
+		return s.losePower(e, f)
+	}
 	if f, ok := e.Fault.(CutOff); ok {
 		s.cutOff(ctx, p, e, f)
 		return nil
@@ -325,11 +332,15 @@
 func (s *Soak) loseDisk(ctx context.Context, p *process, e Event) error {
 	s.diskLoss.Lock()
 	defer s.diskLoss.Unlock()
+	notReady := 0
 	for _, other := range s.controls {
 		if other != p && !s.isReady(ctx, other) {
-			return nil
+			notReady++
 		}
 	}
+	if notReady > s.spareControls {
+		return nil
+	}
 	s.timeline.addEvent(e)
 	folder := filepath.Join(s.folder, p.name)
 	if err := s.killAndStart(p, 0, func() error { return os.RemoveAll(folder) }); err != nil {
@@ -360,7 +371,7 @@
 // inject injects a fault into the relay, returns when the fault has ended, and records
 // its begin and end. A fault other than a Reset, Delay or Block has no effect and is
 // only recorded.
-func (r *relay) inject(ctx context.Context, f Fault) {
+func (r *disturbedRelay) inject(ctx context.Context, f Fault) {
 	r.mu.Lock()
 	r.disturbances = append(r.disturbances, interval{begin: time.Now()})
 	i := len(r.disturbances) - 1
@@ -372,16 +383,16 @@
 	}()
 	switch f := f.(type) {
 	case Reset:
-		r.reset()
+		r.Reset()
 	case Delay:
-		release := r.disturb(f.Latency, [2]bool{})
+		release := r.Disturb(f.Latency, [2]bool{})
 		sleep(ctx, f.For)
 		release()
 	case Block:
-		release := r.disturb(0, [2]bool{forward: f.Forward, backward: f.Backward})
+		release := r.Disturb(0, [2]bool{relay.Forward: f.Forward, relay.Backward: f.Backward})
 		sleep(ctx, f.For)
 		if f.Reset {
-			r.reset()
+			r.Reset()
 		}
 		release()
 	}
--- a/io/soak/fault_test.go
+++ b/io/soak/fault_test.go
@@ -26,7 +26,7 @@
 	}
 	t.Cleanup(func() {
 		for _, r := range s.relays {
-			r.listener.Close()
+			r.Run(t.Context()) // The context has ended, so that this closes the listener.
 		}
 	})
 	return s
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -14,6 +13,8 @@
 	"github.com/pkg/errors"
 
 	"cardamomspool/core/strict"
+	"cardamomspool/internal/free"
+	"cardamomspool/io/relay"
 	"cardamomspool/io/setup"
 )
 
@@ -66,7 +67,7 @@
 			if err != nil {
 				return nil, err
 			}
-			p.PeerAddress = r.address()
+			p.PeerAddress = r.Address()
 		}
 		list = append(list, p)
 	}
@@ -74,11 +75,12 @@
 }
 
 // addRelay creates a relay called name that forwards connections to the address to.
-func (s *Soak) addRelay(name string, to netip.AddrPort) (*relay, error) {
-	r, err := newRelay(name, to)
+func (s *Soak) addRelay(name string, to netip.AddrPort) (*disturbedRelay, error) {
+	forwarding, err := relay.New(to)
 	if err != nil {
 		return nil, err
 	}
+	r := &disturbedRelay{Relay: forwarding, name: name}
 	s.relays = append(s.relays, r)
 	return r, nil
 }
@@ -87,7 +89,7 @@
 func newPeers(kind Kind, n int) ([]setup.Peer, error) {
 	var list []setup.Peer
 	for i := range n {
-		address, err := freeAddress()
+		address, err := free.Address()
 		if err != nil {
 			return nil, err
 		}
@@ -98,7 +100,7 @@
 
 // addControl adds a control host, which reaches the others through relays.
 func (s *Soak) addControl(p setup.Peer, controls []setup.Peer) error {
-	admin, err := freeAddress()
+	admin, err := free.Address()
 	if err != nil {
 		return err
 	}
@@ -124,7 +126,7 @@
 	var list [3]netip.AddrPort // The admin, call and announce addresses.
 	for i := range list {
 		var err error
-		if list[i], err = freeAddress(); err != nil {
+		if list[i], err = free.Address(); err != nil {
 			return netip.AddrPort{}, err
 		}
 	}
@@ -188,26 +190,26 @@
 // addTarget adds a target that announces itself at the addresses announce. Relays
 // carry its announcements and the calls to it.
 func (s *Soak) addTarget(name string, announce []netip.AddrPort) error {
-	address, err := freeAddress()
+	address, err := free.Address()
 	if err != nil {
 		return err
 	}
 	var (
 		to    []string
-		calls *relay
+		calls *disturbedRelay
 	)
 	for i, a := range announce {
-		var r *relay
+		var r *disturbedRelay
 		if r, err = s.addRelay(fmt.Sprintf("%s>entry-%d", name, i+1), a); err != nil {
 			return err
 		}
-		to = append(to, r.address().String())
+		to = append(to, r.Address().String())
 	}
 	if calls, err = s.addRelay("calls>"+name, address); err != nil {
 		return err
 	}
 	s.callRelays = append(s.callRelays, calls)
-	args := append(append([]string(nil), s.targetCommand...), "--name", name, "--address", address.String(), "--public", calls.address().String(),
+	args := append(append([]string(nil), s.targetCommand...), "--name", name, "--address", address.String(), "--public", calls.Address().String(),
 		"--announce", strings.Join(to, ","), "--record", s.recordFile(name))
 	if len(s.targets) == s.resettingTarget() {
 		args = append(args, "--reset")
@@ -223,20 +225,3 @@
 	s.recordFiles = append(s.recordFiles, s.recordFile(name))
 	return nil
 }
-
-// addressCount is the number of addresses that freeAddress has returned.
-var addressCount int
-
-// freeAddress returns a loopback address with a port that was free when it was
-// checked. Each address has an IP number of its own, so that no other connection
-// takes its port before it is used.
-func freeAddress() (netip.AddrPort, error) {
-	addressCount++
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%60), byte(addressCount >> 8), byte(addressCount)})
-	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "soak: free address")
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
-}
--- a/io/soak/relay_test.go
+++ b/io/soak/relay_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"cardamomspool/io/relay"
 )
 
 // echo starts a server that echoes all bytes.
@@ -37,12 +39,13 @@
 }
 
 // relayedEcho returns a relay to an echo server and a connection through it.
-func relayedEcho(t *testing.T, g *gomega.WithT) (*relay, net.Conn) {
+func relayedEcho(t *testing.T, g *gomega.WithT) (*disturbedRelay, net.Conn) {
 	t.Helper()
-	r, err := newRelay("a>b", echo(t))
+	forwarding, err := relay.New(echo(t))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	go r.run(t.Context())
-	conn, err := net.Dial("tcp", r.address().String())
+	r := &disturbedRelay{Relay: forwarding, name: "a>b"}
+	go r.Run(t.Context())
+	conn, err := net.Dial("tcp", r.Address().String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { conn.Close() })
 	g.Expect(roundTrip(conn, time.Second)).To(gomega.Succeed())
@@ -66,7 +69,7 @@
 	r, conn := relayedEcho(t, g)
 	r.inject(t.Context(), Reset{})
 	g.Eventually(func() error { return roundTrip(conn, time.Second) }).Should(gomega.HaveOccurred())
-	next, err := net.Dial("tcp", r.address().String())
+	next, err := net.Dial("tcp", r.Address().String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer next.Close()
 	g.Expect(roundTrip(next, time.Second)).To(gomega.Succeed())
@@ -98,7 +101,7 @@
 			g := gomega.NewWithT(t)
 			r, conn := relayedEcho(t, g)
 			row.fault.For = 100 * time.Millisecond
-			release := r.disturb(0, [2]bool{forward: row.fault.Forward, backward: row.fault.Backward})
+			release := r.Disturb(0, [2]bool{relay.Forward: row.fault.Forward, relay.Backward: row.fault.Backward})
 			err := roundTrip(conn, 50*time.Millisecond)
 			var timeout net.Error
 			g.Expect(err).To(gomega.BeAssignableToTypeOf(&net.OpError{}))
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cardamomspool/core/wire"
 )
 
 type (
@@ -34,6 +36,7 @@
 		folder        string
 
 		controlCount, entryCount, targetCount int
+		spareControls                         int // Control hosts that need not vote.
 		// fixedEvents, unless nil, replaces the events drawn from the seed.
 		fixedEvents []Event
 		progress    io.Writer
@@ -42,10 +45,11 @@
 		isolation   sync.Mutex // Held while a control host is isolated, so that only one is at a time.
 		operator    *operator
 		keyring     *keyring
+		protocol    protocol
 
 		controls, entries, targets []*process
-		relays                     []*relay
-		callRelays                 []*relay // The relays between entry hosts and targets.
+		relays                     []*disturbedRelay
+		callRelays                 []*disturbedRelay // The relays between entry hosts and targets.
 		callAddress                map[*process]netip.AddrPort
 		adminAddress               map[*process]netip.AddrPort
 		recordFiles                []string
@@ -62,6 +66,16 @@
 		entry  *process // The entry host that the current connection leads to.
 	}
 
+	// protocol is how calls of a run are made.
+	protocol struct {
+		// draw draws the key of a call that begins now at an entry host.
+		draw func(rng *rand.Rand, entry *process) callKey
+		// prepare has a request carry what the deployment asks for.
+		prepare func(c *callRecord, req *http.Request)
+		// outcome returns the outcome that an answer tells, empty for one of a target.
+		outcome func(resp *http.Response) string
+	}
+
 	// Option sets one property of a Soak.
 	Option func(*Soak)
 )
@@ -139,6 +153,10 @@
 	}
 	s.operator = &operator{soak: s, queueLengths: make(map[uint64]int)}
 	s.keyring = &keyring{soak: s, withdrawn: make(map[int]uint64), inForce: make(map[*process]uint64)}
+	s.protocol = protocol{
+		draw: s.keyring.draw, prepare: func(*callRecord, *http.Request) {},
+		outcome: func(resp *http.Response) string { return resp.Header.Get(wire.HeaderOutcome) },
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -164,7 +182,7 @@
 	defer relays.Wait()
 	defer cancel()
 	for _, r := range s.relays {
-		relays.Go(func() { r.run(ctx) })
+		relays.Go(func() { r.Run(ctx) })
 	}
 	defer s.killAll()
 	if err = s.startAll(ctx); err != nil {
@@ -197,6 +215,12 @@
 	s.checkCuts(&report)
 	s.operator.addTo(&report)
 	s.keyring.addTo(&report)
+	s.addTimeline(&report)
+	return report, report.Err()
+}
+
+// addTimeline adds the faults of a report to the timeline, and the timeline to the report.
+func (s *Soak) addTimeline(report *Report) {
 	for _, text := range report.Faults {
 		s.timeline.add("broken: %s", text)
 	}
@@ -207,7 +231,6 @@
 		report.Events++
 		report.addEvent(e)
 	}
-	return report, report.Err()
 }
 
 // runWithFaults sends the calls and carries out the events until all calls have
@@ -254,13 +277,13 @@
 }
 
 // carriesCalls reports whether a relay lies between entry hosts and a target.
-func (s *Soak) carriesCalls(r *relay) bool {
+func (s *Soak) carriesCalls(r *disturbedRelay) bool {
 	return slices.Contains(s.callRelays, r)
 }
 
 // carriesAnnouncements reports whether a relay lies between a target and an entry
 // host that the target announces itself to.
-func (s *Soak) carriesAnnouncements(r *relay) bool {
+func (s *Soak) carriesAnnouncements(r *disturbedRelay) bool {
 	return strings.HasPrefix(r.name, string(KindTarget)+"-")
 }
 
@@ -275,7 +298,7 @@
 // targetsDisturbed reports whether a kill or freeze of a target or a fault of a relay
 // between entry hosts and targets may affect the call.
 func (s *Soak) targetsDisturbed(c *callRecord) bool {
-	if slices.ContainsFunc(s.callRelays, func(r *relay) bool { return r.disturbedAt(c.begin, c.end) }) {
+	if slices.ContainsFunc(s.callRelays, func(r *disturbedRelay) bool { return r.disturbedAt(c.begin, c.end) }) {
 		return true
 	}
 	return slices.ContainsFunc(s.targets, func(p *process) bool { return p.hadOutage(c.begin, c.end) })
@@ -423,12 +446,15 @@
 		}
 	}
 	c := callRecord{id: fmt.Sprintf("call-%d", i), entry: from.entry, idempotent: rng.IntN(idempotentOneIn) == 0}
-	c.key = s.keyring.draw(rng, c.entry)
+	c.key = s.protocol.draw(rng, c.entry)
 	c.begin = time.Now()
 	upload := rng.IntN(uploadOneIn) == 0
 	var closed bool
 	closed, c.err = s.exchange(ctx, from.client, &c, upload)
 	c.end = time.Now()
+	if errors.Is(c.err, context.Canceled) {
+		return // The run has ended before the call.
+	}
 	if closed || c.err != nil {
 		from.entry = nil
 	}
@@ -493,6 +519,7 @@
 	req.ContentLength = length
 	req.Header.Set(headerCall, c.id)
 	c.key.set(req.Header)
+	s.protocol.prepare(c, req)
 	if resp, err = client.Do(req); err != nil {
 		return true, err
 	}
@@ -500,7 +527,7 @@
 	if answer, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
 		return true, err
 	}
-	c.status, c.outcome = resp.StatusCode, resp.Header.Get("Spool-Outcome")
+	c.status, c.outcome = resp.StatusCode, s.protocol.outcome(resp)
 	c.intact = c.status == http.StatusOK && string(answer) == answerTo(c.id, length)
 	return resp.Close, nil
 }
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	// cached test results when the packages change.
 	_ "cardamomspool/io/ctrl"
 	_ "cardamomspool/io/entry"
+	"cardamomspool/io/relay"
 )
 
 // testLimit bounds each soak run and each wait for a log line.
@@ -74,11 +74,11 @@
 			events = append(events, Event{At: at, Victim: victim, Fault: fault})
 		}
 	}
-	add(0, CutOff{Mode: CutHangs, For: 5 * time.Second}, "entry-1")
+	add(0, CutOff{Mode: relay.CutHangs, For: 5 * time.Second}, "entry-1")
 	add(time.Second, Kill{Down: 200 * time.Millisecond}, "entry-4")
-	add(6*time.Second, CutOff{Mode: CutRefuses, For: 5 * time.Second}, "entry-1", "entry-2", "entry-3")
+	add(6*time.Second, CutOff{Mode: relay.CutRefuses, For: 5 * time.Second}, "entry-1", "entry-2", "entry-3")
 	add(7*time.Second, Freeze{For: time.Second}, "control-1")
-	add(12*time.Second, CutOff{Mode: CutResets, For: 5 * time.Second}, "entry-1", "entry-2")
+	add(12*time.Second, CutOff{Mode: relay.CutResets, For: 5 * time.Second}, "entry-1", "entry-2")
 	add(16*time.Second, Freeze{For: 500 * time.Millisecond}, "entry-3")
 	report, err := New(system, []string{lab, "soak-target"}, t.TempDir(), WithSize(3, 4, 6), WithEvents(events), WithCalls(3000), WithPause(50*time.Millisecond)).Run(ctx)
 	g.Expect(err).NotTo(gomega.HaveOccurred(), "%+v", report)
@@ -193,7 +193,7 @@
 // thousands of connections until the next poll of readiness.
 func TestRefusingEntryIsPickedOnlyAfterNextPoll(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := &Soak{callAddress: make(map[*process]netip.AddrPort)}
+	s := New("", nil, "")
 	dead, live := &process{}, &process{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
