Keep the incarnation of a founder that ends before it votes

A control host that learnt its first value before it had heard that all hosts were blank counted itself as damaged, rightly. When it ended and started again it took a new incarnation, which is no founder, and waited for the votes of two others. If one of three hosts had lost its disk meanwhile, neither of the two ever voted again. Operators would have seen 503 until all disks were removed.

The identity on disk now says that the host has not voted in its incarnation, and it keeps that one if there are no registers. It votes as a founder does that was never stopped. Identities without the mark, as those of older versions, are read as before; the mark is left out otherwise.

--- a/core/quorum/learn.go
+++ b/core/quorum/learn.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if n.identity.Stage == StageBlank {
-		n.identity.Stage = StageDamaged // A cluster that holds values must not be bootstrapped again.
+		n.identity.Stage, n.identity.Unvoted = StageDamaged, true // A cluster that holds values must not be bootstrapped again.
 		n.save(n.identity)
 	}
 	n.save(learnt)
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -21,6 +21,9 @@
 		Incarnation Incarnation `json:"incarnation"`
 		// Stage tells whether the host votes.
 		Stage Stage `json:"stage"`
+		// Unvoted is true in StageDamaged if the host was blank as it learnt a value: it has
+		// not voted in this incarnation, and may be one of the founders.
+		Unvoted bool `json:"unvoted,omitempty"`
 		// Founders are the incarnations that bootstrapped the cluster.
 		Founders Incarnations `json:"founders,omitempty"`
 		// Known holds the newest known incarnation of every control host.
@@ -234,6 +237,11 @@
 		n.restore(saved.Registers)
 	case saved.Identity == nil && !saved.Damaged && len(saved.Registers)+len(saved.Learnt) == 0:
 		n.newIncarnation(StageBlank, 1)
+	case saved.unvoted():
+		// A new incarnation would not be one of the founders, and would need the votes of more
+		// hosts to recover than this one does.
+		n.identity = *saved.Identity
+		n.identity.Known = n.identity.Known.clone()
 	default:
 		var last uint64
 		if saved.Identity != nil {
@@ -252,6 +260,11 @@
 	return n.takeOutput()
 }
 
+// unvoted reports whether the host has not voted in the incarnation on its disk.
+func (s *Saved) unvoted() bool {
+	return s.Identity != nil && !s.Damaged && s.Identity.Stage == StageDamaged && s.Identity.Unvoted && len(s.Registers) == 0
+}
+
 // intact reports whether the disk holds all votes of its incarnation. This is
 // also true of a blank disk without registers, because a blank host never votes.
 func (n *Node) intact(saved Saved) bool {
--- a/core/quorum/recover.go
+++ b/core/quorum/recover.go
@@ -171,7 +171,7 @@
 // startVoting ends a recovery. It saves the identity after all registers, so that
 // a crash in between leaves the host not voting.
 func (n *Node) startVoting(now time.Time) {
-	n.identity.Stage = StageVoting
+	n.identity.Stage, n.identity.Unvoted = StageVoting, false
 	n.recovery = recovery{round: n.recovery.round}
 	n.save(n.identity)
 	n.trackAllUnlearnt(now)
--- a/core/quorum/session_test.go
+++ b/core/quorum/session_test.go
@@ -157,6 +157,33 @@
 	s.golden(t)
 }
 
+// Host c has not heard that all hosts were blank when it learns a first value and ends. Guards
+// against a c that starts as another one than the founder that it was: with another disk lost, no
+// two hosts of three would vote any more.
+func TestSessionFounderEndsBeforeItVotes(t *testing.T) {
+	s := newSession(t, 3)
+	s.dropMessages(func(e quorum.Envelope) bool {
+		_, isSnapshot := e.Message.(*quorum.Snapshot)
+		return isSnapshot && e.To == "c"
+	})
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(settleTime)
+	s.g.Expect(s.hosts["c"].voting()).To(gomega.BeFalse())
+	s.g.Expect(s.change("a", set(0, "r1", `1`)).Err).NotTo(gomega.HaveOccurred())
+	s.stop("c")
+	s.restartEmpty("b")
+	s.start("c")
+	s.reconnect()
+	s.run(settleTime)
+	for _, name := range s.names {
+		s.g.Expect(s.hosts[name].voting()).To(gomega.BeTrue(), name)
+		s.g.Expect(s.readX(name).Value.Revision).To(gomega.Equal(uint64(1)), name)
+	}
+	s.golden(t)
+}
+
 func TestSessionTwoOperatorsChangeOneRevision(t *testing.T) {
 	s := newSession(t, 3)
 	s.startAll()
