--- a/io/soak/fleetload.go
+++ b/io/soak/fleetload.go
@@ -10,14 +10,18 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"cardamomspool/core/keys"
+	"cardamomspool/core/member"
+	"cardamomspool/core/plan"
+	"cardamomspool/core/roster"
+	"cardamomspool/core/strict"
 	"cardamomspool/core/wire"
+	"cardamomspool/platform"
 )
 
 type (
@@ -28,7 +32,6 @@
 		running          atomic.Int64
 
 		mu       sync.Mutex
-		sequence int
 		cold     []interval // Times in which it was cold; the last one may be in the future.
 		arrivals []arrivalRecord
 	}
@@ -61,14 +64,10 @@
 	coldInterval = 1500 * time.Millisecond
 	beatInterval = 500 * time.Millisecond
 
-	fleetHost = "shop.example" // Of the calls.
-
-	// The fields of the deployments that fleets are made for.
-	fieldCall    = "X-Request-Id"
-	fieldAccount = "X-Tenant"
-	fieldWarmup  = "X-Warmup-Ms"
-	fieldLoad    = "X-Server-Load"
-	fieldNotRun  = "X-Not-Executed"
+	fleetHost  = "shop.example" // Of the calls.
+	healthPath = "/health"
+	unsafePath = "/unsafe/"
+	safePath   = "/safe/"
 )
 
 func newFleetTarget(i int, address netip.AddrPort) *fleetTarget {
@@ -93,30 +92,25 @@
 
 // ServeHTTP records a call and answers it after its service time, or answers a probe.
 func (t *fleetTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id, now := r.Header.Get(fieldCall), time.Now()
-	h := w.Header()
-	h.Set(fieldCall, id)
-	h.Set("X-Response-Signature", "s")
-	if left := t.coldLeft(now); left > 0 {
-		h.Set(fieldWarmup, strconv.FormatInt(left.Milliseconds(), 10))
+	id, account := platform.ReadAttempt(r.Header)
+	now, isCall := time.Now(), r.URL.Path != healthPath
+	running := t.running.Load()
+	if isCall {
+		running = t.running.Add(1)
+		defer t.running.Add(-1)
 	}
-	if r.URL.Path == "/health" {
-		h.Set(fieldLoad, fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
+	platform.SetAnswer(w.Header(), id, wire.Load{Running: int(running), Slots: targetSlots}, t.coldLeft(now))
+	if !isCall {
 		return
 	}
-	defer t.running.Add(-1)
-	full := t.running.Add(1) > 2*targetSlots
-	t.mu.Lock()
-	if !full {
-		t.arrivals = append(t.arrivals, arrivalRecord{id: id, at: now, sighting: sighting{account: r.Header.Get(fieldAccount), hasKey: len(r.Header[keys.Field]) > 0}})
-	}
-	t.mu.Unlock()
-	h.Set(fieldLoad, fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
-	if full {
-		h.Set(fieldNotRun, "1")
+	if running > 2*targetSlots {
+		platform.SetNotRun(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, arrivalRecord{id: id, at: now, sighting: sighting{account: account, hasKey: len(r.Header[keys.Field]) > 0}})
+	t.mu.Unlock()
 	n, _ := io.Copy(io.Discard, r.Body)
 	time.Sleep(serviceTime(id))
 	io.WriteString(w, answerTo(id, n))
@@ -134,16 +128,14 @@
 
 // announce sends the heartbeats of a target to control hosts in turn until ctx ends.
 func (f *Fleet) announce(ctx context.Context, t *fleetTarget, rng *rand.Rand) {
-	born := time.Now().UnixMilli()
+	record := roster.Target{Service: serviceName, Address: t.address, DataCentre: t.dataCentre, Slots: targetSlots, State: member.Ready, Born: time.Now()}
 	for ok := true; ok; ok = sleep(ctx, beatInterval) {
-		t.mu.Lock()
-		t.sequence++
-		sequence := t.sequence
-		t.mu.Unlock()
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","maxConcurrency":%d,"state":"ready","warmupLeftMs":%d,"sequence":%d,"born":%d}`,
-			serviceName, t.address, t.dataCentre, targetSlots, t.coldLeft(time.Now()).Milliseconds(), sequence, born)
+		now := time.Now()
+		record.Sequence++
+		record.WarmAt = now.Add(t.coldLeft(now))
+		body := platform.EncodeHeartbeat(&record, now)
 		for _, i := range rng.Perm(len(f.controls)) {
-			if status, _ := f.send(ctx, f.controls[i], announceTimeout, http.MethodPut, "/instances/"+t.name, body); status == http.StatusOK {
+			if status, _ := f.send(ctx, f.controls[i], announceTimeout, http.MethodPut, platform.TargetPath(t.name), body); status == http.StatusOK {
 				break
 			}
 		}
@@ -192,22 +184,24 @@
 // putPlan sends the n-th plan, of version n+1, whose changing account has the n-th key.
 func (f *Fleet) putPlan(ctx context.Context, n int) bool {
 	rng := rand.New(rand.NewPCG(f.seed, uint64(n)+2000))
-	resources := []string{
-		fmt.Sprintf(`{"resourceKind":"services","metadata":{"name":%q},"spec":{"healthCheckPath":"/health","maxConnections":240,"warmupS":%v,"warmupPerS":%v}}`, serviceName, coldTime.Seconds(), warmRate),
-	}
-	for _, name := range []string{"unsafe", "safe"} { // The types of the routes, too.
-		resources = append(resources, fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"pathPrefix":"/%s/","type":%q,"timeoutMs":3000,"targetLatencyMs":500,"priority":1,"service":%q,"maxAttempts":2}}`, name, fleetHost, name, name, serviceName))
+	p := plan.Plan{Version: uint64(n) + 1, Services: []plan.Service{{
+		Name: serviceName, HealthPath: healthPath, Connections: 240, WarmTime: strict.Duration(coldTime), WarmRate: warmRate,
+	}}}
+	for path, idempotent := range map[string]bool{unsafePath: false, safePath: true} {
+		p.Routes = append(p.Routes, plan.Route{
+			Name: strings.Trim(path, "/"), Host: fleetHost, PathPrefix: path, Idempotent: idempotent, Attempts: 2, Rank: 1,
+			Timeout: strict.Duration(3 * time.Second), Aim: strict.Duration(500 * time.Millisecond), Parts: []plan.Part{{Service: serviceName, Weight: 1}},
+		})
 	}
+	var accounts []platform.LabAccount
 	if !f.plain {
-		for account, spec := range map[string]string{
-			steadyAccount:   fmt.Sprintf(`{"apiKeys":[%q]}`, steadyKey),
-			changingAccount: fmt.Sprintf(`{"apiKeys":[%q]}`, changingKey(n)),
-			limitedAccount:  fmt.Sprintf(`{"apiKeys":[%q],"ratePerS":%v,"burst":%v}`, limitedKey, limitedRate, limitedBurst),
-		} {
-			resources = append(resources, fmt.Sprintf(`{"resourceKind":"tenants","metadata":{"name":%q},"spec":%s}`, account, spec))
+		accounts = []platform.LabAccount{
+			{Name: steadyAccount, Key: steadyKey},
+			{Name: changingAccount, Key: changingKey(n)},
+			{Name: limitedAccount, Key: limitedKey, Rate: limitedRate, Burst: limitedBurst},
 		}
 	}
-	return f.sendUntilAcknowledged(ctx, rng, &f.changes, http.MethodPut, "/config", fmt.Sprintf(`{"version":%d,"resources":[%s]}`, n+1, strings.Join(resources, ",")))
+	return f.sendUntilAcknowledged(ctx, rng, &f.changes, http.MethodPut, platform.ConfigPath(), platform.EncodePlan(&p, accounts))
 }
 
 // readPlans reads the plan from every control host, which must return the last acknowledged one
@@ -226,7 +220,7 @@
 			Version uint64 `json:"version"`
 		}
 		for again := true; again; again = got.Version < want && sleep(ctx, pollInterval) {
-			if status, body := f.send(ctx, p, operatorTimeout, http.MethodGet, "/config", ""); status != http.StatusOK || json.Unmarshal(body, &got) != nil {
+			if status, body := f.send(ctx, p, operatorTimeout, http.MethodGet, platform.ConfigPath(), ""); status != http.StatusOK || json.Unmarshal(body, &got) != nil {
 				got.Version = 0
 			}
 		}
@@ -247,7 +241,7 @@
 func (f *Fleet) giveOrders(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(f.seed, 6))
 	for method, pause := http.MethodPost, time.Second; sleep(ctx, pause); {
-		if !f.sendUntilAcknowledged(ctx, rng, &f.orders, method, "/evacuations/"+evacuatedDataCentre, "") {
+		if !f.sendUntilAcknowledged(ctx, rng, &f.orders, method, platform.EvacuationPath(evacuatedDataCentre), "") {
 			return
 		}
 		pause = time.Duration(rng.Int64N(int64(maxOrderTime)))
@@ -298,20 +292,19 @@
 
 // prepareFleetCall names the route and the call.
 func prepareFleetCall(c *callRecord, req *http.Request) {
-	req.Method, req.URL.Path, req.Host = http.MethodPost, "/unsafe/", fleetHost
+	req.Method, req.URL.Path, req.Host = http.MethodPost, unsafePath, fleetHost
 	if c.idempotent {
-		req.URL.Path = "/safe/"
+		req.URL.Path = safePath
 	}
-	req.Header.Set(fieldCall, c.id)
-	req.Header.Set(fieldAccount, "forged")
+	platform.SetCall(req.Header, c.id, "forged")
 }
 
 // fleetOutcome returns the outcome that the status of an answer tells.
 func fleetOutcome(resp *http.Response) string {
-	switch resp.StatusCode {
-	case http.StatusOK:
+	switch {
+	case resp.StatusCode == http.StatusOK:
 		return ""
-	case http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case platform.IsNotRun(resp.StatusCode) || resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusNotFound:
 		return wire.OutcomeNotRun
 	}
 	return wire.OutcomeUnknown
