Let new calls pass late ones that wait, and late ones use more slots with time

Seen in a review: with late calls held for free slots, a new call was queued behind them or refused with queue_full beside a free slot; a service that new calls keep above 0.7 of its slots never sent a late call; slots of targets that rest or are ejected counted as free; a service with few slots kept one idle. Change: a new call is tried at once when only late calls are queued, and the last late call makes room in a full queue. The reserve shrinks from 0.3 to 0.15 of the slots while a late call waits, counts usable targets only, and begins with 8 slots. Result: go test ./core/engine passes; TestNewCallsPassLateOnes failed before.

--- a/core/engine/return_test.go
+++ b/core/engine/return_test.go
@@ -215,3 +215,40 @@
 	}
 	golden.Compare(t, t.Name(), text.String())
 }
+
+// Guards against late calls that wait for more free slots and are in the way of new ones: a
+// new call queued behind them, or refused since they fill the queue.
+func TestNewCallsPassLateOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doc := spec.Default()
+	doc.Name = "s"
+	doc.Route = spec.Route{Policy: spec.PolicyFastest}
+	doc.Hold = spec.Hold{Length: 2, LongestWait: strict.Duration(10 * time.Second)}
+	doc.Refuse = spec.Refuse{RetryAfter: strict.Duration(100 * time.Millisecond), OpenCalls: 100}
+	s := engine.NewScheduler(doc, rand.New(rand.NewPCG(1, 1)))
+	records := targets(2).Records
+	for i := range records {
+		records[i].Slots = 4
+	}
+	s.Handle(nil, engine.SetTargets{Records: records}, start)
+	arrive := func(id uint64, late bool) []engine.Action {
+		class := spec.Class{Weight: 1, Idempotent: true, Aim: time.Second, Late: late, Deadline: 4 * time.Second}
+		return s.Handle(nil, engine.Arrive{Call: id, Class: class, Deadline: start.Add(4 * time.Second)}, start)
+	}
+	for id := range uint64(6) {
+		g.Expect(arrive(id, false)).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})))
+	}
+	g.Expect(arrive(10, true)).To(gomega.BeEmpty(), "two of eight slots are free")
+	g.Expect(arrive(11, true)).To(gomega.BeEmpty())
+	g.Expect(s.QueuedCalls()).To(gomega.Equal(2))
+	for id := range uint64(2) {
+		g.Expect(arrive(20+id, false)).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(engine.Send{})), "beside late calls that wait")
+	}
+	actions := arrive(30, false)
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].(engine.Refuse).Call).To(gomega.BeEquivalentTo(11), "the last late call makes room")
+	g.Expect(s.QueuedCalls()).To(gomega.Equal(2))
+	actions = s.Handle(nil, engine.Finish{Call: 0, Result: engine.Answered, Feedback: route.Feedback{Outcome: route.Served}}, start)
+	g.Expect(actions).To(gomega.HaveLen(1))
+	g.Expect(actions[0].(engine.Send).Call).To(gomega.BeEquivalentTo(30))
+}
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -104,8 +104,13 @@
 	// minFreeForLate is the share of the slots of a service below which late calls are not
 	// sent. Targets slow down when about 0.8 of their slots are in use; the rest is for
 	// calls that arrive meanwhile and can still be in time. After a loss of power, late
-	// calls filled all slots and a third of the new ones were late behind them.
+	// calls filled all slots and a third of the new ones were late behind them; see
+	// TestNewCallsAreInTimeAfterALossOfPower.
 	minFreeForLate = 0.3
+	minFreeAtEnd   = 0.15
+	// minSlotsForReserve is the number of slots of a service from which late calls leave some
+	// free: of fewer, the reserve would be one slot that is idle most of the time.
+	minSlotsForReserve = 8
 	// A late call may wait for its aim divided by lateWaitDivisor at most.
 	lateWaitDivisor = 2
 	// lateRankOffset is added to the rank of a late call. It is above all ranks
@@ -258,7 +263,8 @@
 // arrive handles a new call. It refuses the call when its client account is over its
 // quota, before anything else takes the call, or when too many calls are open. While
 // other calls are queued, it queues the call too and then sends as many queued calls
-// as it can; otherwise it sends the call if it can.
+// as it can; otherwise it sends the call if it can. Late calls that wait for more free slots
+// are no reason to queue one that is not late.
 func (s *Scheduler) arrive(dst []Action, e Arrive, now time.Time) []Action {
 	for _, name := range e.Resets {
 		s.targets.ObserveReset(name, s.doc.Targets.Slots, true, now)
@@ -280,7 +286,7 @@
 	s.retryBudget.CountCall(now)
 	s.extras.budget.CountCall(now)
 	s.retryCredit = min(s.retryCredit+float64(s.doc.Retry.BudgetPercent)/100, retryBurst)
-	if s.queue.Len() > 0 {
+	if s.queue.Len() > 0 && (c.class.Late || !s.onlyLateQueued()) {
 		return s.dispatchQueued(s.queueOrRefuse(dst, e.Call, c, now), now)
 	}
 	return s.sendOrQueue(dst, e.Call, c, now)
@@ -497,14 +503,33 @@
 // the call now, and for a late call while few slots are free, see minFreeForLate.
 func (s *Scheduler) choose(c *call, now time.Time) (route.Pick, bool) {
 	q := s.query(c, now)
-	if c.class.Late {
-		if free, slots := s.targets.FreeSlots(q); float64(free) < minFreeForLate*float64(slots) {
-			return route.Pick{}, false
-		}
+	if c.class.Late && !s.roomForLate(c, q) {
+		return route.Pick{}, false
 	}
 	return s.targets.Choose(s.policy, q, s.rng)
 }
 
+// roomForLate reports whether enough slots are free for a late call. What it must leave free
+// shrinks from minFreeForLate to minFreeAtEnd while it waits, so that late calls are served
+// beside new ones that keep most of the slots in use.
+func (s *Scheduler) roomForLate(c *call, q route.Query) bool {
+	free, slots := s.targets.UsableSlots(q)
+	if slots < minSlotsForReserve {
+		return true
+	}
+	reserve := minFreeForLate
+	if wait := c.class.Aim / lateWaitDivisor; wait > 0 {
+		reserve -= (minFreeForLate - minFreeAtEnd) * float64(q.Now.Sub(c.waitingSince)) / float64(wait)
+	}
+	return float64(free) >= reserve*float64(slots)
+}
+
+// onlyLateQueued reports whether all queued calls are late.
+func (s *Scheduler) onlyLateQueued() bool {
+	first, ok := s.queue.Peek()
+	return ok && first.Rank >= lateRankOffset
+}
+
 // query returns the conditions for the choice of a target for a call.
 func (s *Scheduler) query(c *call, now time.Time) route.Query {
 	q := route.Query{Slots: s.doc.Targets.Slots, Exclude: s.excludedTargets(c), Now: now, DataCentre: c.dataCentre, Host: c.host, Once: !c.class.Idempotent}
@@ -551,7 +576,13 @@
 		return s.refuse(dst, id, c, NoProspect, now)
 	}
 	if err := s.queue.Push(h); err != nil {
-		return s.refuse(dst, id, c, QueueFull, now)
+		last, ok := s.queue.Last()
+		if c.class.Late || !ok || last.Rank < lateRankOffset {
+			return s.refuse(dst, id, c, QueueFull, now)
+		}
+		s.queue.Take(last.Call)
+		dst = s.refuse(dst, last.Call, s.calls[last.Call], QueueFull, now)
+		s.queue.Requeue(h)
 	}
 	return s.appendHold(dst, id)
 }
--- a/core/route/extra.go
+++ b/core/route/extra.go
@@ -65,6 +65,23 @@
 	return free, slots
 }
 
+// UsableSlots returns what FreeSlots does for the targets that may get a call with the
+// conditions of q now, or are only full. Targets that rest, have shed a call or have reached
+// a limit have no slots.
+func (t *Table) UsableSlots(q Query) (free, slots int) {
+	at := t.offset(q.Now)
+	for _, i := range t.readyRows {
+		s := &t.states[i]
+		if s.addressTaken || s.outOfUse(at) || s.shedUntil > at || t.limitReached(s, at) || s.restLeft(q.Host, at) > 0 {
+			continue
+		}
+		limit := t.callLimit(i, q)
+		slots += limit
+		free += max(limit-s.inFlight-s.otherInFlight(at), 0)
+	}
+	return free, slots
+}
+
 // slow reports whether the target of row i is expected to be slow by its last report.
 func (t *Table) slow(i int, at time.Duration) bool {
 	s := &t.states[i]
