--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -32,6 +32,7 @@
 		callCount     int
 		workers       int           // Callers, each with one call at a time.
 		pause         time.Duration // Between two calls of a worker.
+		upgradePause  time.Duration // See WithUpgradePause.
 		gentle        bool          // See WithGentle.
 		folder        string
 
