--- /dev/null
+++ b/internal/stored/doc.go
@@ -0,0 +1,2 @@
+// Package stored compares files of data folders with those that earlier builds wrote.
+package stored
--- a/io/peer/builds_test.go
+++ b/io/peer/builds_test.go
@@ -19,14 +19,17 @@
 	"cardamomspool/io/peer/peerpb"
 )
 
-// The golden files of an earlier build are written by this build of 0e43ae4 and must not
-// change: testdata/old_build.descriptor is its peer.proto as a FileDescriptorProto in
-// base64, testdata/old_build.golden the bytes of its messages with all fields set.
+// The golden files of an earlier build are written by that build and must not change:
+// testdata/NAME.descriptor is its peer.proto as a FileDescriptorProto in base64,
+// testdata/NAME.golden the bytes of its messages with all fields set.
 const (
-	oldDescriptorFile = "testdata/old_build.descriptor"
-	oldMessagesFile   = "testdata/old_build.golden"
+	oldBuildName = "old_build"     // Of 0e43ae4.
+	lastLanding  = "build_762a605" // The first one with client accounts and evacuations.
 )
 
+// earlierBuilds lists the builds that hosts of this one may run beside.
+var earlierBuilds = []string{oldBuildName, lastLanding}
+
 // fill sets the fields of m that fields has, to values that depend on their numbers only. Of
 // a oneof it sets the field of index choice.
 func fill(m protoreflect.Message, fields protoreflect.MessageDescriptor, choice int) {
@@ -124,10 +127,10 @@
 	return message.Interface()
 }
 
-// oldBuild returns the descriptor of the messages of the earlier build.
-func oldBuild(t *testing.T) protoreflect.FileDescriptor {
+// buildNamed returns the descriptor of the messages of an earlier build.
+func buildNamed(t *testing.T, name string) protoreflect.FileDescriptor {
 	g := gomega.NewWithT(t)
-	text, err := os.ReadFile(oldDescriptorFile)
+	text, err := os.ReadFile("testdata/" + name + ".descriptor")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	data, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(text)))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -138,21 +141,32 @@
 	return file
 }
 
-// Guards against a change of the bytes that hosts of the earlier build are sent while the
+// Guards against a change of the bytes that hosts of an earlier build are sent while the
 // fields that they don't know are empty.
 func TestMessagesWithoutNewFieldsHaveTheBytesOfTheOldBuild(t *testing.T) {
-	g := gomega.NewWithT(t)
-	want, err := os.ReadFile(oldMessagesFile)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(describeMessages(t, oldBuild(t))).To(gomega.Equal(string(want)))
+	for _, build := range earlierBuilds {
+		t.Run(build, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			want, err := os.ReadFile("testdata/" + build + ".golden")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(describeMessages(t, buildNamed(t, build))).To(gomega.Equal(string(want)))
+		})
+	}
 }
 
-// Guards against a message of the earlier build that is read differently, or of which a
+// Guards against a message of an earlier build that is read differently, or of which a
 // field is unknown.
 func TestMessagesOfTheOldBuildAreDecoded(t *testing.T) {
+	for _, build := range earlierBuilds {
+		t.Run(build, func(t *testing.T) { checkDecoded(t, build) })
+	}
+}
+
+// checkDecoded decodes the messages in the golden file of an earlier build.
+func checkDecoded(t *testing.T, build string) {
 	g := gomega.NewWithT(t)
-	old := oldBuild(t)
-	text, err := os.ReadFile(oldMessagesFile)
+	old := buildNamed(t, build)
+	text, err := os.ReadFile("testdata/" + build + ".golden")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
 	for i := range old.Messages().Len() {
@@ -176,7 +190,7 @@
 // knows differently, or refuse the message.
 func TestOldBuildReadsMessagesWithNewFields(t *testing.T) {
 	g := gomega.NewWithT(t)
-	old := oldBuild(t)
+	old := buildNamed(t, oldBuildName)
 	gained := make(map[protoreflect.Name]bool)
 	for i := range old.Messages().Len() {
 		m := old.Messages().Get(i)
@@ -208,3 +222,21 @@
 	g.Expect(got.WhichOneof(event.Oneofs().ByName("event"))).To(gomega.BeNil())
 	g.Expect(got.Get(event.Fields().ByName("call")).Uint()).To(gomega.BeEquivalentTo(5))
 }
+
+// Guards against a kind of message that no golden file of an earlier build has, so that a change of
+// its bytes would go unnoticed after its landing. A new kind is added to this list, and taken off
+// it with the golden file of the build that landed it.
+func TestGoldenFilesHaveAllMessages(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var landed, known []protoreflect.Name
+	for _, list := range []struct {
+		names *[]protoreflect.Name
+		file  protoreflect.FileDescriptor
+	}{{&landed, buildNamed(t, lastLanding)}, {&known, peerpb.File_peer_proto}} {
+		for i := range list.file.Messages().Len() {
+			*list.names = append(*list.names, list.file.Messages().Get(i).Name())
+		}
+	}
+	var added []protoreflect.Name
+	g.Expect(known).To(gomega.ConsistOf(append(landed, added...)))
+}
