--- a/io/feed/state.go
+++ b/io/feed/state.go
@@ -55,8 +55,9 @@
 	//
 	// That of firstLists is taken before those of targets and changes.
 	//
-	// A stream holds the lock of one table at a time, or that of firstLists and one more. It asks the waker before it reads, and
-	// condition before the other tables, so that what it says of this host holds for them.
+	// A stream holds the lock of one table at a time, or that of firstLists and one more. It
+	// asks the waker before it reads, and condition before the other tables, so that what it
+	// says of this host holds for them.
 	State struct {
 		log     *slog.Logger
 		metrics *telem.Registry
