--- a/io/peer/builds_test.go
+++ b/io/peer/builds_test.go
@@ -24,11 +24,11 @@
 // testdata/NAME.golden the bytes of its messages with all fields set.
 const (
 	oldBuildName = "old_build"     // Of 0e43ae4.
-	lastLanding  = "build_762a605" // The first one with client accounts and evacuations.
+	newestBuild  = "build_762a605" // The first one with client accounts and evacuations.
 )
 
 // earlierBuilds lists the builds that hosts of this one may run beside.
-var earlierBuilds = []string{oldBuildName, lastLanding}
+var earlierBuilds = []string{oldBuildName, newestBuild}
 
 // fill sets the fields of m that fields has, to values that depend on their numbers only. Of
 // a oneof it sets the field of index choice.
@@ -224,19 +224,19 @@
 }
 
 // Guards against a kind of message that no golden file of an earlier build has, so that a change of
-// its bytes would go unnoticed after its landing. A new kind is added to this list, and taken off
-// it with the golden file of the build that landed it.
+// its bytes would go unnoticed. A new kind is added to this list, and taken off
+// it with the golden file of a build that has it.
 func TestGoldenFilesHaveAllMessages(t *testing.T) {
 	g := gomega.NewWithT(t)
-	var landed, known []protoreflect.Name
+	var recorded, known []protoreflect.Name
 	for _, list := range []struct {
 		names *[]protoreflect.Name
 		file  protoreflect.FileDescriptor
-	}{{&landed, buildNamed(t, lastLanding)}, {&known, peerpb.File_peer_proto}} {
+	}{{&recorded, buildNamed(t, newestBuild)}, {&known, peerpb.File_peer_proto}} {
 		for i := range list.file.Messages().Len() {
 			*list.names = append(*list.names, list.file.Messages().Get(i).Name())
 		}
 	}
 	var added []protoreflect.Name
-	g.Expect(known).To(gomega.ConsistOf(append(landed, added...)))
+	g.Expect(known).To(gomega.ConsistOf(append(recorded, added...)))
 }
