Refuse starts of targets that cannot be stored

Seen by targets and operators: after one heartbeat with a born of (the year 10000) or more, no target was written to disk any more. Each departure of any target was answered 503, as a departure is acknowledged once it is on disk, and a loss of power would have brought back the targets as they were before. A negative born was taken for a missing one.

Cause: a time beyond the year 9999 has no JSON form, so that Save failed for the whole list. roster.Target.Validate now refuses starts before 1970 and after the year 9999, of heartbeats and of targets that other hosts send.

--- a/core/roster/validate.go
+++ b/core/roster/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -18,8 +19,11 @@
 	shownBytes = 64
 )
 
+// maxBorn is the first start that the JSON form of a time does not hold.
+var maxBorn = time.Date(10_000, time.January, 1, 0, 0, 0, 0, time.UTC)
+
 // Validate returns an error that names the first field with a value that hosts could not send
-// to each other. A target that is leaving needs no service, data centre and address.
+// to each other or store. A target that is leaving needs no service, data centre and address.
 func (t *Target) Validate() error {
 	for _, f := range []struct {
 		field, value string
@@ -36,6 +40,9 @@
 			return errors.Errorf("roster: the %s %.*q is empty, longer than %d bytes, no UTF-8 or has control characters", f.field, shownBytes, f.value, MaxNameBytes)
 		}
 	}
+	if !t.Born.IsZero() && (t.Born.Before(time.UnixMilli(0)) || !t.Born.Before(maxBorn)) {
+		return errors.Errorf("roster: the start %d ms is before 1970 or after the year 9999", t.Born.UnixMilli())
+	}
 	return nil
 }
 
--- a/io/feed/convert.go
+++ b/io/feed/convert.go
@@ -59,7 +59,8 @@
 
 // toTarget converts a protobuf message that arrived at now to a target. It returns
 // errTarget when a required field is missing or the state is not valid; a target
-// that is leaving needs no service. It also fails when the address is malformed.
+// that is leaving needs no service. It also fails when the address is malformed or
+// roster.Target.Validate does.
 func toTarget(m *peerpb.TargetState, now time.Time) (roster.Target, error) {
 	t := roster.Target{
 		ID: m.GetId(), Service: m.GetService(), DataCentre: m.GetDataCentre(), Slots: int(m.GetSlots()),
@@ -81,7 +82,7 @@
 	if left := m.GetWarmLeftMs(); left > 0 {
 		t.WarmAt = now.Add(time.Duration(left) * time.Millisecond)
 	}
-	return t, nil
+	return t, t.Validate()
 }
 
 // fromView converts a view to its protobuf message.
