Refuse sequence numbers of targets beyond 2^53 - 1

Seen by servers and clients: a heartbeat of another writer with the id and the start of a server and a sequence number of 2^53 or more kept out all later heartbeats of that server. They renewed its lease, so that this lasted until the server ended; its draining was answered 200 and had no effect.

Cause: within a start the greatest sequence number wins, and any 64-bit number was believed. A sequence counts heartbeats; numbers that JSON does not hold exactly everywhere are now refused, in heartbeats, in targets that other hosts send and in renewals of leases.

A false number below the bound still has that effect.

--- a/core/roster/departure_test.go
+++ b/core/roster/departure_test.go
@@ -76,3 +76,13 @@
 	g.Expect(table.Merge(restarted)).To(gomega.BeTrue())
 	g.Expect(usable(table)).To(gomega.Equal([]string{"a ready"}))
 }
+
+// Guards against a renewal of another host that keeps out all further reports of a target.
+func TestRenewalWithASequenceNumberOutOfRangeChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := roster.NewTable()
+	table.Merge(target("a", 1, 5, member.Ready))
+	table.Renew("a", 1<<62, start.Add(time.Second), start.Add(time.Second))
+	g.Expect(table.Merge(target("a", 1, 6, member.Draining))).To(gomega.BeTrue())
+	g.Expect(usable(table)).To(gomega.Equal([]string{"a draining"}))
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -129,8 +129,12 @@
 // Renew records that the heartbeat of a target with the given sequence number was
 // received at heard. It returns true if that brings back the target, whose lease had
 // expired. It does nothing if a newer report is known, if the target is leaving or
-// unknown, or if another target holds the address of an expired one.
+// unknown, if the sequence number is greater than MaxSequence, or if another target holds
+// the address of an expired one.
 func (t *Table) Renew(id string, sequence uint64, heard, now time.Time) bool {
+	if sequence > MaxSequence {
+		return false
+	}
 	if old, ok := t.targets[id]; ok {
 		if old.State < member.Leaving && sequence >= old.Sequence && heard.After(old.Heard) {
 			old.Sequence, old.Heard = sequence, heard
--- a/core/roster/validate.go
+++ b/core/roster/validate.go
@@ -15,6 +15,9 @@
 	// MaxNameBytes is the longest name, in bytes, of a target, a service or a data centre.
 	// Names are part of many messages.
 	MaxNameBytes = 256
+	// MaxSequence is the largest sequence number: JSON numbers beyond it are not exact
+	// everywhere. Source: RFC 8259, section 6.
+	MaxSequence = 1<<53 - 1
 	// shownBytes is the number of bytes of an invalid name that an error shows.
 	shownBytes = 64
 )
@@ -43,6 +46,9 @@
 	if !t.Born.IsZero() && (t.Born.Before(time.UnixMilli(0)) || !t.Born.Before(maxBorn)) {
 		return errors.Errorf("roster: the start %d ms is before 1970 or after the year 9999", t.Born.UnixMilli())
 	}
+	if t.Sequence > MaxSequence {
+		return errors.Errorf("roster: the sequence number %d is greater than %d", t.Sequence, uint64(MaxSequence))
+	}
 	return nil
 }
 
