Take a refusal for not run only if it can belong to this attempt alone

Cause: the answer to a request was any answer that came after its first byte had left. A 503 with Spool-Outcome: not_run proved that the call had not run, without a name of the call and on any connection. One with the name proved it too if it was that of an earlier attempt of the same call on the same connection, on the platform as well.

Change: a refusal counts as not run if it names the call, or names none and no refusal came earlier on its connection. After one without a name the connection is closed, and a call avoids connections on which it was refused before. Carriers open a new one for a call that comes back. Any other refusal counts as unknown: 502 for a call that may run once. Refusals without a name that outnumber the calls served by 200, and by 200 a second, are the last for which connections to a target are opened. Log line "refusal doubted", metrics refusals_unnamed, refusals_doubted and attempts_without_connection.

--- a/core/wire/carry.go
+++ b/core/wire/carry.go
@@ -28,6 +28,8 @@
 		Aim strict.Duration `json:"aim,omitempty"`
 		// Idempotent says that the call may run more than once.
 		Idempotent bool `json:"idempotent,omitempty"`
+		// Resent says that the call may have been sent to the target before.
+		Resent bool `json:"resent,omitempty"`
 		// Head, Content and Caller are the fields of the call's crash.ID; 0 when the host
 		// is of an earlier version.
 		Head    uint64 `json:"head,omitempty"`
--- a/core/wire/dialect.go
+++ b/core/wire/dialect.go
@@ -70,6 +70,8 @@
 	AnswerInfo struct {
 		// Foreign says that the answer belongs to another call.
 		Foreign bool
+		// Named says that the answer names the call.
+		Named bool
 		// NotRun says that the target has not run the call and never will.
 		NotRun bool
 		// AddressTaken says that another target answered at the address.
@@ -170,6 +172,7 @@
 	info := AnswerInfo{Report: header.Get(HeaderLoad)}
 	name := header.Get(HeaderCall)
 	info.Foreign = name != "" && name != call
+	info.Named = name != "" && name == call
 	info.NotRun = status == http.StatusServiceUnavailable && header.Get(HeaderOutcome) == OutcomeNotRun
 	if state, ok := member.ParseState(header.Get(HeaderState)); ok {
 		info.State = state
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"cardamomspool/core/engine"
 	"cardamomspool/core/route"
 	"cardamomspool/core/wire"
+	"cardamomspool/io/links"
 )
 
 // attempt is the state of one sending of a call to a target.
@@ -23,6 +25,9 @@
 	failure        *heldAnswer       // The answer with which the target says that it failed, not passed on; nil for none.
 	hints          *earlyHints       // The informational responses of the target.
 	target         string            // The name of the target.
+	resent         bool              // The call may have been sent to the target before.
+	avoid          []*links.Conn     // The connections on which the call was refused before.
+	refusedOn      *links.Conn       // That on which the target has refused the attempt; nil for none.
 	marks          marks             // How far the attempt has come.
 	status         int               // The status of the target's answer; 0 for none.
 	racer          *racer            // Its part in a race; nil for an attempt that runs alone.
@@ -38,3 +43,21 @@
 	}
 	return a
 }
+
+// noteSend records that the attempt is about to be made. It must be called before another
+// attempt of the call is.
+func (a *attempt) noteSend(s engine.Send) {
+	a.resent, a.avoid = slices.Contains(a.sentTo, s.Address), a.call.refusedOn
+	a.sentTo = append(a.sentTo, s.Address)
+}
+
+// noteEnd records what the attempt, which has ended, means for further attempts of the call.
+func (a *attempt) noteEnd(result engine.Result) {
+	if a.failure != nil {
+		a.held = a.failure
+	}
+	if a.refusedOn != nil {
+		a.call.refusedOn = append(a.call.refusedOn, a.refusedOn)
+	}
+	a.mayHaveRun = a.mayHaveRun || result == engine.Unknown
+}
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -12,6 +12,7 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 	"cardamomspool/io/broker"
+	"cardamomspool/io/links"
 	"cardamomspool/io/place"
 )
 
@@ -34,6 +35,8 @@
 	delayedByUploads  bool               // The decision may be queued behind callers' uploads.
 	attempted         bool               // An attempt at a target was started.
 	mayHaveRun        bool               // An attempt may have run the call.
+	sentTo            []netip.AddrPort   // The targets that attempts were for.
+	refusedOn         []*links.Conn      // The connections on which targets have refused attempts.
 	maxConnections    int                // Limit of connections to one target.
 	trustedProxies    []netip.Prefix     // Networks of proxies whose forwarding fields are kept.
 	carriedID         crash.ID           // What the other entry host knows the call by; with carriedIn.
@@ -304,6 +307,7 @@
 			h.accountCalls.admit(c.class.Account)
 		}
 		c.attempted = true
+		a.noteSend(action)
 		start := time.Now()
 		c.timing.beginAttempt(start)
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
@@ -311,7 +315,7 @@
 			h.metrics.Counter("extra_attempts").Add(1) // The attempt beside which it was decided has ended.
 		}
 		if c.mayRace(r, action) {
-			return h.runRace(ctx, w, r, c, action)
+			return h.runRace(ctx, w, r, a, action)
 		}
 		result := h.forwarder.attempt(ctx, w, r, a, action)
 		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
@@ -397,10 +401,7 @@
 		c.linkLost = a.linkLost
 		c.timing.endAttempt(a.marks, time.Now())
 	}
-	if a.failure != nil {
-		c.held = a.failure
-	}
-	c.mayHaveRun = c.mayHaveRun || result == engine.Unknown
+	a.noteEnd(result)
 	if !result.EndsCall() {
 		if err := c.body.sourceError(); err != nil {
 			h.cancelCall(c, false)
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -8,6 +8,7 @@
 	"cardamomspool/core/crash"
 	"cardamomspool/core/engine"
 	"cardamomspool/core/member"
+	"cardamomspool/core/route"
 	"cardamomspool/core/spec"
 	"cardamomspool/core/wire"
 )
@@ -53,7 +54,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	k.attempt(ctx, w, r, c, send)
+	k.attempt(ctx, w, r, c, send, info.Resent)
 }
 
 // find returns the attempt that info describes and its service. It reports false when
@@ -89,8 +90,8 @@
 }
 
 // attempt makes the attempt and, without an answer of the target, tells the other host
-// what became of it.
-func (k carrierHandler) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, send engine.Send) {
+// what became of it. resent says that the call may have been sent to the target before.
+func (k carrierHandler) attempt(ctx context.Context, w responseWriter, r *http.Request, c *call, send engine.Send, resent bool) {
 	h := k.host
 	if h.draining.Load() || h.links.CutOff() {
 		h.links.Check(send.Address, time.Now())
@@ -108,6 +109,7 @@
 	c.body.filterTrailer(c, r)
 	start := time.Now()
 	a := newAttempt(c, send)
+	a.resent = resent
 	result := h.forwarder.attempt(ctx, w, r, a, send)
 	if a.keyProblem != nil {
 		k.refuseKey(w, c, a.keyProblem)
@@ -124,7 +126,10 @@
 		abortResponse(r)
 	case engine.NotRun:
 		outcome := wire.CarryUnreachable
-		if h.links.CutOff() {
+		switch {
+		case a.feedback.Outcome == route.Shed:
+			outcome = wire.CarryRefused
+		case h.links.CutOff():
 			outcome = wire.CarryUnavailable
 		}
 		k.refuse(w, http.StatusServiceUnavailable, outcome)
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -78,7 +78,9 @@
 // endCarried ends an attempt for which the carrier has no answer of the target, and sets
 // a.feedback.
 func (f *forwarder) endCarried(r *http.Request, conn *links.Conn, resp *http.Response, a *attempt) engine.Result {
-	f.discardResponse(conn, resp)
+	if f.discardResponse(conn, resp) {
+		conn.EndResponse()
+	}
 	result := engine.NotRun
 	if a.carryOutcome == wire.CarryUnknown {
 		result = engine.Unknown
@@ -102,7 +104,7 @@
 	return wire.SetCarry(req.Header, wire.Carry{
 		Head: id.Head, Content: id.Content, Caller: id.Caller,
 		Call: a.name, Service: a.service.doc.Name, Target: s.Target, Incarnation: s.Incarnation,
-		TimeLeft: strict.Duration(time.Until(a.deadline)), Aim: strict.Duration(a.class.Aim), Idempotent: a.class.Idempotent,
+		TimeLeft: strict.Duration(time.Until(a.deadline)), Aim: strict.Duration(a.class.Aim), Idempotent: a.class.Idempotent, Resent: a.resent,
 		Key: key,
 	})
 }
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -103,7 +103,8 @@
 		return f.exchange(ctx, w, r, a, s, conn)
 	}
 	full := a.resetsWhenFull && errors.Is(err, syscall.ECONNRESET)
-	if !full { // Another host would find the target full too.
+	refusing := errors.Is(err, links.ErrRefusing)
+	if !full && !refusing { // Another host would find the target full too.
 		if result, carried := f.carry(ctx, w, r, a, s); carried {
 			return result
 		}
@@ -115,6 +116,10 @@
 		return engine.Withdrawn
 	}
 	f.log.Info("target not reached", "call", a.name, "target", s.Target, "link_lost", a.linkLost, "error", err)
+	if refusing {
+		a.feedback = route.Feedback{Outcome: route.Shed}
+		return engine.NotRun
+	}
 	if !full {
 		f.activity.recordFailure(a.service.doc.Name, s.Target)
 	}
@@ -160,7 +165,9 @@
 			return f.endCarried(r, conn, resp, a)
 		}
 		targetInfo = f.dialect.ParseAnswer(resp.StatusCode, resp.Header, a.name)
-		err = checkFinalResponse(resp, targetInfo)
+		if err = checkFinalResponse(resp, targetInfo); conn.Address() == s.Address {
+			err = f.checkRefusal(conn, a, s, targetInfo, err)
+		}
 	}
 	if err != nil {
 		return f.failAttempt(ctx, r, conn, a, s, err)
@@ -171,7 +178,9 @@
 	a.host.observeLeaving(a.call, s, targetInfo)
 	a.feedback = responseFeedback(resp.StatusCode, targetInfo, f.metrics)
 	if targetInfo.NotRun && !a.carriedIn {
-		f.discardResponse(conn, resp)
+		if f.discardResponse(conn, resp) {
+			f.endResponse(conn, s, targetInfo)
+		}
 		return engine.NotRun
 	}
 	result, err := f.receiveAnswer(ctx, w, resp, a, s)
@@ -193,7 +202,7 @@
 		f.observeLoss(r, a, s, conn)
 		return result
 	}
-	conn.EndResponse()
+	f.endResponse(conn, s, targetInfo)
 	return result
 }
 
@@ -236,14 +245,14 @@
 
 // discardResponse reads a target's refusal, which is not passed to the caller, so
 // that the connection can be reused. If the refusal has maxRefusalBytes or more or
-// is cut short, it closes the connection instead.
-func (f *forwarder) discardResponse(conn *links.Conn, resp *http.Response) {
+// is cut short, it closes the connection instead and returns false.
+func (f *forwarder) discardResponse(conn *links.Conn, resp *http.Response) bool {
 	if n, err := io.CopyN(io.Discard, resp.Body, maxRefusalBytes); n == maxRefusalBytes || !errors.Is(err, io.EOF) {
 		f.links.Discard(conn)
-		return
+		return false
 	}
 	resp.Body.Close()
-	conn.EndResponse()
+	return true
 }
 
 // watchSilence acts when a target sends no response byte on conn, a reused
--- a/io/entry/harness_test.go
+++ b/io/entry/harness_test.go
@@ -206,6 +206,12 @@
 // and has a target "a", "b" and so on at each given address. configure, unless nil,
 // may change the document and the settings before the start.
 func newTestBed(t testing.TB, configure func(*spec.Service, *setup.Entry), targets ...netip.AddrPort) *testBed {
+	t.Helper()
+	return newTestBedWith(t, nil, configure, targets...)
+}
+
+// newTestBedWith is newTestBed with options of the host.
+func newTestBedWith(t testing.TB, opts []Option, configure func(*spec.Service, *setup.Entry), targets ...netip.AddrPort) *testBed {
 	t.Helper()
 	g := gomega.NewGomega(func(message string, _ ...int) { t.Fatal(message) })
 	peer := setup.Peer{Host: "entry-1", DataCentre: "lab", PeerAddress: freeAddress(t)}
@@ -226,7 +232,7 @@
 		configure(&doc, &cfg)
 	}
 	b := &testBed{address: cfg.CallAddress.String(), logs: &lockedBuffer{}, done: make(chan error, 1)}
-	b.host = New(cfg, WithLogger(slog.New(slog.NewTextHandler(b.logs, nil))))
+	b.host = New(cfg, append([]Option{WithLogger(slog.New(slog.NewTextHandler(b.logs, nil)))}, opts...)...)
 	body, err := json.Marshal(doc)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(b.host.apply(spec.Versioned{Name: "s", Revision: 1, Body: body})).To(gomega.Succeed())
--- a/io/entry/links.go
+++ b/io/entry/links.go
@@ -19,6 +19,8 @@
 	Retire(address netip.AddrPort, t time.Time) int
 
 	Heard(address netip.AddrPort, now time.Time)
+	NoteRefusal(conn *links.Conn, named bool)
+	NoteAnswer(address netip.AddrPort)
 	LostDuring(ctx context.Context, conn *links.Conn, n links.Need) bool
 	LostInSilence(conn *links.Conn, target netip.AddrPort, n links.Need) bool
 	Check(address netip.AddrPort, now time.Time)
@@ -32,5 +34,8 @@
 
 // need returns what the attempt needs of a connection.
 func (a *attempt) need() links.Need {
-	return links.Need{Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull}
+	return links.Need{
+		Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull,
+		Fresh: a.resent && a.carriedIn, Avoid: a.avoid,
+	}
 }
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -69,14 +69,15 @@
 	return s.ExtraAfter > 0 && c.control != nil && c.class.Idempotent && !c.carriedIn && !expectsContinue(r)
 }
 
-// runRace makes an attempt of a call and, if the control host sends one, a second attempt
+// runRace makes the first attempt of a call and, if the control host sends one, a second attempt
 // beside it. It reports whether the call has ended, as executeDecision does. It returns
 // after both attempts have ended.
-func (h *Host) runRace(ctx context.Context, w responseWriter, r *http.Request, c *call, s engine.Send) bool {
+func (h *Host) runRace(ctx context.Context, w responseWriter, r *http.Request, first *attempt, s engine.Send) bool {
+	c := first.call
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	rc := newRace()
-	h.start(ctx, w, r, rc, newAttempt(c, s), s)
+	h.start(ctx, w, r, rc, first, s)
 	begin := time.Now()
 	timer := time.NewTimer(s.ExtraAfter)
 	defer timer.Stop()
@@ -140,6 +141,7 @@
 		h.reportRaced(a, engine.NotSent)
 		return
 	}
+	a.noteSend(s)
 	_, blocked := h.blockLeft(c, r)
 	if blocked || ctx.Err() != nil || !rc.mayAsk() || !h.start(ctx, w, r, rc, a, s) {
 		h.reportRaced(a, engine.Withdrawn)
@@ -202,10 +204,7 @@
 // reportRaced reports the end of an attempt after which the call goes on with another one.
 func (h *Host) reportRaced(a *attempt, result engine.Result) {
 	c := a.call
-	if a.failure != nil {
-		c.held = a.failure
-	}
-	c.mayHaveRun = c.mayHaveRun || result == engine.Unknown
+	a.noteEnd(result)
 	h.reportAttempt(c, engine.Finish{Call: c.id, Attempt: a.number, Result: result, Replayable: c.body.buffered(), Feedback: a.feedback})
 	c.decisionOverdue = nil // No decision follows.
 }
--- a/io/links/conn.go
+++ b/io/links/conn.go
@@ -40,6 +40,7 @@
 		sealed           bool  // No more requests: closed, or about to be.
 		closedByTarget   bool  // The target's side has closed or reset the connection.
 		resetByTarget    bool  // The target's side has reset the connection.
+		refused          bool  // The target has refused a request.
 		sentBytes        int64 // Bytes of the request that the kernel accepted.
 		requestStart     time.Time
 		lastRead         time.Time
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -32,6 +32,10 @@
 		// ResetsWhenFull says that the targets of the service reset connections when they
 		// are full.
 		ResetsWhenFull bool
+		// Fresh says that the connection must not have carried a request.
+		Fresh bool
+		// Avoid holds connections that must not be used.
+		Avoid []*Conn
 	}
 
 	// Option sets one property of Links.
@@ -77,7 +81,7 @@
 // ConnectCarrier returns a connection to a carrier, marked as carrying a request, as
 // beginRequest does.
 func (l *Links) ConnectCarrier(ctx context.Context, carrier netip.AddrPort, idempotent bool) (*Conn, error) {
-	if conn := l.reuse(carrier, trustedSince(idempotent, time.Now())); conn != nil {
+	if conn := l.reuse(carrier, trustedSince(idempotent, time.Now()), nil); conn != nil {
 		return conn, nil
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, Patience)
--- a/io/links/pool.go
+++ b/io/links/pool.go
@@ -21,6 +21,7 @@
 	pool struct {
 		transport *http.Transport
 		metrics   *telem.Registry
+		renewals  renewals
 		// Opener opens a connection to a target; tests replace it.
 		Opener func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
@@ -79,11 +80,11 @@
 }
 
 // reuse returns an idle connection to address on which bytes were received after
-// heardAfter, marked as carrying a request, as beginRequest does. It returns nil when
-// there is none.
-func (p *pool) reuse(address netip.AddrPort, heardAfter time.Time) *Conn {
+// heardAfter and that is not one of avoid, marked as carrying a request, as beginRequest
+// does. It returns nil when there is none.
+func (p *pool) reuse(address netip.AddrPort, heardAfter time.Time, avoid []*Conn) *Conn {
 	now := time.Now()
-	for c := p.takeIdle(address, heardAfter); c != nil; c = p.takeIdle(address, heardAfter) {
+	for c := p.takeIdle(address, heardAfter, avoid); c != nil; c = p.takeIdle(address, heardAfter, avoid) {
 		if c.beginRequest(now) && c.client.Err() == nil {
 			p.metrics.Counter("connections_reused").Add(1)
 			return c
@@ -93,20 +94,22 @@
 	return nil
 }
 
-// takeIdle removes and returns the most recently used idle connection. It returns nil
-// when there is none, or when that connection has received nothing since heardAfter.
-func (p *pool) takeIdle(address netip.AddrPort, heardAfter time.Time) *Conn {
+// takeIdle removes and returns the most recently used idle connection that is not one of
+// avoid. It returns nil when there is none, or when that connection has received nothing
+// since heardAfter.
+func (p *pool) takeIdle(address netip.AddrPort, heardAfter time.Time, avoid []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	i := len(list) - 1
+	for i >= 0 && slices.Contains(avoid, list[i]) {
+		i--
 	}
-	c := list[len(list)-1]
-	if c.LastReadBefore(heardAfter) {
+	if i < 0 || list[i].LastReadBefore(heardAfter) {
 		return nil // The other connections have been silent for longer.
 	}
-	p.idle[address] = list[:len(list)-1]
+	c := list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
 	return c
 }
 
@@ -261,6 +264,7 @@
 			return
 		case now := <-ticker.C:
 			p.sweep(func(c *Conn) bool { return c.LastReadBefore(now.Add(-idleTimeout)) })
+			p.renewals.expire(now)
 		}
 	}
 }
--- a/io/links/ways.go
+++ b/io/links/ways.go
@@ -141,7 +141,8 @@
 }
 
 // Connect returns a connection to a target over this host's own link, marked as carrying
-// a request, as beginRequest does. It returns an error when the link is lost.
+// a request, as beginRequest does. It returns an error when the link is lost, and ErrRefusing
+// when the target refuses calls so often that too many were opened.
 func (l *Links) Connect(ctx context.Context, address netip.AddrPort, n Need) (*Conn, error) {
 	now := time.Now()
 	way := l.ways.way(address)
@@ -149,7 +150,10 @@
 	if way.HeardAfter.After(heardAfter) {
 		heardAfter = way.HeardAfter
 	}
-	conn := l.reuse(address, heardAfter)
+	var conn *Conn
+	if !n.Fresh {
+		conn = l.reuse(address, heardAfter, n.Avoid)
+	}
 	if !way.Dial {
 		// Also if an open connection serves: the next call may need another one.
 		l.Check(address, now)
@@ -159,6 +163,8 @@
 		return conn, nil
 	case !way.Dial:
 		return nil, errLinkLost
+	case !l.mayDial(address, n.Fresh, now):
+		return nil, ErrRefusing
 	}
 	return l.dialLink(ctx, address, n)
 }
