Name the call on answers of the stub and the example target

Callers saw: nothing. The targets that others copy did not do what docs/TARGETS.md now asks for, so that each of their refusals would cost a connection.

Change: both write Spool-Call as it came in the request.

Result: go test ./io/stub passes; examples/target is vetted, it has no tests.

--- a/examples/target/main.go
+++ b/examples/target/main.go
@@ -52,6 +52,7 @@
 	}
 	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		announcer.Mark(w.Header())
+		w.Header().Set("Spool-Call", r.Header.Get("Spool-Call"))
 		if limit > 0 {
 			w.Header().Set("Spool-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 		}
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -165,6 +165,9 @@
 		t.reseed(w, r)
 		return
 	}
+	if call := r.Header.Get(wire.HeaderCall); call != "" {
+		w.Header().Set(wire.HeaderCall, call)
+	}
 	if t.behaviour.FailFast {
 		t.record.add(r.Header.Get(HeaderCall))
 		http.Error(w, "broken", http.StatusInternalServerError)
