Name the calls that a stop cuts off

Cause: not part of this change. Evidence: "entry host stopped" counted cut calls and named none, so that a log could not tell whether the stop or something else had ended a call. No logic of the stop is changed. Result: the new TestStopNamesCallsThatItCutsOff and the golden case cut_by_stop, whose log is that of the test's run, pass.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -44,6 +44,7 @@
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 	admission         admission          // By what the call was admitted.
 	timing            timing             // Where its time went.
+	progress          progress           // How far it has come, for other goroutines.
 }
 
 const (
@@ -304,6 +305,7 @@
 			h.accountCalls.admit(c.class.Account)
 		}
 		c.attempted = true
+		c.progress.send(action.Target)
 		start := time.Now()
 		c.timing.beginAttempt(start)
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
@@ -412,6 +414,9 @@
 			return true
 		}
 	}
+	if !result.EndsCall() {
+		c.progress.await()
+	}
 	replayable := !result.EndsCall() && c.body.replayable()
 	decisionFollows := h.reportAttempt(c, engine.Finish{Call: c.id, Attempt: a.number, Result: result, Replayable: replayable, Feedback: a.feedback})
 	switch result {
--- a/io/entry/carrier.go
+++ b/io/entry/carrier.go
@@ -45,6 +45,8 @@
 	c := h.newCall(w, r, s, class, wire.CallerInfo{Call: info.Call})
 	c.carriedIn, c.carriedID = true, crash.ID{Head: info.Head, Content: info.Content, Caller: info.Caller}
 	c.admission.digest = info.Key
+	h.open.add(c)
+	defer h.open.remove(c)
 	w.body = c.body
 	defer func() { abandonBody(w, r, c.body.complete()) }()
 	if err = k.prepareConnection(w, r, c); err != nil {
@@ -107,6 +109,7 @@
 	}
 	c.body.filterTrailer(c, r)
 	start := time.Now()
+	c.progress.send(send.Target)
 	a := newAttempt(c, send)
 	result := h.forwarder.attempt(ctx, w, r, a, send)
 	if a.keyProblem != nil {
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -39,6 +39,7 @@
 			break
 		}
 		tried = append(tried, a.carrier)
+		a.progress.carry(a.carrier)
 		result, carried := f.attemptThroughCarrier(ctx, w, r, a, s)
 		if carried {
 			f.metrics.Counter("calls_carried_out").Add(1)
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -65,6 +65,7 @@
 	abandonBody(a.w, a.r, a.call.body.complete())
 	a.host.metrics.Histogram("call_latency", a.service.doc.Name).Observe(time.Since(a.call.arrived))
 	a.endUpload()
+	a.host.open.remove(a.call)
 }
 
 func (a *arrival) checkRequest() *problem {
@@ -175,6 +176,7 @@
 	c.body.filterTrailer(c, a.r)
 	c.timing = newTiming(a.waited, c.arrived)
 	a.call, a.w.body = c, c.body
+	h.open.add(c)
 	a.endUpload = h.uploads.addUpload(c.bodyBytes)
 	h.metrics.Counter("calls").Add(1)
 	if err := h.prepareBody(a.w, a.r, c); err != nil {
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -62,6 +62,7 @@
 		callers        setup.Callers
 		keyPair        *keyPair // For TLS with callers; nil without TLS.
 		openCalls      atomic.Int64
+		open           *openCalls   // Those whose service is known.
 		callsCutOff    atomic.Int64 // Calls open when the grace period of a stop ended.
 		unanswered     atomic.Int64 // Requests that had begun on any server when that period ended.
 		callNamePrefix string       // Starts the names of calls that callers have not named.
@@ -119,6 +120,7 @@
 		links.WithQueueDelay(func() time.Duration { return h.uploads.queueDelay() }))
 	h.forwarder = newForwarder(h.links, h.dialect, h.log, h.metrics)
 	h.uploads = newUploadBacklog(cfg.Fleet.LinkMbps)
+	h.open = newOpenCalls(h.log, h.metrics)
 	h.callers = cfg.Callers.WithDefaults()
 	// The start time keeps the names of calls unique across restarts.
 	h.callNamePrefix = cfg.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
@@ -207,6 +209,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	h.open.stop(time.Now())
 	h.config.stopping.Store(true)
 	if err == nil {
 		err = h.drain(failed)
@@ -215,7 +218,7 @@
 	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", h.cfg.StopGrace.Std().String())
 	stopAll(servers, h.cfg.StopGrace.Std())
 	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.callsCutOff.Load(),
-		"requests_unanswered", h.unanswered.Load())
+		"requests_unanswered", h.unanswered.Load(), "longest_after_stop", h.open.longestAfterStop().String())
 	return err
 }
 
@@ -288,7 +291,10 @@
 			inner.TLSConfig = h.keyPair.config()
 			return inner.ServeTLS(listener, "", "")
 		},
-		stop: h.stopHTTP(inner, func() { h.callsCutOff.Store(h.openCalls.Load()) }),
+		stop: h.stopHTTP(inner, func() {
+			h.callsCutOff.Store(h.openCalls.Load())
+			h.open.cutOff(false, time.Now())
+		}),
 	}
 }
 
@@ -298,7 +304,7 @@
 	return server{
 		name: "carrier", address: h.cfg.PeerAddress,
 		serve: func(l net.Listener) error { return inner.Serve(h.trackCallers(inner.Server, l)) },
-		stop:  h.stopHTTP(inner, func() {}),
+		stop:  h.stopHTTP(inner, func() { h.open.cutOff(true, time.Now()) }),
 	}
 }
 
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -146,6 +146,7 @@
 		return
 	}
 	h.metrics.Counter("extra_attempts").Add(1)
+	c.progress.send(s.Target)
 	h.logSend(c, s)
 }
 
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -214,3 +215,29 @@
 		})
 	}
 }
+
+// The log must name each call that a stop cuts off, with its target or that it was held.
+func TestStopNamesCallsThatItCutsOff(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	g := gomega.NewWithT(t)
+	target := newRawTarget(t, func(c *rawConn) { c.readRequest(); c.waitClosed() })
+	b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
+		doc.Targets.Slots = 1
+		doc.Receive.Deadline = strict.Duration(time.Minute)
+		doc.Hold.LongestWait = strict.Duration(time.Minute)
+		cfg.StopGrace = strict.Duration(grace)
+	}, target.address)
+	io.WriteString(b.dial(t), keepAlivePost)
+	g.Eventually(target.connsWithData, testTimeout).Should(gomega.Equal(1))
+	io.WriteString(b.dial(t), keepAlivePost)
+	g.Eventually(b.host.openCalls.Load, testTimeout).Should(gomega.BeEquivalentTo(2))
+	time.Sleep(20 * time.Millisecond) // The scheduler decides to hold the second call.
+	b.stop()
+	g.Eventually(b.done, testTimeout).Should(gomega.Receive(gomega.BeNil()))
+	lines := regexp.MustCompile(`msg="call cut off by stop".*`).FindAllString(b.logs.String(), -1)
+	g.Expect(lines).To(gomega.HaveLen(2))
+	g.Expect(lines[0]).To(gomega.MatchRegexp(`held=false target=a call=entry-1-\S+-1 service=s after_stop=\S+s arrived_after_stop=-\S+s deadline_left=5\d\.\S+s carried_in=false`))
+	g.Expect(lines[1]).To(gomega.MatchRegexp(`held=true call=entry-1-\S+-2 `))
+	g.Expect(b.host.metrics.Counter("calls_cut_by_stop").Value()).To(gomega.BeEquivalentTo(2))
+	g.Expect(b.host.metrics.Histogram("time_after_stop", "cut_off").Quantile(0.5)).To(gomega.BeNumerically(">=", grace))
+}
--- a/io/logs/late.go
+++ b/io/logs/late.go
@@ -89,6 +89,8 @@
 	CauseConnectionLost Cause = "connection_lost"
 	// CauseCallerLeft means that the caller left before the aim had passed.
 	CauseCallerLeft Cause = "caller_left"
+	// CauseStop means that the entry host stopped and cut the call off.
+	CauseStop Cause = "cut_off_by_stop"
 	// CauseReturned means that the caller made the call again too late for its aim, and
 	// that no line tells what became of the request before.
 	CauseReturned Cause = "returned_late"
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -14,12 +14,13 @@
 )
 
 // TestExplainFailedCalls explains a call that was refused under load, one that was
-// lost when its target failed, one that a partitioned host answered, and one whose second
-// attempt won. The logs come from runs on the test bench, the last one from a test of
-// io/entry.
+// lost when its target failed, one that a partitioned host answered, one whose second
+// attempt won, and one that a stop cut off. The logs come from runs on the test bench, the
+// last two from tests of io/entry.
 func TestExplainFailedCalls(t *testing.T) {
 	for name, call := range map[string]string{
 		"refused": "29d9d215dee5f52b", "lost": "aa01", "cut_off": "bb02", "second_attempt": "cc03",
+		"cut_by_stop": "dd04",
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/io/logs/request.go
+++ b/io/logs/request.go
@@ -83,6 +83,7 @@
 	messageAnswered = "answered late"
 	messageGivenUp  = "given up"
 	messageRefused  = "refused"
+	messageCutOff   = "call cut off by stop"
 )
 
 // partFields lists the fields that an entry host divides the time of a call into, by part.
@@ -185,7 +186,7 @@
 // isEnd reports whether the line tells that a request has ended.
 func (l *Line) isEnd() bool {
 	switch l.Message {
-	case messageAnswered, messageGivenUp, messageRefused, "failure passed on", "answer not passed on", "no service", "key refused", "request refused":
+	case messageAnswered, messageGivenUp, messageRefused, messageCutOff, "failure passed on", "answer not passed on", "no service", "key refused", "request refused":
 		return true
 	case "answer cut short":
 		passed, _ := l.Fields["passed_on"].(bool)
@@ -330,6 +331,8 @@
 			return late{CauseCallerLeft}
 		}
 		return late{r.cause(slow)}
+	case messageCutOff:
+		return late{CauseStop}
 	case "failure passed on":
 		return late{CauseTargetFailed}
 	case "answer not passed on":
