--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -31,6 +31,10 @@
 		{Path: "fleet.warm_overshoot", Label: "Warm-up overshoot", Help: "Multiple of its warm rate that a cold target may get in any second."},
 		{Path: "fleet.warm_slack", Label: "Warm-up slack", Unit: "requests per second", Help: "Requests that a cold target may get in any second in addition to the warm-up overshoot."},
 		{Path: "fleet.extra_attempts", Label: "Extra attempts", Help: "Largest share of the calls of a service, from 0 to 1, that may get a second attempt while the first one runs; 0 disables them."},
+		{
+			Path: "stop_time", Label: "Time of a stop", Low: 0, High: int64(MaxStopTime),
+			Help: "Time from the signal to stop until the process is ended by force, as its supervisor grants it: 0s if it is not known, or at least 1s.",
+		},
 		{
 			Path: "stop_grace", Label: "Grace of a stop", Low: 0, High: int64(MaxStopTime),
 			Help: "Longest duration of a graceful stop; calls and connections still open after it are cut off.",
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -32,6 +32,9 @@
 		// Controls lists all control hosts, 1 to MaxControls. It is ignored
 		// when Fleet is enabled.
 		Controls []Peer `json:"controls"`
+		// StopTime is the time from the signal to stop until the process is ended by
+		// force, as its supervisor grants it; 0 if it is not known.
+		StopTime strict.Duration `json:"stop_time,omitzero"`
 		// Fleet replaces the lists of other hosts by seeds when it is enabled.
 		Fleet Fleet `json:"fleet"`
 	}
@@ -112,13 +115,15 @@
 	}
 )
 
-// Bounds of the settings. MaxStopTime bounds both DrainDelay and StopGrace.
+// Bounds of the settings. MaxStopTime bounds DrainDelay, StopGrace and StopTime, which is
+// 0 or at least MinStopTime.
 const (
 	MaxControls         = 7
 	MinTick             = time.Millisecond
 	MaxTick             = time.Second
 	MinAnnounceInterval = 100 * time.Millisecond
 	MaxAnnounceInterval = time.Minute
+	MinStopTime         = time.Second
 	MaxStopTime         = time.Hour
 	MaxDecisionLogOneIn = 1_000_000
 )
@@ -227,6 +232,9 @@
 	}
 	checkAddress(f, "admin_address", c.AdminAddress)
 	checkAddress(f, "peer_address", c.PeerAddress)
+	if c.StopTime != 0 {
+		f.CheckDurationRange("stop_time", c.StopTime, MinStopTime, MaxStopTime)
+	}
 	c.Fleet.validate(f)
 	if c.Fleet.Enabled() {
 		return
