Stop entry hosts within the time that their supervisor grants

Cause: drain_delay and stop_grace, fixed in deploy/entry.json, stood in for gracePeriodS. With 3 s the process was killed; calls read after the drain were accepted and then cut off. After the drain a call is accepted only if its deadline comes before the cut, else refused with 503 stopping, not run; calls at no target are refused shortly before the cut, which is a tenth of the time, up to 1 s, before its end. The servers of calls stop beside one another, membership, operators and the front after them within 200 ms. A drain_delay that leaves nothing for open calls is a fault of the settings. Without stop_time the former settings hold. Changed assertions: TestStopNamesCallsThatItCutsOff expects 503 for the held call, which was cut off, and a call with half a body as the one at no target; TestStopAnswersRequestsThatArriveAsTheDrainEnds gives its calls deadlines before the cut, its assertions are unchanged; TestChecksHaveOneOrder has the row of the new check.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -80,12 +80,14 @@
 	c.timing.enter(phaseDecision, time.Now())
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	held, endHeld := h.halting.holds(ctx)
+	defer endHeld()
 	if h.fleet == nil {
-		h.members.awaitTargets(ctx, c.service.doc.Name, time.Until(c.deadline))
+		h.members.awaitTargets(held, c.service.doc.Name, time.Until(c.deadline))
 	}
 	if h.fleet != nil {
-		h.fleet.awaitDecider(ctx, c)
-		c.endTurn = h.fleet.awaitTurn(ctx, c)
+		h.fleet.awaitDecider(held, c)
+		c.endTurn = h.fleet.awaitTurn(held, c)
 		defer c.endTurn()
 	}
 	if h.fleet == nil || !h.fleet.delegate(c, time.Now()) {
@@ -229,6 +231,9 @@
 		case <-ctx.Done():
 			h.abandonCall(w, r, c)
 			return
+		case <-h.halting.refused.Done():
+			h.refuseHeld(ctx, w, r, c)
+			return
 		case action := <-c.decisions:
 			c.decisionOverdue = nil
 			if c.endTurn != nil {
@@ -289,6 +294,10 @@
 			h.abandonCall(w, r, c)
 			return true
 		}
+		if h.halting.refused.Err() != nil {
+			h.refuseHeld(ctx, w, r, c)
+			return true
+		}
 		a := newAttempt(c, action)
 		if h.mustWithhold(a, action) {
 			return h.finishAttempt(ctx, w, r, a, engine.NotSent)
@@ -447,6 +456,9 @@
 func (h *Host) awaitFinalDecision(ctx context.Context, w responseWriter, r *http.Request, c *call) bool {
 	for {
 		select {
+		case <-h.halting.refused.Done():
+			h.refuseHeld(ctx, w, r, c)
+			return true
 		case action := <-c.decisions:
 			if h.executeDecision(ctx, w, r, c, action) {
 				return true
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -44,7 +44,9 @@
 		a.require((*arrival).awaitLease, (*arrival).refuseUnrouted) && // no_plan, not_confirmed, no_service.
 		a.require((*arrival).checkKey, (*arrival).refuseKey) && // key_lease_ended, no_plan, key_refused.
 		a.require((*arrival).checkPart, (*arrival).refuseUnrouted) && // no_part.
+		a.require((*arrival).checkStop, (*arrival).refuseStopping) && // stopping.
 		a.require((*arrival).checkBody, (*arrival).reject) && // body_cut_short, body_too_late, body_too_large.
+		a.require((*arrival).checkStop, (*arrival).refuseStopping) && // stopping, as the body may have taken long.
 		a.require((*arrival).checkCrashes, (*arrival).refuseBlocked) // crashes_targets.
 }
 
--- a/io/entry/gate_test.go
+++ b/io/entry/gate_test.go
@@ -69,13 +69,14 @@
 		unrouted
 		unkeyed
 		partless
+		stopping
 		bodyless
 		crashing
 		undecided
 	)
 	for first, want := range []string{
 		malformed: "400 bad_request", unplanned: "503 no_plan", unrouted: "404 no_service", unkeyed: "401 key_refused",
-		partless: "503 no_part", bodyless: "400 body_cut_short", crashing: "503 crashes_targets", undecided: "503 no_target",
+		partless: "503 no_part", stopping: "503 stopping", bodyless: "400 body_cut_short", crashing: "503 crashes_targets", undecided: "503 no_target",
 	} {
 		t.Run(want, func(t *testing.T) {
 			t.Parallel()
@@ -102,6 +103,10 @@
 			if first <= unplanned {
 				h.fleet.planConfirmed = make(chan struct{})
 			}
+			if first <= stopping {
+				now := time.Now()
+				h.halting.last.Store(&now)
+			}
 			if first <= crashing {
 				head := crash.Head(http.MethodPost, host, path)
 				id := crash.ID{Head: head, Content: crash.Content(head, []byte("body")), Caller: crash.Caller(netip.MustParseAddr("127.0.0.1"))}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -55,7 +55,8 @@
 		documentAccounts atomic.Pointer[activePlan]
 		newFront         func(*Host) http.Handler // See WithFront; nil if not set.
 		draining         atomic.Bool              // Readiness is withdrawn, as the host is about to stop.
-		nextCall         atomic.Uint64            // The last call.id given.
+		halting          *halting
+		nextCall         atomic.Uint64 // The last call.id given.
 		services         atomic.Pointer[serviceMap]
 		decisionsSeen    atomic.Uint64 // Decisions counted to choose those to log.
 
@@ -71,17 +72,23 @@
 	// Option sets one property of a Host.
 	Option func(*Host)
 
-	// server is a listening address and the functions that serve and stop it. An
-	// HTTP server's stop lets open requests end until its context ends, and then
-	// cuts them off.
+	// server is a listening address and the functions that serve and stop it. They let
+	// open requests end until their context ends, and then cut them off.
 	server struct {
 		name    string
 		address netip.AddrPort
 		serve   func(net.Listener) error
-		stop    func(context.Context)
+		// stopCalls stops what serves calls, before any server is stopped; nil for nothing.
+		stopCalls func(context.Context)
+		// stop stops the rest; nil for nothing.
+		stop func(context.Context)
 	}
 )
 
+// idleStopTime bounds the time in which a server without calls stops once all calls have
+// ended.
+const idleStopTime = 200 * time.Millisecond
+
 // maxCarryBytes bounds what wire.SetCarry adds to the header of a request.
 const maxCarryBytes = 4 << 10
 
@@ -110,7 +117,7 @@
 
 // New returns a host with configuration cfg, which must be valid.
 func New(cfg setup.Entry, opts ...Option) *Host {
-	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), dialect: wire.Spool(), signs: new(signs.Signs)}
+	h := &Host{cfg: cfg, log: slog.New(slog.DiscardHandler), metrics: telem.NewRegistry(), dialect: wire.Spool(), signs: new(signs.Signs), halting: newHalting()}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -152,10 +159,9 @@
 	return h
 }
 
-// Run serves until ctx ends or a server fails, and then stops: readiness is
-// withdrawn, open calls may end within the stop grace of the settings, and the
-// rest are cut off. It returns an error when the host cannot start or a server
-// fails.
+// Run serves until ctx ends or a server fails, and then stops in the phases that the
+// settings give; see package halt. It returns an error when the host cannot start or a
+// server fails.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.system.Shutdown()
 	if h.fleet == nil {
@@ -184,7 +190,8 @@
 			err error
 		)
 		if l, err = net.Listen("tcp", s.address.String()); err != nil {
-			stopAll(servers[:i], 0)
+			now := time.Now()
+			stopAll(servers[:i], now, now)
 			return errors.Wrapf(err, "entry: %s address", s.name)
 		}
 		go func() { failed <- s.serve(l) }()
@@ -209,36 +216,41 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	h.open.stop(time.Now())
+	stopped, phases := time.Now(), h.cfg.Phases()
+	h.open.stop(stopped)
 	h.config.stopping.Store(true)
 	if err == nil {
-		err = h.drain(failed)
+		h.log.Info("entry host drains", "delay", phases.Drain.String(), "cut_off_after", phases.Cut.String(), "calls_open", h.openCalls.Load())
+		err = h.drain(failed, stopped.Add(phases.Drain))
 	}
-	begin := time.Now()
-	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", h.cfg.StopGrace.Std().String())
-	stopAll(servers, h.cfg.StopGrace.Std())
+	begin, cut := time.Now(), stopped.Add(phases.Cut)
+	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", cut.Sub(begin).String())
+	refuse := stopped.Add(phases.Refuse)
+	h.halting.last.Store(&refuse)
+	refusal := time.AfterFunc(time.Until(refuse), h.halting.refuse)
+	stopAll(servers, cut, stopped.Add(phases.Exit))
+	refusal.Stop()
+	h.halting.refuse()
 	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.callsCutOff.Load(),
 		"requests_unanswered", h.unanswered.Load(), "longest_after_stop", h.open.longestAfterStop().String())
 	return err
 }
 
-// drain withdraws readiness and continues to accept calls for the drain delay,
-// so that the balancer in front of this host can switch to other hosts. Each response
-// asks its caller to close the connection. drain returns the error of a server
-// that fails meanwhile.
-func (h *Host) drain(failed <-chan error) error {
+// drain withdraws readiness and continues to accept calls until end, so that the balancer
+// in front of this host can switch to other hosts. Each response asks its caller to close
+// the connection. drain returns the error of a server that fails meanwhile.
+func (h *Host) drain(failed <-chan error, end time.Time) error {
 	h.draining.Store(true)
 	h.forwarder.stopping.Store(true)
-	h.log.Info("entry host drains", "delay", h.cfg.DrainDelay.Std().String(), "calls_open", h.openCalls.Load())
 	select {
-	case <-time.After(h.cfg.DrainDelay.Std()):
+	case <-time.After(time.Until(end)):
 		return nil
 	case err := <-failed:
 		return err
 	}
 }
 
-// servers returns the host's servers in the order in which they are stopped.
+// servers returns the host's servers.
 func (h *Host) servers() []server {
 	announce := drain.New(&http.Server{Handler: h.announceHandler(), ReadHeaderTimeout: admin.ReadHeaderTimeout})
 	operators := &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: admin.ReadHeaderTimeout}
@@ -269,10 +281,8 @@
 				go h.serveCarrier(carrier, splitter.HTTP())
 				return peers.Serve(peer.CountListener(splitter.GRPC(), peerTraffic))
 			},
-			stop: func(ctx context.Context) {
-				carrier.stop(ctx)
-				peers.Stop()
-			},
+			stopCalls: carrier.stopCalls,
+			stop:      func(context.Context) { peers.Stop() },
 		},
 		h.httpServer("admin", h.cfg.AdminAddress, operators),
 	}
@@ -291,7 +301,7 @@
 			inner.TLSConfig = h.keyPair.config()
 			return inner.ServeTLS(listener, "", "")
 		},
-		stop: h.stopHTTP(inner, func() {
+		stopCalls: h.stopHTTP(inner, func() {
 			h.callsCutOff.Store(h.openCalls.Load())
 			h.open.cutOff(false, time.Now())
 		}),
@@ -303,8 +313,8 @@
 	inner := drain.New(h.newCallServer(carrierHandler{h}, h.callers.MaxHeaderBytes+maxCarryBytes))
 	return server{
 		name: "carrier", address: h.cfg.PeerAddress,
-		serve: func(l net.Listener) error { return inner.Serve(h.trackCallers(inner.Server, l)) },
-		stop:  h.stopHTTP(inner, func() { h.open.cutOff(true, time.Now()) }),
+		serve:     func(l net.Listener) error { return inner.Serve(h.trackCallers(inner.Server, l)) },
+		stopCalls: h.stopHTTP(inner, func() { h.open.cutOff(true, time.Now()) }),
 	}
 }
 
@@ -357,11 +367,33 @@
 	}
 }
 
-// stopAll stops the servers one after another, within grace for all together.
-func stopAll(servers []server, grace time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
+// stopAll stops the servers, all beside one another: first what serves calls, at the latest
+// at cut, and then the rest, within idleStopTime and at the latest at exit.
+func stopAll(servers []server, cut, exit time.Time) {
+	var calls, rest []func(context.Context)
 	for _, s := range servers {
-		s.stop(ctx)
+		if s.stopCalls != nil {
+			calls = append(calls, s.stopCalls)
+		}
+		if s.stop != nil {
+			rest = append(rest, s.stop)
+		}
+	}
+	stopBeside(calls, cut)
+	if end := time.Now().Add(idleStopTime); end.Before(exit) {
+		exit = end
+	}
+	stopBeside(rest, exit)
+}
+
+// stopBeside calls all functions at the same time, with a context that ends at end, and
+// waits for them.
+func stopBeside(stops []func(context.Context), end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, stop := range stops {
+		group.Go(func() { stop(ctx) })
 	}
+	group.Wait()
 }
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -169,6 +169,8 @@
 			})
 			b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
 				cfg.DrainDelay = strict.Duration(drain)
+				// Requests whose headers are complete after the drain must end before the cut.
+				doc.Receive.Deadline = cfg.StopGrace / 2
 				doc.Targets.Slots, doc.Targets.Connections = callers, callers
 			}, target.address)
 			conns := make([]*caller, callers)
@@ -216,7 +218,8 @@
 	}
 }
 
-// The log must name each call that a stop cuts off, with its target or that it was held.
+// The log must name each call that a stop cuts off, with its target or that it was at none.
+// A call that is held is answered before that.
 func TestStopNamesCallsThatItCutsOff(t *testing.T) {
 	const grace = 300 * time.Millisecond
 	g := gomega.NewWithT(t)
@@ -229,10 +232,19 @@
 	}, target.address)
 	io.WriteString(b.dial(t), keepAlivePost)
 	g.Eventually(target.connsWithData, testTimeout).Should(gomega.Equal(1))
-	io.WriteString(b.dial(t), keepAlivePost)
+	io.WriteString(b.dial(t), "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
 	g.Eventually(b.host.openCalls.Load, testTimeout).Should(gomega.BeEquivalentTo(2))
-	time.Sleep(20 * time.Millisecond) // The scheduler decides to hold the second call.
+	held := b.dial(t)
+	io.WriteString(held, keepAlivePost)
+	g.Eventually(b.host.openCalls.Load, testTimeout).Should(gomega.BeEquivalentTo(3))
+	time.Sleep(20 * time.Millisecond) // The scheduler decides to hold the last call.
 	b.stop()
+	answer, _ := held.call(t, "")
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header.Get(wire.HeaderOutcome)).To(gomega.Equal(wire.OutcomeNotRun))
+	g.Expect(answer.Header.Get(wire.HeaderReason)).To(gomega.Equal("stopping"))
+	g.Expect(answer.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(answer.Close).To(gomega.BeTrue())
 	g.Eventually(b.done, testTimeout).Should(gomega.Receive(gomega.BeNil()))
 	lines := regexp.MustCompile(`msg="call cut off by stop".*`).FindAllString(b.logs.String(), -1)
 	g.Expect(lines).To(gomega.HaveLen(2))
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -33,11 +33,11 @@
 		{Path: "fleet.extra_attempts", Label: "Extra attempts", Help: "Largest share of the calls of a service, from 0 to 1, that may get a second attempt while the first one runs; 0 disables them."},
 		{
 			Path: "stop_time", Label: "Time of a stop", Low: 0, High: int64(MaxStopTime),
-			Help: "Time from the signal to stop until the process is ended by force, as its supervisor grants it: 0s if it is not known, or at least 1s.",
+			Help: "Time from the signal to stop until the process is ended by force, as its supervisor grants it: 0s if it is not known, or at least 1s. Entry hosts then cut calls off a tenth of it, up to 1s, before its end.",
 		},
 		{
 			Path: "stop_grace", Label: "Grace of a stop", Low: 0, High: int64(MaxStopTime),
-			Help: "Longest duration of a graceful stop; calls and connections still open after it are cut off.",
+			Help: "Longest duration of a graceful stop; calls and connections still open after it are cut off. With stop_time, entry hosts do not use it.",
 		},
 	}
 
@@ -52,7 +52,15 @@
 		{Path: "data_folder", Label: "Data folder", Help: "Folder that keeps the newest documents across restarts; may be empty."},
 		{
 			Path: "drain_delay", Label: "Drain delay", Low: 0, High: int64(MaxStopTime),
-			Help: "How long a stopping host still accepts calls after it reports itself as not ready, so that the load balancer in front of it can notice.",
+			Help: "How long a stopping host still accepts calls after it reports itself as not ready, so that the load balancer in front of it can notice. Not used with balancer_check.",
+		},
+		{
+			Path: "balancer_check.interval", Label: "Interval of the balancer's check", Low: 0, High: int64(MaxCheckInterval),
+			Help: "Time between two health checks by the load balancer in front of this host; 0s if it is not known. The drain delay is then derived from it: failures intervals and a half, and at most half of the time that stop_time leaves.",
+		},
+		{
+			Path: "balancer_check.failures", Label: "Failures of the balancer's check", Unit: "checks", Low: 0, High: MaxCheckFailures,
+			Help: "Failed health checks in a row after which that load balancer sends no connections; set together with the interval.",
 		},
 		{
 			Path: "tick", Label: "Tick", Low: int64(MinTick), High: int64(MaxTick),
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -78,10 +78,13 @@
 		DecisionLogOneIn int `json:"decision_log_one_in"`
 		// DrainDelay is how long a stopping host still accepts calls after it
 		// reports itself as not ready, so that the load balancer in front of it
-		// can notice.
+		// can notice. It is not used with BalancerCheck.
 		DrainDelay strict.Duration `json:"drain_delay"`
+		// BalancerCheck is the health check of that load balancer, from which the drain
+		// delay is derived.
+		BalancerCheck BalancerCheck `json:"balancer_check,omitzero"`
 		// StopGrace is the longest duration of a graceful stop, counted from
-		// the end of the drain delay.
+		// the end of the drain delay. It is not used with StopTime.
 		StopGrace strict.Duration `json:"stop_grace"`
 		// Callers holds the limits set to callers.
 		Callers Callers `json:"callers"`
@@ -193,8 +196,7 @@
 	f.CheckDurationRange("tick", s.Tick, MinTick, MaxTick)
 	f.CheckDurationRange("announce_interval", s.AnnounceInterval, MinAnnounceInterval, MaxAnnounceInterval)
 	f.CheckRange("decision_log_one_in", s.DecisionLogOneIn, 0, MaxDecisionLogOneIn)
-	f.CheckDurationRange("drain_delay", s.DrainDelay, 0, MaxStopTime)
-	f.CheckDurationRange("stop_grace", s.StopGrace, 0, MaxStopTime)
+	s.validateStop(&f)
 	s.Callers.validate(&f)
 	return f
 }
--- a/io/setup/stop_test.go
+++ b/io/setup/stop_test.go
@@ -26,11 +26,43 @@
 }
 
 // Earlier builds refuse fields that they do not know.
-func TestUnknownStopTimeIsNotWritten(t *testing.T) {
+func TestUnknownSettingsOfStopsAreNotWritten(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, v := range []any{setup.DefaultEntry(), setup.DefaultControl()} {
 		data, err := json.Marshal(v)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(string(data)).NotTo(gomega.ContainSubstring("stop_time"))
+		g.Expect(string(data)).NotTo(gomega.Or(gomega.ContainSubstring("stop_time"), gomega.ContainSubstring("balancer_check")))
+	}
+}
+
+func TestDrainMustLeaveTimeForOpenCalls(t *testing.T) {
+	const second = strict.Duration(time.Second)
+	for _, c := range []struct {
+		name  string
+		stop  strict.Duration
+		drain strict.Duration
+		check setup.BalancerCheck
+		fault string // Empty for none.
+	}{
+		{"default drain in a short stop", 5 * second, 5 * second, setup.BalancerCheck{}, "drain_delay: is 5s, which leaves nothing for open calls: with a stop_time of 5s it must be below 4.25s"},
+		{"just below", 5 * second, 4249 * second / 1000, setup.BalancerCheck{}, ""},
+		{"time not known", 0, 5 * second, setup.BalancerCheck{}, ""},
+		{"derived", 3 * second, 5 * second, setup.BalancerCheck{Interval: second, Failures: 2}, ""},
+		{"no failures", 3 * second, 0, setup.BalancerCheck{Interval: second}, "balancer_check: has interval 1s and failures 0"},
+		{"no interval", 3 * second, 0, setup.BalancerCheck{Failures: 2}, "balancer_check: has interval 0s and failures 2"},
+		{"long interval", 3 * second, 0, setup.BalancerCheck{Interval: 61 * second, Failures: 2}, "balancer_check.interval"},
+		{"many failures", 3 * second, 0, setup.BalancerCheck{Interval: second, Failures: 101}, "balancer_check.failures"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := setup.DefaultEntry()
+			s.StopTime, s.DrainDelay, s.BalancerCheck = c.stop, c.drain, c.check
+			text := s.Validate().Err().Error() // The other settings are missing.
+			if c.fault == "" {
+				g.Expect(text).NotTo(gomega.Or(gomega.ContainSubstring("drain_delay"), gomega.ContainSubstring("balancer_check")))
+				return
+			}
+			g.Expect(text).To(gomega.ContainSubstring(c.fault))
+		})
 	}
 }
