Name the requests that a stopping control host cuts off

What callers saw: operators and targets whose connection to a control host closed without an answer during its stop. Cause: not part of this change. Evidence: "control host stopped" said neither how long the stop took nor what was open, and the front address ended with the process without a line. No logic of the stop is changed.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -257,7 +257,7 @@
 		if l, err = net.Listen("tcp", h.cfg.Fleet.FrontAddress.String()); err != nil {
 			return errors.Wrap(err, "control: front address")
 		}
-		f.front = drain.New(&http.Server{Handler: h.front(h), ReadHeaderTimeout: admin.ReadHeaderTimeout})
+		f.front = drain.New(&http.Server{Handler: h.requests.wrap("front", h.front(h)), ReadHeaderTimeout: admin.ReadHeaderTimeout})
 		go func() { h.fail(f.front.Serve(l)) }()
 	}
 	go f.follower.Run(work)
--- a/io/ctrl/fleet_test.go
+++ b/io/ctrl/fleet_test.go
@@ -1,11 +1,13 @@
 package ctrl_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -44,6 +46,17 @@
 		views  map[uint64]feed.View // Those seen by votingView.
 		// configure, unless nil, may change the settings of hosts before they start.
 		configure func(*setup.Fleet)
+		// settings, unless nil, may change all settings of hosts before they start.
+		settings func(*setup.Control)
+		// front, unless nil, serves the front address of hosts.
+		front func(*ctrl.Host) http.Handler
+		lines logLines // Those of all hosts.
+	}
+
+	// logLines keeps log lines and shows them with a spec that fails.
+	logLines struct {
+		mu   sync.Mutex
+		kept bytes.Buffer
 	}
 
 	// runningHost is a host whose Run has been called; ended receives its result.
@@ -106,9 +119,16 @@
 	if s.configure != nil {
 		s.configure(&cfg.Fleet)
 	}
+	if s.settings != nil {
+		s.settings(&cfg)
+	}
 	gomega.Expect(cfg.Validate()).To(gomega.BeEmpty())
-	log := telem.NewLogger(ginkgo.GinkgoWriter, slog.LevelInfo, cfg.Host, cfg.DataCentre)
-	host, err := ctrl.New(cfg, ctrl.WithLogger(log))
+	log := telem.NewLogger(&s.lines, slog.LevelInfo, cfg.Host, cfg.DataCentre)
+	opts := []ctrl.Option{ctrl.WithLogger(log)}
+	if s.front != nil {
+		opts = append(opts, ctrl.WithFront(s.front))
+	}
+	host, err := ctrl.New(cfg, opts...)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningHost{host: host, stop: stop, ended: make(chan error, 1)}
@@ -118,6 +138,21 @@
 	s.hosts[i] = r
 }
 
+// Write keeps lines.
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept.Write(p)
+	return ginkgo.GinkgoWriter.Write(p)
+}
+
+// text returns all lines.
+func (l *logLines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.kept.String()
+}
+
 // sendHeartbeats renews the lease of a target at all running hosts until the spec ends, which
 // may take longer than roster.Lease on a busy machine.
 func (s *testFleet) sendHeartbeats(t roster.Target) {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -39,7 +39,9 @@
 		front   func(*Host) http.Handler
 		dialect wire.Dialect
 		token   string
-		peersMu sync.Mutex
+		// requests holds the open requests of operators and targets.
+		requests *openRequests
+		peersMu  sync.Mutex
 		// peers holds the connections to the other control hosts, by host name.
 		peers map[string]*remote
 		// sends tracks the messages in flight, and the chosen values that are being
@@ -115,6 +117,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.requests = newOpenRequests(h.log, h.metrics)
 	var (
 		hosts []string
 		err   error
@@ -196,7 +199,7 @@
 	peers := peer.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.StatsHandler(newTraffic(h.metrics)))
 	peerpb.RegisterAgreementServer(peers, &agreementServer{host: h})
 	peerpb.RegisterConfigurationServer(peers, &configurationServer{host: h, stop: ctx})
-	api := drain.New(&http.Server{Handler: h.operatorsHandler(), ReadHeaderTimeout: admin.ReadHeaderTimeout})
+	api := drain.New(&http.Server{Handler: h.requests.wrap("api", h.operatorsHandler()), ReadHeaderTimeout: admin.ReadHeaderTimeout})
 	if h.fleet != nil {
 		if err = h.fleet.start(ctx, work, peers); err != nil {
 			peerListener.Close()
@@ -215,7 +218,11 @@
 	case err = <-h.failed:
 		h.log.Error("control host gives up", "error", err)
 	}
+	begin := time.Now()
+	h.log.Info("control host stops", "requests_open", h.requests.stop(begin), "changes_waiting", h.waitingChanges(), "grace", h.cfg.StopGrace.Std().String())
 	h.stop(peers, api)
+	cut, longest := h.requests.result()
+	h.log.Info("control host stopped", "took", time.Since(begin).String(), "requests_cut_off", cut, "longest_after_stop", longest.String())
 	return err
 }
 
@@ -239,12 +246,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.StopGrace.Std())
 	defer cancel()
 	if err := api.Shutdown(ctx); err != nil {
-		h.log.Warn("operators' API stopped with requests open", "error", err)
+		h.requests.cutOff(time.Now())
 		api.Close()
 	}
 	h.stopVoting()
 	forceStop := time.AfterFunc(min(peerStopGrace, h.cfg.StopGrace.Std()), peers.Stop)
 	peers.GracefulStop()
 	forceStop.Stop()
-	h.log.Info("control host stopped")
+	h.requests.cutOff(time.Now()) // Those at the front address end with the process.
+}
+
+// waitingChanges returns the number of changes and reads that wait for a majority.
+func (h *Host) waitingChanges() int {
+	h.stepMu.Lock()
+	defer h.stepMu.Unlock()
+	return len(h.waiting)
 }
