Finish the changes and departures that are open when a control host stops

What callers saw: an operator whose order waited for a majority when its control host got SIGTERM saw the connection close after the grace (EOF after 2 s, operators' API) or 503 at once (front), and a target that was leaving got 503 or nothing, although the host had the time to finish both. Cause: everything that the host works with, the messages to other hosts, the node's clock and the writes of targets, ended with the signal; the server of the front address was never shut down and ended with the process. Evidence: the new specs of stop_test.go on the code before: at the front 503 in place of 200, at the API EOF in place of 200 and of 503 without a majority, the departure whose request was being read 503. Change: the work goes on until the stop is over; the front and the API are shut down beside one another under one deadline; a change that finds no majority is refused while there is time left to answer; a stopping host proposes and enters no view.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -231,8 +231,7 @@
 
 // start serves the fleet state, the placement of calls and the front, and
 // follows the other control hosts. The streams that it serves end when stop ends,
-// and its goroutines when work ends; the front serves until the process ends. start
-// returns an error when the view cannot be entered or the front address is not
+// and its goroutines when work ends; Host.stop ends the front. start returns an error when the view cannot be entered or the front address is not
 // available.
 func (f *fleet) start(stop, work context.Context, peers *grpc.Server) error {
 	h := f.host
@@ -262,7 +261,7 @@
 	}
 	go f.follower.Run(work)
 	go f.placement.Run(work)
-	go f.watchViews(work, view.Epoch)
+	go f.watchViews(stop, work, view.Epoch)
 	if f.usage != nil {
 		go f.usage.run(work, server.EntryHosts)
 	}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -85,6 +85,9 @@
 	// that do not read from their connections, for example because their
 	// process is frozen. They fetch what they miss from another control host.
 	peerStopGrace = time.Second
+	// answerPart is the part of a stop's time that is left for answers to changes that
+	// found no majority.
+	answerPart = 8
 	// maxMessageBytes is the maximum size of a gRPC message; the largest kind of
 	// message is a snapshot of all registers.
 	maxMessageBytes = 64 << 20
@@ -158,9 +161,9 @@
 	return func(h *Host) { h.dialect = d }
 }
 
-// Run serves until ctx ends, then stops gracefully: open requests to the
-// operators' API get the configured grace period, and after that the open streams
-// get at most peerStopGrace. Run returns an error when it cannot start, when a
+// Run serves until ctx ends, then stops gracefully: the open requests of operators and
+// targets get the configured grace period, and after that the open streams get at most
+// peerStopGrace. Run returns an error when it cannot start, when a
 // server fails, or when the data folder was removed or can no longer be written,
 // as the host must not vote from then on. The data folder is closed on return.
 func (h *Host) Run(ctx context.Context) error {
@@ -187,7 +190,8 @@
 		peerListener.Close()
 		return errors.Wrap(err, "control: admin address")
 	}
-	work, cancel := context.WithCancel(ctx)
+	// Changes and departures that are in progress at the signal need the work to go on.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer h.sends.Wait()
 	defer cancel()
 	if err = h.dialPeers(work); err != nil {
@@ -220,7 +224,11 @@
 	}
 	begin := time.Now()
 	h.log.Info("control host stops", "requests_open", h.requests.stop(begin), "changes_waiting", h.waitingChanges(), "grace", h.cfg.StopGrace.Std().String())
-	h.stop(peers, api)
+	servers := []*drain.Server{api}
+	if h.fleet != nil && h.fleet.front != nil {
+		servers = append(servers, h.fleet.front)
+	}
+	h.stop(peers, servers...)
 	cut, longest := h.requests.result()
 	h.log.Info("control host stopped", "took", time.Since(begin).String(), "requests_cut_off", cut, "longest_after_stop", longest.String())
 	return err
@@ -240,20 +248,31 @@
 	}
 }
 
-// stop ends the operators' API, then the host's part in the consensus protocol,
-// then the server for peers, each gracefully as described at Run.
-func (h *Host) stop(peers *grpc.Server, api *drain.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.StopGrace.Std())
+// stop answers the open requests, ends the host's part in the consensus protocol and then
+// the server for peers, as described at Run.
+func (h *Host) stop(peers *grpc.Server, servers ...*drain.Server) {
+	grace := h.cfg.StopGrace.Std()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	if err := api.Shutdown(ctx); err != nil {
-		h.requests.cutOff(time.Now())
-		api.Close()
+	// Changes that find no majority are refused while there is time to say so.
+	refuse := time.AfterFunc(grace-grace/answerPart, h.stopVoting)
+	defer refuse.Stop()
+	var group sync.WaitGroup
+	for _, s := range servers {
+		group.Go(func() {
+			// An error says that requests are open, which are then cut off.
+			_ = s.Shutdown(ctx)
+		})
+	}
+	group.Wait()
+	h.requests.cutOff(time.Now())
+	for _, s := range servers {
+		s.Close()
 	}
 	h.stopVoting()
-	forceStop := time.AfterFunc(min(peerStopGrace, h.cfg.StopGrace.Std()), peers.Stop)
+	forceStop := time.AfterFunc(min(peerStopGrace, grace), peers.Stop)
 	peers.GracefulStop()
 	forceStop.Stop()
-	h.requests.cutOff(time.Now()) // Those at the front address end with the process.
 }
 
 // waitingChanges returns the number of changes and reads that wait for a majority.
--- a/io/ctrl/stop_test.go
+++ b/io/ctrl/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -202,4 +203,65 @@
 		gomega.Expect(s.lines.text()).To(gomega.MatchRegexp(`"request cut off by stop","host":"control-0".*"server":"front","method":"PUT","path":"/targets/t/ready","after_stop":"\d`))
 		gomega.Expect(s.lines.text()).To(gomega.MatchRegexp(`"control host stopped","host":"control-0".*"requests_cut_off":1`))
 	})
+
+	// Guards against changes that a stopping host gives up although it has the time to
+	// finish them.
+	ginkgo.DescribeTable("finishes a change that waits for a majority", func(atFront bool) {
+		s := newStoppingFleet(2 * time.Second)
+		var release []func()
+		for i := 1; i < 3; i++ {
+			release = append(release, ctrl.HoldSteps(s.hosts[i].host))
+		}
+		var done <-chan answer
+		if atFront {
+			done = send(http.MethodPut, s.frontAddress(0), "/plan/2")
+		} else {
+			done = send(http.MethodPost, s.apiAddress(0), "/v1/evacuations/xela")
+		}
+		granted.Sleep(stallTime / 4)
+		ended := s.beginStop(0)
+		granted.Sleep(stallTime / 2)
+		for _, f := range release {
+			f()
+		}
+		gomega.Eventually(done).WithContext(within(4 * time.Second)).Should(gomega.Receive(gomega.Equal(answer{status: http.StatusOK})))
+		gomega.Eventually(ended).WithContext(within(4 * time.Second)).Should(gomega.Receive(gomega.BeNil()))
+		if atFront {
+			s.expectPlan(1, 2)
+		}
+	},
+		ginkgo.Entry("at the front", true),
+		ginkgo.Entry("at the operators' API", false),
+	)
+
+	ginkgo.It("answers every request that it has begun to read", func() {
+		s := newStoppingFleet(2 * time.Second)
+		s.stopHost(2) // A majority now needs the disk of the stopping host.
+		body := strings.Repeat("x", 64)
+		c, answers := dial(s.frontAddress(0))
+		_, err := io.WriteString(c, header("/targets/t/draining", len(body))+body[:1])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		granted.Sleep(stallTime / 4)
+		ended := s.beginStop(0)
+		granted.Sleep(stallTime / 2)
+		_, err = io.WriteString(c, body[1:])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(readAnswer(answers)).To(gomega.Equal(answer{status: http.StatusOK}))
+		gomega.Eventually(ended).WithContext(within(4 * time.Second)).Should(gomega.Receive(gomega.BeNil()))
+	})
+
+	ginkgo.It("answers a change that finds no majority before its time is over", func() {
+		const stopTime = 2 * time.Second
+		s := newStoppingFleet(stopTime)
+		s.stopHost(1)
+		s.stopHost(2)
+		change := send(http.MethodPut, s.frontAddress(0), "/plan/2")
+		order := send(http.MethodPost, s.apiAddress(0), "/v1/evacuations/xela")
+		granted.Sleep(stallTime / 4)
+		ended := s.beginStop(0)
+		gomega.Eventually(ended).WithContext(within(stopTime)).Should(gomega.Receive(gomega.BeNil()))
+		for _, done := range []<-chan answer{change, order} {
+			gomega.Eventually(done).WithContext(within(prompt)).Should(gomega.Receive(gomega.Equal(answer{status: http.StatusServiceUnavailable})))
+		}
+	})
 })
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -28,27 +28,27 @@
 )
 
 // watchViews enters each view whose epoch is higher than entered, the epoch of the
-// view that this host is in, and proposes new views, until ctx ends. When a view
-// cannot be entered, it makes Run fail.
-func (f *fleet) watchViews(ctx context.Context, entered uint64) {
+// view that this host is in, and proposes new views, until stop ends. Connections to the
+// members last until work ends. When a view cannot be entered, it makes Run fail.
+func (f *fleet) watchViews(stop, work context.Context, entered uint64) {
 	ticker := time.NewTicker(viewCheckPeriod)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-stop.Done():
 			return
 		case next := <-f.nextViews:
 			f.state.SetView(next)
 		case <-ticker.C:
 		}
 		if view := f.state.View(); view.Epoch > entered {
-			if err := f.saveAndEnter(ctx, view); err != nil {
+			if err := f.saveAndEnter(work, view); err != nil {
 				f.host.fail(err)
 				return
 			}
 			entered = view.Epoch
 		}
-		f.proposeView(ctx, time.Now())
+		f.proposeView(stop, time.Now())
 	}
 }
 
