End the streams of calls with the signal to stop

What callers saw: calls that waited 60 to 250 ms longer beside each stop of a control host, and were then decided by the entry host alone; and control hosts with nothing open that took a second to stop. Cause: the scheduler of a stopping host ended with the signal, but the streams on which entry hosts ask it stayed open until they were broken off a second later, so that entry hosts went on asking it. Change: the streams of calls end with the signal, with Unavailable, upon which entry hosts ask another control host; the server for peers takes no new streams from then on, so that they don't come back.

--- a/io/ctrl/depart.go
+++ b/io/ctrl/depart.go
@@ -15,10 +15,12 @@
 	"cardamomspool/io/peer/peerpb"
 )
 
-// fleetServer serves the fleet's state to other hosts.
+// fleetServer serves the fleet's state to other hosts. Its streams of calls end when the
+// context stop ends.
 type fleetServer struct {
 	*feed.Server
 	fleet *fleet
+	stop  context.Context
 }
 
 // departTimeout bounds the replication of a departure, a target's change to
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -236,7 +236,7 @@
 func (f *fleet) start(stop, work context.Context, peers *grpc.Server) error {
 	h := f.host
 	server := feed.NewServer(stop, f.state, f.placement.Serve)
-	peerpb.RegisterFleetServer(peers, &fleetServer{Server: server, fleet: f})
+	peerpb.RegisterFleetServer(peers, &fleetServer{Server: server, fleet: f, stop: stop})
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
 	}, f.seeds.List, h.peerTraffic())
@@ -260,7 +260,7 @@
 		go func() { h.fail(f.front.Serve(l)) }()
 	}
 	go f.follower.Run(work)
-	go f.placement.Run(work)
+	go f.placement.Run(stop)
 	go f.watchViews(stop, work, view.Epoch)
 	if f.usage != nil {
 		go f.usage.run(work, server.EntryHosts)
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -190,6 +190,8 @@
 		peerListener.Close()
 		return errors.Wrap(err, "control: admin address")
 	}
+	stopping, beginStop := context.WithCancel(ctx)
+	defer beginStop()
 	// Changes and departures that are in progress at the signal need the work to go on.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer h.sends.Wait()
@@ -202,10 +204,10 @@
 	defer h.closePeers()
 	peers := peer.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.StatsHandler(newTraffic(h.metrics)))
 	peerpb.RegisterAgreementServer(peers, &agreementServer{host: h})
-	peerpb.RegisterConfigurationServer(peers, &configurationServer{host: h, stop: ctx})
+	peerpb.RegisterConfigurationServer(peers, &configurationServer{host: h, stop: stopping})
 	api := drain.New(&http.Server{Handler: h.requests.wrap("api", h.operatorsHandler()), ReadHeaderTimeout: admin.ReadHeaderTimeout})
 	if h.fleet != nil {
-		if err = h.fleet.start(ctx, work, peers); err != nil {
+		if err = h.fleet.start(stopping, work, peers); err != nil {
 			peerListener.Close()
 			adminListener.Close()
 			return err
@@ -223,6 +225,7 @@
 		h.log.Error("control host gives up", "error", err)
 	}
 	begin := time.Now()
+	beginStop()
 	h.log.Info("control host stops", "requests_open", h.requests.stop(begin), "changes_waiting", h.waitingChanges(), "grace", h.cfg.StopGrace.Std().String())
 	servers := []*drain.Server{api}
 	if h.fleet != nil && h.fleet.front != nil {
@@ -248,8 +251,8 @@
 	}
 }
 
-// stop answers the open requests, ends the host's part in the consensus protocol and then
-// the server for peers, as described at Run.
+// stop refuses new streams, answers the open requests and ends the host's part in the
+// consensus protocol, as described at Run.
 func (h *Host) stop(peers *grpc.Server, servers ...*drain.Server) {
 	grace := h.cfg.StopGrace.Std()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
@@ -257,7 +260,8 @@
 	// Changes that find no majority are refused while there is time to say so.
 	refuse := time.AfterFunc(grace-grace/answerPart, h.stopVoting)
 	defer refuse.Stop()
-	var group sync.WaitGroup
+	var group, streams sync.WaitGroup
+	streams.Go(peers.GracefulStop)
 	for _, s := range servers {
 		group.Go(func() {
 			// An error says that requests are open, which are then cut off.
@@ -271,7 +275,7 @@
 	}
 	h.stopVoting()
 	forceStop := time.AfterFunc(min(peerStopGrace, grace), peers.Stop)
-	peers.GracefulStop()
+	streams.Wait()
 	forceStop.Stop()
 }
 
--- a/io/ctrl/serve.go
+++ b/io/ctrl/serve.go
@@ -134,7 +134,7 @@
 		case <-stream.Context().Done():
 			return nil
 		case <-c.stop.Done():
-			return status.Error(codes.Unavailable, "control host stops")
+			return errStops
 		}
 	}
 }
--- a/io/ctrl/stop_test.go
+++ b/io/ctrl/stop_test.go
@@ -264,4 +264,40 @@
 			gomega.Eventually(done).WithContext(within(prompt)).Should(gomega.Receive(gomega.Equal(answer{status: http.StatusServiceUnavailable})))
 		}
 	})
+
+	// Guards against calls that wait for a decision which no one makes any more.
+	ginkgo.It("ends the streams of calls at once while a request is open", func() {
+		s := newStoppingFleet(2 * time.Second)
+		place, _ := s.openStreams(0)
+		c, answers := dial(s.frontAddress(0))
+		_, err := io.WriteString(c, header("/targets/t/ready", 1))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		granted.Sleep(stallTime / 4)
+		ended := s.beginStop(0)
+		streamEnded := make(chan error, 1)
+		go func() {
+			for {
+				if _, err := place.Recv(); err != nil {
+					streamEnded <- err
+					return
+				}
+			}
+		}()
+		gomega.Eventually(streamEnded).WithContext(within(prompt)).Should(gomega.Receive())
+		gomega.Expect(ended).NotTo(gomega.Receive())
+		_, err = io.WriteString(c, "x")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(readAnswer(answers)).To(gomega.Equal(answer{status: http.StatusOK}))
+		gomega.Eventually(ended).WithContext(within(4 * time.Second)).Should(gomega.Receive(gomega.BeNil()))
+	})
+
+	ginkgo.It("leaves at once when no request is open", func() {
+		s := newStoppingFleet(10 * time.Second)
+		s.openStreams(0)
+		c, answers := dial(s.frontAddress(0))
+		_, err := io.WriteString(c, header("/targets/t/ready", 0))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(readAnswer(answers).status).To(gomega.Equal(http.StatusOK))
+		gomega.Eventually(s.beginStop(0)).WithContext(within(prompt)).Should(gomega.Receive(gomega.BeNil()))
+	})
 })
