Refuse requests during a stop, and tell followers what was acknowledged

What callers saw: a target that announced itself for the first time to a stopping control host was acknowledged and known to no other host until its next heartbeat, also if its request had begun before the signal. Cause: the streams of updates ended with the signal, while the front address went on taking heartbeats until the process ended. Change: requests that arrive after the signal are answered 503 at once, upon which targets and operators go on to another host, but for metrics; the streams of updates end once all requests are answered, and send what is left.

--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -230,12 +230,13 @@
 }
 
 // start serves the fleet state, the placement of calls and the front, and
-// follows the other control hosts. The streams that it serves end when stop ends,
-// and its goroutines when work ends; Host.stop ends the front. start returns an error when the view cannot be entered or the front address is not
+// follows the other control hosts. The streams of calls end when stop ends, those of
+// updates when following ends, and its goroutines when work ends; Host.stop ends the
+// front. start returns an error when the view cannot be entered or the front address is not
 // available.
-func (f *fleet) start(stop, work context.Context, peers *grpc.Server) error {
+func (f *fleet) start(stop, following, work context.Context, peers *grpc.Server) error {
 	h := f.host
-	server := feed.NewServer(stop, f.state, f.placement.Serve)
+	server := feed.NewServer(following, f.state, f.placement.Serve)
 	peerpb.RegisterFleetServer(peers, &fleetServer{Server: server, fleet: f, stop: stop})
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -206,8 +206,11 @@
 	peerpb.RegisterAgreementServer(peers, &agreementServer{host: h})
 	peerpb.RegisterConfigurationServer(peers, &configurationServer{host: h, stop: stopping})
 	api := drain.New(&http.Server{Handler: h.requests.wrap("api", h.operatorsHandler()), ReadHeaderTimeout: admin.ReadHeaderTimeout})
+	// Followers are told of what is acknowledged while requests are answered.
+	following, endFollowers := context.WithCancel(work)
+	defer endFollowers()
 	if h.fleet != nil {
-		if err = h.fleet.start(stopping, work, peers); err != nil {
+		if err = h.fleet.start(stopping, following, work, peers); err != nil {
 			peerListener.Close()
 			adminListener.Close()
 			return err
@@ -231,7 +234,7 @@
 	if h.fleet != nil && h.fleet.front != nil {
 		servers = append(servers, h.fleet.front)
 	}
-	h.stop(peers, servers...)
+	h.stop(peers, endFollowers, servers...)
 	cut, longest := h.requests.result()
 	h.log.Info("control host stopped", "took", time.Since(begin).String(), "requests_cut_off", cut, "longest_after_stop", longest.String())
 	return err
@@ -251,9 +254,9 @@
 	}
 }
 
-// stop refuses new streams, answers the open requests and ends the host's part in the
-// consensus protocol, as described at Run.
-func (h *Host) stop(peers *grpc.Server, servers ...*drain.Server) {
+// stop refuses new streams, answers the open requests, brings the followers up to date and
+// ends the host's part in the consensus protocol, as described at Run.
+func (h *Host) stop(peers *grpc.Server, endFollowers func(), servers ...*drain.Server) {
 	grace := h.cfg.StopGrace.Std()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -273,6 +276,7 @@
 	for _, s := range servers {
 		s.Close()
 	}
+	endFollowers()
 	h.stopVoting()
 	forceStop := time.AfterFunc(min(peerStopGrace, grace), peers.Stop)
 	streams.Wait()
--- a/io/ctrl/requests.go
+++ b/io/ctrl/requests.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"io"
 	"log/slog"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,28 +34,48 @@
 	}
 )
 
-// maxCutOffLines bounds the log lines about requests that a stop cuts off.
-const maxCutOffLines = 32
+const (
+	// maxCutOffLines bounds the log lines about requests that a stop cuts off.
+	maxCutOffLines = 32
+	// debugPath begins the paths of metrics.
+	debugPath = "/debug/"
+	// refusal is the body of the answer to a request that arrives during a stop.
+	refusal = `{"error":"this control host stops"}` + "\n"
+)
 
 func newOpenRequests(log *slog.Logger, metrics *telem.Registry) *openRequests {
 	return &openRequests{log: log, metrics: metrics, list: make(map[*openRequest]struct{})}
 }
 
-// wrap returns a handler that calls next and follows its requests. server names the server
-// in log lines.
+// wrap returns a handler that calls next and follows its requests. Those that arrive after
+// the signal to stop are refused, so that their callers go on to another host. server names
+// the server in log lines.
 func (o *openRequests) wrap(server string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		open := &openRequest{server: server, method: r.Method, path: r.URL.Path, arrived: time.Now()}
-		o.add(open)
+		if !o.add(open) {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			// The client may have closed the connection.
+			_, _ = io.WriteString(w, refusal)
+			return
+		}
 		defer o.remove(open)
 		next.ServeHTTP(w, r)
 	})
 }
 
-func (o *openRequests) add(r *openRequest) {
+// add adds a request, unless the host stops and the request is to be refused. Metrics are
+// served until the end.
+func (o *openRequests) add(r *openRequest) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.stopped.IsZero() && !strings.HasPrefix(r.path, debugPath) {
+		o.metrics.Counter("requests_refused_by_stop").Add(1)
+		return false
+	}
 	o.list[r] = struct{}{}
+	return true
 }
 
 // remove removes a request whose handler has ended.
--- a/io/ctrl/stop_test.go
+++ b/io/ctrl/stop_test.go
@@ -300,4 +300,31 @@
 		gomega.Expect(readAnswer(answers).status).To(gomega.Equal(http.StatusOK))
 		gomega.Eventually(s.beginStop(0)).WithContext(within(prompt)).Should(gomega.Receive(gomega.BeNil()))
 	})
+
+	// Guards against targets whose heartbeat was acknowledged and is known to no host.
+	ginkgo.It("acknowledges no heartbeat that the other hosts don't learn", func() {
+		s := newStoppingFleet(2 * time.Second)
+		s.openStreams(0)
+		c, answers := dial(s.frontAddress(0))
+		_, err := io.WriteString(c, header("/targets/first/ready", 0))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(readAnswer(answers).status).To(gomega.Equal(http.StatusOK))
+		_, err = io.WriteString(c, header("/targets/second/ready", 1)) // Keeps the connection open.
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		other, otherAnswers := dial(s.frontAddress(0))
+		granted.Sleep(stallTime / 4)
+		ended := s.beginStop(0)
+		granted.Sleep(stallTime / 4)
+		_, err = io.WriteString(other, header("/targets/third/ready", 0))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.WriteString(c, "x")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		second, third := readAnswer(answers), readAnswer(otherAnswers)
+		gomega.Eventually(ended).WithContext(within(4 * time.Second)).Should(gomega.Receive(gomega.BeNil()))
+		for id, a := range map[string]answer{"second": second, "third": third} {
+			_, known := s.hosts[1].host.Target(id)
+			gomega.Expect(a.status == http.StatusOK).To(gomega.Equal(known), "%s: %v, known %v", id, a, known)
+		}
+		gomega.Expect(third.status).To(gomega.Equal(http.StatusServiceUnavailable), "a request that begins during the stop goes on to another host")
+	})
 })
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -162,7 +162,8 @@
 	}
 }
 
-// Follow streams the state of the fleet until the follower or the server stops.
+// Follow streams the state of the fleet until the follower or the server stops. The last
+// update holds all that was known when the server stopped.
 func (s *Server) Follow(r *peerpb.FollowRequest, stream peerpb.Fleet_FollowServer) error {
 	control, err := netip.ParseAddrPort(r.GetControl())
 	s.state.log.Info("host follows", "follower", r.GetHost(), "control", err == nil)
@@ -197,13 +198,19 @@
 		select {
 		case <-wake.changed:
 			// Changes come in bursts; one update carries all changes of a burst.
-			awaitBatch(stream.Context(), delay(), wake.urgent)
+			awaitBatch(stream.Context(), delay(), wake.urgent, s.stop.Done())
 		case <-ticker.C:
 			heartbeat = true
 		case <-stream.Context().Done():
 			s.state.log.Info("host follows no longer", "follower", r.GetHost())
 			return nil
 		case <-s.stop.Done():
+			if last, _, more := out.next(time.Now()); more {
+				embed(last, out.encoded)
+				if sendErr := stream.Send(last); sendErr != nil {
+					return sendErr
+				}
+			}
 			return status.Error(codes.Unavailable, "control host stops")
 		}
 	}
@@ -217,8 +224,8 @@
 }
 
 // awaitBatch waits for delay, or for batchDelay once urgent is closed. It returns early
-// when ctx ends.
-func awaitBatch(ctx context.Context, delay time.Duration, urgent <-chan struct{}) {
+// when ctx ends or stop is closed.
+func awaitBatch(ctx context.Context, delay time.Duration, urgent, stop <-chan struct{}) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -226,12 +233,15 @@
 		return
 	case <-ctx.Done():
 		return
+	case <-stop:
+		return
 	case <-urgent:
 	}
 	timer.Reset(batchDelay)
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-stop:
 	}
 }
 
