--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -230,14 +230,14 @@
 }
 
 // start serves the fleet state, the placement of calls and the front, and
-// follows the other control hosts. The streams that it serves end when stop ends,
-// and its goroutines when work ends; the front serves until the process ends. start
-// returns an error when the view cannot be entered or the front address is not
+// follows the other control hosts. The streams of calls end when stop ends, those of
+// updates when following ends, and its goroutines when work ends; Host.stop ends the
+// front. start returns an error when the view cannot be entered or the front address is not
 // available.
-func (f *fleet) start(stop, work context.Context, peers *grpc.Server) error {
+func (f *fleet) start(stop, following, work context.Context, peers *grpc.Server) error {
 	h := f.host
-	server := feed.NewServer(stop, f.state, f.placement.Serve)
-	peerpb.RegisterFleetServer(peers, &fleetServer{Server: server, fleet: f})
+	server := feed.NewServer(following, f.state, f.placement.Serve)
+	peerpb.RegisterFleetServer(peers, &fleetServer{Server: server, fleet: f, stop: stop})
 	f.follower = feed.NewFollower(f.state, feed.Self{
 		Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Peer: h.cfg.PeerAddress, Control: true, Disk: f.disk,
 	}, f.seeds.List, h.peerTraffic())
@@ -257,12 +257,12 @@
 		if l, err = net.Listen("tcp", h.cfg.Fleet.FrontAddress.String()); err != nil {
 			return errors.Wrap(err, "control: front address")
 		}
-		f.front = drain.New(&http.Server{Handler: h.front(h), ReadHeaderTimeout: admin.ReadHeaderTimeout})
+		f.front = drain.New(&http.Server{Handler: h.requests.wrap("front", h.front(h)), ReadHeaderTimeout: admin.ReadHeaderTimeout})
 		go func() { h.fail(f.front.Serve(l)) }()
 	}
 	go f.follower.Run(work)
-	go f.placement.Run(work)
-	go f.watchViews(work, view.Epoch)
+	go f.placement.Run(stop)
+	go f.watchViews(stop, work, view.Epoch)
 	if f.usage != nil {
 		go f.usage.run(work, server.EntryHosts)
 	}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -39,7 +39,9 @@
 		front   func(*Host) http.Handler
 		dialect wire.Dialect
 		token   string
-		peersMu sync.Mutex
+		// requests holds the open requests of operators and targets.
+		requests *openRequests
+		peersMu  sync.Mutex
 		// peers holds the connections to the other control hosts, by host name.
 		peers map[string]*remote
 		// sends tracks the messages in flight, and the chosen values that are being
@@ -83,6 +85,9 @@
 	// that do not read from their connections, for example because their
 	// process is frozen. They fetch what they miss from another control host.
 	peerStopGrace = time.Second
+	// answerPart is the part of a stop's time that is left for answers to changes that
+	// found no majority.
+	answerPart = 8
 	// maxMessageBytes is the maximum size of a gRPC message; the largest kind of
 	// message is a snapshot of all registers.
 	maxMessageBytes = 64 << 20
@@ -115,6 +120,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.requests = newOpenRequests(h.log, h.metrics)
 	var (
 		hosts []string
 		err   error
@@ -155,9 +161,9 @@
 	return func(h *Host) { h.dialect = d }
 }
 
-// Run serves until ctx ends, then stops gracefully: open requests to the
-// operators' API get the configured grace period, and after that the open streams
-// get at most peerStopGrace. Run returns an error when it cannot start, when a
+// Run serves until ctx ends, then stops gracefully: the open requests of operators and
+// targets get the configured grace period, and after that the open streams get at most
+// peerStopGrace. Run returns an error when it cannot start, when a
 // server fails, or when the data folder was removed or can no longer be written,
 // as the host must not vote from then on. The data folder is closed on return.
 func (h *Host) Run(ctx context.Context) error {
@@ -184,7 +190,10 @@
 		peerListener.Close()
 		return errors.Wrap(err, "control: admin address")
 	}
-	work, cancel := context.WithCancel(ctx)
+	stopping, beginStop := context.WithCancel(ctx)
+	defer beginStop()
+	// Changes and departures that are in progress at the signal need the work to go on.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer h.sends.Wait()
 	defer cancel()
 	if err = h.dialPeers(work); err != nil {
@@ -195,10 +204,13 @@
 	defer h.closePeers()
 	peers := peer.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.StatsHandler(newTraffic(h.metrics)))
 	peerpb.RegisterAgreementServer(peers, &agreementServer{host: h})
-	peerpb.RegisterConfigurationServer(peers, &configurationServer{host: h, stop: ctx})
-	api := drain.New(&http.Server{Handler: h.operatorsHandler(), ReadHeaderTimeout: admin.ReadHeaderTimeout})
+	peerpb.RegisterConfigurationServer(peers, &configurationServer{host: h, stop: stopping})
+	api := drain.New(&http.Server{Handler: h.requests.wrap("api", h.operatorsHandler()), ReadHeaderTimeout: admin.ReadHeaderTimeout})
+	// Followers are told of what is acknowledged while requests are answered.
+	following, endFollowers := context.WithCancel(work)
+	defer endFollowers()
 	if h.fleet != nil {
-		if err = h.fleet.start(ctx, work, peers); err != nil {
+		if err = h.fleet.start(stopping, following, work, peers); err != nil {
 			peerListener.Close()
 			adminListener.Close()
 			return err
@@ -215,7 +227,16 @@
 	case err = <-h.failed:
 		h.log.Error("control host gives up", "error", err)
 	}
-	h.stop(peers, api)
+	begin := time.Now()
+	beginStop()
+	h.log.Info("control host stops", "requests_open", h.requests.stop(begin), "changes_waiting", h.waitingChanges(), "grace", h.cfg.StopGrace.Std().String())
+	servers := []*drain.Server{api}
+	if h.fleet != nil && h.fleet.front != nil {
+		servers = append(servers, h.fleet.front)
+	}
+	h.stop(peers, endFollowers, servers...)
+	cut, longest := h.requests.result()
+	h.log.Info("control host stopped", "took", time.Since(begin).String(), "requests_cut_off", cut, "longest_after_stop", longest.String())
 	return err
 }
 
@@ -233,18 +254,38 @@
 	}
 }
 
-// stop ends the operators' API, then the host's part in the consensus protocol,
-// then the server for peers, each gracefully as described at Run.
-func (h *Host) stop(peers *grpc.Server, api *drain.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.StopGrace.Std())
+// stop refuses new streams, answers the open requests, brings the followers up to date and
+// ends the host's part in the consensus protocol, as described at Run.
+func (h *Host) stop(peers *grpc.Server, endFollowers func(), servers ...*drain.Server) {
+	grace := h.cfg.StopGrace.Std()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	if err := api.Shutdown(ctx); err != nil {
-		h.log.Warn("operators' API stopped with requests open", "error", err)
-		api.Close()
+	// Changes that find no majority are refused while there is time to say so.
+	refuse := time.AfterFunc(grace-grace/answerPart, h.stopVoting)
+	defer refuse.Stop()
+	var group, streams sync.WaitGroup
+	streams.Go(peers.GracefulStop)
+	for _, s := range servers {
+		group.Go(func() {
+			// An error says that requests are open, which are then cut off.
+			_ = s.Shutdown(ctx)
+		})
+	}
+	group.Wait()
+	h.requests.cutOff(time.Now())
+	for _, s := range servers {
+		s.Close()
 	}
+	endFollowers()
 	h.stopVoting()
-	forceStop := time.AfterFunc(min(peerStopGrace, h.cfg.StopGrace.Std()), peers.Stop)
-	peers.GracefulStop()
+	forceStop := time.AfterFunc(min(peerStopGrace, grace), peers.Stop)
+	streams.Wait()
 	forceStop.Stop()
-	h.log.Info("control host stopped")
+}
+
+// waitingChanges returns the number of changes and reads that wait for a majority.
+func (h *Host) waitingChanges() int {
+	h.stepMu.Lock()
+	defer h.stepMu.Unlock()
+	return len(h.waiting)
 }
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -44,7 +44,9 @@
 		a.require((*arrival).awaitLease, (*arrival).refuseUnrouted) && // no_plan, not_confirmed, no_service.
 		a.require((*arrival).checkKey, (*arrival).refuseKey) && // key_lease_ended, no_plan, key_refused.
 		a.require((*arrival).checkPart, (*arrival).refuseUnrouted) && // no_part.
+		a.require((*arrival).checkStop, (*arrival).refuseStopping) && // stopping.
 		a.require((*arrival).checkBody, (*arrival).reject) && // body_cut_short, body_too_late, body_too_large.
+		a.require((*arrival).checkStop, (*arrival).refuseStopping) && // stopping, as the body may have taken long.
 		a.require((*arrival).checkCrashes, (*arrival).refuseBlocked) // crashes_targets.
 }
 
@@ -65,6 +67,7 @@
 	abandonBody(a.w, a.r, a.call.body.complete())
 	a.host.metrics.Histogram("call_latency", a.service.doc.Name).Observe(time.Since(a.call.arrived))
 	a.endUpload()
+	a.host.open.remove(a.call)
 }
 
 func (a *arrival) checkRequest() *problem {
@@ -175,6 +178,7 @@
 	c.body.filterTrailer(c, a.r)
 	c.timing = newTiming(a.waited, c.arrived)
 	a.call, a.w.body = c, c.body
+	h.open.add(c)
 	a.endUpload = h.uploads.addUpload(c.bodyBytes)
 	h.metrics.Counter("calls").Add(1)
 	if err := h.prepareBody(a.w, a.r, c); err != nil {
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -32,6 +32,9 @@
 		// Controls lists all control hosts, 1 to MaxControls. It is ignored
 		// when Fleet is enabled.
 		Controls []Peer `json:"controls"`
+		// StopTime is the time from the signal to stop until the process is ended by
+		// force, as its supervisor grants it; 0 if it is not known.
+		StopTime strict.Duration `json:"stop_time,omitzero"`
 		// Fleet replaces the lists of other hosts by seeds when it is enabled.
 		Fleet Fleet `json:"fleet"`
 	}
@@ -75,10 +78,13 @@
 		DecisionLogOneIn int `json:"decision_log_one_in"`
 		// DrainDelay is how long a stopping host still accepts calls after it
 		// reports itself as not ready, so that the load balancer in front of it
-		// can notice.
+		// can notice. It is not used with BalancerCheck.
 		DrainDelay strict.Duration `json:"drain_delay"`
+		// BalancerCheck is the health check of that load balancer, from which the drain
+		// delay is derived.
+		BalancerCheck BalancerCheck `json:"balancer_check,omitzero"`
 		// StopGrace is the longest duration of a graceful stop, counted from
-		// the end of the drain delay.
+		// the end of the drain delay. It is not used with StopTime.
 		StopGrace strict.Duration `json:"stop_grace"`
 		// Callers holds the limits set to callers.
 		Callers Callers `json:"callers"`
@@ -112,13 +118,15 @@
 	}
 )
 
-// Bounds of the settings. MaxStopTime bounds both DrainDelay and StopGrace.
+// Bounds of the settings. MaxStopTime bounds DrainDelay, StopGrace and StopTime, which is
+// 0 or at least MinStopTime.
 const (
 	MaxControls         = 7
 	MinTick             = time.Millisecond
 	MaxTick             = time.Second
 	MinAnnounceInterval = 100 * time.Millisecond
 	MaxAnnounceInterval = time.Minute
+	MinStopTime         = time.Second
 	MaxStopTime         = time.Hour
 	MaxDecisionLogOneIn = 1_000_000
 )
@@ -188,8 +196,7 @@
 	f.CheckDurationRange("tick", s.Tick, MinTick, MaxTick)
 	f.CheckDurationRange("announce_interval", s.AnnounceInterval, MinAnnounceInterval, MaxAnnounceInterval)
 	f.CheckRange("decision_log_one_in", s.DecisionLogOneIn, 0, MaxDecisionLogOneIn)
-	f.CheckDurationRange("drain_delay", s.DrainDelay, 0, MaxStopTime)
-	f.CheckDurationRange("stop_grace", s.StopGrace, 0, MaxStopTime)
+	s.validateStop(&f)
 	s.Callers.validate(&f)
 	return f
 }
@@ -227,6 +234,9 @@
 	}
 	checkAddress(f, "admin_address", c.AdminAddress)
 	checkAddress(f, "peer_address", c.PeerAddress)
+	if c.StopTime != 0 {
+		f.CheckDurationRange("stop_time", c.StopTime, MinStopTime, MaxStopTime)
+	}
 	c.Fleet.validate(f)
 	if c.Fleet.Enabled() {
 		return
