--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -80,14 +80,12 @@
 	c.timing.enter(phaseDecision, time.Now())
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	held, endHeld := h.halting.holds(ctx)
-	defer endHeld()
 	if h.fleet == nil {
-		h.members.awaitTargets(held, c.service.doc.Name, time.Until(c.deadline))
+		h.members.awaitTargets(ctx, c.service.doc.Name, time.Until(c.deadline))
 	}
 	if h.fleet != nil {
-		h.fleet.awaitDecider(held, c)
-		c.endTurn = h.fleet.awaitTurn(held, c)
+		h.fleet.awaitDecider(ctx, c)
+		c.endTurn = h.fleet.awaitTurn(ctx, c)
 		defer c.endTurn()
 	}
 	if h.fleet == nil || !h.fleet.delegate(c, time.Now()) {
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -379,6 +379,8 @@
 		return end
 	case <-ctx.Done():
 		return func() {}
+	case <-f.host.halting.refused.Done(): // awaitDecisions refuses the call.
+		return func() {}
 	}
 }
 
@@ -397,7 +399,7 @@
 		return
 	}
 	f.host.metrics.Counter("calls_before_decider").Add(1)
-	for begin := time.Now(); time.Since(begin) < wait && sleep(ctx, settleCheckInterval); {
+	for begin := time.Now(); time.Since(begin) < wait && f.host.halting.refused.Err() == nil && sleep(ctx, settleCheckInterval); {
 		if !f.controls.Settling(service, time.Now()) {
 			return
 		}
--- a/io/entry/halting.go
+++ b/io/entry/halting.go
@@ -33,17 +33,6 @@
 	return last == nil || !deadline.After(*last)
 }
 
-// holds returns a context that ends with ctx, and when calls that are at no target are
-// refused.
-func (s *halting) holds(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(s.refused, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
-
 // checkStop finds out whether the host stops before the call can end.
 func (a *arrival) checkStop() *problem {
 	deadline := time.Now().Add(a.class.Deadline)
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"sync"
@@ -253,3 +254,63 @@
 	g.Expect(b.host.metrics.Counter("calls_cut_by_stop").Value()).To(gomega.BeEquivalentTo(2))
 	g.Expect(b.host.metrics.Histogram("time_after_stop", "cut_off").Quantile(0.5)).To(gomega.BeNumerically(">=", grace))
 }
+
+// A host that stops completes the calls that it carries for another host, beside one of its
+// own that outlasts the stop, and carries no further ones.
+func TestStoppingHostCompletesCarriedCalls(t *testing.T) {
+	const work = 800 * time.Millisecond
+	g := gomega.NewWithT(t)
+	var begun sync.Map // The paths of the requests that the target got.
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun.Store(r.URL.Path, true)
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+		case <-time.After(map[string]time.Duration{"/carried": work, "/own": time.Minute}[r.URL.Path]):
+			io.WriteString(w, "ok")
+		}
+	}))
+	t.Cleanup(target.Close)
+	reached := func(path string) func() bool {
+		return func() bool {
+			_, ok := begun.Load(path)
+			return ok
+		}
+	}
+	address := target.Listener.Addr().(*net.TCPAddr).AddrPort()
+	peers := []setup.Peer{{Host: "entry-1", DataCentre: "lab", PeerAddress: freeAddress(t)}, {Host: "entry-2", DataCentre: "lab", PeerAddress: freeAddress(t)}}
+	var beds []*testBed
+	for _, p := range peers {
+		beds = append(beds, newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
+			doc.Receive.Deadline = strict.Duration(time.Minute)
+			doc.Hold.LongestWait = strict.Duration(time.Second)
+			cfg.Host, cfg.PeerAddress, cfg.Entries = p.Host, p.PeerAddress, peers
+			cfg.DrainDelay, cfg.StopGrace = strict.Duration(work/2), strict.Duration(2*work)
+		}, address))
+	}
+	links := newTargetLinks(t, beds[0].host)
+	links.add(address)
+	links.begin(cutMode{refuses: true})
+	request := func(path string) string { return strings.Replace(keepAlivePost, "/x", path, 1) }
+
+	carried, own := beds[0].dial(t), beds[1].dial(t)
+	io.WriteString(own, request("/own"))
+	io.WriteString(carried, request("/carried"))
+	g.Eventually(reached("/own"), testTimeout, time.Millisecond).Should(gomega.BeTrue())
+	g.Eventually(reached("/carried"), testTimeout, time.Millisecond).Should(gomega.BeTrue())
+	beds[1].stop()
+	g.Eventually(beds[1].host.draining.Load, testTimeout, time.Millisecond).Should(gomega.BeTrue())
+	answer, _ := beds[0].dial(t).call(t, request("/late"))
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header.Get(wire.HeaderOutcome)).To(gomega.Equal(wire.OutcomeNotRun))
+	answer, body := carried.call(t, "")
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("ok"))
+	g.Eventually(beds[1].done, testTimeout).Should(gomega.Receive(gomega.BeNil()))
+	g.Expect(reached("/late")()).To(gomega.BeFalse())
+	lines := regexp.MustCompile(`msg="call cut off by stop".*`).FindAllString(beds[1].logs.String(), -1)
+	g.Expect(lines).To(gomega.HaveLen(1))
+	g.Expect(lines[0]).To(gomega.ContainSubstring("carried_in=false"))
+}
