Check the log line and the counters of doubted refusals

TestRepeatedRefusalIsNoAnswerToALaterCall also expects one line "refusal doubted" for each count of refusals_doubted, at least one where targets name calls, none elsewhere, and one refusals_unnamed for each refusal without a name.

--- a/io/entry/refusal_test.go
+++ b/io/entry/refusal_test.go
@@ -245,6 +245,14 @@
 			calls := postCalls(t, "http://"+b.address+"/x", 4, 30)
 			g.Expect(calls).To(gomega.HaveLen(120))
 			g.Expect(f.check(t, calls)).To(gomega.BeNumerically(">", 20), b.logs.String())
+			doubted := b.host.metrics.Counter("refusals_doubted").Value()
+			g.Expect(strings.Count(b.logs.String(), `msg="refusal doubted"`)).To(gomega.BeEquivalentTo(doubted))
+			if f.names && (f.platform || !f.nameless) {
+				g.Expect(doubted).To(gomega.BeNumerically(">", 0))
+			} else {
+				g.Expect(doubted).To(gomega.BeZero())
+				g.Expect(b.host.metrics.Counter("refusals_unnamed").Value()).To(gomega.BeEquivalentTo(f.refusals))
+			}
 		})
 	}
 }
