Stop control hosts within the time that their supervisor grants

What callers saw: operators and targets that a stopping control host cut off 2 s after the signal where the platform grants 6 or 10 s; with a grace of 3 s the process would have been killed in the middle of its stop. Cause: stop_grace 2s in deploy/control.json, and a fixed second for streams after it, stood in for gracePeriodS. Evidence: the spec "uses the time that it is given and no more" with stop_time left out of account, a host given 3 s was still there after 3 s; TestPhasesOfStopOfControlHost likewise. Without stop_time the former settings hold.

--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -81,13 +81,10 @@
 )
 
 const (
-	// peerStopGrace bounds the wait, at shutdown, for control and entry hosts
+	// peerStopGrace bounds the wait, at the end of a stop, for control and entry hosts
 	// that do not read from their connections, for example because their
-	// process is frozen. They fetch what they miss from another control host.
+	// process is frozen.
 	peerStopGrace = time.Second
-	// answerPart is the part of a stop's time that is left for answers to changes that
-	// found no majority.
-	answerPart = 8
 	// maxMessageBytes is the maximum size of a gRPC message; the largest kind of
 	// message is a snapshot of all registers.
 	maxMessageBytes = 64 << 20
@@ -161,9 +158,10 @@
 	return func(h *Host) { h.dialect = d }
 }
 
-// Run serves until ctx ends, then stops gracefully: the open requests of operators and
-// targets get the configured grace period, and after that the open streams get at most
-// peerStopGrace. Run returns an error when it cannot start, when a
+// Run serves until ctx ends, then stops gracefully: streams of calls end and requests that
+// arrive are refused at once, the open requests of operators and targets get the configured
+// time, and after that the streams of updates get at most peerStopGrace. A stop with nothing
+// open takes no time, and none more than the configured one. Run returns an error when it cannot start, when a
 // server fails, or when the data folder was removed or can no longer be written,
 // as the host must not vote from then on. The data folder is closed on return.
 func (h *Host) Run(ctx context.Context) error {
@@ -227,14 +225,15 @@
 	case err = <-h.failed:
 		h.log.Error("control host gives up", "error", err)
 	}
-	begin := time.Now()
+	begin, phases := time.Now(), h.cfg.Phases()
 	beginStop()
-	h.log.Info("control host stops", "requests_open", h.requests.stop(begin), "changes_waiting", h.waitingChanges(), "grace", h.cfg.StopGrace.Std().String())
+	h.log.Info("control host stops", "requests_open", h.requests.stop(begin), "changes_waiting", h.waitingChanges(),
+		"stop_time", h.cfg.StopTime.Std().String(), "requests_until", phases.Cut.String())
 	servers := []*drain.Server{api}
 	if h.fleet != nil && h.fleet.front != nil {
 		servers = append(servers, h.fleet.front)
 	}
-	h.stop(peers, endFollowers, servers...)
+	h.stop(begin, phases, peers, endFollowers, servers...)
 	cut, longest := h.requests.result()
 	h.log.Info("control host stopped", "took", time.Since(begin).String(), "requests_cut_off", cut, "longest_after_stop", longest.String())
 	return err
@@ -253,39 +252,3 @@
 	default:
 	}
 }
-
-// stop refuses new streams, answers the open requests, brings the followers up to date and
-// ends the host's part in the consensus protocol, as described at Run.
-func (h *Host) stop(peers *grpc.Server, endFollowers func(), servers ...*drain.Server) {
-	grace := h.cfg.StopGrace.Std()
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	// Changes that find no majority are refused while there is time to say so.
-	refuse := time.AfterFunc(grace-grace/answerPart, h.stopVoting)
-	defer refuse.Stop()
-	var group, streams sync.WaitGroup
-	streams.Go(peers.GracefulStop)
-	for _, s := range servers {
-		group.Go(func() {
-			// An error says that requests are open, which are then cut off.
-			_ = s.Shutdown(ctx)
-		})
-	}
-	group.Wait()
-	h.requests.cutOff(time.Now())
-	for _, s := range servers {
-		s.Close()
-	}
-	endFollowers()
-	h.stopVoting()
-	forceStop := time.AfterFunc(min(peerStopGrace, grace), peers.Stop)
-	streams.Wait()
-	forceStop.Stop()
-}
-
-// waitingChanges returns the number of changes and reads that wait for a majority.
-func (h *Host) waitingChanges() int {
-	h.stepMu.Lock()
-	defer h.stepMu.Unlock()
-	return len(h.waiting)
-}
--- a/io/setup/fields.go
+++ b/io/setup/fields.go
@@ -33,11 +33,11 @@
 		{Path: "fleet.extra_attempts", Label: "Extra attempts", Help: "Largest share of the calls of a service, from 0 to 1, that may get a second attempt while the first one runs; 0 disables them."},
 		{
 			Path: "stop_time", Label: "Time of a stop", Low: 0, High: int64(MaxStopTime),
-			Help: "Time from the signal to stop until the process is ended by force, as its supervisor grants it: 0s if it is not known, or at least 1s. Entry hosts then cut calls off a tenth of it, up to 1s, before its end.",
+			Help: "Time from the signal to stop until the process is ended by force, as its supervisor grants it: 0s if it is not known, or at least 1s. Calls and requests are then cut off a tenth of it, up to 1s, before its end.",
 		},
 		{
 			Path: "stop_grace", Label: "Grace of a stop", Low: 0, High: int64(MaxStopTime),
-			Help: "Longest duration of a graceful stop; calls and connections still open after it are cut off. With stop_time, entry hosts do not use it.",
+			Help: "Longest duration of a graceful stop; calls and connections still open after it are cut off. Not used with stop_time.",
 		},
 	}
 
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -113,7 +113,8 @@
 		// Entries lists the entry hosts whose targets the console and the API
 		// show; may be empty. It has no other effect.
 		Entries []EntryAdmin `json:"entries"`
-		// StopGrace is the longest duration of a graceful stop.
+		// StopGrace is the longest duration of a graceful stop. It is not used with
+		// StopTime.
 		StopGrace strict.Duration `json:"stop_grace"`
 	}
 )
--- a/io/setup/stop.go
+++ b/io/setup/stop.go
@@ -23,6 +23,20 @@
 	MaxCheckFailures = 100
 )
 
+// maxStreamGrace bounds the time between the cut and the exit of a control host that does not
+// know how long its stop may take.
+const maxStreamGrace = time.Second
+
+// Phases returns the moments of a stop of the host. It accepts no requests after the signal.
+// Between the cut and the exit, other hosts get the last updates.
+func (s *Control) Phases() halt.Phases {
+	p := halt.Host{Time: s.StopTime.Std(), Grace: s.StopGrace.Std()}.Phases()
+	if s.StopTime == 0 {
+		p.Exit += min(s.StopGrace.Std(), maxStreamGrace)
+	}
+	return p
+}
+
 // Phases returns the moments of a stop of the host.
 func (s *Entry) Phases() halt.Phases {
 	return halt.Host{
--- a/io/setup/stop_test.go
+++ b/io/setup/stop_test.go
@@ -66,3 +66,24 @@
 		})
 	}
 }
+
+func TestPhasesOfStopOfControlHost(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		stop, grace       time.Duration
+		refuse, cut, exit time.Duration
+	}{
+		{3 * second, 2 * second, 2550 * time.Millisecond, 2700 * time.Millisecond, 2850 * time.Millisecond},
+		{6 * second, 30 * second, 5100 * time.Millisecond, 5400 * time.Millisecond, 5700 * time.Millisecond},
+		{10 * second, 30 * second, 8500 * time.Millisecond, 9 * second, 9500 * time.Millisecond},
+		{30 * second, 30 * second, 28500 * time.Millisecond, 29 * second, 29500 * time.Millisecond},
+		{0, 2 * second, 1900 * time.Millisecond, 2 * second, 3 * second},
+		{0, 200 * time.Millisecond, 190 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond},
+	} {
+		g := gomega.NewWithT(t)
+		s := setup.DefaultControl()
+		s.StopTime, s.StopGrace = strict.Duration(c.stop), strict.Duration(c.grace)
+		p := s.Phases()
+		g.Expect([]time.Duration{p.Drain, p.Refuse, p.Cut, p.Exit}).To(gomega.Equal([]time.Duration{0, c.refuse, c.cut, c.exit}), "stop time %v, grace %v", c.stop, c.grace)
+	}
+}
