Await callers that still send before a stopping host ends

What callers saw: not seen; an answer to a caller that is still sending, such as a refusal before the body was read, could be lost as the process ended. Cause: the connection is closed after lingerTimeout by a goroutine that no stop waited for; the end of the process resets a connection with unread bytes.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -22,10 +22,12 @@
 	// answers any further connection with rejectionResponse.
 	callerListener struct {
 		net.Listener
-		limit   int64
-		open    atomic.Int64
-		log     *slog.Logger
-		metrics *telem.Registry
+		limit int64
+		open  atomic.Int64
+		// lingering counts the connections that lingerClose closes.
+		lingering *atomic.Int64
+		log       *slog.Logger
+		metrics   *telem.Registry
 	}
 
 	// callerConn is one connection from a caller.
@@ -66,6 +68,8 @@
 	// unread bytes would reset the connection and destroy the response.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 64 << 20
+	// lingerCheckInterval is the time between two looks whether connections linger.
+	lingerCheckInterval = 5 * time.Millisecond
 )
 
 // Accept returns the next connection within the limit. It has a connection beyond the
@@ -82,7 +86,11 @@
 		l.open.Add(-1)
 		l.metrics.Counter("callers_turned_away").Add(1)
 		l.log.Warn("connection turned away", "remote", conn.RemoteAddr().String(), "limit", l.limit)
-		go rejectConn(conn)
+		l.lingering.Add(1)
+		go func() {
+			defer l.lingering.Add(-1)
+			rejectConn(conn)
+		}()
 	}
 }
 
@@ -137,7 +145,11 @@
 	c.closeOnce.Do(func() {
 		c.listener.open.Add(-1)
 		if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger.Load() && !c.truncated.Load() {
-			go lingerClose(tcp)
+			c.listener.lingering.Add(1)
+			go func() {
+				defer c.listener.lingering.Add(-1)
+				lingerClose(tcp)
+			}()
 			return
 		}
 		err = c.Conn.Close()
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -63,6 +63,7 @@
 		callers        setup.Callers
 		keyPair        *keyPair // For TLS with callers; nil without TLS.
 		openCalls      atomic.Int64
+		lingering      atomic.Int64 // Connections to callers that may still be sending after their last answers.
 		open           *openCalls   // Those whose service is known.
 		callsCutOff    atomic.Int64 // Calls open when the grace period of a stop ended.
 		unanswered     atomic.Int64 // Requests that had begun on any server when that period ended.
@@ -191,7 +192,7 @@
 		)
 		if l, err = net.Listen("tcp", s.address.String()); err != nil {
 			now := time.Now()
-			stopAll(servers[:i], now, now)
+			h.stopAll(servers[:i], now, now)
 			return errors.Wrapf(err, "entry: %s address", s.name)
 		}
 		go func() { failed <- s.serve(l) }()
@@ -228,7 +229,7 @@
 	refuse := stopped.Add(phases.Refuse)
 	h.halting.last.Store(&refuse)
 	refusal := time.AfterFunc(time.Until(refuse), h.halting.refuse)
-	stopAll(servers, cut, stopped.Add(phases.Exit))
+	h.stopAll(servers, cut, stopped.Add(phases.Exit))
 	refusal.Stop()
 	h.halting.refuse()
 	h.log.Info("entry host stopped", "took", time.Since(begin).String(), "calls_cut_off", h.callsCutOff.Load(),
@@ -339,7 +340,7 @@
 // trackCallers returns a listener that limits and tracks the connections of l, which s is
 // to serve.
 func (h *Host) trackCallers(s *http.Server, l net.Listener) net.Listener {
-	callers := &callerListener{Listener: l, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
+	callers := &callerListener{Listener: l, lingering: &h.lingering, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
 	track := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		track(c, state)
@@ -368,8 +369,10 @@
 }
 
 // stopAll stops the servers, all beside one another: first what serves calls, at the latest
-// at cut, and then the rest, within idleStopTime and at the latest at exit.
-func stopAll(servers []server, cut, exit time.Time) {
+// at cut, and then the rest, within idleStopTime and at the latest at exit. In between it
+// waits for callers that are still sending, as the end of the process would reset their
+// connections.
+func (h *Host) stopAll(servers []server, cut, exit time.Time) {
 	var calls, rest []func(context.Context)
 	for _, s := range servers {
 		if s.stopCalls != nil {
@@ -380,12 +383,20 @@
 		}
 	}
 	stopBeside(calls, cut)
+	h.awaitLingering(exit)
 	if end := time.Now().Add(idleStopTime); end.Before(exit) {
 		exit = end
 	}
 	stopBeside(rest, exit)
 }
 
+// awaitLingering waits until no connection lingers, at the latest until end.
+func (h *Host) awaitLingering(end time.Time) {
+	for h.lingering.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(lingerCheckInterval)
+	}
+}
+
 // stopBeside calls all functions at the same time, with a context that ends at end, and
 // waits for them.
 func stopBeside(stops []func(context.Context), end time.Time) {
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -314,3 +314,26 @@
 	g.Expect(lines).To(gomega.HaveLen(1))
 	g.Expect(lines[0]).To(gomega.ContainSubstring("carried_in=false"))
 }
+
+// Guards against an answer that is lost because the process of a stopping host ends, which
+// resets the connections of callers that are still sending.
+func TestStopAwaitsCallersThatStillSend(t *testing.T) {
+	const drain = 200 * time.Millisecond
+	g := gomega.NewWithT(t)
+	target := newRawTarget(t, func(c *rawConn) { c.readRequest(); c.waitClosed() })
+	b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
+		doc.Receive.Deadline = strict.Duration(time.Minute)
+		cfg.DrainDelay = strict.Duration(drain)
+	}, target.address)
+	c := b.dial(t)
+	io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n")
+	b.stop()
+	time.Sleep(drain + 100*time.Millisecond)
+	io.WriteString(c, "\r\nx")
+	answer, _ := c.call(t, "")
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header.Get(wire.HeaderReason)).To(gomega.Equal("stopping"))
+	g.Consistently(b.done, lingerTimeout/2).ShouldNot(gomega.Receive())
+	c.Close()
+	g.Eventually(b.done, lingerTimeout).Should(gomega.Receive(gomega.BeNil()))
+}
