Keep the log of hosts in tests that fail, and time sessions in granted time

Tests of io/entry that failed on a busy machine left no log, so that they could not be traced. The log of each host and the time are printed now when a test fails.

TestEveryEndOfCallIsReportedCorrectly gave a host 20 s in real time to end a connection. With the process stopped (SIGSTOP) for 20 s during the row "never ends its header", the earlier test failed as it had beside load: the host neither ended nor reset the connection, and had said nothing. The limit is now 20 s of the time that the machine grants the process, which is as strict for a host that hangs.

--- a/io/entry/departed_test.go
+++ b/io/entry/departed_test.go
@@ -178,7 +178,9 @@
 	for _, change := range configure {
 		change(&cfg)
 	}
-	h := New(cfg, opts...)
+	logs := &lockedBuffer{}
+	logOnFailure(t, cfg.Host, logs)
+	h := New(cfg, append([]Option{WithLogger(slog.New(slog.NewTextHandler(logs, nil)))}, opts...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- h.Run(ctx) }()
--- a/io/entry/harness_test.go
+++ b/io/entry/harness_test.go
@@ -20,6 +20,7 @@
 	"cardamomspool/core/spec"
 	"cardamomspool/core/strict"
 	"cardamomspool/internal/free"
+	"cardamomspool/internal/granted"
 	"cardamomspool/io/setup"
 )
 
@@ -56,8 +57,9 @@
 
 	// lockedBuffer is a buffer that is safe for concurrent use.
 	lockedBuffer struct {
-		mu  sync.Mutex
-		buf bytes.Buffer
+		mu      sync.Mutex
+		buf     bytes.Buffer
+		onWrite func([]byte) // Called before each write; nil for nothing.
 	}
 )
 
@@ -66,9 +68,19 @@
 func (b *lockedBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.onWrite != nil {
+		b.onWrite(p)
+	}
 	return b.buf.Write(p)
 }
 
+// setOnWrite has f called before each write.
+func (b *lockedBuffer) setOnWrite(f func([]byte)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onWrite = f
+}
+
 func (b *lockedBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -240,6 +252,7 @@
 	ctx, b.stop = context.WithCancel(context.Background())
 	go func() { b.done <- b.host.Run(ctx) }()
 	t.Cleanup(b.stop)
+	logOnFailure(t, cfg.Host, b.logs)
 	g.Eventually(func() error {
 		c, err := net.Dial("tcp", b.address)
 		if err == nil {
@@ -260,17 +273,40 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if err = conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
-		t.Fatal(err)
-	}
+	begin, grantedAtBegin := time.Now(), granted.Now()
 	go func() {
 		for _, part := range parts {
 			io.WriteString(conn, part)
 		}
 	}()
-	answer, err := io.ReadAll(conn)
+	answer, err := readUntilClosed(conn, testTimeout)
 	if e, ok := err.(net.Error); ok && e.Timeout() {
-		t.Fatalf("the host neither ended nor reset the connection; it said %q", answer)
+		t.Fatalf("the host neither ended nor reset the connection; it said %q; from %s to %s, granted %s",
+			answer, begin.Format(time.RFC3339Nano), time.Now().Format(time.RFC3339Nano), granted.Now()-grantedAtBegin)
 	}
 	return string(answer), err != nil
 }
+
+// readUntilClosed reads until the other side ends or resets the connection. It returns a
+// timeout as an error when that takes longer than limit in granted time.
+func readUntilClosed(conn net.Conn, limit time.Duration) ([]byte, error) {
+	var answer bytes.Buffer
+	for end := granted.Now() + limit; ; {
+		if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+			return answer.Bytes(), err
+		}
+		_, err := answer.ReadFrom(conn)
+		if e, ok := err.(net.Error); !ok || !e.Timeout() || granted.Now() > end {
+			return answer.Bytes(), err
+		}
+	}
+}
+
+// logOnFailure prints the log of a host at the end of a test that has failed.
+func logOnFailure(t testing.TB, host string, logs *lockedBuffer) {
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("at %s, log of %s:\n%s", time.Now().Format(time.RFC3339Nano), host, logs)
+		}
+	})
+}
