Answer callers also when the host resumes long after their deadline

What callers saw: a connection that ended without an answer, in place of 504, at a host that was suspended or got no processor from before the call's deadline until 2 s after it.

Cause: the time for writing the answer ended 2 s after the deadline, whenever the host came to write it. net/http then drops the answer and closes the connection.

Evidence: rows never_answers and never_ends_its_header of TestEveryEndOfCallIsReportedCorrectly, with the process stopped (SIGSTOP) for 5 s, got an empty answer without a reset, as seen once beside load.

Change: a refusal, or an answer that was held, that is written after the deadline has 2 s from then.

Over HTTP/2 net/http ends the stream by itself; unchanged.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -202,6 +202,18 @@
 	return w.controller.SetReadDeadline(time.Time{})
 }
 
+// allowAnswer gives the caller writeGrace to receive an answer that begins after the deadline. A
+// host that was suspended, or had no processor, for longer than that could not write it otherwise.
+func (c *call) allowAnswer(w responseWriter) {
+	now := time.Now()
+	if now.Before(c.deadline) {
+		return
+	}
+	if err := w.controller.SetWriteDeadline(now.Add(writeGrace)); err != nil {
+		c.host.log.Info("time to answer not extended", "call", c.name, "error", err)
+	}
+}
+
 // abandonBody stops the reading of a request body, unless it is complete, that is,
 // was read to its end. net/http would otherwise wait for the rest: before it sends
 // the response, or after that if full duplex is enabled. Closing the connection at
@@ -326,6 +338,7 @@
 		return h.finishAttempt(ctx, w, r, a, result)
 	case engine.Refuse:
 		h.logRefuse(c, action)
+		c.allowAnswer(w)
 		if h.passHeld(w, c) {
 			h.metrics.Counter("calls_answered").Add(1)
 			return true
@@ -486,6 +499,7 @@
 		h.log.With(c.classAttrs()...).With(c.timing.attrs(time.Now())...).Info("given up", "call", c.name, "service", c.service.doc.Name, "reason", reason,
 			"not_run", !c.mayHaveRun, "after", time.Since(c.arrived).String())
 	}
+	c.allowAnswer(w)
 	if h.passHeld(w, c) {
 		return
 	}
