Use no part of a document that cannot be read

Seen by operators: a control host set a list of targets aside, as lost, and used the entries that it had decoded before the fault, and the faulty one with zeros in place of its numbers: a target with a sequence number of 400 digits was recalled as one that is ready.

Cause: encoding/json goes on after a value that does not fit its type. Load now leaves the zero value with ErrCorrupt.

Evidence: TestCorruptDocumentIsReadInNoPart failed on the former code with two entries in place of none; it passes.

--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -209,14 +210,16 @@
 }
 
 // decode verifies the content of a file and decodes its body into v. It returns
-// ErrCorrupt when the checksum does not match, or when the body is not valid JSON
-// or doesn't fit the type of v.
+// ErrCorrupt and sets v to its zero value when the checksum does not match, or when the
+// body is not valid JSON or doesn't fit the type of v.
 func decode(content []byte, v any) error {
 	sum, body, ok := bytes.Cut(content, []byte("\n"))
 	if !ok || string(sum) != fmt.Sprintf("%08x", crc32.Checksum(body, castagnoli)) {
+		reflect.ValueOf(v).Elem().SetZero()
 		return ErrCorrupt
 	}
 	if err := json.Unmarshal(body, v); err != nil {
+		reflect.ValueOf(v).Elem().SetZero() // Fields that were decoded before the error.
 		return ErrCorrupt
 	}
 	return nil
