Leave out stored targets that hosts refuse

Seen by servers: a control host whose disk held a target with a false sequence number or a start before 1970, written by an earlier build, recalled it after a start. Followers refused the target, so that the server of that name was heard nowhere, and its draining had no effect.

Cause: loadTargets took all that could be decoded. It now leaves out what roster.Target.Validate refuses, and logs it.

Evidence: TestHostStartsWithOddEntriesOnItsDisk starts a host three times on each of nine lists. A host started each time.

--- a/io/ctrl/targets.go
+++ b/io/ctrl/targets.go
@@ -43,7 +43,8 @@
 
 // loadTargets loads the targets that this host knew before it was restarted.
 // Their leases start now: a target that has ended in the meantime is detected by
-// failed attempts or when its lease expires.
+// failed attempts or when its lease expires. Targets that an earlier build has stored and
+// this one refuses are left out.
 func (f *fleet) loadTargets() error {
 	var m savedTargets
 	if err := f.load(targetsFile, &m); err != nil {
@@ -53,6 +54,13 @@
 	for i := range m.Targets {
 		m.Targets[i].Heard = now
 	}
+	m.Targets = slices.DeleteFunc(m.Targets, func(t roster.Target) bool {
+		err := t.Validate()
+		if err != nil {
+			f.host.log.Error("stored target refused", "target", t.ID, "error", err)
+		}
+		return err != nil
+	})
 	f.state.UpdateTargets(true, m.Targets...)
 	f.host.log.Info("targets recalled", "targets", len(m.Targets))
 	return nil
