--- a/cmd/cardamomspool/readme_test.go
+++ b/cmd/cardamomspool/readme_test.go
@@ -83,7 +83,14 @@
 	var stdout, stderr bytes.Buffer
 	command = exec.CommandContext(ctx, "bash", "-c", strings.TrimPrefix(script, build)+"wait\n")
 	command.Dir, command.Stdout, command.Stderr = folder, &stdout, &stderr
-	g.Expect(command.Run()).To(gomega.Succeed(), stderr.String())
+	begin := time.Now()
+	err = command.Run()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("from %s to %s; standard output:\n%s\nstandard error:\n%s", begin.Format(time.RFC3339Nano), time.Now().Format(time.RFC3339Nano), &stdout, &stderr)
+		}
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	var s struct {
 		Calls    int `json:"calls"`
 		Answered int `json:"answered"`
