Refuse calls without a connection to their target when a host stops

What callers would see: a connection that closes without an answer at the cut, for a call that no target has got. Cause: the wait for a connection to a target did not end when a stopping host refuses calls at no target. Change: opening a connection ends with that moment, which says nothing about the link, and no carrier is asked after it. The attempt then ends as not run, and the call is refused.

--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -33,7 +33,7 @@
 	defer func() { a.carrier = netip.AddrPort{} }()
 	var tried []netip.AddrPort
 	confirmed := false
-	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && a.keyProblem == nil && a.body.replayable(); {
+	for begin := time.Now(); len(tried) < maxCarriers && time.Since(begin) < carryPatience && ctx.Err() == nil && a.host.halting.refused.Err() == nil && a.keyProblem == nil && a.body.replayable(); {
 		var ok bool
 		if a.carrier, ok = f.links.BeginCarry(s.Address, tried, time.Now()); !ok {
 			break
--- a/io/entry/links.go
+++ b/io/entry/links.go
@@ -32,5 +32,5 @@
 
 // need returns what the attempt needs of a connection.
 func (a *attempt) need() links.Need {
-	return links.Need{Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull}
+	return links.Need{Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull, Until: a.host.halting.refused}
 }
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -32,6 +32,8 @@
 		// ResetsWhenFull says that the targets of the service reset connections when they
 		// are full.
 		ResetsWhenFull bool
+		// Until ends the wait for a connection when it ends; nil for no such end.
+		Until context.Context
 	}
 
 	// Option sets one property of Links.
--- a/io/links/ways.go
+++ b/io/links/ways.go
@@ -172,6 +172,9 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	if n.Until != nil {
+		defer context.AfterFunc(n.Until, cancel)()
+	}
 	conn, err := l.dial(dialCtx, address)
 	switch {
 	case err == nil:
