--- a/io/entry/links.go
+++ b/io/entry/links.go
@@ -36,6 +36,6 @@
 func (a *attempt) need() links.Need {
 	return links.Need{
 		Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull,
-		Fresh: a.resent && a.carriedIn, Avoid: a.avoid,
+		Fresh: a.resent && a.carriedIn, Avoid: a.avoid, Until: a.host.halting.refused,
 	}
 }
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -36,6 +36,8 @@
 		Fresh bool
 		// Avoid holds connections that must not be used.
 		Avoid []*Conn
+		// Until ends the wait for a connection when it ends; nil for no such end.
+		Until context.Context
 	}
 
 	// Option sets one property of Links.
