Refuse late calls only with stop_time; let targets that leave be answered at a stop

Callers of a host without stop_time saw 503 stopping for requests on connections opened before the stop, although its former settings were to hold; targets that report leaving saw their connection end 200 ms after the last call.

Cause: the admission check acted in every stop, and idleStopTime bounded the announcements too, whose answers wait up to a second for other hosts.

Change: late calls are refused only where stop_time is set; servers whose requests wait for other hosts have until the exit.

--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -83,11 +83,13 @@
 		stopCalls func(context.Context)
 		// stop stops the rest; nil for nothing.
 		stop func(context.Context)
+		// awaitsHosts says that requests of the rest wait for other hosts.
+		awaitsHosts bool
 	}
 )
 
-// idleStopTime bounds the time in which a server without calls stops once all calls have
-// ended.
+// idleStopTime bounds the time in which a server whose requests wait for nothing stops once
+// all calls have ended.
 const idleStopTime = 200 * time.Millisecond
 
 // maxCarryBytes bounds what wire.SetCarry adds to the header of a request.
@@ -227,7 +229,9 @@
 	begin, cut := time.Now(), stopped.Add(phases.Cut)
 	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", cut.Sub(begin).String())
 	refuse := stopped.Add(phases.Refuse)
-	h.halting.last.Store(&refuse)
+	if h.cfg.StopTime > 0 {
+		h.halting.last.Store(&refuse)
+	}
 	refusal := time.AfterFunc(time.Until(refuse), h.halting.refuse)
 	h.stopAll(servers, cut, stopped.Add(phases.Exit))
 	refusal.Stop()
@@ -272,7 +276,7 @@
 		{
 			name: "announce", address: h.cfg.AnnounceAddress,
 			serve: func(l net.Listener) error { return announce.Serve(peer.CountListener(l, announceTraffic)) },
-			stop:  h.stopHTTP(announce, func() {}),
+			stop:  h.stopHTTP(announce, func() {}), awaitsHosts: true,
 		},
 		{
 			name: "peer", address: h.cfg.PeerAddress,
@@ -368,26 +372,31 @@
 	}
 }
 
-// stopAll stops the servers, all beside one another: first what serves calls, at the latest
-// at cut, and then the rest, within idleStopTime and at the latest at exit. In between it
-// waits for callers that are still sending, as the end of the process would reset their
-// connections.
+// stopAll stops the servers concurrently: first what serves calls, at the latest
+// at cut, and then the rest, at the latest at exit, and within idleStopTime unless requests
+// wait for other hosts. In between it waits for callers that are still sending, as the end
+// of the process would reset their connections.
 func (h *Host) stopAll(servers []server, cut, exit time.Time) {
-	var calls, rest []func(context.Context)
+	var calls, waiting, rest []func(context.Context)
 	for _, s := range servers {
 		if s.stopCalls != nil {
 			calls = append(calls, s.stopCalls)
 		}
-		if s.stop != nil {
+		switch {
+		case s.stop == nil:
+		case s.awaitsHosts:
+			waiting = append(waiting, s.stop)
+		default:
 			rest = append(rest, s.stop)
 		}
 	}
-	stopBeside(calls, cut)
+	stopTogether(calls, cut)
 	h.awaitLingering(exit)
+	stopTogether(waiting, exit)
 	if end := time.Now().Add(idleStopTime); end.Before(exit) {
 		exit = end
 	}
-	stopBeside(rest, exit)
+	stopTogether(rest, exit)
 }
 
 // awaitLingering waits until no connection lingers, at the latest until end.
@@ -397,9 +406,9 @@
 	}
 }
 
-// stopBeside calls all functions at the same time, with a context that ends at end, and
+// stopTogether calls all functions at the same time, with a context that ends at end, and
 // waits for them.
-func stopBeside(stops []func(context.Context), end time.Time) {
+func stopTogether(stops []func(context.Context), end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	var group sync.WaitGroup
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -170,8 +170,6 @@
 			})
 			b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
 				cfg.DrainDelay = strict.Duration(drain)
-				// Requests whose headers are complete after the drain must end before the cut.
-				doc.Receive.Deadline = cfg.StopGrace / 2
 				doc.Targets.Slots, doc.Targets.Connections = callers, callers
 			}, target.address)
 			conns := make([]*caller, callers)
@@ -323,7 +321,7 @@
 	target := newRawTarget(t, func(c *rawConn) { c.readRequest(); c.waitClosed() })
 	b := newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
 		doc.Receive.Deadline = strict.Duration(time.Minute)
-		cfg.DrainDelay = strict.Duration(drain)
+		cfg.DrainDelay, cfg.StopTime = strict.Duration(drain), strict.Duration(testTimeout)
 	}, target.address)
 	c := b.dial(t)
 	io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n")
