--- a/review/stand/setting.go
+++ b/review/stand/setting.go
@@ -180,27 +180,61 @@
 	return held
 }
 
-// routeAdded has the operator add a route for uploads. Its clients send bodies in chunks and
+// chunksAdded has the operator add a route for uploads. Its clients send bodies in chunks and
 // headers within the limits.
-func routeAdded(rec *recorder, trouble bool) int {
+func chunksAdded(rec *recorder, trouble bool) int {
+	const chunked, body = "Transfer-Encoding: chunked\r\n", "5\r\norder\r\n0\r\n\r\n"
+	return routeAdded(rec, trouble, addedUse{
+		kind: "upload", service: orders,
+		usual: func(d *deployment) counts {
+			return d.batch("orders in chunks", 20, http.MethodPost, orderRoute+"2f", chunked, body)
+		},
+		added: func(d *deployment) counts {
+			return d.batch("uploads on the added route, header within the limit", 40, http.MethodPost, addedRoute+"2f", fields(12000)+chunked, body)
+		},
+	})
+}
+
+// slashAdded has the operator add a route for photos. The names of some photos have a slash,
+// which clients encode.
+func slashAdded(rec *recorder, trouble bool) int {
+	return routeAdded(rec, trouble, addedUse{
+		kind: "safe", service: lookup,
+		usual: func(d *deployment) counts {
+			return d.batch("lookups", 20, http.MethodGet, lookupRoute+"neck%20reset", "", "")
+		},
+		added: func(d *deployment) counts {
+			return d.batch("photos on the added route", 40, http.MethodGet, addedRoute+"top%2Fcrack.jpg", "", "")
+		},
+	})
+}
+
+// addedUse is how an added route is used, and what is sent before.
+type addedUse struct {
+	kind, service string
+	usual, added  func(*deployment) counts
+}
+
+// routeAdded has the operator add a route, and its clients use it once it must be in force.
+func routeAdded(rec *recorder, trouble bool, use addedUse) int {
 	d, err := begin(rec)
 	if err != nil {
 		rec.note("error", "%v", err)
 		return notRun
 	}
 	defer d.stop()
-	const chunked, body = "Transfer-Encoding: chunked\r\n", "5\r\norder\r\n0\r\n\r\n"
-	sum := d.batch("orders in chunks", 20, http.MethodPost, orderRoute+"2f", chunked, body)
+	sum := use.usual(d)
 	if trouble {
-		added := append(testRoutes(), route{Name: "r-added", Host: testHost, Prefix: addedRoute, Type: "upload", Service: orders, TimeoutMs: 1200, AimMs: 500, Attempts: 2})
+		added := append(testRoutes(), route{Name: "r-added", Host: testHost, Prefix: addedRoute, Type: use.kind, Service: use.service, TimeoutMs: 1200, AimMs: 500, Attempts: 2})
 		if d.put(configBody(9, added, testServices, usualLimits)) != http.StatusOK {
 			return notRun
 		}
 	}
 	time.Sleep(configApply + time.Second)
 	if trouble {
-		c := d.batch("uploads on the added route, header within the limit", 40, http.MethodPost, addedRoute+"2f", fields(12000)+chunked, body)
-		sum = counts{sum.sent + c.sent, sum.served + c.served, sum.denied + c.denied, sum.other + c.other}
+		plain := d.batch("plain requests on the added route", 10, http.MethodGet, addedRoute+"2f", "", "")
+		c := use.added(d)
+		sum = counts{sum.sent + plain.sent + c.sent, sum.served + plain.served + c.served, sum.denied + plain.denied + c.denied, sum.other + plain.other + c.other}
 	}
 	return d.verdict(sum.denied, sum.sent, sum.served)
 }
