--- a/review/stand/foreign.go
+++ b/review/stand/foreign.go
@@ -114,3 +114,41 @@
 	}
 	return held
 }
+
+// misroute has another writer send one heartbeat with fields missing in the name of a server, and
+// with another service than the server's. It counts the orders that the server is given.
+func misroute(rec *recorder, trouble bool) int {
+	d, err := begin(rec)
+	if err != nil {
+		rec.note("error", "%v", err)
+		return notRun
+	}
+	defer d.stop()
+	victim := d.servers[0] // Of lookup.
+	var wrong atomic.Int64
+	victim.hook.Store(func(_ *server, _ http.ResponseWriter, r *http.Request) bool {
+		if r.Method == http.MethodPost {
+			wrong.Add(1)
+		}
+		return false
+	})
+	if trouble {
+		body, _ := json.Marshal(map[string]any{ // Without version and warmupLeftMs.
+			"service": orders, "address": victim.address, "zone": "buda-a", "maxConcurrency": foreignSlots, "state": "ready",
+			"sequence": victim.sequence.Load() + foreignAhead, "born": victim.born,
+		})
+		client := http.Client{Timeout: time.Second}
+		status, answer, err := call(&client, http.MethodPut, "http://"+addr(d.controls[0].ip, d.front)+"/instances/"+victim.id, body)
+		rec.note("writer", "another writer sends %s: %d %s %v", body, status, clip(answer), err)
+		time.Sleep(time.Second)
+	}
+	c := d.batch("orders", 60, http.MethodPost, orderRoute+"2f", "", "order")
+	rec.note("judge", "%d of %d orders were run by a server of %s", wrong.Load(), c.sent, lookup)
+	switch {
+	case wrong.Load() > 0:
+		return broken
+	case c.served == 0:
+		return notRun
+	}
+	return held
+}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -25,6 +25,8 @@
 	http                 *http.Server
 	quit                 chan struct{}
 	once                 sync.Once
+	// hook is like onRun, for a server that runs already.
+	hook atomic.Value
 	// onRun, if not nil, handles a request in place of the usual answer. It returns true if it did.
 	onRun func(s *server, w http.ResponseWriter, r *http.Request) bool
 }
@@ -127,6 +129,9 @@
 	if s.onRun != nil && s.onRun(s, w, r) {
 		return
 	}
+	if f, ok := s.hook.Load().(func(*server, http.ResponseWriter, *http.Request) bool); ok && f(s, w, r) {
+		return
+	}
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
