--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,7 +21,7 @@
 
 func main() {
 	cases := map[string]func(*recorder, bool) int{
-		"gone": gone, "limits": limitsRaised, "unreadable": unreadable, "chunks": chunksAdded, "slash": slashAdded, "foreign": foreign, "misroute": misroute, "weights": weights,
+		"gone": gone, "limits": limitsRaised, "unreadable": unreadable, "chunks": chunksAdded, "slash": slashAdded, "foreign": foreign, "misroute": misroute, "weights": weights, "lost": lostAtStop,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
