--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -40,7 +40,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(begin.Add(deadline + time.Second))
-	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s", method, uri, host, id, deadline.Milliseconds(), header)
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s", method, uri, host, word("id"), id, word("deadline"), deadline.Milliseconds(), header)
 	if body != "" && !strings.Contains(header, "Transfer-Encoding") {
 		request += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -52,7 +52,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	a.status, a.signature, a.id, a.body, a.err = resp.StatusCode, resp.Header.Get("X-Response-Signature"), resp.Header.Get("X-Request-Id"), string(data), err
+	a.status, a.signature, a.id, a.body, a.err = resp.StatusCode, resp.Header.Get(word("signature")), resp.Header.Get(word("id")), string(data), err
 	a.took = time.Since(begin)
 	return a
 }
--- a/review/stand/foreign.go
+++ b/review/stand/foreign.go
@@ -47,7 +47,7 @@
 		if at := acknowledged.Load(); at != 0 {
 			if after := time.Since(time.Unix(0, at)); after > drainTime {
 				late.Add(1)
-				rec.note("late", "id=%s reaches the server %s after the acknowledgement", r.Header.Get("X-Request-Id"), after.Round(time.Millisecond))
+				rec.note("late", "id=%s reaches the server %s after the acknowledgement", r.Header.Get(word("id")), after.Round(time.Millisecond))
 			}
 		}
 		return false
@@ -86,12 +86,12 @@
 	time.Sleep(3 * time.Second)
 	before := runs.Load()
 	if trouble {
-		body, _ := json.Marshal(map[string]any{ // Without version and warmupLeftMs.
-			"service": lookup, "address": leaver.address, "zone": "buda-a", "maxConcurrency": foreignSlots, "state": "ready",
+		body, _ := json.Marshal(map[string]any{ // Without a version and the time of warming up that is left.
+			"service": lookup, "address": leaver.address, "zone": "buda-a", word("slots"): foreignSlots, "state": "ready",
 			"sequence": leaver.sequence.Load() + foreignAhead, "born": leaver.born,
 		})
 		client := http.Client{Timeout: time.Second}
-		status, answer, err := call(&client, http.MethodPut, "http://"+addr(d.controls[0].ip, d.front)+"/instances/"+leaver.id, body)
+		status, answer, err := call(&client, http.MethodPut, "http://"+addr(d.controls[0].ip, d.front)+word("heartbeats")+leaver.id, body)
 		rec.note("writer", "another writer sends %s: %d %s %v", body, status, clip(answer), err)
 	}
 	time.Sleep(foreignWait)
@@ -133,12 +133,12 @@
 		return false
 	})
 	if trouble {
-		body, _ := json.Marshal(map[string]any{ // Without version and warmupLeftMs.
-			"service": orders, "address": victim.address, "zone": "buda-a", "maxConcurrency": foreignSlots, "state": "ready",
+		body, _ := json.Marshal(map[string]any{ // Without a version and the time of warming up that is left.
+			"service": orders, "address": victim.address, "zone": "buda-a", word("slots"): foreignSlots, "state": "ready",
 			"sequence": victim.sequence.Load() + foreignAhead, "born": victim.born,
 		})
 		client := http.Client{Timeout: time.Second}
-		status, answer, err := call(&client, http.MethodPut, "http://"+addr(d.controls[0].ip, d.front)+"/instances/"+victim.id, body)
+		status, answer, err := call(&client, http.MethodPut, "http://"+addr(d.controls[0].ip, d.front)+word("heartbeats")+victim.id, body)
 		rec.note("writer", "another writer sends %s: %d %s %v", body, status, clip(answer), err)
 		time.Sleep(time.Second)
 	}
--- a/review/stand/gone.go
+++ b/review/stand/gone.go
@@ -55,7 +55,7 @@
 	arrive := func(_ *server, _ http.ResponseWriter, r *http.Request) bool {
 		mu.Lock()
 		defer mu.Unlock()
-		id := r.Header.Get("X-Request-Id")
+		id := r.Header.Get(word("id"))
 		if at, left := closed[id]; left && time.Since(at) > goneBound {
 			late++
 			rec.note("late", "id=%s reaches a server %s after its client has left", id, time.Since(at).Round(time.Millisecond))
@@ -83,7 +83,7 @@
 				defer conn.Close()
 				rec.note("client", "id=%s sends POST %s to %s", id, uri, p.name)
 				_ = conn.SetDeadline(time.Now().Add(7 * time.Second))
-				if _, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n%s", uri, testHost, id, goneDeadline, header, body); err != nil {
+				if _, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n%s", uri, testHost, word("id"), id, word("deadline"), goneDeadline, header, body); err != nil {
 					return
 				}
 				// Leaves while the request waits: its whole body has been sent.
--- a/review/stand/lost.go
+++ b/review/stand/lost.go
@@ -52,7 +52,7 @@
 	)
 	work := func(s *server, w http.ResponseWriter, r *http.Request) bool {
 		time.Sleep(time.Millisecond)
-		id, took := r.Header.Get("X-Request-Id"), lostShort
+		id, took := r.Header.Get(word("id")), lostShort
 		if long.Load() {
 			took = lostLong
 			if s.id != first {
@@ -68,7 +68,7 @@
 			rec.note("cut", "id=%s server=%s was at work on it", id, s.id)
 			return true
 		}
-		w.Header().Set("X-Response-Signature", "sig-"+id)
+		w.Header().Set(word("signature"), "sig-"+id)
 		_, _ = io.WriteString(w, "answer "+id+" \n")
 		return true
 	}
--- a/review/stand/operator.go
+++ b/review/stand/operator.go
@@ -28,21 +28,21 @@
 			r.AimMs = 500
 		}
 		resources = append(resources, map[string]any{
-			"resourceKind": "routes", "metadata": map[string]any{"name": r.Name},
+			word("kind"): "routes", "metadata": map[string]any{"name": r.Name},
 			"spec": map[string]any{
-				"hostname": r.Host, "pathPrefix": r.Prefix, "type": r.Type, "timeoutMs": r.TimeoutMs, "targetLatencyMs": r.AimMs,
-				"priority": 1, "service": r.Service, "maxAttempts": r.Attempts,
+				"hostname": r.Host, word("prefix"): r.Prefix, "type": r.Type, word("timeout"): r.TimeoutMs, word("aim"): r.AimMs,
+				"priority": 1, "service": r.Service, word("attempts"): r.Attempts,
 			},
 		})
 	}
 	for _, s := range services {
 		resources = append(resources, map[string]any{
-			"resourceKind": "services", "metadata": map[string]any{"name": s},
-			"spec": map[string]any{"healthCheckPath": "/health", "maxConnections": 240, "protocol": "h1", "tls": false},
+			word("kind"): "services", "metadata": map[string]any{"name": s},
+			"spec": map[string]any{word("health"): "/health", "maxConnections": 240, "protocol": "h1", "tls": false},
 		})
 	}
 	resources = append(resources, map[string]any{
-		"resourceKind": "limits", "metadata": map[string]any{},
+		word("kind"): "limits", "metadata": map[string]any{},
 		"spec": map[string]any{"maxHeaderBytes": l.HeaderBytes, "maxBodyBytes": l.BodyBytes, "headerTimeoutMs": l.HeaderMs, "idleTimeoutMs": l.IdleMs},
 	})
 	return map[string]any{"version": version, "resources": resources}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -77,12 +77,12 @@
 // beat sends one heartbeat to one control host after the other until one acknowledges it.
 func (s *server) beat() bool {
 	body, _ := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": "buda-a", "version": "v1", "maxConcurrency": s.slots,
-		"state": s.state.Load(), "warmupLeftMs": 0, "sequence": s.sequence.Add(1), "born": s.born,
+		"service": s.service, "address": s.address, "zone": "buda-a", "version": "v1", word("slots"): s.slots,
+		"state": s.state.Load(), word("warmup"): 0, "sequence": s.sequence.Add(1), "born": s.born,
 	})
 	client := http.Client{Timeout: time.Second}
 	for _, p := range s.d.controls {
-		status, _, err := call(&client, http.MethodPut, "http://"+addr(p.ip, s.d.front)+"/instances/"+s.id, body)
+		status, _, err := call(&client, http.MethodPut, "http://"+addr(p.ip, s.d.front)+word("heartbeats")+s.id, body)
 		if err == nil && status/100 == 2 {
 			return true
 		}
@@ -93,13 +93,13 @@
 // ServeHTTP answers health checks and requests.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(word("id"))
 	if id != "" {
-		h.Set("X-Request-Id", id)
+		h.Set(word("id"), id)
 	}
-	load := func() { h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", s.running.Load(), s.slots)) }
+	load := func() { h.Set(word("load"), fmt.Sprintf("%d,0,%d,100", s.running.Load(), s.slots)) }
 	if r.URL.Path == "/health" {
-		h.Set("X-Instance-Id", s.id)
+		h.Set(word("answerer"), s.id)
 		load()
 		if s.state.Load() != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -108,10 +108,10 @@
 	}
 	refuse := func(status int) {
 		load()
-		h.Set("X-Not-Executed", "1")
+		h.Set(word("unexecuted"), "1")
 		w.WriteHeader(status)
 	}
-	switch expected := r.Header.Get("X-Expected-Instance"); {
+	switch expected := r.Header.Get(word("expected")); {
 	case id == "":
 		refuse(http.StatusBadRequest)
 		return
@@ -143,7 +143,7 @@
 	}
 	load()
 	body := fmt.Sprintf("answer %s %d %s\n", id, n, s.id)
-	h.Set("X-Response-Signature", "sig-"+id)
+	h.Set(word("signature"), "sig-"+id)
 	h.Set("Content-Length", fmt.Sprint(len(body)))
 	_, _ = io.WriteString(w, body)
 }
--- a/review/stand/setting.go
+++ b/review/stand/setting.go
@@ -157,8 +157,8 @@
 	next := configBody(9, testRoutes(), testServices, usualLimits)
 	if trouble {
 		entry := next["resources"].([]any)[1].(map[string]any)
-		delete(entry, "resourceKind")
-		rec.note("operator", "the entry of the route %s lacks resourceKind", orderRoute)
+		delete(entry, word("kind"))
+		rec.note("operator", "the entry of the route %s lacks %s", orderRoute, word("kind"))
 	}
 	status := d.put(next)
 	time.Sleep(configApply + time.Second)
--- a/review/stand/weights.go
+++ b/review/stand/weights.go
@@ -42,7 +42,7 @@
 		for i, name := range services {
 			split = append(split, map[string]any{"service": name, "weight": 100 * share[i]})
 		}
-		spec["trafficSplit"] = split
+		spec[word("split")] = split
 		return c
 	}
 	if d.put(config(7)) != http.StatusOK {
