Keep the first attempt of a call whose connection is silent

What callers saw: a call that may be repeated ended with 502, or ran two or three times, though its target was at work on it and would have answered in time.

Cause: an entry host closed a reused connection that had been idle for over a second when no byte came for twice the aim, at least 300 ms, and only then asked for another attempt. A dropped connection and a target that works look the same, and without a free slot or budget the call was lost.

Evidence: on `connection silent` with abandoned=true 3.000 s after the call was sent, `attempt failed` with the host's own "use of closed network connection" 1 ms later, 502 waited_too_long at 3.754 s; the target would have answered at 3.6 s.

Change: the first attempt runs on, and a second one is made beside it if the retry budget, the route's attempts and a free slot allow it; the answer that comes first wins. The question is CallExtra.silent on the wire. Second attempts and carriers use only connections heard from within a second, and a carrier gives no call up. Early hints pass at once until a second attempt is made.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -72,6 +72,10 @@
 	Extra struct {
 		// Call identifies the call.
 		Call uint64
+		// Silent says that the connection of the attempt in progress has been silent and
+		// may be dead. The second attempt then counts as a retry, and not against the limit
+		// of second attempts.
+		Silent bool
 	}
 
 	// SetTargets replaces the targets of the service.
--- a/core/engine/extra.go
+++ b/core/engine/extra.go
@@ -147,15 +147,21 @@
 // extra handles the request for a second attempt.
 func (s *Scheduler) extra(dst []Action, e Extra, now time.Time) []Action {
 	c, ok := s.calls[e.Call]
-	if !ok || s.extras.budget.Share <= 0 {
+	if !ok || !e.Silent && s.extras.budget.Share <= 0 {
 		return dst
 	}
-	pick, reason := s.chooseExtra(c, now)
+	choose := s.chooseExtra
+	if e.Silent {
+		choose = s.chooseBesideSilent
+	}
+	pick, reason := choose(c, now)
 	if reason != "" {
 		return append(dst, ExtraRefused{Call: e.Call, Reason: reason})
 	}
-	s.takeRetry(now)
-	s.extras.budget.Take(now)
+	if !e.Silent {
+		s.takeRetry(now)
+		s.extras.budget.Take(now)
+	}
 	first := c.current()
 	dst = s.send(dst, e.Call, c, pick, now)
 	c.second = c.current()
@@ -204,6 +210,41 @@
 	return pick, ""
 }
 
+// chooseBesideSilent picks the target of a second attempt beside one whose connection is
+// silent, and takes a retry, or returns the reason why the call gets none. The target may be
+// that of the first attempt if the call has tried all others: its other connections may work.
+func (s *Scheduler) chooseBesideSilent(c *call, now time.Time) (route.Pick, Reason) {
+	var none route.Pick
+	switch {
+	case c.target == "" || c.second.target != "":
+		return none, ExtraNotInProgress
+	case !c.class.Idempotent:
+		return none, ExtraNotIdempotent
+	case !s.hasAttempts(c):
+		return none, ExtraAttempts
+	case !now.Before(c.deadline):
+		return none, ExtraNotWorthwhile
+	}
+	q := s.query(c, now)
+	if q.Exclude = append(slices.Clip(c.tried), c.target); len(q.Exclude) >= s.targets.ReadyCount() {
+		q.Exclude = nil
+	}
+	pick, ok := s.targets.Choose(s.policy, q, s.rng)
+	if !ok || pick.Why == route.WhyAllFailing {
+		return none, ExtraNoTarget
+	}
+	if s.quota != nil && c.class.Account != "" {
+		if _, ok = s.quota.Admit(c.class.Account, now); !ok {
+			return none, OverQuota
+		}
+	}
+	if !s.takeRetryOf(c, now) {
+		s.returnToQuota(c.class.Account, now)
+		return none, ExtraRetryBudget
+	}
+	return pick, ""
+}
+
 // chooseElsewhere picks a target in another data centre than that of q if this one is in
 // trouble. It reports false if it is not, and if no other one has a target that serves well.
 func (s *Scheduler) chooseElsewhere(q route.Query) (route.Pick, bool) {
--- a/core/engine/scheduler.go
+++ b/core/engine/scheduler.go
@@ -366,14 +366,29 @@
 	if !safe || !s.mayResend(c, e, now) {
 		return false
 	}
+	return s.hasAttempts(c) && s.takeRetryOf(c, now)
+}
+
+// hasAttempts reports whether a call may be attempted again. Without a retry window, attempts
+// that targets have shed don't count.
+func (s *Scheduler) hasAttempts(c *call) bool {
+	if s.doc.Retry.Window > 0 {
+		return c.attempts < s.attemptLimit(c)
+	}
+	return c.attempts-c.sheds < s.attemptLimit(c)
+}
+
+// takeRetryOf takes one retry for a call from the retry budget or the retry credit, and
+// reports false if there is none.
+func (s *Scheduler) takeRetryOf(c *call, now time.Time) bool {
 	if s.doc.Retry.Window > 0 {
 		share := 1.0
 		if !c.class.Returned {
 			share = firstTryShare
 		}
-		return c.attempts < s.attemptLimit(c) && s.retryBudget.AllowRetryWithin(now, share)
+		return s.retryBudget.AllowRetryWithin(now, share)
 	}
-	if c.attempts-c.sheds >= s.attemptLimit(c) || s.retryCredit < 1 {
+	if s.retryCredit < 1 {
 		return false
 	}
 	s.retryCredit--
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -116,7 +116,7 @@
 
 // decideLocally has this host's own engine decide about a call.
 func (h *Host) decideLocally(c *call) {
-	decisions := make(chan engine.Action, 1)
+	decisions := make(chan engine.Action, decisionBuffer)
 	c.decisionRequested = time.Now()
 	c.control, c.decisions, c.controlLost, c.decisionOverdue = nil, decisions, nil, nil
 	if refusal, refused := h.checkLocalQuota(c, c.decisionRequested); refused {
@@ -335,16 +335,11 @@
 		if action.Extra {
 			h.metrics.Counter("extra_attempts").Add(1) // The attempt beside which it was decided has ended.
 		}
-		if c.mayRace(r, action) {
+		if c.mayRace(r) {
 			return h.runRace(ctx, w, r, a, action)
 		}
 		result := h.forwarder.attempt(ctx, w, r, a, action)
-		h.observeLimit(c, action.Target, a.feedback, time.Since(start))
-		h.observeRest(c, action.Target, a.feedback)
-		if h.fleet != nil && c.control == nil && a.feedback.Reset && result == engine.Unknown {
-			h.signs.AddReset(c.service.doc.Name, action.Target)
-		}
-		h.metrics.Histogram("attempt_latency", result.String()).Observe(time.Since(start))
+		h.observeAttempt(a, result, time.Since(start))
 		if a.keyProblem != nil {
 			return h.endUnkeyed(w, r, c, a.keyProblem)
 		}
@@ -378,6 +373,17 @@
 	return false
 }
 
+// observeAttempt records what an attempt that has ended after the time elapsed says about its
+// target.
+func (h *Host) observeAttempt(a *attempt, result engine.Result, elapsed time.Duration) {
+	h.observeLimit(a.call, a.target, a.feedback, elapsed)
+	h.observeRest(a.call, a.target, a.feedback)
+	if h.fleet != nil && a.control == nil && a.feedback.Reset && result == engine.Unknown {
+		h.signs.AddReset(a.service.doc.Name, a.target)
+	}
+	h.metrics.Histogram("attempt_latency", result.String()).Observe(elapsed)
+}
+
 // mustWithhold reports whether this host must not make an attempt, because it knows that the
 // target wants no calls from it, is draining or has left. The feedback of the attempt says
 // which.
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -57,7 +57,7 @@
 	carriage := reach.NotTaken
 	defer func() { f.links.EndCarry(a.carrier, s.Address, carriage, time.Now()) }()
 	a.carryOutcome, a.targetAnswered = "", false
-	conn, err := f.links.ConnectCarrier(ctx, a.carrier, a.class.Idempotent)
+	conn, err := f.links.ConnectCarrier(ctx, a.carrier, a.mayUseAnyIdle())
 	if err != nil {
 		f.log.Info("carrier not reached", "call", a.name, "target", s.Target, "carrier", a.carrier.String(), "error", err)
 		return 0, false
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -34,17 +34,18 @@
 		log      *slog.Logger
 		metrics  *telem.Registry
 		work     context.Context // Ends the checks of links.
-		stopping atomic.Bool     // The host drains or stops: silent connections are not abandoned.
+		stopping atomic.Bool     // The host drains or stops: no second attempts for silent connections.
 	}
 
 	// earlyHints passes a target's informational responses on to the caller.
 	earlyHints struct {
-		w     responseWriter
-		mu    sync.Mutex
-		ended bool
-		// withhold says that they are passed on only once the attempt has won.
-		withhold bool
-		withheld [][]string // The Link fields of those that wait for that.
+		w       responseWriter
+		attempt *attempt
+		mu      sync.Mutex
+		ended   bool
+		// withheld has the Link fields of those that are passed on only once the attempt
+		// has won.
+		withheld [][]string
 	}
 
 	// callerError is an error in writing to the caller.
@@ -146,7 +147,7 @@
 		targetInfo wire.AnswerInfo
 		err        error
 	)
-	hints := earlyHints{w: w, withhold: a.racer != nil}
+	hints := earlyHints{w: w, attempt: a}
 	a.hints = &hints
 	defer hints.end()
 	if req, err = f.newRequest(httptrace.WithClientTrace(ctx, hints.trace()), r, a, s, view); err != nil {
@@ -255,17 +256,17 @@
 	return true
 }
 
-// watchSilence acts when a target sends no response byte on conn, a reused
-// connection, for the silence timeout of the call. It then closes the idle
+// watchSilence acts when a target sends no response byte on conn, a reused connection or
+// one to a carrier, for the silence timeout of the call. It then closes the idle
 // connections to that target that have received nothing since the last progress on
-// conn, because a device on the path may have dropped them all. If the call is
-// idempotent, conn had received nothing for more than links.MaxTrustedSilence before the
-// request or the link to the target is lost, and the host is not stopping, it also
-// abandons conn, that is, seals it.
-// Otherwise the call keeps waiting, because its target may just be slow. The
-// returned function ends the watch.
+// conn, because a device on the path may have dropped them all. conn itself stays open,
+// because its target may just be slow. If conn leads to a carrier, had received nothing for
+// more than links.MaxTrustedSilence before the request, or the link to the target is lost,
+// watchSilence also reports the attempt as silent, unless the host is stopping, so that a
+// second one may be made beside it. The returned function ends the watch.
 func (f *forwarder) watchSilence(conn *links.Conn, a *attempt, s engine.Send) func() {
-	if conn.Fresh() {
+	carried := conn.Address() != s.Address
+	if conn.Fresh() && !carried {
 		return func() {}
 	}
 	stale := conn.LastReadBefore(conn.Began().Add(-links.MaxTrustedSilence))
@@ -282,9 +283,9 @@
 		}
 		n := f.links.Retire(conn.Address(), since)
 		lost := f.links.LostInSilence(conn, s.Address, a.need())
-		abandoned := (stale || lost) && a.class.Idempotent && !f.stopping.Load() && conn.SealIfSilent()
+		suspect := (stale || lost || carried) && !f.stopping.Load() && a.reportSilence()
 		f.metrics.Counter("connections_silent").Add(1)
-		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "abandoned", abandoned,
+		f.log.Warn("connection silent", "call", a.name, "target", s.Target, "retired", n, "suspect", suspect,
 			"carrier", carrier, "link_lost", lost)
 	})
 	return func() { timer.Stop() }
@@ -359,9 +360,8 @@
 		if code != http.StatusEarlyHints || e.ended {
 			return nil
 		}
-		if !e.withhold {
-			e.pass(header["Link"])
-		} else if len(e.withheld) < maxWithheldHints {
+		passed := e.attempt.whileAlone(func() { e.pass(header["Link"]) })
+		if !passed && len(e.withheld) < maxWithheldHints {
 			e.withheld = append(e.withheld, header["Link"])
 		}
 		return nil
--- a/io/entry/links.go
+++ b/io/entry/links.go
@@ -13,7 +13,7 @@
 // implements it.
 type callLinks interface {
 	Connect(ctx context.Context, address netip.AddrPort, n links.Need) (*links.Conn, error)
-	ConnectCarrier(ctx context.Context, carrier netip.AddrPort, idempotent bool) (*links.Conn, error)
+	ConnectCarrier(ctx context.Context, carrier netip.AddrPort, anyIdle bool) (*links.Conn, error)
 	Discard(conn *links.Conn) bool
 	Trim(address netip.AddrPort, limit int)
 	Retire(address netip.AddrPort, t time.Time) int
@@ -32,10 +32,16 @@
 
 var _ callLinks = (*links.Links)(nil)
 
+// mayUseAnyIdle reports whether the attempt may use a connection that has been idle for long
+// and so may be dead. It may if a second attempt can follow when the connection stays silent.
+func (a *attempt) mayUseAnyIdle() bool {
+	return a.class.Idempotent && !a.carriedIn && !a.extra
+}
+
 // need returns what the attempt needs of a connection.
 func (a *attempt) need() links.Need {
 	return links.Need{
-		Idempotent: a.class.Idempotent, CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull,
+		AnyIdle: a.mayUseAnyIdle(), CarriedIn: a.carriedIn, ResetsWhenFull: a.resetsWhenFull,
 		Fresh: a.resent && a.carriedIn, Avoid: a.avoid, Until: a.host.halting.refused,
 	}
 }
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -29,6 +29,10 @@
 		winner  *attempt // nil before an attempt has won.
 		// answered says that the header of a final answer has arrived.
 		answered bool
+		// contested says that two attempts may have been in progress at once.
+		contested bool
+
+		silent chan struct{} // Gets a value when the connection of an attempt is silent.
 	}
 
 	// racer is the part of an attempt in a race.
@@ -58,42 +62,64 @@
 var errWithdrawn = errors.New("entry: another attempt has won")
 
 func newRace() *race {
-	rc := &race{ended: make(chan *attempt, 2)}
+	rc := &race{ended: make(chan *attempt, 2), silent: make(chan struct{}, 1)}
 	rc.changed = sync.NewCond(&rc.mu)
 	return rc
 }
 
-// mayRace reports whether a call that is sent by s may get a second attempt beside it. Hosts
-// that decide alone make none.
-func (c *call) mayRace(r *http.Request, s engine.Send) bool {
-	return s.ExtraAfter > 0 && c.control != nil && c.class.Idempotent && !c.carriedIn && !expectsContinue(r)
+// mayRace reports whether a call may get a second attempt beside the one in progress.
+func (c *call) mayRace(r *http.Request) bool {
+	return c.class.Idempotent && !c.carriedIn && !expectsContinue(r)
+}
+
+// askExtra asks the control host or engine that decides about the call for a second attempt.
+// It returns false if there can be none.
+func (h *Host) askExtra(c *call, rc *race, silent bool) bool {
+	if !rc.mayAsk() || !c.body.buffered() {
+		return false
+	}
+	e := engine.Extra{Call: c.id, Silent: silent}
+	if c.control != nil {
+		return c.control.AskExtra(e)
+	}
+	h.system.Root.Send(c.service.pid, e)
+	return true
 }
 
-// runRace makes the first attempt of a call and, if the control host sends one, a second attempt
-// beside it. It reports whether the call has ended, as executeDecision does. It returns
-// after both attempts have ended.
+// runRace makes the first attempt of a call and, if one is granted, a second attempt beside
+// it. It asks for one after s.ExtraAfter, if that is not 0, and when the connection of the
+// first attempt is silent. It reports whether the call has ended, as executeDecision does. It
+// returns after both attempts have ended.
 func (h *Host) runRace(ctx context.Context, w responseWriter, r *http.Request, first *attempt, s engine.Send) bool {
 	c := first.call
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	rc := newRace()
+	rc.contested = s.ExtraAfter > 0
 	h.start(ctx, w, r, rc, first, s)
 	begin := time.Now()
 	timer := time.NewTimer(s.ExtraAfter)
 	defer timer.Stop()
+	if s.ExtraAfter <= 0 {
+		timer.Stop()
+	}
 	var decisions chan engine.Action // That of the call once a second attempt is asked for.
-	for asks := 0; ; {
+	silent, asks := false, 0
+	for {
 		select {
 		case a := <-rc.ended:
 			if last := h.endRaced(ctx, rc, a); last != nil {
 				return h.finishRaced(ctx, w, r, last)
 			}
 			timer.Stop()
+		case <-rc.silent:
+			silent, asks = true, 0
+			timer.Reset(0)
 		case <-timer.C:
-			if !rc.mayAsk() || !c.body.buffered() || !c.control.AskExtra(c.id) {
+			if !h.askExtra(c, rc, silent) {
 				continue
 			}
-			h.logAsk(c, s)
+			h.logAsk(c, s, silent)
 			c.decisionRequested, decisions = time.Now(), c.decisions
 			if asks++; asks < maxExtraAsks {
 				timer.Reset(time.Since(begin) / engine.ExtraAskDivisor)
@@ -101,7 +127,7 @@
 		case action := <-decisions:
 			second, ok := action.(engine.Send)
 			if !ok || !second.Extra {
-				continue // The control host has given the call up; the attempt goes on.
+				continue // None is granted, or the call was given up; the attempt goes on.
 			}
 			timer.Stop()
 			decisions = nil
@@ -122,6 +148,7 @@
 		return false
 	}
 	rc.running = append(rc.running, a)
+	rc.contested = rc.contested || a.extra
 	rc.pending++
 	go func() {
 		defer func() {
@@ -189,9 +216,7 @@
 		panic(a.racer.panicked)
 	}
 	elapsed := time.Since(a.racer.begin)
-	h.observeLimit(a.call, a.racer.send.Target, a.feedback, elapsed)
-	h.observeRest(a.call, a.racer.send.Target, a.feedback)
-	h.metrics.Histogram("attempt_latency", a.racer.result.String()).Observe(elapsed)
+	h.observeAttempt(a, a.racer.result, elapsed)
 	if a.racer.result != engine.Withdrawn {
 		return
 	}
@@ -211,10 +236,10 @@
 }
 
 // logAsk logs that a second attempt is asked for, if it is sampled.
-func (h *Host) logAsk(c *call, s engine.Send) {
+func (h *Host) logAsk(c *call, s engine.Send, silent bool) {
 	if h.sampled() {
 		h.log.Info("second attempt asked", "call", c.name, "service", c.service.doc.Name, "target", s.Target,
-			"decided_by", c.decidedBy(), "call_number", c.id, "after", time.Since(c.arrived).String())
+			"decided_by", c.decidedBy(), "call_number", c.id, "silent", silent, "after", time.Since(c.arrived).String())
 	}
 }
 
@@ -242,6 +267,36 @@
 	rc.ended <- a
 }
 
+// reportSilence reports that the connection of the attempt is silent. It returns false if that
+// changes nothing, since the call gets no second attempt.
+func (a *attempt) reportSilence() bool {
+	if a.racer == nil {
+		return false
+	}
+	select {
+	case a.racer.race.silent <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// whileAlone calls pass, which writes to the caller, and returns true unless a second attempt
+// of the call may have been made.
+func (a *attempt) whileAlone(pass func()) bool {
+	if a.racer == nil {
+		pass()
+		return true
+	}
+	rc := a.racer.race
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.contested {
+		return false
+	}
+	pass()
+	return true
+}
+
 // noteAnswer records that the header of a final answer has arrived.
 func (a *attempt) noteAnswer() {
 	if a.racer == nil {
--- a/io/links/conn.go
+++ b/io/links/conn.go
@@ -146,19 +146,6 @@
 	return c.sentBytes > 0
 }
 
-// SealIfSilent closes the connection as seal does, unless the target has sent a byte of
-// its response, and reports whether it did.
-func (c *Conn) SealIfSilent() bool {
-	c.mu.Lock()
-	silent := c.inRequest && !c.sealed && !c.lastRead.After(c.requestStart) && !hasUnread(c.raw)
-	c.sealed = c.sealed || silent // Under the lock under which Read takes bytes from the socket.
-	c.mu.Unlock()
-	if silent {
-		c.seal()
-	}
-	return silent
-}
-
 // Write sends bytes of the current request. It returns errSealed on a sealed
 // connection.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -25,8 +25,9 @@
 
 	// Need is what an attempt needs of a connection.
 	Need struct {
-		// Idempotent says that the call may be sent again.
-		Idempotent bool
+		// AnyIdle says that a connection may be used however long it has been idle.
+		// Others must have been heard from within MaxTrustedSilence.
+		AnyIdle bool
 		// CarriedIn says that this host is a carrier of the call.
 		CarriedIn bool
 		// ResetsWhenFull says that the targets of the service reset connections when they
@@ -82,8 +83,8 @@
 
 // ConnectCarrier returns a connection to a carrier, marked as carrying a request, as
 // beginRequest does.
-func (l *Links) ConnectCarrier(ctx context.Context, carrier netip.AddrPort, idempotent bool) (*Conn, error) {
-	if conn := l.reuse(carrier, trustedSince(idempotent, time.Now()), nil); conn != nil {
+func (l *Links) ConnectCarrier(ctx context.Context, carrier netip.AddrPort, anyIdle bool) (*Conn, error) {
+	if conn := l.reuse(carrier, trustedSince(anyIdle, time.Now()), nil); conn != nil {
 		return conn, nil
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, Patience)
--- a/io/links/pool.go
+++ b/io/links/pool.go
@@ -114,9 +114,9 @@
 }
 
 // trustedSince returns the time after which an idle connection must have been heard from
-// at now to carry a call: for calls that are not idempotent it is MaxTrustedSilence ago.
-func trustedSince(idempotent bool, now time.Time) time.Time {
-	if idempotent {
+// at now to carry a call: MaxTrustedSilence ago, unless any idle one may.
+func trustedSince(anyIdle bool, now time.Time) time.Time {
+	if anyIdle {
 		return time.Time{}
 	}
 	return now.Add(-MaxTrustedSilence)
--- a/io/links/ways.go
+++ b/io/links/ways.go
@@ -146,7 +146,7 @@
 func (l *Links) Connect(ctx context.Context, address netip.AddrPort, n Need) (*Conn, error) {
 	now := time.Now()
 	way := l.ways.way(address)
-	heardAfter := trustedSince(n.Idempotent, now)
+	heardAfter := trustedSince(n.AnyIdle, now)
 	if way.HeardAfter.After(heardAfter) {
 		heardAfter = way.HeardAfter
 	}
--- a/io/place/extra.go
+++ b/io/place/extra.go
@@ -22,12 +22,12 @@
 
 // askExtra passes the request for a second attempt of a call to the actor of its service.
 // It ignores a request about an unknown call.
-func (st *entryStream) askExtra(remoteID uint64) {
+func (st *entryStream) askExtra(remoteID uint64, silent bool) {
 	st.mu.Lock()
 	c, ok := st.callsByRemoteID[remoteID]
 	st.mu.Unlock()
 	if ok {
-		st.server.system.Root.Send(c.pid, engine.Extra{Call: c.id})
+		st.server.system.Root.Send(c.pid, engine.Extra{Call: c.id, Silent: silent})
 	}
 }
 
@@ -42,9 +42,9 @@
 
 // AskExtra asks the control host for a second attempt of a call. It returns false when the
 // stream has ended or the call is no longer registered.
-func (c *Client) AskExtra(call uint64) bool {
+func (c *Client) AskExtra(e engine.Extra) bool {
 	c.mu.Lock()
-	_, open := c.callbacks[call]
+	_, open := c.callbacks[e.Call]
 	c.mu.Unlock()
-	return open && c.outgoing.add(&peerpb.CallEvent{Call: call, Event: &peerpb.CallEvent_Extra{Extra: &peerpb.CallExtra{}}})
+	return open && c.outgoing.add(&peerpb.CallEvent{Call: e.Call, Event: &peerpb.CallEvent_Extra{Extra: &peerpb.CallExtra{Silent: e.Silent}}})
 }
--- a/io/place/server.go
+++ b/io/place/server.go
@@ -404,7 +404,7 @@
 			st.server.system.Root.Send(c.pid, finish)
 		}
 	case *peerpb.CallEvent_Extra:
-		st.askExtra(e.GetCall())
+		st.askExtra(e.GetCall(), m.Extra.GetSilent())
 	case *peerpb.CallEvent_Cancel:
 		st.mu.Lock()
 		c, ok := st.callsByRemoteID[e.GetCall()]
