Notice callers that leave while their request body is unread

Cause: the only sign of a caller that leaves was the context of its request, which net/http ends after a read ahead, and it reads ahead only once the body was read to its end. Bodies of over 16 KiB, in chunks or announced with Expect are not read while a call waits; behind a pipelined request it stops reading too.

Change: an entry host asks the kernel every 100 ms, and before it sends a call that is older, whether the callers of open calls have closed their side, and then ends the contexts of their requests. It reads nothing ahead.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -39,6 +39,9 @@
 		requestStarted atomic.Bool // A byte of the current request has arrived.
 		linger         atomic.Bool // The caller may still be sending when its response ends; see lingerClose.
 		truncated      atomic.Bool // The response was cut short.
+		left           atomic.Bool // The caller has closed its side; see checkCaller.
+		// endRequests ends the contexts of the requests. It is set before the first one.
+		endRequests context.CancelFunc
 
 		mu          sync.Mutex
 		headerBytes []byte // The first bytes of the current request.
@@ -81,7 +84,7 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
-			return &callerConn{Conn: conn, listener: l}, nil
+			return &callerConn{Conn: conn, listener: l, endRequests: func() {}}, nil
 		}
 		l.open.Add(-1)
 		l.metrics.Counter("callers_turned_away").Add(1)
@@ -144,6 +147,7 @@
 	var err error
 	c.closeOnce.Do(func() {
 		c.listener.open.Add(-1)
+		c.endRequests()
 		if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger.Load() && !c.truncated.Load() {
 			c.listener.lingering.Add(1)
 			go func() {
@@ -222,12 +226,15 @@
 	return c
 }
 
-// withCaller is the ConnContext hook. It adds the callerConn of conn to ctx.
+// withCaller is the ConnContext hook. It adds the callerConn of conn to ctx, which the
+// callerConn can end.
 func withCaller(ctx context.Context, conn net.Conn) context.Context {
-	if c := unwrapCaller(conn); c != nil {
-		return context.WithValue(ctx, callerKey{}, c)
+	c := unwrapCaller(conn)
+	if c == nil {
+		return ctx
 	}
-	return ctx
+	ctx, c.endRequests = context.WithCancel(ctx)
+	return context.WithValue(ctx, callerKey{}, c)
 }
 
 // unwrapCaller returns the callerConn that conn is or wraps; nil if there is none.
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -26,6 +26,7 @@
 	arrived           time.Time
 	decisionRequested time.Time // When the current decision was requested.
 	deadline          time.Time
+	callerConn        *callerConn // The caller's connection; nil if it is not known.
 	body              *body
 	bodyBytes         int64              // Length of the body; -1 when unknown.
 	decisions         chan engine.Action // Decisions of control or of this host's engine.
@@ -161,7 +162,7 @@
 func (h *Host) newCall(w responseWriter, r *http.Request, s *service, class spec.Class, callInfo wire.CallerInfo) *call {
 	c := &call{
 		host: h, id: h.nextCall.Add(1), service: s, class: class,
-		arrived: time.Now(), body: newBody(w, r, h.callers.MaxBodyBytes), bodyBytes: r.ContentLength,
+		arrived: time.Now(), callerConn: callerOf(r.Context()), body: newBody(w, r, h.callers.MaxBodyBytes), bodyBytes: r.ContentLength,
 		maxConnections: s.doc.Targets.Connections / max(len(h.cfg.Entries), 1), trustedProxies: h.callers.TrustedProxies,
 	}
 	c.name = h.callName(callInfo, c.id)
@@ -303,7 +304,7 @@
 	case engine.Hold:
 		c.timing.enter(phaseHeld, time.Now())
 	case engine.Send:
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || time.Since(c.arrived) >= hangUpInterval && c.checkCaller() {
 			h.abandonCall(w, r, c)
 			return true
 		}
@@ -493,14 +494,19 @@
 // request body, because an attempt had ended, and the deadline is still ahead. After
 // an interruption net/http cancels the context as if the caller had disconnected.
 func (c *call) interruptedWithTimeLeft() bool {
-	return c.body.interrupted.Load() && time.Now().Before(c.deadline)
+	return c.body.interrupted.Load() && !c.callerLeft() && time.Now().Before(c.deadline)
 }
 
 // callerGone reports whether the caller has disconnected. It returns false once this
 // host has interrupted the read of the body, since net/http then cancels the context
 // without a disconnection.
 func (c *call) callerGone(r *http.Request) bool {
-	return r.Context().Err() != nil && !c.body.interrupted.Load()
+	return c.callerLeft() || r.Context().Err() != nil && !c.body.interrupted.Load()
+}
+
+// callerLeft reports whether checkCaller has found that the caller has disconnected.
+func (c *call) callerLeft() bool {
+	return c.callerConn != nil && c.callerConn.left.Load()
 }
 
 // abandonCall ends a call whose deadline has passed or whose caller has
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -209,6 +209,7 @@
 	}
 	h.links.AddCarriers(h.listedCarriers())
 	go h.links.Reap(work)
+	go h.watchCallers(work)
 	if h.keyPair != nil {
 		go h.keyPair.watchFiles(work, keyPairCheckInterval, h.log)
 	}
--- a/io/entry/open.go
+++ b/io/entry/open.go
@@ -47,6 +47,18 @@
 	o.calls[c] = struct{}{}
 }
 
+// appendCallers appends the connections of the callers to list.
+func (o *openCalls) appendCallers(list []*callerConn) []*callerConn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.calls {
+		if c.callerConn != nil {
+			list = append(list, c.callerConn)
+		}
+	}
+	return list
+}
+
 // stop records the signal to stop.
 func (o *openCalls) stop(now time.Time) {
 	o.mu.Lock()
