Refuse calls during the drain that would outlast the stop

Cause: during the drain a host accepted every call and used nothing of what it knows of how long calls take.

Evidence: TestStoppingEntryHostRefusesCallsThatItWouldCutOff on: of 23 calls of 3.8 s, one each 0.1 s from 0.1 s after SIGTERM on, the seven that came from 1.7 s on were cut off at 5.4 s though a target had them.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -453,6 +453,7 @@
 			h.metrics.Counter("extra_attempts_won").Add(1)
 		}
 		h.metrics.Counter("calls_answered").Add(1)
+		h.callTimes.observe(c, time.Now())
 		h.logAnswered(a)
 		return true
 	case engine.Broken:
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -56,6 +56,7 @@
 		newFront         func(*Host) http.Handler // See WithFront; nil if not set.
 		draining         atomic.Bool              // Readiness is withdrawn, as the host is about to stop.
 		halting          *halting
+		callTimes        callTimes
 		nextCall         atomic.Uint64 // The last call.id given.
 		services         atomic.Pointer[serviceMap]
 		decisionsSeen    atomic.Uint64 // Decisions counted to choose those to log.
@@ -223,13 +224,16 @@
 	stopped, phases := time.Now(), h.cfg.Phases()
 	h.open.stop(stopped)
 	h.config.stopping.Store(true)
+	cut, refuse := stopped.Add(phases.Cut), stopped.Add(phases.Refuse)
+	if h.cfg.StopTime > 0 {
+		h.halting.end.Store(&refuse)
+	}
 	if err == nil {
 		h.log.Info("entry host drains", "delay", phases.Drain.String(), "cut_off_after", phases.Cut.String(), "calls_open", h.openCalls.Load())
 		err = h.drain(failed, stopped.Add(phases.Drain))
 	}
-	begin, cut := time.Now(), stopped.Add(phases.Cut)
+	begin := time.Now()
 	h.log.Info("entry host stops", "calls_open", h.openCalls.Load(), "grace", cut.Sub(begin).String())
-	refuse := stopped.Add(phases.Refuse)
 	if h.cfg.StopTime > 0 {
 		h.halting.last.Store(&refuse)
 	}
