Test answers without end to carried calls and probes

Another operator's machine kept all bytes that a faulty server sent without end and ran out of memory. It was looked for here in direct calls before and not seen. Not tried were calls that another host carries, and health checks in most forms.

--- a/io/entry/endless_test.go
+++ b/io/entry/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"runtime"
@@ -68,51 +69,84 @@
 		return
 	}
 	for name, answer := range endlessAnswers {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			var (
-				open   atomic.Int64
-				paused atomic.Bool
-			)
-			target := newRawTarget(t, func(c *rawConn) {
-				if c.readRequest() == nil {
-					return
-				}
-				open.Add(1)
-				defer open.Add(-1)
-				c.send(answer.begin)
-				for {
-					for paused.Load() {
-						time.Sleep(time.Millisecond)
-					}
-					if _, err := io.WriteString(c.TCPConn, answer.rest); err != nil {
-						return
-					}
-					if len(answer.rest) < 100 {
-						time.Sleep(time.Millisecond)
-					}
-				}
-			})
-			b := newTestBed(t, func(doc *spec.Service, _ *setup.Entry) {
-				doc.Receive.Deadline, doc.Targets.Slots = strict.Duration(endlessDeadline), endlessCalls
-				doc.Retry.Attempts = 1
-			}, target.address)
-			limit, cancel := granted.WithTimeout(t.Context(), testTimeout)
-			defer cancel()
-			for {
-				heap := watchHeap(&paused, &open)
-				shortest := b.endlessCalls(g)
-				heap.stop()
-				t.Logf("%d bytes in use at most, %d readings during calls", heap.peak, heap.readings)
-				g.Expect(heap.peak).To(gomega.BeNumerically("<", endlessHeap))
-				if heap.readings > 0 || shortest < endlessDeadline {
-					break
-				}
-				g.Expect(limit.Err()).NotTo(gomega.HaveOccurred(), "the memory was not read during calls")
+		t.Run(name, func(t *testing.T) { testEndlessAnswer(t, answer.begin, answer.rest, false) })
+		t.Run(name+", carried", func(t *testing.T) { testEndlessAnswer(t, answer.begin, answer.rest, true) })
+	}
+}
+
+// newEndlessBed starts a host for the calls to a target whose answers have no end.
+func newEndlessBed(t *testing.T, target netip.AddrPort) *testBed {
+	return newTestBed(t, configureEndless, target)
+}
+
+// newEndlessCarriedBed is newEndlessBed for a host whose calls another one carries.
+func newEndlessCarriedBed(t *testing.T, target netip.AddrPort) *testBed {
+	peers := []setup.Peer{{Host: "entry-1", DataCentre: "lab", PeerAddress: freeAddress(t)}, {Host: "entry-2", DataCentre: "lab", PeerAddress: freeAddress(t)}}
+	var beds []*testBed
+	for _, p := range peers {
+		beds = append(beds, newTestBed(t, func(doc *spec.Service, cfg *setup.Entry) {
+			configureEndless(doc, cfg)
+			cfg.Host, cfg.PeerAddress, cfg.Entries = p.Host, p.PeerAddress, peers
+		}, target))
+	}
+	links := newTargetLinks(t, beds[0].host)
+	links.add(target)
+	links.begin(cutMode{refuses: true})
+	return beds[0]
+}
+
+func configureEndless(doc *spec.Service, _ *setup.Entry) {
+	doc.Receive.Deadline, doc.Targets.Slots = strict.Duration(endlessDeadline), endlessCalls
+	doc.Retry.Attempts = 1
+}
+
+// testEndlessAnswer makes calls to a target whose answers begin with a text and go on with
+// another one. If carried is true, another host carries the calls.
+func testEndlessAnswer(t *testing.T, begin, rest string, carried bool) {
+	g := gomega.NewWithT(t)
+	var (
+		open   atomic.Int64
+		paused atomic.Bool
+	)
+	target := newRawTarget(t, func(c *rawConn) {
+		if c.readRequest() == nil {
+			return
+		}
+		open.Add(1)
+		defer open.Add(-1)
+		c.send(begin)
+		for {
+			for paused.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			if _, err := io.WriteString(c.TCPConn, rest); err != nil {
+				return
+			}
+			if len(rest) < 100 {
+				time.Sleep(time.Millisecond)
 			}
-			g.Eventually(open.Load, testTimeout).Should(gomega.BeZero(), "the target's connections are closed")
-		})
+		}
+	})
+	start := newEndlessBed
+	if carried {
+		start = newEndlessCarriedBed
+	}
+	b := start(t, target.address)
+	limit, cancel := granted.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	for {
+		heap := watchHeap(&paused, &open)
+		shortest := b.endlessCalls(g)
+		heap.stop()
+		t.Logf("%d bytes in use at most, %d readings during calls", heap.peak, heap.readings)
+		g.Expect(heap.peak).To(gomega.BeNumerically("<", endlessHeap))
+		if heap.readings > 0 || shortest < endlessDeadline {
+			break
+		}
+		g.Expect(limit.Err()).NotTo(gomega.HaveOccurred(), "the memory was not read during calls")
 	}
+	g.Eventually(open.Load, testTimeout).Should(gomega.BeZero(), "the target's connections are closed")
+	g.Expect(b.host.links.CutOff() || b.host.links.Lost(target.address)).To(gomega.Equal(carried))
 }
 
 // endlessCalls makes endlessCalls calls at once, checks that they end in time, and returns
--- a/io/probe/endless_test.go
+++ b/io/probe/endless_test.go
@@ -18,8 +18,17 @@
 // Guards against probes whose answers have no end.
 func TestProbeWithoutEndIsLostEarly(t *testing.T) {
 	for name, answer := range map[string]struct{ begin, rest string }{
-		"header": {"HTTP/1.1 200 OK\r\n", strings.Repeat("A: b\r\n", 512)},
-		"body":   {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 4096)},
+		"header":                {"HTTP/1.1 200 OK\r\n", strings.Repeat("A: b\r\n", 512)},
+		"body":                  {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 4096)},
+		"no answer":             {"", strings.Repeat("x", 4096)},
+		"status line":           {"HTTP/1.1 200 ", strings.Repeat("x", 4096)},
+		"header field":          {"HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 4096)},
+		"folded header field":   {"HTTP/1.1 200 OK\r\nA: b\r\n", strings.Repeat(" c\r\n", 512)},
+		"informational answers": {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 128)},
+		"chunks":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("5\r\nabcde\r\n", 512)},
+		"chunk size":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 4096)},
+		"chunk extension":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", strings.Repeat("x", 4096)},
+		"trailer":               {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n0\r\nA: ", strings.Repeat("x", 4096)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
