--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -114,6 +114,58 @@
 		}
 	})
 
+	// Guards against parts that get no calls while other routes of the plan change: each
+	// version has new routes, and several hosts pick, each for a few calls of a version.
+	ginkgo.It("keep the shares while other routes change", func() {
+		const hosts, calls = 6, 600
+		var splits []*plan.Splits
+		for seed := range uint64(hosts) {
+			splits = append(splits, plan.NewSplits(rand.New(rand.NewPCG(seed, 2))))
+		}
+		parts := splitParts()
+		counts := make(map[string]int)
+		for i := range calls {
+			p := plan.Plan{Routes: []plan.Route{route("other", "h", "/o/", plan.Part{Service: "x", Weight: float64(i)}), route("r", "h", "/r/", parts...)}}
+			for _, s := range splits {
+				s.Retain(&p)
+			}
+			name, _ := splits[i%hosts].Pick(&p.Routes[1])
+			counts[name]++
+		}
+		for _, part := range parts {
+			gomega.Expect(float64(counts[part.Service])/calls).To(gomega.BeNumerically("~", part.Weight/100, 0.02), part.Service)
+		}
+	})
+
+	// Guards against parts that get none of the first calls of many hosts.
+	ginkgo.It("begin with each part as often as its weight says", func() {
+		const hosts = 2000
+		parts := splitParts()
+		r, counts := route("r", "h", "/r/", parts...), make(map[string]int)
+		for seed := range uint64(hosts) {
+			name, _ := plan.NewSplits(rand.New(rand.NewPCG(seed, 3))).Pick(&r)
+			counts[name]++
+		}
+		for _, part := range parts {
+			gomega.Expect(float64(counts[part.Service])/hosts).To(gomega.BeNumerically("~", part.Weight/100, 0.04), part.Service)
+		}
+	})
+
+	ginkgo.It("follow a route whose weights change, and forget one that is gone", func() {
+		splits := plan.NewSplits(rand.New(rand.NewPCG(1, 4)))
+		r := route("r", "h", "/r/", plan.Part{Service: "a", Weight: 1}, plan.Part{Service: "b", Weight: 1})
+		_, ok := splits.Pick(&r)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		r.Parts = []plan.Part{{Service: "a"}, {Service: "b", Weight: 1}, {Service: "c"}}
+		for range 20 {
+			name, _ := splits.Pick(&r)
+			gomega.Expect(name).To(gomega.Equal("b"))
+		}
+		splits.Retain(&plan.Plan{})
+		name, _ := splits.Pick(&r)
+		gomega.Expect(name).To(gomega.Equal("b"))
+	})
+
 	ginkgo.It("pick nothing when no part has a weight", func() {
 		r := route("r", "h", "/", plan.Part{Service: "a"})
 		_, ok := plan.NewSplits(rand.New(rand.NewPCG(1, 1))).Pick(&r)
@@ -121,6 +173,11 @@
 	})
 })
 
+// splitParts returns the parts of a split with small ones.
+func splitParts() []plan.Part {
+	return []plan.Part{{Service: "a", Weight: 70}, {Service: "b", Weight: 10}, {Service: "c", Weight: 10}, {Service: "d", Weight: 10}}
+}
+
 func BenchmarkFind(b *testing.B) {
 	p := plan.Plan{}
 	for i := range 200 {
