Check long headers of callers whole

A folded line beyond the first 8 KB was not found.

Cause: the header of a request was recorded up to 8 KB, together with the beginning of its body, and a longer one counted as one that may have a Content-Length beside its chunks.

Evidence: rows "in chunks", "in chunks, with words of it" and "with a folded line, no body" of TestLongHeadersAreCheckedWhole fail before.

Change: the header is recorded up to the length that net/http reads, and no bytes after it. Memory of over 8 KB is given back with the request.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -23,7 +23,9 @@
 	callerListener struct {
 		net.Listener
 		limit int64
-		open  atomic.Int64
+		// maxHeaderBytes is the length up to which the header of a request is read.
+		maxHeaderBytes int
+		open           atomic.Int64
 		// lingering counts the connections that lingerClose closes.
 		lingering *atomic.Int64
 		log       *slog.Logger
@@ -44,7 +46,8 @@
 		endRequests context.CancelFunc
 
 		mu          sync.Mutex
-		headerBytes []byte // The first bytes of the current request.
+		headerBytes []byte // The header of the current request, without its end.
+		headerWhole bool   // The end of the header has arrived.
 	}
 
 	// wrappingConn is a connection that wraps another, as with TLS.
@@ -57,10 +60,9 @@
 )
 
 const (
-	// maxRecordedBytes is the number of bytes kept from the beginning of a request, to
-	// check its header for Content-Length fields and for lines continued with leading
-	// white space (obs-fold).
-	maxRecordedBytes = 8 << 10
+	// maxKeptBytes is the size up to which the memory for the header is kept for the next
+	// request of the connection.
+	maxKeptBytes = 8 << 10
 	// rejectionResponse is sent on a connection beyond the limit.
 	rejectionResponse = "HTTP/1.1 503 Service Unavailable\r\nSpool-Outcome: not_run\r\nSpool-Reason: too_many_connections\r\n" +
 		"Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -130,17 +132,36 @@
 	}
 }
 
-// Read records the first maxRecordedBytes of the current request.
+// Read records the header of the current request, to check it for Content-Length fields and
+// for lines continued with leading white space (obs-fold).
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	if free := maxRecordedBytes - len(c.headerBytes); free > 0 {
-		c.headerBytes = append(c.headerBytes, p[:min(n, free)]...)
-	}
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.record(p[:n])
 	return n, err
 }
 
+// record records bytes of the current request up to the end of its header. The caller holds
+// mu.
+func (c *callerConn) record(p []byte) {
+	if c.headerWhole {
+		return
+	}
+	const longestEnd = len("\r\n\r\n")
+	from := max(len(c.headerBytes)-longestEnd+1, 0)
+	c.headerBytes = append(c.headerBytes, p[:min(len(p), max(c.listener.maxHeaderBytes-len(c.headerBytes), 0))]...)
+	first := -1
+	for _, end := range []string{"\r\n\r\n", "\n\n"} {
+		if i := bytes.Index(c.headerBytes[from:], []byte(end)); i >= 0 && (first < 0 || from+i < first) {
+			first = from + i
+		}
+	}
+	if first >= 0 {
+		c.headerBytes, c.headerWhole = c.headerBytes[:first], true
+	}
+}
+
 // Close closes the connection and lets the listener accept another. It lingers, as
 // lingerClose does, if the caller may still be sending and the response is whole.
 func (c *callerConn) Close() error {
@@ -178,12 +199,15 @@
 	c.reachedHandler.Store(false)
 	c.requestStarted.Store(false)
 	c.mu.Lock()
+	if c.headerWhole = false; cap(c.headerBytes) > maxKeptBytes {
+		c.headerBytes = nil
+	}
 	c.headerBytes = c.headerBytes[:0]
 	c.mu.Unlock()
 }
 
 // mayHaveContentLength reports whether the current request has a Content-Length
-// field, or its header was too long to be recorded whole.
+// field, or its header was not recorded whole.
 func (c *callerConn) mayHaveContentLength() bool {
 	header, whole := c.header()
 	return !whole || bytes.Contains(bytes.ToLower(header), []byte("\ncontent-length"))
@@ -201,12 +225,7 @@
 func (c *callerConn) header() ([]byte, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, end := range []string{"\r\n\r\n", "\n\n"} {
-		if header, _, found := bytes.Cut(c.headerBytes, []byte(end)); found {
-			return header, true
-		}
-	}
-	return c.headerBytes, false
+	return c.headerBytes, c.headerWhole
 }
 
 // forceReset makes Close send a TCP reset, so that a caller does not accept a
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -346,10 +346,16 @@
 	}
 }
 
+// headerSlop is how much more than MaxHeaderBytes net/http reads of a header.
+const headerSlop = 4 << 10
+
 // trackCallers returns a listener that limits and tracks the connections of l, which s is
 // to serve.
 func (h *Host) trackCallers(s *http.Server, l net.Listener) net.Listener {
-	callers := &callerListener{Listener: l, lingering: &h.lingering, limit: int64(h.callers.MaxConnections), log: h.log, metrics: h.metrics}
+	callers := &callerListener{
+		Listener: l, lingering: &h.lingering, limit: int64(h.callers.MaxConnections),
+		maxHeaderBytes: s.MaxHeaderBytes + headerSlop, log: h.log, metrics: h.metrics,
+	}
 	track := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		track(c, state)
