Have the stand-in of TestAnswerThatBreaksOff keep connections as it says

It now keeps a connection open after a whole answer that has a length and is of HTTP/1.1, as HTTP/1.1 says. Cuts end the connection as before, and every check is the same.

--- a/io/entry/broken_test.go
+++ b/io/entry/broken_test.go
@@ -32,6 +32,7 @@
 	answerCut struct {
 		text   string
 		resets bool
+		keeps  bool // The connection stays open, as the answer says.
 	}
 
 	// cutWay is a way from callers to a cutTarget.
@@ -60,14 +61,16 @@
 func newCutTarget(t *testing.T) *cutTarget {
 	target := &cutTarget{}
 	target.rawTarget = newRawTarget(t, func(c *rawConn) {
-		if c.readRequest() == nil {
-			return
-		}
-		target.requests.Add(1)
-		cut := target.cut.Load()
-		c.send(cut.text)
-		if cut.resets {
-			c.reset()
+		for c.readRequest() != nil {
+			target.requests.Add(1)
+			cut := target.cut.Load()
+			c.send(cut.text)
+			if cut.resets {
+				c.reset()
+			}
+			if !cut.keeps {
+				return
+			}
 		}
 	})
 	return target
@@ -130,13 +133,13 @@
 	var list []answerCut
 	body := strings.LastIndex(text, "\r\n\r\n") + len("\r\n\r\n")
 	for n := range text {
-		list = append(list, answerCut{text[:n], true})
+		list = append(list, answerCut{text: text[:n], resets: true})
 		if !lengthless || n < body {
-			list = append(list, answerCut{text[:n], false})
+			list = append(list, answerCut{text: text[:n]})
 		}
 	}
 	if lengthless {
-		list = append(list, answerCut{text, true})
+		list = append(list, answerCut{text: text, resets: true})
 	}
 	return list
 }
@@ -157,7 +160,7 @@
 				address, idempotent, other := way.connect(t, target)
 				b := &testBed{address: address}
 				for _, answer := range cutAnswers {
-					target.cut.Store(&answerCut{text: answer.text})
+					target.cut.Store(&answerCut{text: answer.text, keeps: !answer.lengthless && !strings.HasPrefix(answer.text, "HTTP/1.0")})
 					for _, call := range []string{idempotent, other} {
 						if got, reset := b.session(t, cutRequest(call, version)); !isWholeSuccess(got, reset) {
 							t.Errorf("%s, %s, whole: %q", call, answer.name, got)
