Free the addresses of a control host, and publish its status before it serves

Two small faults of the start. What operators and tests saw: a host that is stopped within ms of its start left its admin address in use, so that the next one of the process could not bind it; and a host that has just started showed an empty status, without a name or a reason.

Cause: http.Server closes its listener only once Serve has run, and Shutdown may come before that. Run served the admin and front addresses before the first tick had published a status.

Evidence: TestStopRightAfterTheStartFreesAllAddresses ("address already in use") and TestStatusIsPublishedBeforeTheHostServes (no host name) fail before.

Change: Run closes its listeners when it returns, and publishes a status before it serves.

--- a/io/ctrl/enter.go
+++ b/io/ctrl/enter.go
@@ -119,6 +119,9 @@
 	f.host.stepMu.Lock()
 	defer f.host.stepMu.Unlock()
 	f.closeVoteFolder()
+	if f.frontListener != nil {
+		f.frontListener.Close()
+	}
 }
 
 // closeVoteFolder closes the vote folder of the current view. The caller holds
--- a/io/ctrl/fleet.go
+++ b/io/ctrl/fleet.go
@@ -41,6 +41,8 @@
 		placement *place.Server
 		// front serves operators and targets; nil without a handler for it.
 		front *drain.Server
+		// frontListener is that of front.
+		frontListener net.Listener
 		// nextViews queues the agreed views that this host has yet to enter,
 		// newest last.
 		nextViews chan feed.View
@@ -249,16 +251,14 @@
 			return err
 		}
 	}
+	h.publishStatus() // Operators and targets must not be answered by an empty status.
 	if h.front != nil {
-		var (
-			l   net.Listener
-			err error
-		)
-		if l, err = net.Listen("tcp", h.cfg.Fleet.FrontAddress.String()); err != nil {
+		var err error
+		if f.frontListener, err = net.Listen("tcp", h.cfg.Fleet.FrontAddress.String()); err != nil {
 			return errors.Wrap(err, "control: front address")
 		}
 		f.front = drain.New(&http.Server{Handler: h.requests.wrap("front", h.front(h)), ReadHeaderTimeout: admin.ReadHeaderTimeout})
-		go func() { h.fail(f.front.Serve(l)) }()
+		go func() { h.fail(f.front.Serve(f.frontListener)) }()
 	}
 	go f.follower.Run(work)
 	go f.placement.Run(stop)
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -184,10 +184,12 @@
 	if peerListener, err = net.Listen("tcp", h.cfg.PeerAddress.String()); err != nil {
 		return errors.Wrap(err, "control: peer address")
 	}
+	// A server that is shut down before it has begun to serve leaves its listener open.
+	defer peerListener.Close()
 	if adminListener, err = net.Listen("tcp", h.cfg.AdminAddress.String()); err != nil {
-		peerListener.Close()
 		return errors.Wrap(err, "control: admin address")
 	}
+	defer adminListener.Close()
 	stopping, beginStop := context.WithCancel(ctx)
 	defer beginStop()
 	// Changes and departures that are in progress at the signal need the work to go on.
@@ -195,8 +197,6 @@
 	defer h.sends.Wait()
 	defer cancel()
 	if err = h.dialPeers(work); err != nil {
-		peerListener.Close()
-		adminListener.Close()
 		return err
 	}
 	defer h.closePeers()
@@ -209,12 +209,11 @@
 	defer endFollowers()
 	if h.fleet != nil {
 		if err = h.fleet.start(stopping, following, work, peers); err != nil {
-			peerListener.Close()
-			adminListener.Close()
 			return err
 		}
 	} else {
 		h.runStep(func(now time.Time) quorum.Output { return h.node.Start(now, saved) })
+		h.publishStatus()
 	}
 	go func() { h.fail(peers.Serve(peer.CountListener(peerListener, h.peerTraffic()))) }()
 	go func() { h.fail(api.Serve(adminListener)) }()
