Put the limits of a configuration on headers and bodies in force

Cause: nothing read plan.Limits.

Change: a host of a fleet reads headers and bodies up to its own settings or the plan's limit, whichever is more, at most 1 MiB of header. net/http has one fixed limit for a server, so that the connection of a caller refuses longer headers itself, with 431. With TLS the limit on headers stays that of the settings. The limits on times are still those of the settings.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -23,8 +23,10 @@
 	callerListener struct {
 		net.Listener
 		limit int64
-		// maxHeaderBytes is the length up to which the header of a request is read.
-		maxHeaderBytes int
+		// maxHeaderBytes returns the length up to which the header of a request is read.
+		maxHeaderBytes func() int
+		// refusesHeaders says that a longer header is refused here, as net/http allows more.
+		refusesHeaders bool
 		open           atomic.Int64
 		// lingering counts the connections that lingerClose closes.
 		lingering *atomic.Int64
@@ -66,7 +68,9 @@
 	// rejectionResponse is sent on a connection beyond the limit.
 	rejectionResponse = "HTTP/1.1 503 Service Unavailable\r\nSpool-Outcome: not_run\r\nSpool-Reason: too_many_connections\r\n" +
 		"Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// rejectionTimeout bounds the time to send rejectionResponse.
+	// headerRejection is sent in answer to a header that is too long.
+	headerRejection = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// rejectionTimeout bounds the time to send rejectionResponse or headerRejection.
 	rejectionTimeout = time.Second
 	// lingerTimeout and lingerBytes bound what is read and discarded from a caller
 	// after its last response, before the connection is closed. Closing with
@@ -133,24 +137,36 @@
 }
 
 // Read records the header of the current request, to check it for Content-Length fields and
-// for lines continued with leading white space (obs-fold).
+// for lines continued with leading white space (obs-fold). If the header is too long, it refuses the
+// request and returns io.EOF.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.record(p[:n])
-	return n, err
+	tooLong := !c.record(p[:n])
+	c.mu.Unlock()
+	if !tooLong || !c.listener.refusesHeaders {
+		return n, err
+	}
+	c.linger.Store(true)
+	if err = c.Conn.SetWriteDeadline(time.Now().Add(rejectionTimeout)); err == nil {
+		_, err = io.WriteString(c.Conn, headerRejection)
+	}
+	if err != nil {
+		return 0, err
+	}
+	return 0, io.EOF
 }
 
-// record records bytes of the current request up to the end of its header. The caller holds
-// mu.
-func (c *callerConn) record(p []byte) {
+// record records bytes of the current request up to the end of its header, and reports false
+// if the header is too long. The caller holds mu.
+func (c *callerConn) record(p []byte) bool {
 	if c.headerWhole {
-		return
+		return true
 	}
 	const longestEnd = len("\r\n\r\n")
 	from := max(len(c.headerBytes)-longestEnd+1, 0)
-	c.headerBytes = append(c.headerBytes, p[:min(len(p), max(c.listener.maxHeaderBytes-len(c.headerBytes), 0))]...)
+	limit := c.listener.maxHeaderBytes()
+	c.headerBytes = append(c.headerBytes, p[:min(len(p), max(limit-len(c.headerBytes), 0))]...)
 	first := -1
 	for _, end := range []string{"\r\n\r\n", "\n\n"} {
 		if i := bytes.Index(c.headerBytes[from:], []byte(end)); i >= 0 && (first < 0 || from+i < first) {
@@ -160,6 +176,7 @@
 	if first >= 0 {
 		c.headerBytes, c.headerWhole = c.headerBytes[:first], true
 	}
+	return c.headerWhole || len(c.headerBytes) < limit
 }
 
 // Close closes the connection and lets the listener accept another. It lingers, as
--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -162,7 +162,7 @@
 func (h *Host) newCall(w responseWriter, r *http.Request, s *service, class spec.Class, callInfo wire.CallerInfo) *call {
 	c := &call{
 		host: h, id: h.nextCall.Add(1), service: s, class: class,
-		arrived: time.Now(), callerConn: callerOf(r.Context()), body: newBody(w, r, h.callers.MaxBodyBytes), bodyBytes: r.ContentLength,
+		arrived: time.Now(), callerConn: callerOf(r.Context()), body: newBody(w, r, h.maxBodyBytes()), bodyBytes: r.ContentLength,
 		maxConnections: s.doc.Targets.Connections / max(len(h.cfg.Entries), 1), trustedProxies: h.callers.TrustedProxies,
 	}
 	c.name = h.callName(callInfo, c.id)
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -71,7 +71,7 @@
 }
 
 func (a *arrival) checkRequest() *problem {
-	return checkRequest(a.r, a.host.callers.MaxBodyBytes)
+	return checkRequest(a.r, a.host.maxBodyBytes())
 }
 
 // checkPlan waits for a confirmed plan.
--- a/io/entry/header_test.go
+++ b/io/entry/header_test.go
@@ -49,7 +49,7 @@
 	const header, rest = "GET / HTTP/1.1\r\nA: b", "\r\n\r\nbody\r\n\r\n"
 	for cut := range len(header + rest) {
 		g := gomega.NewWithT(t)
-		c := &callerConn{listener: &callerListener{maxHeaderBytes: 100}}
+		c := &callerConn{listener: &callerListener{maxHeaderBytes: func() int { return 100 }}}
 		c.record([]byte((header + rest)[:cut]))
 		c.record([]byte((header + rest)[cut:]))
 		got, whole := c.header()
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -300,11 +300,13 @@
 
 // callServer returns the server that accepts calls.
 func (h *Host) callServer() server {
-	inner := drain.New(h.newCallServer(h, h.callers.MaxHeaderBytes))
+	inner := drain.New(h.newCallServer(h, h.headerCeiling()))
 	return server{
 		name: "call", address: h.cfg.CallAddress,
 		serve: func(l net.Listener) error {
 			listener := h.trackCallers(inner.Server, l)
+			listener.maxHeaderBytes = func() int { return h.maxHeaderBytes() + headerSlop }
+			listener.refusesHeaders = h.maxHeaderBytesVaries()
 			if h.keyPair == nil {
 				return inner.Serve(listener)
 			}
@@ -320,7 +322,7 @@
 
 // carrierServer returns the server that accepts the calls of other entry hosts.
 func (h *Host) carrierServer() server {
-	inner := drain.New(h.newCallServer(carrierHandler{h}, h.callers.MaxHeaderBytes+maxCarryBytes))
+	inner := drain.New(h.newCallServer(carrierHandler{h}, h.headerCeiling()+maxCarryBytes))
 	return server{
 		name: "carrier", address: h.cfg.PeerAddress,
 		serve:     func(l net.Listener) error { return inner.Serve(h.trackCallers(inner.Server, l)) },
@@ -351,10 +353,10 @@
 
 // trackCallers returns a listener that limits and tracks the connections of l, which s is
 // to serve.
-func (h *Host) trackCallers(s *http.Server, l net.Listener) net.Listener {
+func (h *Host) trackCallers(s *http.Server, l net.Listener) *callerListener {
 	callers := &callerListener{
 		Listener: l, lingering: &h.lingering, limit: int64(h.callers.MaxConnections),
-		maxHeaderBytes: s.MaxHeaderBytes + headerSlop, log: h.log, metrics: h.metrics,
+		maxHeaderBytes: func() int { return s.MaxHeaderBytes + headerSlop }, log: h.log, metrics: h.metrics,
 	}
 	track := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
--- a/io/setup/limits.go
+++ b/io/setup/limits.go
@@ -42,6 +42,9 @@
 
 // Defaults and bounds of Callers.
 const (
+	// MaxHeaderBytesLimit is the longest header that may be allowed.
+	MaxHeaderBytesLimit = 1 << 20
+
 	DefaultMaxConnections = 10_000
 	DefaultMaxHeaderBytes = 32 << 10
 	DefaultMaxBodyBytes   = 256 << 20
@@ -50,7 +53,7 @@
 	DefaultDrainDelay     = 5 * time.Second
 
 	maxConnections   = 1_000_000
-	maxHeaderBytes   = 1 << 20
+	maxHeaderBytes   = MaxHeaderBytesLimit
 	maxBodyBytes     = 1 << 40
 	maxIdleTimeout   = time.Hour
 	maxHeaderTimeout = time.Minute
