Accept encoded slashes behind the part of a path that selects the route

Cause: a documented choice: a target may read an encoded slash as a slash, and then the call has another route than the one that was found. Documents of services (outside a fleet) keep it.

Change: in a fleet such a path is taken if the route is the same in both readings, and passed on unchanged; else 400 as before.

--- a/io/entry/check.go
+++ b/io/entry/check.go
@@ -20,12 +20,15 @@
 	reasonTooLarge   = "body_too_large"
 	reasonBodyCut    = "body_cut_short"
 	reasonBodyLate   = "body_too_late"
+
+	encodedSlash = "%2f"
 )
 
 // checkRequest returns why a request cannot be routed, or nil. It refuses dot
 // segments and encoded separators in the path, which the routing decision and
-// the targets may interpret differently.
-func checkRequest(r *http.Request, maxBody int) *problem {
+// the targets may interpret differently. Encoded slashes are allowed if slashes is true; see
+// findRoute.
+func checkRequest(r *http.Request, maxBody int, slashes bool) *problem {
 	switch {
 	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
 		return &problem{http.StatusMethodNotAllowed, "method_not_allowed", r.Method}
@@ -37,7 +40,7 @@
 	if detail := headerFault(r); detail != "" {
 		return &problem{http.StatusBadRequest, reasonBadRequest, detail}
 	}
-	if detail := pathFault(r.URL.Path, r.URL.EscapedPath()); detail != "" {
+	if detail := pathFault(r.URL.Path, r.URL.EscapedPath(), slashes); detail != "" {
 		return &problem{http.StatusBadRequest, reasonBadRequest, detail}
 	}
 	return nil
@@ -59,11 +62,12 @@
 	return ""
 }
 
-// pathFault returns what is ambiguous about a path, or "".
-func pathFault(path, escaped string) string {
+// pathFault returns what is ambiguous about a path, or "". Encoded slashes are allowed if
+// slashes is true.
+func pathFault(path, escaped string, slashes bool) string {
 	lower := strings.ToLower(escaped)
-	for _, code := range []string{"%2f", "%5c", "%00"} {
-		if strings.Contains(lower, code) {
+	for _, code := range []string{encodedSlash, "%5c", "%00"} {
+		if strings.Contains(lower, code) && (code != encodedSlash || !slashes) {
 			return "encoded separator in path"
 		}
 	}
--- a/io/entry/fleet.go
+++ b/io/entry/fleet.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -224,9 +225,14 @@
 }
 
 // findRoute returns the route of a call by the plan v, or the problem to answer with when
-// there is none.
+// there is none. A path with encoded slashes must have the same route whether they count as
+// slashes or not, as the target may read them either way.
 func (f *fleet) findRoute(v *activePlan, r *http.Request) (*plan.Route, *problem) {
 	route := v.table.Find(withoutPort(r.Host), r.URL.Path)
+	escaped := r.URL.EscapedPath()
+	if strings.Contains(strings.ToLower(escaped), encodedSlash) && v.table.Find(withoutPort(r.Host), escaped) != route {
+		return nil, &problem{http.StatusBadRequest, reasonBadRequest, "encoded slash in the part of the path that selects the route"}
+	}
 	switch {
 	case route == nil && !f.follower.Synced():
 		return nil, &problem{http.StatusServiceUnavailable, reasonNoPlan, detailPlanOutdated}
--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -71,7 +71,7 @@
 }
 
 func (a *arrival) checkRequest() *problem {
-	return checkRequest(a.r, a.host.maxBodyBytes())
+	return checkRequest(a.r, a.host.maxBodyBytes(), a.host.fleet != nil)
 }
 
 // checkPlan waits for a confirmed plan.
