--- a/io/entry/hangup_test.go
+++ b/io/entry/hangup_test.go
@@ -216,3 +216,29 @@
 	client.Close()
 	g.Eventually(c.hungUp, testTimeout).Should(gomega.BeTrue())
 }
+
+// BenchmarkHungUp measures one look at the connection of a caller, which watchCallers takes of
+// each open call every hangUpInterval.
+func BenchmarkHungUp(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := l.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	c := &callerConn{Conn: conn, endRequests: func() {}}
+	for b.Loop() {
+		if c.hungUp() {
+			b.Fatal("the caller is there")
+		}
+	}
+}
