--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -137,14 +137,15 @@
 }
 
 // Read records the header of the current request, to check it for Content-Length fields and
-// for lines continued with leading white space (obs-fold). If the header is too long, it refuses the
-// request and returns io.EOF.
+// for lines continued with leading white space (obs-fold). If the header is too long, it
+// refuses the request and returns io.EOF.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	tooLong := !c.record(p[:n])
 	c.mu.Unlock()
-	if !tooLong || !c.listener.refusesHeaders {
+	// The header of a pipelined request may have been read with the request before it.
+	if !tooLong || !c.listener.refusesHeaders || c.reachedHandler.Load() {
 		return n, err
 	}
 	c.linger.Store(true)
--- a/io/entry/sizes_test.go
+++ b/io/entry/sizes_test.go
@@ -56,4 +56,12 @@
 	control.state.SetPlan(lower)
 	g.Eventually(status(long, 10), 5*time.Second).Should(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
 	g.Expect(status(configured/2, configured/2)()).To(gomega.Equal(http.StatusOK), "the settings still allow it")
+	bodies := testPlan()
+	bodies.Version, bodies.Limits = 4, plan.Limits{BodyBytes: raised}
+	control.state.SetPlan(bodies)
+	g.Eventually(status(1024, long), 5*time.Second).Should(gomega.Equal(http.StatusOK))
+	pipelined := "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 1\r\n\r\nb" +
+		fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", long)
+	raw, _ := b.session(t, pipelined, strings.Repeat("b", long))
+	g.Expect(strings.Count(raw, "200 OK")).To(gomega.Equal(2), "the long body is no header: %q", raw)
 }
