--- a/core/plan/split.go
+++ b/core/plan/split.go
@@ -18,7 +18,7 @@
 	}
 
 	// splitKey names a route over the versions of the plan.
-	splitKey struct{ host, pathPrefix string }
+	splitKey struct{ host, prefix string }
 
 	// split is the state of the round robin of a route.
 	split struct {
@@ -64,7 +64,7 @@
 }
 
 func keyOf(r *Route) splitKey {
-	return splitKey{host: r.Host, pathPrefix: r.PathPrefix}
+	return splitKey{host: r.Host, prefix: r.PathPrefix}
 }
 
 // newSplit returns the state of a round robin after the given number of calls. With a random
