Count second attempts beside silent ones apart from those of the operators' limit

Cause: second attempts for silent connections were counted with those that the limit allows, though they take the retry budget in place of it.

Change: silent_attempts, silent_attempts_won and silent_attempts_cancelled.

--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -48,6 +48,7 @@
 	linkLost          bool               // The last attempt failed because this host's link to the target is lost.
 	admission         admission          // By what the call was admitted.
 	timing            timing             // Where its time went.
+	askedSilent       bool               // The last second attempt was asked for because the first one was silent.
 	progress          progress           // How far it has come, for other goroutines.
 }
 
@@ -334,7 +335,7 @@
 		c.timing.beginAttempt(start)
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
 		if action.Extra {
-			h.metrics.Counter("extra_attempts").Add(1) // The attempt beside which it was decided has ended.
+			h.countSecond(c, "") // The attempt beside which it was decided has ended.
 		}
 		if c.mayRace(r) {
 			return h.runRace(ctx, w, r, a, action)
@@ -450,7 +451,7 @@
 	switch result {
 	case engine.Answered:
 		if a.extra {
-			h.metrics.Counter("extra_attempts_won").Add(1)
+			h.countSecond(c, "_won")
 		}
 		h.metrics.Counter("calls_answered").Add(1)
 		h.callTimes.observe(c, time.Now())
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -86,6 +86,16 @@
 	return true
 }
 
+// countSecond counts a second attempt of a call, or what became of it as suffix says: those that
+// the limit of second attempts allows apart from those beside a silent one.
+func (h *Host) countSecond(c *call, suffix string) {
+	name := "extra_attempts"
+	if c.askedSilent {
+		name = "silent_attempts"
+	}
+	h.metrics.Counter(name + suffix).Add(1)
+}
+
 // runRace makes the first attempt of a call and, if one is granted, a second attempt beside
 // it. It asks for one after s.ExtraAfter, if that is not 0, and when the connection of the
 // first attempt is silent. It reports whether the call has ended, as executeDecision does. It
@@ -116,6 +126,7 @@
 			silent, asks = true, 0
 			timer.Reset(0)
 		case <-timer.C:
+			c.askedSilent = silent
 			if !h.askExtra(c, rc, silent) {
 				continue
 			}
@@ -174,7 +185,7 @@
 		h.reportRaced(a, engine.Withdrawn)
 		return
 	}
-	h.metrics.Counter("extra_attempts").Add(1)
+	h.countSecond(c, "")
 	c.progress.send(s.Target)
 	h.logSend(c, s)
 }
@@ -220,7 +231,7 @@
 	if a.racer.result != engine.Withdrawn {
 		return
 	}
-	h.metrics.Counter("extra_attempts_cancelled").Add(1)
+	h.countSecond(a.call, "_cancelled")
 	if h.sampled() {
 		h.log.Info("attempt cancelled", "call", a.name, "service", a.service.doc.Name, "target", a.racer.send.Target,
 			"attempt", a.racer.send.Attempt, "after", elapsed.String())
--- a/io/entry/silent_test.go
+++ b/io/entry/silent_test.go
@@ -116,3 +116,21 @@
 	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
 	g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", 2*time.Second))
 }
+
+// Guards against second attempts for silent connections that count against the operators' limit of
+// second attempts.
+func TestSecondAttemptBesideASilentOneIsCountedApart(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	var silenced atomic.Bool
+	target := silentTarget(t, &silenced)
+	b := newTestBed(t, manyRetries, target.address)
+	openConnections(t, b, 1)
+	silenced.Store(true)
+	time.Sleep(links.MaxTrustedSilence + 100*time.Millisecond)
+	answer, _ := b.dial(t).call(t, keepAliveGet)
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+	count := func(name string) int64 { return b.host.metrics.Counter(name).Value() }
+	g.Eventually(func() int64 { return count("silent_attempts_won") }, testTimeout).Should(gomega.BeEquivalentTo(1))
+	g.Expect([]int64{count("silent_attempts"), count("extra_attempts"), count("extra_attempts_won")}).To(gomega.Equal([]int64{1, 0, 0}))
+}
