--- a/io/entry/calls.go
+++ b/io/entry/calls.go
@@ -335,7 +335,7 @@
 		c.timing.beginAttempt(start)
 		h.metrics.Histogram("decision_latency", c.service.doc.Name).Observe(start.Sub(c.decisionRequested))
 		if action.Extra {
-			h.countSecond(c, "") // The attempt beside which it was decided has ended.
+			h.countSecond(c) // The attempt beside which it was decided has ended.
 		}
 		if c.mayRace(r) {
 			return h.runRace(ctx, w, r, a, action)
@@ -451,7 +451,7 @@
 	switch result {
 	case engine.Answered:
 		if a.extra {
-			h.countSecond(c, "_won")
+			h.countSecondWon(c)
 		}
 		h.metrics.Counter("calls_answered").Add(1)
 		h.callTimes.observe(c, time.Now())
--- a/io/entry/race.go
+++ b/io/entry/race.go
@@ -86,14 +86,32 @@
 	return true
 }
 
-// countSecond counts a second attempt of a call, or what became of it as suffix says: those that
-// the limit of second attempts allows apart from those beside a silent one.
-func (h *Host) countSecond(c *call, suffix string) {
-	name := "extra_attempts"
+// countSecond counts a second attempt of a call: those that the limit of second attempts allows
+// apart from those beside a silent one.
+func (h *Host) countSecond(c *call) {
 	if c.askedSilent {
-		name = "silent_attempts"
+		h.metrics.Counter("silent_attempts").Add(1)
+		return
+	}
+	h.metrics.Counter("extra_attempts").Add(1)
+}
+
+// countSecondWon counts a second attempt that has won, as countSecond does.
+func (h *Host) countSecondWon(c *call) {
+	if c.askedSilent {
+		h.metrics.Counter("silent_attempts_won").Add(1)
+		return
+	}
+	h.metrics.Counter("extra_attempts_won").Add(1)
+}
+
+// countCancelled counts an attempt that was given up as another one has won, as countSecond does.
+func (h *Host) countCancelled(c *call) {
+	if c.askedSilent {
+		h.metrics.Counter("silent_attempts_cancelled").Add(1)
+		return
 	}
-	h.metrics.Counter(name + suffix).Add(1)
+	h.metrics.Counter("extra_attempts_cancelled").Add(1)
 }
 
 // runRace makes the first attempt of a call and, if one is granted, a second attempt beside
@@ -185,7 +203,7 @@
 		h.reportRaced(a, engine.Withdrawn)
 		return
 	}
-	h.countSecond(c, "")
+	h.countSecond(c)
 	c.progress.send(s.Target)
 	h.logSend(c, s)
 }
@@ -231,7 +249,7 @@
 	if a.racer.result != engine.Withdrawn {
 		return
 	}
-	h.countSecond(a.call, "_cancelled")
+	h.countCancelled(a.call)
 	if h.sampled() {
 		h.log.Info("attempt cancelled", "call", a.name, "service", a.service.doc.Name, "target", a.racer.send.Target,
 			"attempt", a.racer.send.Attempt, "after", elapsed.String())
