Review case 6: a stray heartbeat takes a sound server out for good

Tried: two heartbeats of another writer that name a service of no configuration and the address of a sound server.

--- /dev/null
+++ b/review/stand-2/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// scenarios are the cases by name.
+var scenarios = map[string]scenario{
+	"stray-heartbeat": strayHeartbeat,
+}
