--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -2,5 +2,6 @@
 
 // scenarios are the cases by name.
 var scenarios = map[string]scenario{
+	"first-start":     firstStart,
 	"stray-heartbeat": strayHeartbeat,
 }
