--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -34,7 +34,8 @@
 		return reply{err: err}
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nConnection: close\r\n", method, path, host, id, deadline.Milliseconds())
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nConnection: close\r\n",
+		method, path, host, word("id"), id, word("deadline"), deadline.Milliseconds())
 	if method != http.MethodGet {
 		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(body))
 	}
@@ -51,6 +52,6 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	r = reply{status: resp.StatusCode, signed: resp.Header.Get("X-Response-Signature") != "", body: string(data)}
+	r = reply{status: resp.StatusCode, signed: resp.Header.Get(word("signature")) != "", body: string(data)}
 	return r
 }
--- a/review/stand-2/operator.go
+++ b/review/stand-2/operator.go
@@ -27,19 +27,19 @@
 func configuration(version int, routes []route, services []string, tenants map[string][]string) []byte {
 	var list []map[string]any
 	add := func(kind, name string, spec map[string]any) {
-		list = append(list, map[string]any{"resourceKind": kind, "metadata": map[string]any{"name": name}, "spec": spec})
+		list = append(list, map[string]any{word("kind"): kind, "metadata": map[string]any{"name": name}, "spec": spec})
 	}
 	for _, r := range routes {
 		add("routes", r.name, map[string]any{
-			"hostname": r.host, "pathPrefix": r.prefix, "type": r.kind, "timeoutMs": r.timeout.Milliseconds(),
-			"targetLatencyMs": 500, "priority": 1, "service": r.service, "maxAttempts": max(r.attempts, 1),
+			"hostname": r.host, word("prefix"): r.prefix, "type": r.kind, word("timeout"): r.timeout.Milliseconds(),
+			word("aim"): 500, "priority": 1, "service": r.service, word("attempts"): max(r.attempts, 1),
 		})
 	}
 	for _, name := range services {
-		add("services", name, map[string]any{"healthCheckPath": "/health", "maxConnections": 240, "protocol": "h1", "tls": false})
+		add("services", name, map[string]any{word("health"): "/health", "maxConnections": 240, "protocol": "h1", "tls": false})
 	}
 	for name, keys := range tenants {
-		add("tenants", name, map[string]any{"name": name, "apiKeys": keys})
+		add("tenants", name, map[string]any{"name": name, word("keys"): keys})
 	}
 	add("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000})
 	text, err := json.Marshal(map[string]any{"version": version, "resources": list})
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -67,15 +67,15 @@
 	s.sequence++
 	state := s.state
 	text, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": "zone-a", "version": "v1", "maxConcurrency": 6, "state": state,
-		"warmupLeftMs": 0, "sequence": s.sequence, "born": s.born,
+		"service": s.service, "address": s.address, "zone": "zone-a", "version": "v1", word("slots"): 6, "state": state,
+		word("warm"): 0, "sequence": s.sequence, "born": s.born,
 	})
 	s.mu.Unlock()
 	if err != nil {
 		return false
 	}
 	for _, i := range controls {
-		if status, _ := s.bench.call(http.MethodPut, i, "/instances/"+s.id, text, time.Second); status == http.StatusOK {
+		if status, _ := s.bench.call(http.MethodPut, i, word("heartbeats")+s.id, text, time.Second); status == http.StatusOK {
 			return true
 		}
 	}
@@ -122,7 +122,7 @@
 			return
 		}
 		if req.URL.Path == "/health" {
-			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Server-Load: 0,0,6\r\nContent-Length: 0\r\n\r\n", s.id)
+			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0,0,6\r\nContent-Length: 0\r\n\r\n", word("answerer"), s.id, word("load"))
 			if err != nil {
 				return
 			}
@@ -138,7 +138,7 @@
 func (s *server) began(r *http.Request) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(word("id"))
 	s.runs[id]++
 	s.bench.record("server", "%s runs %s %s %s", s.id, id, r.Method, r.URL.RequestURI())
 	return s.runs[id]
@@ -146,7 +146,7 @@
 
 // answer writes a whole answer.
 func (s *server) answer(c net.Conn, r *http.Request, status int, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\nX-Server-Load: 0,0,6\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), r.Header.Get("X-Request-Id"), s.id, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s: 0,0,6\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), word("id"), r.Header.Get(word("id")), word("signature"), s.id, word("load"), len(body), body)
 	return err == nil
 }
--- a/review/stand-2/stray.go
+++ b/review/stand-2/stray.go
@@ -55,13 +55,13 @@
 	if b.trouble {
 		for i, s := range later {
 			text, err := json.Marshal(map[string]any{
-				"service": "svc-of-nobody", "address": s.address, "zone": "zone-a", "version": "v1", "maxConcurrency": 6,
-				"state": "ready", "warmupLeftMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+				"service": "svc-of-nobody", "address": s.address, "zone": "zone-a", "version": "v1", word("slots"): 6,
+				"state": "ready", word("warm"): 0, "sequence": 1, "born": time.Now().UnixMilli(),
 			})
 			if err != nil {
 				return false, err
 			}
-			status, _ := b.call(http.MethodPut, 1, fmt.Sprintf("/instances/other-%d", i), text, orderTimeout)
+			status, _ := b.call(http.MethodPut, 1, fmt.Sprintf("%sother-%d", word("heartbeats"), i), text, orderTimeout)
 			b.record("stray", "heartbeat of other-%d for svc-of-nobody at %s, the address of %s: %d", i, s.address, s.id, status)
 		}
 	}
