Review case 6: uploads cut off without an answer in a planned stop

Tried: SIGTERM of one of two entry hosts; four uploads in chunks begin on kept connections while it drains and end 4.4 to 4.7 s after the signal, for a service of which the host has answered no call. Seen: all four run and get no answer, 5.4 s after the signal.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -3,5 +3,6 @@
 // scenarios are the cases by name.
 var scenarios = map[string]scenario{
 	"first-start":     firstStart,
+	"late-upload":     lateUpload,
 	"stray-heartbeat": strayHeartbeat,
 }
