Review case 8: an entry of a misspelt kind is dropped and acknowledged

Tried: a configuration in which the kind of one route reads "route". Seen: 200, read back, and 404 for all 20 orders on that route.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -4,5 +4,6 @@
 var scenarios = map[string]scenario{
 	"first-start":     firstStart,
 	"late-upload":     lateUpload,
+	"misspelt-kind":   misspeltKind,
 	"stray-heartbeat": strayHeartbeat,
 }
--- a/review/stand-2/operator.go
+++ b/review/stand-2/operator.go
@@ -21,6 +21,8 @@
 const (
 	orderTimeout = time.Second
 	orderPause   = 50 * time.Millisecond
+	// proposeTimeout is how long a read may take.
+	proposeTimeout = 4 * time.Second
 )
 
 // configuration returns the text of a configuration.
